--- /dev/null
+++ b/src/mangosaddle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators."""
--- /dev/null
+++ b/src/mangosaddle/client/__init__.py
@@ -0,0 +1,1 @@
+"""Library for callers."""
--- /dev/null
+++ b/src/mangosaddle/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of one entry process."""
--- /dev/null
+++ b/src/mangosaddle/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front end towards callers and operators."""
--- /dev/null
+++ b/src/mangosaddle/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' keys: hashing, verification and withdrawal."""
--- /dev/null
+++ b/src/mangosaddle/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide allowances: token buckets, slots and loans between VMs."""
--- /dev/null
+++ b/src/mangosaddle/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded load runs and slope measurements."""
--- /dev/null
+++ b/src/mangosaddle/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between entry VMs."""
--- /dev/null
+++ b/src/mangosaddle/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Typed clients of the services that the platform gives."""
--- /dev/null
+++ b/src/mangosaddle/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic share of new versions, evidence, verdicts and orders to endpoints."""
--- /dev/null
+++ b/src/mangosaddle/standins/_engine.py
@@ -0,0 +1,238 @@
+"""Stand-in of a model engine: streams tokens, holds a prefix cache and reports load late."""
+
+import asyncio
+import json
+import time
+from collections import Counter, OrderedDict, deque
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+PREFIX_BLOCK_TOKENS = 16
+ANSWER_WORDS = ("the", "clock", "drifts", "by", "less", "than", "a", "second", "each", "day")
+
+
+@dataclass(slots=True)
+class EngineSpeed:
+    """How fast the stand-in answers."""
+
+    prefill_s_per_token: float = 0.0001
+    """Time to compute a prompt token that is not cached."""
+    token_interval_s: float = 0.005
+    """Time between tokens of an answer."""
+    load_lag_s: float = 0.5
+    """Age of a load report."""
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """Faults that a test switches on."""
+
+    failing_versions: set[str] = field(default_factory=set)
+    """Versions that answer every request with status 500."""
+    slowdown_by_version: dict[str, float] = field(default_factory=dict)
+    """Factor on the token interval and the prefill time."""
+    cut_after_tokens: int | None = None
+    """The next stream is cut after so many tokens."""
+    crash_marker: str | None = None
+    """A prompt that contains this text stops the engine for good."""
+    refuse_all: bool = False
+
+
+class EngineStandIn:
+    """Chat completions by server-sent events, cancel, load report, cache events and orders."""
+
+    def __init__(
+        self,
+        name: str,
+        versions: tuple[str, ...],
+        capacity: int = 32,
+        cache_blocks: int = 4096,
+        speed: EngineSpeed | None = None,
+        checks_fencing: bool = True,
+    ) -> None:
+        """Create an engine; versions are written ``model@version``."""
+        self.name = name
+        self.versions = list(versions)
+        self.capacity = capacity
+        self.speed = speed or EngineSpeed()
+        self.checks_fencing = checks_fencing
+        self.faults = EngineFaults()
+        self.crashed = False
+        self.requests_by_version: Counter[str] = Counter()
+        self.seen_headers: list[dict[str, str]] = []
+        self.seen_bodies: list[bytes] = []
+        self.cancelled: set[str] = set()
+        self.prefill_tokens = 0
+        self.cached_tokens = 0
+        self.fencing = 0
+        self.orders: list[dict[str, object]] = []
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._cache_blocks = cache_blocks
+        self._slots = asyncio.Semaphore(capacity)
+        self._running = 0
+        self._waiting = 0
+        self._history: deque[tuple[float, int, int]] = deque(maxlen=4096)
+
+    def application(self) -> web.Application:
+        """Return the web application that serves this engine."""
+        application = web.Application(client_max_size=4 * 1_048_576)
+        application.router.add_post("/v1/chat/completions", self._complete)
+        application.router.add_post("/v1/cancel/{request_id}", self._cancel)
+        application.router.add_get("/v1/load", self._load)
+        application.router.add_post("/v1/orders", self._order)
+        application.router.add_get("/v1/versions", self._list_versions)
+        return application
+
+    def _check_alive(self, request: web.Request) -> None:
+        if self.crashed or self.faults.refuse_all:
+            if request.transport is not None:
+                request.transport.abort()
+            raise asyncio.CancelledError
+
+    def _record_load(self) -> None:
+        self._history.append((time.monotonic(), self._running, self._waiting))
+
+    def _prefill(self, prompt: str) -> int:
+        """Return the number of prompt tokens that had to be computed."""
+        words = prompt.split()
+        cached = 0
+        digest = 0
+        for start in range(0, len(words), PREFIX_BLOCK_TOKENS):
+            digest = hash((digest, tuple(words[start : start + PREFIX_BLOCK_TOKENS])))
+            if digest in self._cache:
+                cached += len(words[start : start + PREFIX_BLOCK_TOKENS])
+            self._cache[digest] = None
+            self._cache.move_to_end(digest)
+        while len(self._cache) > self._cache_blocks:
+            self._cache.popitem(last=False)
+        self.cached_tokens += cached
+        self.prefill_tokens += len(words) - cached
+        return len(words) - cached
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        self._check_alive(request)
+        raw = await request.read()
+        self.seen_headers.append(dict(request.headers))
+        self.seen_bodies.append(raw)
+        body = json.loads(raw)
+        version = str(body["model"])
+        self.requests_by_version[version] += 1
+        prompt = " ".join(str(m.get("content", "")) for m in body["messages"])
+        if self.faults.crash_marker and self.faults.crash_marker in prompt:
+            self.crashed = True
+            self._check_alive(request)
+        if version not in self.versions:
+            return web.json_response({"error": {"message": "unknown model"}}, status=404)
+        if version in self.faults.failing_versions:
+            return web.json_response({"error": {"message": "internal error"}}, status=500)
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        await self._generate(request, response, body, version, prompt)
+        return response
+
+    async def _generate(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        body: dict[str, object],
+        version: str,
+        prompt: str,
+    ) -> None:
+        request_id = request.headers.get("X-Request-Id", "")
+        slowdown = self.faults.slowdown_by_version.get(version, 1.0)
+        self._waiting += 1
+        self._record_load()
+        async with self._slots:
+            self._waiting -= 1
+            self._running += 1
+            self._record_load()
+            try:
+                computed = self._prefill(prompt)
+                await asyncio.sleep(computed * self.speed.prefill_s_per_token * slowdown)
+                await self._emit(request, response, body, version, request_id, slowdown, prompt)
+            finally:
+                self._running -= 1
+                self._record_load()
+
+    async def _emit(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        body: dict[str, object],
+        version: str,
+        request_id: str,
+        slowdown: float,
+        prompt: str,
+    ) -> None:
+        total = min(
+            int(str(body.get("max_tokens", 16))), int(str(body.get("answer_tokens", 1 << 30)))
+        )
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        for position in range(int(str(body.get("resume_from", 0))), total):
+            due += self.speed.token_interval_s * slowdown
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            self._check_alive(request)
+            if request_id in self.cancelled:
+                return
+            if (
+                self.faults.cut_after_tokens is not None
+                and position >= self.faults.cut_after_tokens
+            ):
+                self.faults.cut_after_tokens = None
+                if request.transport is not None:
+                    request.transport.abort()
+                raise asyncio.CancelledError
+            word = ANSWER_WORDS[position % len(ANSWER_WORDS)]
+            delta = {"index": 0, "delta": {"content": f"{word} "}, "finish_reason": None}
+            await response.write(_event({"id": request_id, "model": version, "choices": [delta]}))
+        usage = {"prompt_tokens": len(prompt.split()), "completion_tokens": total}
+        last = {"index": 0, "delta": {}, "finish_reason": "stop"}
+        await response.write(
+            _event({"id": request_id, "model": version, "choices": [last], "usage": usage})
+        )
+        await response.write(b"data: [DONE]\n\n")
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        self._check_alive(request)
+        self.cancelled.add(request.match_info["request_id"])
+        return web.json_response({})
+
+    async def _load(self, request: web.Request) -> web.Response:
+        self._check_alive(request)
+        horizon = time.monotonic() - self.speed.load_lag_s
+        sample = (horizon, 0, 0)
+        for entry in self._history:
+            if entry[0] > horizon:
+                break
+            sample = entry
+        return web.json_response(
+            {
+                "running": sample[1],
+                "waiting": sample[2],
+                "capacity": self.capacity,
+                "sampled_at": sample[0],
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        self._check_alive(request)
+        order = json.loads(await request.read())
+        if self.checks_fencing and int(order["fencing"]) < self.fencing:
+            return web.json_response({"error": {"message": "old fencing number"}}, status=409)
+        self.fencing = max(self.fencing, int(order["fencing"]))
+        self.orders.append(order)
+        if order["kind"] == "load" and order["version"] not in self.versions:
+            self.versions.append(order["version"])
+        if order["kind"] == "unload" and order["version"] in self.versions:
+            self.versions.remove(order["version"])
+        return web.json_response({"versions": self.versions})
+
+    async def _list_versions(self, request: web.Request) -> web.Response:
+        self._check_alive(request)
+        return web.json_response({"versions": self.versions, "fencing": self.fencing})
+
+
+def _event(payload: dict[str, object]) -> bytes:
+    return b"data: " + json.dumps(payload, separators=(",", ":")).encode() + b"\n\n"
--- /dev/null
+++ b/src/mangosaddle/standins/_service.py
@@ -0,0 +1,45 @@
+"""Stand-in of a plain service: counts executions by idempotency key."""
+
+import asyncio
+import json
+from collections import Counter
+
+from aiohttp import web
+
+
+class ServiceStandIn:
+    """Answers every path; a POST is an execution that must happen at most once per key."""
+
+    def __init__(self, name: str) -> None:
+        """Create a service with no executions."""
+        self.name = name
+        self.executions_by_key: Counter[str] = Counter()
+        self.reads = 0
+        self.seen_headers: list[dict[str, str]] = []
+        self.lose_answers = 0
+        """This many of the next executions take effect and their answers are lost."""
+
+    def application(self) -> web.Application:
+        """Return the web application that serves this service."""
+        application = web.Application()
+        application.router.add_get("/{path:.*}", self._read)
+        application.router.add_post("/{path:.*}", self._execute)
+        return application
+
+    async def _read(self, request: web.Request) -> web.Response:
+        self.reads += 1
+        self.seen_headers.append(dict(request.headers))
+        return web.json_response({"service": self.name, "path": request.match_info["path"]})
+
+    async def _execute(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        self.seen_headers.append(dict(request.headers))
+        key = request.headers.get("Idempotency-Key", "")
+        self.executions_by_key[key] += 1
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            if request.transport is not None:
+                request.transport.abort()
+            raise asyncio.CancelledError
+        order = {"order": key, "accepted": True, "received": json.loads(body or b"null")}
+        return web.json_response(order, status=201)
--- /dev/null
+++ b/src/mangosaddle/standins/_vm_list.py
@@ -0,0 +1,34 @@
+"""Stand-in of the platform's lagging list of live and leaving VMs."""
+
+from dataclasses import dataclass
+
+from aiohttp import web
+
+
+@dataclass(frozen=True, slots=True)
+class ListedVm:
+    """One row of the platform's list."""
+
+    id: str
+    state: str
+    """``live`` or ``leaving``."""
+
+
+class VmListStandIn:
+    """Serves whatever rows the test has set; the test decides how far the list lags."""
+
+    def __init__(self) -> None:
+        """Create an empty list."""
+        self.vms: list[ListedVm] = []
+        self.down = False
+
+    def application(self) -> web.Application:
+        """Return the web application that serves this list."""
+        application = web.Application()
+        application.router.add_get("/v1/vms", self._list)
+        return application
+
+    async def _list(self, _request: web.Request) -> web.Response:
+        if self.down:
+            return web.Response(status=503)
+        return web.json_response([{"id": vm.id, "state": vm.state} for vm in self.vms])
