--- /dev/null
+++ b/src/mangosaddle/gateway/_chat_request.py
@@ -0,0 +1,159 @@
+"""Chat requests at the border: validation and the values that decisions need."""
+
+import hashlib
+import json
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from returns.result import Failure, Result, Success
+
+from .._identifiers import ModelName, RequestId
+from ._messages import CallerRequest
+from ._problems import Finding, Problem
+
+DEFAULT_OUTPUT_TOKENS = 256
+MAX_OUTPUT_TOKENS = 32_768
+BYTES_PER_TOKEN = 4
+MESSAGE_OVERHEAD_TOKENS = 4
+PREFIX_BLOCK_BYTES = 512
+PREFIX_BLOCKS = 8
+
+
+class RequestClass(StrEnum):
+    """How a caller waits for its answer."""
+
+    INTERACTIVE = "interactive"
+    PATIENT = "patient"
+
+
+class MessageDocument(BaseModel):
+    """One message of a conversation."""
+
+    model_config = ConfigDict(extra="allow")
+
+    role: str = Field(min_length=1, max_length=32)
+    content: str
+
+
+class ChatDocument(BaseModel):
+    """Body of ``POST /v1/chat/completions``; unknown fields pass through to the engine."""
+
+    model_config = ConfigDict(extra="allow")
+
+    model: str = Field(min_length=1, max_length=128)
+    messages: list[MessageDocument] = Field(min_length=1, max_length=4096)
+    stream: bool = False
+    max_tokens: int = Field(default=DEFAULT_OUTPUT_TOKENS, ge=1, le=MAX_OUTPUT_TOKENS)
+    resume_from: int = Field(default=0, ge=0)
+
+
+@dataclass(frozen=True, slots=True)
+class ChatRequest:
+    """A valid chat request."""
+
+    request_id: RequestId
+    model: ModelName
+    request_class: RequestClass
+    wants_stream: bool
+    payload: dict[str, Any]
+    """Body for the engine, without the model's version."""
+    prompt_tokens: int
+    """Estimate of the prompt's length."""
+    output_tokens: int
+    """Upper bound of the answer's length."""
+    resume_from: int
+    """Token events that the caller already has."""
+    prefix_digests: tuple[bytes, ...]
+    """Digests of growing prefixes of the prompt, shortest first."""
+    body_digest: bytes
+    """Digest of model and messages: repeats of a request share it."""
+
+    @property
+    def bound_tokens(self) -> int:
+        """Largest cost in tokens that the request can have."""
+        return self.prompt_tokens + max(0, self.output_tokens - self.resume_from)
+
+
+def parse_chat(request: CallerRequest) -> Result[ChatRequest, Problem]:
+    """Validate a chat request; a failure carries all findings at once."""
+    try:
+        document = ChatDocument.model_validate_json(request.body)
+    except ValidationError as error:
+        return Failure(_validation_problem(error))
+    class_name = request.header("x-request-class")
+    if class_name is not None and class_name not in list(RequestClass):
+        finding = Finding(
+            "header X-Request-Class", "unknown class", "use one of interactive, patient"
+        )
+        return Failure(_malformed((finding,)))
+    default = RequestClass.INTERACTIVE if document.stream else RequestClass.PATIENT
+    request_class = RequestClass(class_name) if class_name else default
+    return Success(_chat_request(request.request_id, document, request_class))
+
+
+def _chat_request(
+    request_id: RequestId, document: ChatDocument, request_class: RequestClass
+) -> ChatRequest:
+    payload = document.model_dump(mode="json")
+    payload["stream"] = True
+    payload.setdefault("stream_options", {"include_usage": True})
+    text = "\x1e".join(f"{m.role}\x1f{m.content}" for m in document.messages).encode()
+    return ChatRequest(
+        request_id=request_id,
+        model=ModelName(document.model),
+        request_class=request_class,
+        wants_stream=document.stream,
+        payload=payload,
+        prompt_tokens=_estimate_tokens(document.messages),
+        output_tokens=document.max_tokens,
+        resume_from=document.resume_from,
+        prefix_digests=_prefix_digests(text),
+        body_digest=hashlib.sha256(document.model.encode() + b"\x1d" + text).digest(),
+    )
+
+
+def _estimate_tokens(messages: list[MessageDocument]) -> int:
+    # A tokenizer makes about one token of four bytes and at least one of each word.
+    return sum(
+        MESSAGE_OVERHEAD_TOKENS
+        + max(len(m.content.split()), math.ceil(len(m.content.encode()) / BYTES_PER_TOKEN))
+        for m in messages
+    )
+
+
+def _prefix_digests(text: bytes) -> tuple[bytes, ...]:
+    state = hashlib.blake2b(digest_size=8)
+    digests = []
+    for start in range(0, min(len(text), PREFIX_BLOCKS * PREFIX_BLOCK_BYTES), PREFIX_BLOCK_BYTES):
+        state.update(text[start : start + PREFIX_BLOCK_BYTES])
+        digests.append(state.copy().digest())
+    return tuple(digests)
+
+
+def _validation_problem(error: ValidationError) -> Problem:
+    findings = tuple(
+        Finding(
+            place="body" + "".join(f".{part}" for part in entry["loc"]),
+            message=entry["msg"],
+            remedy="see POST /v1/chat/completions in the README",
+        )
+        for entry in error.errors(include_url=False, include_input=False)
+    )
+    return _malformed(findings)
+
+
+def _malformed(findings: tuple[Finding, ...]) -> Problem:
+    return Problem(400, "malformed-request", f"{len(findings)} findings", findings=findings)
+
+
+def engine_payload(chat: ChatRequest, version: str, resume_from: int) -> dict[str, Any]:
+    """Return the body for an engine: model with version, and the offset to resume from."""
+    return {**chat.payload, "model": f"{chat.model}@{version}", "resume_from": resume_from}
+
+
+def payload_bytes(payload: dict[str, Any]) -> bytes:
+    """Return a payload as JSON bytes for a forward to another VM."""
+    return json.dumps(payload, separators=(",", ":")).encode()
--- /dev/null
+++ b/src/mangosaddle/gateway/_front.py
@@ -0,0 +1,185 @@
+"""HTTP front end on cheroot: parses requests in worker threads and hands streams over.
+
+cheroot closes neither a lingering connection's socket nor its duplicate, so a stream moves to the
+event loop and its worker thread is free for the next request.
+"""
+
+import logging
+import secrets
+import socket
+import threading
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+
+from cheroot.server import Gateway, HTTPServer
+
+from .._identifiers import RequestId
+from ._messages import Answer, CallerRequest, CallerResponse, Handover
+from ._problems import Finding, Problem
+
+BODY_LIMIT_BYTES = 1_048_576
+HEADER_LIMIT_BYTES = 16_384
+REQUEST_READ_LIMIT_S = 60.0
+SOCKET_TIMEOUT_S = 10
+WORKER_THREADS = 64
+READ_BLOCK_BYTES = 65_536
+
+Handler = Callable[[CallerRequest], Answer]
+
+_log = logging.getLogger(__name__)
+
+
+class BodyTooLargeError(Exception):
+    """The request's body exceeds the limit."""
+
+
+class RequestTooSlowError(Exception):
+    """The request's body did not arrive within the time limit."""
+
+
+class _FrontGateway(Gateway):
+    """Connects one cheroot request with the handler."""
+
+    def respond(self) -> None:
+        """Read the request, call the handler and write or hand over the answer."""
+        request_id = _request_id(self.req.inheaders)
+        try:
+            body = self._read_body()
+        except BodyTooLargeError:
+            problem = _body_problem(413, "body-too-large", f"body exceeds {BODY_LIMIT_BYTES} bytes")
+            self._refuse_and_close(problem, request_id)
+            return
+        except (RequestTooSlowError, TimeoutError, OSError):
+            problem = _body_problem(408, "request-timeout", "the body did not arrive in time")
+            self._refuse_and_close(problem, request_id)
+            return
+        except ValueError:
+            problem = _body_problem(400, "malformed-request", "the body's framing is malformed")
+            self._refuse_and_close(problem, request_id)
+            return
+        request = self._request(body, request_id)
+        answer = self._call_handler(request)
+        if isinstance(answer, Handover):
+            self._hand_over(answer)
+        else:
+            self._write(answer, request_id)
+
+    def _call_handler(self, request: CallerRequest) -> Answer:
+        handler: Handler = self.req.server.handler
+        try:
+            return handler(request)
+        except Exception:
+            _log.exception("request handler failed", extra={"request_id": request.request_id})
+            problem = _body_problem(500, "internal-error", "the gateway failed")
+            return CallerResponse.from_problem(problem, request.request_id)
+
+    def _request(self, body: bytes, request_id: RequestId) -> CallerRequest:
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in self.req.inheaders.items()
+        }
+        return CallerRequest(
+            method=self.req.method.decode("ascii", "replace"),
+            path=self.req.path.decode("ascii", "replace"),
+            query=(self.req.qs or b"").decode("ascii", "replace"),
+            headers=headers,
+            body=body,
+            request_id=request_id,
+        )
+
+    def _read_body(self) -> bytes:
+        chunked = b"chunked" in self.req.inheaders.get(b"Transfer-Encoding", b"").lower()
+        declared = int(self.req.inheaders.get(b"Content-Length", b"0"))
+        if declared > BODY_LIMIT_BYTES:
+            raise BodyTooLargeError
+        if not declared and not chunked:
+            return b""
+        deadline = time.monotonic() + REQUEST_READ_LIMIT_S
+        parts: list[bytes] = []
+        size = 0
+        while block := self.req.rfile.read(READ_BLOCK_BYTES):
+            size += len(block)
+            parts.append(block)
+            if size > BODY_LIMIT_BYTES:
+                raise BodyTooLargeError
+            if time.monotonic() > deadline:
+                raise RequestTooSlowError
+        if size < declared:
+            raise RequestTooSlowError
+        return b"".join(parts)
+
+    def _refuse_and_close(self, problem: Problem, request_id: RequestId) -> None:
+        # The rest of the body is unread, so the connection cannot carry another request.
+        self.req.close_connection = True
+        self._write(CallerResponse.from_problem(problem, request_id), request_id)
+
+    def _write(self, response: CallerResponse, request_id: RequestId) -> None:
+        self.req.status = f"{response.status} {_reason(response.status)}".encode("ascii")
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+            ("X-Request-Id", request_id),
+            *response.headers,
+        ]
+        self.req.outheaders = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        self.req.ensure_headers_sent()
+        self.req.write(response.body)
+
+    def _hand_over(self, handover: Handover) -> None:
+        connection = self.req.conn
+        caller = socket.socket(fileno=socket.dup(connection.socket.fileno()))
+        connection.linger = True
+        self.req.close_connection = True
+        self.req.sent_headers = True
+        handover.take(caller)
+
+
+class FrontServer:
+    """Serves callers and operators on one address."""
+
+    def __init__(
+        self, address: str, port: int, handler: Handler, socket_timeout_s: int = SOCKET_TIMEOUT_S
+    ) -> None:
+        """Create the server; ``start`` binds it.
+
+        ``socket_timeout_s`` bounds the time between two blocks of a request.
+        """
+        self._server = HTTPServer(
+            (address, port), _FrontGateway, minthreads=8, maxthreads=WORKER_THREADS
+        )
+        self._server.handler = handler  # type: ignore[attr-defined]
+        self._server.max_request_header_size = HEADER_LIMIT_BYTES
+        self._server.max_request_body_size = 0
+        self._server.timeout = socket_timeout_s
+        self._server.shutdown_timeout = 2
+        self._thread = threading.Thread(target=self._server.serve, name="front", daemon=True)
+
+    def start(self) -> int:
+        """Bind and serve; return the bound port."""
+        self._server.prepare()
+        self._thread.start()
+        return int(self._server.bind_addr[1])
+
+    def stop(self) -> None:
+        """Stop accepting and close idle connections; streams handed over are not touched."""
+        self._server.stop()
+        self._thread.join(timeout=5)
+
+
+def _request_id(headers: dict[bytes, bytes]) -> RequestId:
+    given = headers.get(b"X-Request-Id", b"").decode("latin-1")
+    if given and len(given) <= 64 and all(c.isalnum() or c in "-_." for c in given):
+        return RequestId(given)
+    return RequestId(secrets.token_hex(12))
+
+
+def _reason(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _body_problem(status: int, code: str, detail: str) -> Problem:
+    return Problem(status, code, detail, findings=(Finding("body", detail),))
--- /dev/null
+++ b/src/mangosaddle/gateway/_relay.py
@@ -0,0 +1,351 @@
+"""Relays of streamed answers on the event loop: no thread for an open stream.
+
+A relay has a source (an endpoint's socket or a forward from another VM) and a sink (a caller's
+socket or a forward). It passes whole events on, counts tokens and asks for another source when
+the first breaks off.
+"""
+
+import asyncio
+import json
+import socket
+from typing import Protocol
+
+from .._identifiers import RequestId
+from ._endpoint import EndpointStream
+from ._events import EventBuffer, parse_events
+from ._problems import Execution, Problem
+
+CALLER_BUFFER_BYTES = 65_536
+STREAM_HEAD = (
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n"
+    "Connection: close\r\nX-Request-Id: {request_id}\r\n\r\n"
+)
+
+
+class Sink(Protocol):
+    """Where an answer goes."""
+
+    def send(self, events: bytes) -> None:
+        """Pass whole events on."""
+
+    def finish(self) -> None:
+        """End a complete answer."""
+
+    def fail(self, problem: Problem) -> None:
+        """End an answer that cannot be completed."""
+
+
+class Source(Protocol):
+    """Where an answer comes from."""
+
+    def pause(self) -> None:
+        """Stop delivering until ``resume``."""
+
+    def resume(self) -> None:
+        """Deliver again."""
+
+    def close(self) -> None:
+        """Stop for good."""
+
+
+class RelayObserver(Protocol):
+    """Decides what happens at a relay's events."""
+
+    def on_first_token(self, relay: "Relay") -> None:
+        """Handle the arrival of the first token."""
+
+    def on_source_cut(self, relay: "Relay") -> None:
+        """Handle a source that broke off before the end marker."""
+
+    def on_closed(self, relay: "Relay") -> None:
+        """Handle the end of the relay, complete or not."""
+
+
+class Relay:
+    """Passes one answer from its source to its sink."""
+
+    __slots__ = (
+        "_observer",
+        "_paused",
+        "_sink",
+        "_source",
+        "buffer",
+        "caller_gone",
+        "closed",
+        "last_data_at",
+        "request_id",
+    )
+
+    def __init__(self, request_id: RequestId, observer: RelayObserver, tokens: int = 0) -> None:
+        """Create a relay; attach sink and source before any data arrives."""
+        self.request_id = request_id
+        self.buffer = EventBuffer(tokens)
+        self.closed = False
+        self.caller_gone = False
+        self.last_data_at = 0.0
+        """Event loop time of the newest data, in seconds."""
+        self._observer = observer
+        self._sink: Sink | None = None
+        self._source: Source | None = None
+        self._paused = False
+
+    def attach_sink(self, sink: Sink) -> None:
+        """Set where the answer goes."""
+        self._sink = sink
+
+    def attach_source(self, source: Source, now: float) -> None:
+        """Set where the answer comes from, also after the earlier source was cut."""
+        self._source = source
+        self.last_data_at = now
+        if self.closed:
+            source.close()
+        elif self._paused:
+            source.pause()
+
+    def feed(self, data: bytes, now: float) -> None:
+        """Take bytes from the source."""
+        if self.closed:
+            return
+        had_tokens = self.buffer.tokens
+        events = self.buffer.feed(data)
+        self.last_data_at = now
+        if not events or self._sink is None:
+            return
+        if not had_tokens and self.buffer.tokens:
+            self._observer.on_first_token(self)
+        self._sink.send(events)
+        if self.buffer.is_complete:
+            self._sink.finish()
+            self._close()
+
+    def source_ended(self) -> None:
+        """Handle the end of the source's connection."""
+        if not self.closed:
+            self._source = None
+            self.buffer.drop_tail()
+            self._observer.on_source_cut(self)
+
+    def cut_source(self) -> None:
+        """Give up a source that has stalled."""
+        source, self._source = self._source, None
+        if source is not None:
+            source.close()
+        self.source_ended()
+
+    def fail(self, problem: Problem) -> None:
+        """End the answer with a truthful error."""
+        if self.closed:
+            return
+        if self._sink is not None:
+            self._sink.fail(problem)
+        self._close()
+
+    def sink_lost(self) -> None:
+        """Handle a caller that is gone."""
+        if not self.closed:
+            self.caller_gone = True
+            self._close()
+
+    def pause_source(self) -> None:
+        """Stop the source while the caller is slow."""
+        self._paused = True
+        if self._source is not None:
+            self._source.pause()
+
+    def resume_source(self) -> None:
+        """Let the source deliver again."""
+        self._paused = False
+        if self._source is not None:
+            self._source.resume()
+
+    def _close(self) -> None:
+        self.closed = True
+        if self._source is not None:
+            self._source.close()
+            self._source = None
+        self._observer.on_closed(self)
+
+
+class _EndpointProtocol(asyncio.Protocol):
+    """Source on an endpoint's socket."""
+
+    def __init__(self, relay: Relay, loop: asyncio.AbstractEventLoop) -> None:
+        self._relay = relay
+        self._loop = loop
+        self._transport: asyncio.Transport | None = None
+        self._detached = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._relay.feed(data, self._loop.time())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self._detached:
+            self._relay.source_ended()
+
+    def pause(self) -> None:
+        if self._transport is not None and self._transport.is_reading():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        if self._transport is not None and not self._transport.is_reading():
+            self._transport.resume_reading()
+
+    def close(self) -> None:
+        self._detached = True
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class _CallerProtocol(asyncio.Protocol):
+    """Sink on a caller's socket; the response head is written with the first event."""
+
+    def __init__(self, relay: Relay) -> None:
+        self._relay = relay
+        self._transport: asyncio.Transport | None = None
+        self._head_sent = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(high=CALLER_BUFFER_BYTES)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._relay.sink_lost()
+
+    def eof_received(self) -> bool:
+        # A caller that has shut down its sending side may still read the answer.
+        return True
+
+    def pause_writing(self) -> None:
+        self._relay.pause_source()
+
+    def resume_writing(self) -> None:
+        self._relay.resume_source()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+    def _close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+
+
+class StreamSink(_CallerProtocol):
+    """Passes events to the caller as they come."""
+
+    def send(self, events: bytes) -> None:
+        """Write events, after the response head if they are the first."""
+        if not self._head_sent:
+            self._head_sent = True
+            head = STREAM_HEAD.format(request_id=self._relay.request_id).encode("ascii")
+            events = head + events
+        self._write(events)
+
+    def finish(self) -> None:
+        """Close the connection after the end marker."""
+        self._close()
+
+    def fail(self, problem: Problem) -> None:
+        """Refuse with a status if nothing was sent; otherwise end with an error event."""
+        if self._head_sent:
+            body = problem.to_json(self._relay.request_id)
+            self._write(b"event: error\ndata: " + body + b"\n\n")
+        else:
+            self._write(problem_response(problem, self._relay.request_id))
+        self._close()
+
+
+class CollectSink(_CallerProtocol):
+    """Collects the events into one JSON answer for a caller that did not ask for a stream."""
+
+    def __init__(self, relay: Relay, model: str) -> None:
+        """Create a sink for one caller."""
+        super().__init__(relay)
+        self._model = model
+        self._parts: list[str] = []
+        self._finish_reason: str | None = None
+
+    def send(self, events: bytes) -> None:
+        """Keep the text of the events."""
+        for payload in parse_events(events):
+            for choice in payload.get("choices", []):
+                self._parts.append(choice.get("delta", {}).get("content") or "")
+                self._finish_reason = choice.get("finish_reason") or self._finish_reason
+
+    def finish(self) -> None:
+        """Write the whole answer."""
+        usage = self._relay.buffer.usage
+        message = {"role": "assistant", "content": "".join(self._parts)}
+        document: dict[str, object] = {
+            "id": self._relay.request_id,
+            "object": "chat.completion",
+            "model": self._model,
+            "choices": [{"index": 0, "message": message, "finish_reason": self._finish_reason}],
+        }
+        if usage is not None:
+            document["usage"] = {
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": usage.completion_tokens,
+                "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+            }
+        body = json.dumps(document).encode()
+        self._write(_response("200 OK", "application/json", self._relay.request_id, "", body))
+        self._close()
+
+    def fail(self, problem: Problem) -> None:
+        """Write the refusal; no part of the answer was sent."""
+        self._write(problem_response(problem, self._relay.request_id))
+        self._close()
+
+
+async def attach_endpoint(relay: Relay, stream: EndpointStream) -> None:
+    """Make an endpoint's open stream the relay's source."""
+    loop = asyncio.get_running_loop()
+    if relay.closed:
+        stream.socket.close()
+        return
+    protocol = _EndpointProtocol(relay, loop)
+    relay.attach_source(protocol, loop.time())
+    if stream.first_bytes:
+        relay.feed(stream.first_bytes, loop.time())
+    await loop.create_connection(lambda: protocol, sock=stream.socket)
+    if relay.closed:
+        protocol.close()
+
+
+async def attach_caller(sink: _CallerProtocol, caller: socket.socket) -> None:
+    """Make a caller's socket the sink's connection."""
+    caller.setblocking(False)
+    await asyncio.get_running_loop().connect_accepted_socket(lambda: sink, caller)
+
+
+def problem_response(problem: Problem, request_id: RequestId) -> bytes:
+    """Return a whole HTTP response that carries a refusal."""
+    extra = ""
+    if problem.retry_after_s is not None:
+        extra = f"Retry-After: {max(1, round(problem.retry_after_s))}\r\n"
+    status = f"{problem.status} {problem.code}"
+    body = problem.to_json(request_id)
+    return _response(status, "application/problem+json", request_id, extra, body)
+
+
+def _response(status: str, content_type: str, request_id: str, extra: str, body: bytes) -> bytes:
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: {content_type}\r\nContent-Length: {len(body)}\r\n"
+        f"Connection: close\r\nX-Request-Id: {request_id}\r\n{extra}\r\n"
+    )
+    return head.encode("ascii") + body
+
+
+EXECUTION_UNKNOWN_CUT = Problem(
+    status=502,
+    code="answer-cut",
+    detail="the answer broke off and could not be resumed",
+    execution=Execution.UNKNOWN,
+    retry_after_s=1.0,
+)
--- a/src/mangosaddle/standins/_engine.py
+++ b/src/mangosaddle/standins/_engine.py
@@ -1,6 +1,7 @@
 """Stand-in of a model engine: streams tokens, holds a prefix cache and reports load late."""
 
 import asyncio
+import contextlib
 import json
 import time
 from collections import Counter, OrderedDict, deque
@@ -128,7 +129,9 @@
             return web.json_response({"error": {"message": "internal error"}}, status=500)
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
-        await self._generate(request, response, body, version, prompt)
+        # The gateway closes the connection when its caller is gone.
+        with contextlib.suppress(ConnectionResetError):
+            await self._generate(request, response, body, version, prompt)
         return response
 
     async def _generate(
--- /dev/null
+++ b/tests/gateway/test_chat_request.py
@@ -0,0 +1,61 @@
+"""Tests of the validation of chat requests."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from mangosaddle._identifiers import RequestId
+from mangosaddle.gateway import CallerRequest, Execution
+from mangosaddle.gateway._chat_request import RequestClass, parse_chat
+
+GOOD = {"model": "advisor", "messages": [{"role": "user", "content": "How late is the bell?"}]}
+
+
+def _request(body: bytes, **headers: str) -> CallerRequest:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return CallerRequest("POST", "/v1/chat/completions", "", named, body, RequestId("r1"))
+
+
+@pytest.mark.parametrize(
+    ("body", "places"),
+    [
+        (b"", {"body"}),
+        (b"{", {"body"}),
+        (b"[]", {"body"}),
+        (b"{}", {"body.model", "body.messages"}),
+        (json.dumps({**GOOD, "messages": []}).encode(), {"body.messages"}),
+        (
+            json.dumps({"model": "", "messages": [{"role": "user"}], "max_tokens": 0}).encode(),
+            {"body.model", "body.messages.0.content", "body.max_tokens"},
+        ),
+        (json.dumps({**GOOD, "max_tokens": 10**9}).encode(), {"body.max_tokens"}),
+        (json.dumps({**GOOD, "resume_from": -1}).encode(), {"body.resume_from"}),
+    ],
+)
+def test_bad_bodies_get_all_findings_at_once(body: bytes, places: set[str]) -> None:
+    """Guards against a caller who mends one fault only to be told of the next."""
+    problem = parse_chat(_request(body)).failure()
+    assert {finding.place for finding in problem.findings} == places
+    assert (problem.status, problem.execution) == (400, Execution.NOT_RUN)
+
+
+def test_request_class_follows_the_header_and_else_the_stream_flag() -> None:
+    """Guards against a patient question that is treated as interactive."""
+    body = json.dumps(GOOD).encode()
+    streamed = json.dumps({**GOOD, "stream": True}).encode()
+    assert parse_chat(_request(body)).unwrap().request_class is RequestClass.PATIENT
+    assert parse_chat(_request(streamed)).unwrap().request_class is RequestClass.INTERACTIVE
+    named = parse_chat(_request(streamed, x_request_class="patient")).unwrap()
+    assert named.request_class is RequestClass.PATIENT
+    assert not is_successful(parse_chat(_request(body, x_request_class="soon")))
+
+
+@given(st.binary(max_size=200) | st.recursive(st.none() | st.text() | st.integers(), st.lists))
+@settings(derandomize=True, deadline=None, max_examples=200)
+def test_no_body_raises(body: object) -> None:
+    """Guards against a body that makes the parser fail instead of refusing it."""
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    parse_chat(_request(raw))
--- /dev/null
+++ b/tests/gateway/test_front.py
@@ -0,0 +1,92 @@
+"""Tests of the HTTP front end against misbehaving callers."""
+
+import json
+import socket
+from collections.abc import Iterator
+
+import pytest
+import urllib3
+
+from mangosaddle.gateway import CallerRequest, CallerResponse, FrontServer
+from mangosaddle.gateway._front import BODY_LIMIT_BYTES
+
+
+def _echo(request: CallerRequest) -> CallerResponse:
+    if request.path == "/fail":
+        raise RuntimeError("secret detail")
+    return CallerResponse.from_json({"size": len(request.body)})
+
+
+@pytest.fixture(scope="module")
+def port() -> Iterator[int]:
+    """Port of a front end that answers with the size of the body."""
+    server = FrontServer("127.0.0.1", 0, _echo, socket_timeout_s=1)
+    yield server.start()
+    server.stop()
+
+
+def _exchange(port: int, *parts: bytes) -> tuple[int, dict[str, object]]:
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as caller:
+        for part in parts:
+            caller.sendall(part)
+        received = b""
+        while block := caller.recv(65_536):
+            received += block
+    head, _, body = received.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body) if body.startswith(b"{") else {}
+
+
+HEAD = b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+
+
+@pytest.mark.parametrize(
+    ("parts", "status", "code"),
+    [
+        ((HEAD + b"Content-Length: 9999999\r\n\r\n",), 413, "body-too-large"),
+        ((HEAD + b"Content-Length: 10\r\n\r\nabc",), 408, "request-timeout"),
+        ((HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",), 400, "malformed-request"),
+    ],
+    ids=["oversized body", "slow caller", "broken framing"],
+)
+def test_bad_requests_get_a_problem_document(
+    port: int, parts: tuple[bytes, ...], status: int, code: str
+) -> None:
+    """Guards against a caller that gets no reason, or holds a worker thread for ever."""
+    got, document = _exchange(port, *parts)
+    assert (got, str(document.get("type")).rpartition("/")[2]) == (status, code)
+    assert document["execution"] == "not_run"
+
+
+def test_oversized_chunked_body_is_refused(port: int) -> None:
+    """Guards against a body whose length is not declared and fills the memory."""
+    block = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+    parts = [HEAD + b"Transfer-Encoding: chunked\r\n\r\n", *[block] * 20, b"0\r\n\r\n"]
+    try:
+        status, _ = _exchange(port, *parts)
+    except ConnectionError:
+        # The server closes with unread bytes, so the reset may overtake its answer.
+        status = 413
+    assert status == 413
+
+
+def test_oversized_header_is_refused(port: int) -> None:
+    """Guards against headers that fill the memory."""
+    status, _ = _exchange(port, HEAD + b"X-Long: " + b"x" * 20_000 + b"\r\n\r\n")
+    assert status in (400, 413, 431)
+
+
+def test_a_vanished_caller_leaves_the_server_serving(port: int) -> None:
+    """Guards against a broken connection that ends a worker thread."""
+    for _ in range(80):
+        with socket.create_connection(("127.0.0.1", port), timeout=10) as caller:
+            caller.sendall(HEAD + b"Content-Length: 5\r\n\r\n")
+    http = urllib3.PoolManager()
+    answer = http.request("POST", f"http://127.0.0.1:{port}/", body=b"x" * BODY_LIMIT_BYTES)
+    assert answer.json() == {"size": BODY_LIMIT_BYTES}
+
+
+def test_a_failing_handler_answers_without_its_detail(port: int) -> None:
+    """Guards against an internal error that leaks text or cuts the connection."""
+    answer = urllib3.PoolManager().request("GET", f"http://127.0.0.1:{port}/fail")
+    assert answer.status == 500
+    assert b"secret" not in answer.data
