Add documents, loading and examples of the configuration

Cause: the system has no way to read the operators' inventory and rules. Entries are validated one by one, so that one bad entry hides no finding of another.

--- a/src/mangosaddle/configuration/_entities.py
+++ b/src/mangosaddle/configuration/_entities.py
@@ -1,7 +1,9 @@
 """Frozen data classes of the fleet: what the operators' documents mean to the system."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from .._identifiers import (
     EndpointId,
@@ -15,6 +17,9 @@
     ZoneName,
 )
 
+if TYPE_CHECKING:
+    from ._documents import InventoryDocument, RulesDocument
+
 
 class EndpointKind(StrEnum):
     """What runs behind an endpoint's address."""
@@ -140,6 +145,20 @@
     rollouts_by_model: dict[ModelName, RolloutPlan] = field(default_factory=dict)
     versions_by_model: dict[ModelName, tuple[VersionId, ...]] = field(default_factory=dict)
     """Versions of each model in the order of the inventory; the first is the default."""
+    zones_by_region: dict[RegionName, tuple[ZoneName, ...]] = field(default_factory=dict)
+
+    @classmethod
+    def from_documents(
+        cls,
+        inventory: "InventoryDocument",
+        rules: "RulesDocument",
+        revision: int = 0,
+        keys_by_id: Mapping[KeyId, Key] | None = None,
+    ) -> "Configuration":
+        """Return the configuration that two checked documents describe."""
+        from ._build import build_configuration
+
+        return build_configuration(revision, inventory, rules, keys_by_id or {})
 
     def regions(self) -> frozenset[RegionName]:
         """Return all regions that have an entry VM or an endpoint."""
--- /dev/null
+++ b/tests/configuration/test_configuration_documents.py
@@ -0,0 +1,133 @@
+"""Loading of the operators' documents: every finding, with its place and line."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from syrupy.assertion import SnapshotAssertion
+
+from mangosaddle.configuration import (
+    DocumentFile,
+    TomlSource,
+    check_documents,
+    check_sources,
+    inventory_of,
+    load_configuration,
+    load_sources,
+    rules_of,
+)
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+
+NEW_REGION = '[[regions]]\nname = "axum"\nzones = ["axum-a"]\n'
+
+# Name, document to change, text to replace, replacement.
+BAD_EDITS = [
+    ("not_toml", "inventory", 'id = "addis-1"', "id = addis-1"),
+    ("unknown_field", "inventory", 'zone = "addis-a"\nurl', 'zone = "addis-a"\ncolour = 1\nurl'),
+    ("unknown_table", "inventory", "[[services]]", "[[service]]"),
+    ("table_not_list", "rules", "[[open_routes]]", "[open_routes]"),
+    ("missing_field", "inventory", "capacity = 16\n", ""),
+    ("capacity_zero", "inventory", "capacity = 16\n", "capacity = 0\n"),
+    ("capacity_text", "inventory", "capacity = 16\n", 'capacity = "16"\n'),
+    ("unknown_kind", "inventory", 'kind = "engine"', 'kind = "motor"'),
+    ("bad_name", "inventory", 'id = "addis-2"', 'id = "addis_2"'),
+    ("duplicate_id", "inventory", 'id = "addis-2"', 'id = "addis-1"'),
+    ("duplicate_address", "inventory", "127.0.1.2:8080", "127.0.1.1:8080"),
+    ("host_name", "inventory", "http://127.0.1.1:8080", "http://addis.example:8080"),
+    ("url_with_path", "inventory", "http://127.0.1.1:8080", "http://127.0.1.1:8080/v1"),
+    ("bad_port", "inventory", "ws://127.0.1.1:8090", "ws://127.0.1.1:98090"),
+    ("wrong_scheme", "inventory", "ws://127.0.1.1:8090", "http://127.0.1.1:8090"),
+    ("unknown_region", "inventory", 'region = "mekele"', 'region = "mekelle"'),
+    ("foreign_zone", "inventory", 'zone = "gondar-b"', 'zone = "addis-b"'),
+    ("unknown_version", "inventory", 'versions = ["v1", "v2"]', 'versions = ["v1"]'),
+    ("unknown_model", "inventory", 'name = "advisor"', 'name = "adviser"'),
+    ("engine_in_service", "inventory", "capacity = 16\n", 'capacity = 16\nservice = "orders"\n'),
+    ("service_unnamed", "inventory", 'service = "orders"', ""),
+    ("unknown_service", "inventory", 'service = "orders"', 'service = "order"'),
+    ("no_vms", "inventory", "[[vms]]", "[[old]]"),
+    ("region_without_vm", "inventory", "[[models]]", NEW_REGION + "[[models]]"),
+    ("year_out_of_range", "rules", "start = 2027", "start = 0001"),
+    ("no_allowance", "inventory", "[[services]]", '[[organisations]]\nid = "new"\n[[services]]'),
+    ("burst_too_small", "rules", "burst_tokens = 60000", "burst_tokens = 500"),
+    ("rate_infinite", "rules", "rate_tokens_per_s = 4000", "rate_tokens_per_s = inf"),
+    ("unknown_organisation", "rules", '"school-clocks"', '"school-clock"'),
+    ("unknown_home", "rules", 'residency = ["gondar"]', 'residency = ["gonder"]'),
+    ("open_order_route", "rules", 'methods = ["GET"]', 'methods = ["GET", "POST"]'),
+    ("open_unknown", "rules", 'service = "orders"', 'service = "stock"'),
+    ("moment_without_offset", "rules", "deadline = 2027-01-11T10:00:00Z", "deadline = 2027-01-11"),
+    ("steps_out_of_order", "rules", "at = 2027-01-11T08:00:00Z", "at = 2027-01-11T06:30:00Z"),
+    ("share_falls", "rules", "share = 0.5", "share = 0.05"),
+    ("share_above_one", "rules", "share = 0.5", "share = 5"),
+    ("never_complete", "rules", "share = 1.0", "share = 0.9"),
+    ("late_step", "rules", "at = 2027-01-11T09:00:00Z", "at = 2027-01-11T12:00:00Z"),
+    ("early_step", "rules", "at = 2027-01-11T06:00:00Z", "at = 2027-01-11T05:00:00Z"),
+    ("deadline_before_start", "rules", "start = 2027-01-11T06", "start = 2027-01-11T16"),
+    ("same_version", "rules", 'new = "v2"', 'new = "v1"'),
+]
+
+
+def edited_sources(document: str, old: str, new: str) -> tuple[TomlSource, TomlSource]:
+    """Return the authority's documents after one replacement."""
+    inventory, rules = load_sources(EXAMPLES / "authority")
+    changed = inventory if document == "inventory" else rules
+    assert old in changed.text
+    replaced = TomlSource(changed.file, changed.text.replace(old, new))
+    return (replaced, rules) if document == "inventory" else (inventory, replaced)
+
+
+@pytest.mark.parametrize(
+    ("document", "old", "new"),
+    [edit[1:] for edit in BAD_EDITS],
+    ids=[edit[0] for edit in BAD_EDITS],
+)
+def test_bad_documents_report_every_finding(
+    document: str, old: str, new: str, snapshot: SnapshotAssertion
+) -> None:
+    """A fault that is reported without its place, or hides another one, costs operators time."""
+    checked = check_sources(*edited_sources(document, old, new))
+    assert checked.findings
+    lines = [
+        f"{f.severity} {f.file}:{f.line} {f.place}: {f.message} -> {f.remedy}"
+        for f in checked.findings
+    ]
+    assert lines == snapshot
+
+
+@pytest.mark.parametrize("deployment", ["authority", "division"])
+def test_examples_survive_a_round_trip(deployment: str) -> None:
+    """Documents shown by the admin API must mean the same when they are applied again."""
+    checked = load_configuration(EXAMPLES / deployment)
+    assert checked.findings == ()
+    configuration = checked.to_configuration()
+    assert configuration is not None
+    assert (len(configuration.vms_by_id), len(configuration.endpoints_by_id)) == (6, 8)
+    again = check_documents(inventory_of(configuration), rules_of(configuration))
+    assert again.to_configuration() == configuration
+
+
+SCALARS = st.one_of(st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=8))
+ANYTHING = st.recursive(
+    SCALARS,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(
+            st.sampled_from(["vms", "id", "url", "versions", "rollouts", "steps", "start", "at"]),
+            inner,
+            max_size=4,
+        ),
+    ),
+    max_leaves=12,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(inventory=ANYTHING, rules=ANYTHING, text=st.text(max_size=40))
+def test_any_document_is_answered_with_findings(
+    inventory: object, rules: object, text: str
+) -> None:
+    """A document from the network must never crash the checks."""
+    checked = check_documents(inventory, rules)
+    assert all(finding.message and finding.remedy for finding in checked.findings)
+    check_sources(TomlSource(DocumentFile.INVENTORY, text), TomlSource(DocumentFile.RULES, text))
