--- a/src/mangosaddle/standins/__init__.py
+++ b/src/mangosaddle/standins/__init__.py
@@ -1,12 +1,15 @@
 """Small stand-ins of the platform, shared by demo, tests and measurement."""
 
+from ._client_directory import ClientDirectoryStandIn
 from ._engine import EngineFaults, EngineSpeed, EngineStandIn
 from ._host import StandInHost
 from ._service import ServiceStandIn
 from ._store import StoredValue, StoreFaults, StoreStandIn
 from ._vm_list import ListedVm, VmListStandIn
+from ._weight_store import WeightStoreStandIn
 
 __all__ = [
+    "ClientDirectoryStandIn",
     "EngineFaults",
     "EngineSpeed",
     "EngineStandIn",
@@ -17,4 +20,5 @@
     "StoreStandIn",
     "StoredValue",
     "VmListStandIn",
+    "WeightStoreStandIn",
 ]
--- a/src/mangosaddle/standins/_store.py
+++ b/src/mangosaddle/standins/_store.py
@@ -33,6 +33,12 @@
     """This many of the next writes take effect and their answers are lost."""
     delay_s: float = 0.0
     """Time before each answer."""
+    garbage_answers: int = 0
+    """This many of the next answers are not understandable; writes take effect."""
+    oversized_answer_bytes: int = 0
+    """Reads answer with so many bytes instead of rows; 0 switches this off."""
+    omit_write_index: bool = False
+    """Answers to writes do not state the new index."""
 
 
 class StoreStandIn:
@@ -58,6 +64,18 @@
         application.router.add_put("/v1/session/destroy/{session}", self._destroy_session)
         return application
 
+    def restart(self, index: int) -> None:
+        """Lose all values and leases and go on from an index; call it on the host's loop."""
+        self.values_by_key.clear()
+        self._expiry_by_session.clear()
+        self._index = index
+
+    def _answer_badly(self) -> web.Response | None:
+        if self.faults.garbage_answers > 0:
+            self.faults.garbage_answers -= 1
+            return web.Response(body=b'{"not": "an answer', content_type="application/json")
+        return None
+
     async def _meet_faults(self, request: web.Request) -> None:
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
@@ -102,6 +120,11 @@
         self._expire_sessions()
         if "index" in request.query:
             await self._wait_for_change(request)
+        bad = self._answer_badly()
+        if bad is not None:
+            return bad
+        if self.faults.oversized_answer_bytes:
+            return web.Response(body=b" " * self.faults.oversized_answer_bytes)
         found = self._matching(request)
         index = max((v.modify_index for v in found.values()), default=self._index)
         headers = {"X-Consul-Index": str(index)}
@@ -141,7 +164,8 @@
         created = stored.create_index if stored else index
         self.values_by_key[key] = StoredValue(value, created, index, session)
         self._lose_answer(request)
-        return web.json_response(True, headers={"X-Consul-Index": str(index)})
+        headers = {} if self.faults.omit_write_index else {"X-Consul-Index": str(index)}
+        return self._answer_badly() or web.json_response(True, headers=headers)
 
     def _may_write(self, request: web.Request, stored: StoredValue | None) -> bool:
         if "cas" in request.query:
--- a/src/mangosaddle/standins/_vm_list.py
+++ b/src/mangosaddle/standins/_vm_list.py
@@ -12,6 +12,8 @@
     id: str
     state: str
     """``live`` or ``leaving``."""
+    incarnation: str = ""
+    """Incarnation of the VM's entry process."""
 
 
 class VmListStandIn:
@@ -21,6 +23,7 @@
         """Create an empty list."""
         self.vms: list[ListedVm] = []
         self.down = False
+        self.garbage = False
 
     def application(self) -> web.Application:
         """Return the web application that serves this list."""
@@ -31,4 +34,11 @@
     async def _list(self, _request: web.Request) -> web.Response:
         if self.down:
             return web.Response(status=503)
-        return web.json_response([{"id": vm.id, "state": vm.state} for vm in self.vms])
+        if self.garbage:
+            return web.Response(body=b"<html>")
+        return web.json_response(
+            [
+                {"id": vm.id, "state": vm.state, "incarnation": vm.incarnation or None}
+                for vm in self.vms
+            ]
+        )
