--- /dev/null
+++ b/src/mangosaddle/daemon/_blocking.py
@@ -0,0 +1,33 @@
+"""Runs synchronous clients in threads, so that the event loop never waits."""
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import ParamSpec, TypeVar
+
+Value = TypeVar("Value")
+Parameters = ParamSpec("Parameters")
+
+BLOCKING_THREADS = 24
+
+
+class BlockingCalls:
+    """A pool of threads for calls that block: store, VM list, endpoints."""
+
+    def __init__(self, name: str) -> None:
+        """Create the pool; its threads start on demand."""
+        self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix=name)
+
+    async def run(
+        self,
+        function: Callable[Parameters, Value],
+        *args: Parameters.args,
+        **kwargs: Parameters.kwargs,
+    ) -> Value:
+        """Run a function in a thread and return its result."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._pool, lambda: function(*args, **kwargs))
+
+    def stop(self) -> None:
+        """Forget calls that have not begun; running ones end by their own timeouts."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/src/mangosaddle/daemon/_configuration_holder.py
@@ -0,0 +1,43 @@
+"""The configuration that this VM applies."""
+
+import logging
+from collections.abc import Callable
+
+from ..configuration import Configuration
+
+_log = logging.getLogger(__name__)
+
+Listener = Callable[[Configuration], None]
+
+
+class ConfigurationHolder:
+    """Holds the newest configuration and tells listeners of each change; loop thread only."""
+
+    def __init__(self) -> None:
+        """Create a holder with an empty configuration of revision 0."""
+        self._current = Configuration(revision=0)
+        self._listeners: list[Listener] = []
+
+    @property
+    def current(self) -> Configuration:
+        """The newest configuration."""
+        return self._current
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether a configuration has been applied since the start."""
+        return self._current.revision > 0
+
+    def listen(self, listener: Listener) -> None:
+        """Call the listener at each change from now on, in the order of registration."""
+        self._listeners.append(listener)
+
+    def offer(self, candidate: Configuration) -> bool:
+        """Apply a configuration if its revision is higher; return whether it was."""
+        if candidate.revision <= self._current.revision:
+            return False
+        self._current = candidate
+        _log.info("configuration applied", extra={"revision": candidate.revision})
+        for listener in self._listeners:
+            listener(candidate)
+        return True
