Add routing decision core

The gateway needs one decision function for residency, spill, placement and queueing that runs without I/O. This adds Router with prefix affinity by weighted rendezvous hashing, lag-corrected loads, spill with hysteresis, a weighted fair queue, a retry budget and quarantine of crashing requests.

--- a/src/mangosaddle/routing/__init__.py
+++ b/src/mangosaddle/routing/__init__.py
@@ -1,1 +1,37 @@
 """Choice of an endpoint: residency, prefix affinity, fairness, retries and quarantine."""
+
+from ._quarantine import CrashReport, fingerprint
+from ._requests import (
+    PRIORITY_BY_CLASS,
+    Chosen,
+    Decision,
+    FailureKind,
+    Forward,
+    Queue,
+    RefusalReason,
+    Refused,
+    RegionLoad,
+    Released,
+    RequestClass,
+    RouteRequest,
+)
+from ._router import Router, with_tried
+
+__all__ = [
+    "PRIORITY_BY_CLASS",
+    "Chosen",
+    "CrashReport",
+    "Decision",
+    "FailureKind",
+    "Forward",
+    "Queue",
+    "RefusalReason",
+    "Refused",
+    "RegionLoad",
+    "Released",
+    "RequestClass",
+    "RouteRequest",
+    "Router",
+    "fingerprint",
+    "with_tried",
+]
--- /dev/null
+++ b/src/mangosaddle/routing/_placement.py
@@ -0,0 +1,74 @@
+"""Choice between the endpoints of a pool."""
+
+import random
+from collections.abc import Callable
+
+from ._affinity import PrefixMemory
+from ._endpoint_state import EndpointState
+from ._pool import Pool, PoolView
+
+BOUND = 1.25
+"""Factor over the mean load per capacity up to which an endpoint takes requests by affinity."""
+BOUND_FLOOR = 0.5
+"""Usage below which an endpoint always takes requests by affinity.
+
+An engine with continuous batching hardly slows down below it, while a prefix computed again costs
+its whole prefill.
+"""
+
+Condition = Callable[[EndpointState], bool]
+
+
+def place_by_prefix(
+    pool: Pool,
+    wanted: Condition,
+    scope: str,
+    digests: tuple[bytes, ...],
+    memory: PrefixMemory,
+    now: float,
+) -> EndpointState | None:
+    """Return the endpoint that most likely caches the prefix and is within the load bound.
+
+    The remembered endpoint of a longer prefix comes first, then the rendezvous ranking of the
+    shortest one, on which all VMs agree without talking to each other.
+    """
+    view = pool.view(now)
+    if not view.states_by_id:
+        return None
+    limit = max(BOUND_FLOOR, BOUND * (view.load + 1.0) / view.capacity)
+    remembered = memory.find(scope, digests)
+    if remembered is not None:
+        state = view.states_by_id.get(remembered)
+        if state is not None and _takes(view, state, wanted, limit, now):
+            return state
+    for state in pool.ranking(digests[0], now):
+        if _takes(view, state, wanted, limit, now):
+            return state
+    return None
+
+
+def place_by_load(
+    pool: Pool, wanted: Condition, rng: random.Random, now: float
+) -> EndpointState | None:
+    """Return the less loaded of two endpoints drawn in proportion to their weights.
+
+    Two draws instead of the minimum keep the VMs, which see equally old reports, from sending all
+    to the same endpoint. Only when neither has room are all endpoints looked at.
+    """
+    view = pool.view(now)
+    states = list(view.states_by_id.values())
+    if not states:
+        return None
+    pair = rng.choices(states, cum_weights=view.cumulative_weights, k=2)
+    fit = [state for state in pair if _takes(view, state, wanted, 1.0, now)]
+    fit = fit or [state for state in states if _takes(view, state, wanted, 1.0, now)]
+    return min(fit, key=lambda state: (state.load(now) + 1.0) / state.capacity(), default=None)
+
+
+def _takes(
+    view: PoolView, state: EndpointState, wanted: Condition, limit: float, now: float
+) -> bool:
+    load, capacity = state.load(now), state.capacity()
+    if load + 1.0 > capacity or load > limit * capacity:
+        return False
+    return view.is_usable(state, now) and wanted(state)
