--- a/src/mangosaddle/gateway/_chat_request.py
+++ b/src/mangosaddle/gateway/_chat_request.py
@@ -4,13 +4,13 @@
 import json
 import math
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
 from .._identifiers import ModelName, RequestId
+from ..routing import RequestClass
 from ._messages import CallerRequest
 from ._problems import Finding, Problem
 
@@ -22,11 +22,7 @@
 PREFIX_BLOCKS = 8
 
 
-class RequestClass(StrEnum):
-    """How a caller waits for its answer."""
-
-    INTERACTIVE = "interactive"
-    PATIENT = "patient"
+CALLER_CLASSES = (RequestClass.INTERACTIVE, RequestClass.PATIENT)
 
 
 class MessageDocument(BaseModel):
@@ -84,7 +80,7 @@
     except ValidationError as error:
         return Failure(_validation_problem(error))
     class_name = request.header("x-request-class")
-    if class_name is not None and class_name not in list(RequestClass):
+    if class_name is not None and class_name not in CALLER_CLASSES:
         finding = Finding(
             "header X-Request-Class", "unknown class", "use one of interactive, patient"
         )
--- /dev/null
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -0,0 +1,406 @@
+"""Decides about chat requests and watches over their relays; loop thread only."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from returns.result import Failure, Result, Success
+
+from .._identifiers import OrganisationId, VersionId
+from ..configuration import Configuration
+from ..keys import Caller, KeyRing
+from ..rollouts import RolloutControl
+from ..routing import Chosen, FailureKind, Forward, Refused, RequestClass, RouteRequest
+from ._chat_request import ChatRequest
+from ._endpoint import EndpointStream
+from ._exceptions import EndpointError
+from ._forwarding import ForwardedSource, forward_request
+from ._metrics import GatewayMetrics
+from ._ports import Allowances, Fleet, Shortage
+from ._problems import Problem
+from ._refusals import (
+    CUT_ANSWER,
+    refuse_draining,
+    refuse_failed_attempt,
+    refuse_key,
+    refuse_routing,
+    refuse_shortage,
+    refuse_unknown_model,
+    refuse_withdrawn_stream,
+)
+from ._relay import CollectSink, Relay, Sink, StreamSink, attach_caller, attach_endpoint
+from ._route_desk import RouteDesk
+
+FIRST_TOKEN_LIMIT_S = 60.0
+STALL_LIMIT_S = 10.0
+CHAT_ROUTE = "/v1/chat/completions"
+
+Target = Chosen | Forward
+
+
+class EndpointOpener(Protocol):
+    """Opens and cancels streams at endpoints without blocking the loop."""
+
+    async def open(self, target: Chosen, chat: ChatRequest, resume_from: int) -> EndpointStream:
+        """Open a stream; raises ``EndpointError``."""
+        ...
+
+    def cancel(self, target: Chosen, chat: ChatRequest) -> None:
+        """Tell the endpoint that the answer is no longer wanted."""
+        ...
+
+
+@dataclass(slots=True, eq=False)
+class OpenChat:
+    """A chat request that has been admitted and not yet ended."""
+
+    chat: ChatRequest
+    organisation: OrganisationId
+    caller: Caller | None
+    """``None`` for a request that another VM forwarded."""
+    reservation: int | None
+    """``None`` when another VM holds the reservation."""
+    route: RouteRequest
+    target: Target
+    started_at: float
+    """Event loop time in seconds."""
+    attempt_at: float
+    """Event loop time of the newest attempt, in seconds."""
+    first_token_at: float | None = None
+    relay: Relay | None = None
+
+
+class ChatService:
+    """Admits chat requests, retries attempts and settles what they cost."""
+
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration],
+        keys: KeyRing,
+        rollouts: RolloutControl,
+        routes: RouteDesk,
+        allowances: Allowances,
+        fleet: Fleet,
+        opener: EndpointOpener,
+        metrics: GatewayMetrics,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Create the service from the process's parts."""
+        self._configuration = configuration
+        self._keys = keys
+        self._rollouts = rollouts
+        self._routes = routes
+        self._allowances = allowances
+        self._fleet = fleet
+        self._opener = opener
+        self._metrics = metrics
+        self._wall_clock = wall_clock
+        self._open_by_relay: dict[Relay, OpenChat] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def open_relays(self) -> int:
+        """Number of answers that are being relayed."""
+        return len(self._open_by_relay)
+
+    async def admit(
+        self, chat: ChatRequest, authorization: str | None
+    ) -> Result[OpenChat, Problem]:
+        """Admit a caller's request: key, model, allowance and route."""
+        if not self._fleet.accepts_work():
+            return self._refuse(chat, "", refuse_draining(self._fleet.discovery(())))
+        verified = self._keys.verify(authorization)
+        if not isinstance(verified, Success):
+            return self._refuse(chat, "", refuse_key(verified.failure()))
+        caller = verified.unwrap()
+        known = self._configuration().versions_by_model
+        if chat.model not in known:
+            problem = refuse_unknown_model(chat.model, known)
+            return self._refuse(chat, caller.organisation, problem)
+        reserved = await self._allowances.reserve(caller.organisation, chat.bound_tokens)
+        if isinstance(reserved, Shortage):
+            return self._refuse(chat, caller.organisation, refuse_shortage(reserved))
+        return await self._route(chat, caller.organisation, caller, reserved, ())
+
+    async def admit_forwarded(
+        self, chat: ChatRequest, organisation: OrganisationId, version: VersionId | None
+    ) -> Result[OpenChat, Problem]:
+        """Admit a request of another VM, which has checked the key and reserved the tokens."""
+        versions = (version,) if version is not None else ()
+        return await self._route(chat, organisation, None, None, versions)
+
+    async def _route(
+        self,
+        chat: ChatRequest,
+        organisation: OrganisationId,
+        caller: Caller | None,
+        reservation: int | None,
+        versions: tuple[VersionId, ...],
+    ) -> Result[OpenChat, Problem]:
+        request = RouteRequest(
+            request_id=chat.request_id,
+            organisation=organisation,
+            request_class=chat.request_class,
+            model=chat.model,
+            versions=versions or self._versions(chat),
+            prefix_digests=chat.prefix_digests,
+            forwarded=caller is None,
+            fingerprint=f"{organisation}/{chat.body_digest.hex()}",
+            cost=float(chat.bound_tokens),
+        )
+        try:
+            decision = await self._routes.choose(request)
+        except asyncio.CancelledError:
+            self._settle(reservation, 0)
+            raise
+        if isinstance(decision, Refused):
+            self._settle(reservation, 0)
+            return self._refuse(chat, organisation, refuse_routing(decision))
+        now = asyncio.get_running_loop().time()
+        return Success(
+            OpenChat(chat, organisation, caller, reservation, request, decision, now, now)
+        )
+
+    def _versions(self, chat: ChatRequest) -> tuple[VersionId, ...]:
+        digest = chat.body_digest + str(chat.request_id).encode()
+        return self._rollouts.versions_for(chat.model, digest, self._wall_clock())
+
+    def _refuse(
+        self, chat: ChatRequest, organisation: str, problem: Problem
+    ) -> Result[OpenChat, Problem]:
+        self._count(organisation, chat.request_class, problem.code)
+        return Failure(problem)
+
+    async def retry(
+        self, open_chat: OpenChat, error: EndpointError, resume_from: int = 0
+    ) -> Result[OpenChat, Problem]:
+        """Choose another target after a failed attempt, or give the request up."""
+        assert isinstance(open_chat.target, Chosen)
+        self._attempt_failed(open_chat, error)
+        decision = await self._routes.next_target(
+            open_chat.route, open_chat.target, error, idempotent=True
+        )
+        if decision is None or isinstance(decision, Refused):
+            problem = refuse_failed_attempt(error)
+            if resume_from or (open_chat.relay is not None and open_chat.relay.buffer.tokens):
+                problem = CUT_ANSWER
+            return Failure(problem)
+        open_chat.route, open_chat.target = decision.request, decision.target
+        open_chat.attempt_at = asyncio.get_running_loop().time()
+        return Success(open_chat)
+
+    def _attempt_failed(self, open_chat: OpenChat, error: EndpointError) -> None:
+        assert isinstance(open_chat.target, Chosen)
+        self._metrics.attempts.labels(type(error).__name__).inc()
+        kind = self._routes.failed(open_chat.route, open_chat.target, error)
+        if kind is not FailureKind.CONNECTION_REFUSED and open_chat.target.version is not None:
+            self._record(open_chat, None)
+
+    def give_up(self, open_chat: OpenChat, problem: Problem) -> None:
+        """Settle a request that ended before its relay began."""
+        self._settle(open_chat.reservation, 0)
+        self._count(open_chat.organisation, open_chat.chat.request_class, problem.code)
+
+    async def begin(
+        self, open_chat: OpenChat, caller: socket.socket, stream: EndpointStream | None
+    ) -> None:
+        """Relay the answer to a caller's socket from an open stream or from another VM."""
+        relay = self._new_relay(open_chat)
+        sink: StreamSink | CollectSink
+        if open_chat.chat.wants_stream:
+            sink = StreamSink(relay)
+        else:
+            sink = CollectSink(relay, open_chat.chat.model)
+        await attach_caller(sink, caller)
+        self._start(open_chat, relay, sink, stream)
+
+    def begin_forwarded(self, open_chat: OpenChat, sink: Sink, relay: Relay) -> None:
+        """Relay the answer of a forwarded request to a sink towards the other VM."""
+        self._start(open_chat, relay, sink, None)
+
+    def _new_relay(self, open_chat: OpenChat) -> Relay:
+        return Relay(open_chat.chat.request_id, self, open_chat.chat.resume_from)
+
+    def relay_for(self, open_chat: OpenChat) -> Relay:
+        """Return a new relay that this service observes."""
+        return self._new_relay(open_chat)
+
+    def _start(
+        self, open_chat: OpenChat, relay: Relay, sink: Sink, stream: EndpointStream | None
+    ) -> None:
+        open_chat.relay = relay
+        relay.attach_sink(sink)
+        self._open_by_relay[relay] = open_chat
+        self._metrics.open_streams.inc()
+        caller = open_chat.caller
+        if caller is not None and not self._keys.register_stream(
+            caller.key_id, open_chat.chat.request_id
+        ):
+            if stream is not None:
+                stream.socket.close()
+            relay.fail(refuse_withdrawn_stream())
+            return
+        relay.last_data_at = asyncio.get_running_loop().time()
+        if stream is not None:
+            self._spawn(attach_endpoint(relay, stream))
+        else:
+            self._spawn(self._connect(open_chat, relay))
+
+    def _spawn(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, open_chat: OpenChat, relay: Relay) -> None:
+        """Attach a source to the relay, trying further targets while the budget allows."""
+        while not relay.closed:
+            if isinstance(open_chat.target, Forward):
+                self._connect_forward(open_chat, relay, open_chat.target)
+                return
+            try:
+                stream = await self._opener.open(
+                    open_chat.target, open_chat.chat, relay.buffer.tokens
+                )
+            except EndpointError as error:
+                retried = await self.retry(open_chat, error, relay.buffer.tokens)
+                if not isinstance(retried, Success):
+                    relay.fail(retried.failure())
+                continue
+            await attach_endpoint(relay, stream)
+            return
+
+    def _connect_forward(self, open_chat: OpenChat, relay: Relay, target: Forward) -> None:
+        vm = self._fleet.vm_in(target.region)
+        if vm is None:
+            self._spawn(self.forward_refused(relay, "no entry VM of the region is reachable"))
+            return
+        self._metrics.forwards.inc()
+        request = forward_request(
+            open_chat.chat, open_chat.organisation, open_chat.route, relay.buffer.tokens
+        )
+        source = ForwardedSource(relay, self._fleet.forward(vm, request), self)
+        relay.attach_source(source, asyncio.get_running_loop().time())
+        source.start()
+
+    async def forward_refused(self, relay: Relay, reason: str) -> None:
+        """Choose another target after a forward that ran nothing."""
+        open_chat = self._open_by_relay.get(relay)
+        if open_chat is None or not isinstance(open_chat.target, Forward):
+            return
+        decision = await self._routes.next_region(open_chat.route, open_chat.target)
+        if isinstance(decision, Refused):
+            relay.fail(replace(refuse_routing(decision), detail=reason))
+            return
+        open_chat.route, open_chat.target = decision.request, decision.target
+        await self._connect(open_chat, relay)
+
+    def on_first_token(self, relay: Relay) -> None:
+        """Count the time to the first token."""
+        open_chat = self._open_by_relay.get(relay)
+        if open_chat is None:
+            return
+        now = asyncio.get_running_loop().time()
+        open_chat.first_token_at = now
+        label = open_chat.chat.request_class.value
+        self._metrics.first_token_s.labels(label).observe(now - open_chat.started_at)
+
+    def on_source_cut(self, relay: Relay) -> None:
+        """Resume an answer whose source broke off."""
+        open_chat = self._open_by_relay.get(relay)
+        if open_chat is not None:
+            self._spawn(self._resume(open_chat, relay))
+
+    async def _resume(self, open_chat: OpenChat, relay: Relay) -> None:
+        if isinstance(open_chat.target, Forward):
+            relay.fail(CUT_ANSWER)
+            return
+        # Only the same version continues an answer; another one would mix two answers.
+        if relay.buffer.tokens and open_chat.target.version is not None:
+            open_chat.route = replace(open_chat.route, versions=(open_chat.target.version,))
+        retried = await self.retry(open_chat, _cut_error(), relay.buffer.tokens)
+        if not isinstance(retried, Success):
+            relay.fail(retried.failure())
+            return
+        await self._connect(open_chat, relay)
+
+    def on_closed(self, relay: Relay) -> None:
+        """Settle a request whose relay has ended."""
+        open_chat = self._open_by_relay.pop(relay, None)
+        if open_chat is None:
+            return
+        self._metrics.open_streams.dec()
+        if open_chat.caller is not None:
+            self._keys.unregister_stream(open_chat.caller.key_id, open_chat.chat.request_id)
+        complete = relay.buffer.is_complete
+        self._settle(open_chat.reservation, _cost_tokens(open_chat, relay))
+        if isinstance(open_chat.target, Chosen):
+            self._end_attempt(open_chat, open_chat.target, relay)
+        outcome = "complete" if complete else "caller-gone" if relay.caller_gone else "cut"
+        self._count(open_chat.organisation, open_chat.chat.request_class, outcome)
+        if open_chat.caller is not None:
+            label = self._metrics.organisation_label(open_chat.organisation)
+            elapsed_s = asyncio.get_running_loop().time() - open_chat.started_at
+            self._metrics.answer_s.labels(label).observe(elapsed_s)
+            self._metrics.tokens.labels(label).inc(_cost_tokens(open_chat, relay))
+
+    def _end_attempt(self, open_chat: OpenChat, target: Chosen, relay: Relay) -> None:
+        if relay.buffer.is_complete:
+            self._routes.finished(open_chat.route, target)
+            now = asyncio.get_running_loop().time()
+            self._record(open_chat, (open_chat.first_token_at or now) - open_chat.attempt_at)
+            return
+        self._routes.cancelled(open_chat.route, target)
+        self._opener.cancel(target, open_chat.chat)
+
+    def _record(self, open_chat: OpenChat, latency_s: float | None) -> None:
+        target = open_chat.target
+        if isinstance(target, Chosen) and target.version is not None:
+            route = open_chat.chat.request_class.value
+            self._rollouts.record(
+                open_chat.chat.model,
+                target.version,
+                route,
+                latency_s=latency_s,
+                wall_time=self._wall_clock(),
+            )
+
+    def end_withdrawn_streams(self) -> int:
+        """End the open answers of withdrawn keys; return how many there were."""
+        ended = {r for streams in self._keys.streams_to_end().values() for r in streams}
+        relays = [relay for relay in self._open_by_relay if relay.request_id in ended]
+        for relay in relays:
+            relay.fail(refuse_withdrawn_stream())
+        return len(relays)
+
+    def cut_stalled(self, now: float) -> None:
+        """Give up sources that have sent nothing for too long; call it each second."""
+        for relay in list(self._open_by_relay):
+            limit_s = STALL_LIMIT_S if relay.buffer.tokens else FIRST_TOKEN_LIMIT_S
+            if not relay.is_paused and now - relay.last_data_at > limit_s:
+                relay.last_data_at = now
+                relay.cut_source()
+
+    def _settle(self, reservation: int | None, used_tokens: float) -> None:
+        if reservation is not None:
+            self._allowances.settle(reservation, used_tokens)
+
+    def _count(self, organisation: str, request_class: RequestClass, outcome: str) -> None:
+        label = self._metrics.organisation_label(organisation)
+        self._metrics.requests.labels(label, request_class.value, outcome).inc()
+
+
+def _cost_tokens(open_chat: OpenChat, relay: Relay) -> float:
+    """Return what a request cost: the engine's own count, or the tokens delivered."""
+    usage = relay.buffer.usage
+    if usage is not None:
+        resumed = open_chat.chat.resume_from
+        return float(usage.prompt_tokens + max(0, usage.completion_tokens - resumed))
+    return float(open_chat.chat.prompt_tokens + relay.buffer.tokens - open_chat.chat.resume_from)
+
+
+def _cut_error() -> EndpointError:
+    from ._exceptions import EndpointCutError
+
+    return EndpointCutError("the stream broke off")
--- /dev/null
+++ b/src/mangosaddle/gateway/_forwarding.py
@@ -0,0 +1,188 @@
+"""Forwards of chat requests between VMs: both sides."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from returns.result import Success
+
+from .._identifiers import OrganisationId, VersionId, VmId
+from ..peers import (
+    ForwardAnswer,
+    ForwardChunk,
+    ForwardEnd,
+    ForwardHead,
+    ForwardRequest,
+    TrafficMetadata,
+)
+from ..routing import RouteRequest
+from ._chat_request import ChatRequest, parse_chat, payload_bytes
+from ._messages import CallerRequest
+from ._problems import Execution, Problem
+from ._relay import Relay
+
+CHAT_PATH = "/v1/chat/completions"
+EVENT_STREAM = "text/event-stream"
+WAITING_LIMIT_BYTES = 65_536
+
+
+def forward_request(
+    chat: ChatRequest, organisation: OrganisationId, route: RouteRequest, tokens: int
+) -> ForwardRequest:
+    """Return the message that forwards a chat request; it carries no key."""
+    return ForwardRequest(
+        method="POST",
+        path=CHAT_PATH,
+        content_type="application/json",
+        body=payload_bytes({**chat.payload, "resume_from": tokens}),
+        organisation=organisation,
+        request_class=chat.request_class.value,
+        request_id=chat.request_id,
+        traffic=TrafficMetadata(
+            model=chat.model,
+            version=route.versions[0] if route.versions else "",
+            reserved_tokens=chat.bound_tokens,
+            resume_from=tokens,
+        ),
+    )
+
+
+class RefusalHandler(Protocol):
+    """Handles a forward that ran nothing."""
+
+    async def forward_refused(self, relay: Relay, reason: str) -> None:
+        """Choose another target for the relay's request."""
+        ...
+
+
+class ForwardedSource:
+    """Source of a relay whose answer comes from another VM."""
+
+    def __init__(
+        self, relay: Relay, answers: AsyncIterator[ForwardAnswer], refusals: RefusalHandler
+    ) -> None:
+        """Create a source; ``start`` begins to read."""
+        self._relay = relay
+        self._answers = answers
+        self._refusals = refusals
+        self._readable = asyncio.Event()
+        self._readable.set()
+        self._task: asyncio.Task[None] | None = None
+        self._closed = False
+
+    def start(self) -> None:
+        """Read the answer in a task."""
+        self._task = asyncio.get_running_loop().create_task(self._read())
+
+    def pause(self) -> None:
+        """Stop reading; the other VM stops when the window is full."""
+        self._readable.clear()
+
+    def resume(self) -> None:
+        """Read on."""
+        self._readable.set()
+
+    def close(self) -> None:
+        """Cancel the forward unless its end has been read."""
+        self._closed = True
+        if self._task is not None and self._task is not asyncio.current_task():
+            self._task.cancel()
+
+    async def _read(self) -> None:
+        loop = asyncio.get_running_loop()
+        received = False
+        end = ForwardEnd(complete=False, reason="the link broke")
+        try:
+            async for answer in self._answers:
+                await self._readable.wait()
+                if isinstance(answer, ForwardChunk):
+                    received = True
+                    self._relay.feed(answer.data, loop.time())
+                elif isinstance(answer, ForwardEnd):
+                    end = answer
+                    break
+        finally:
+            close = getattr(self._answers, "aclose", None)
+            if close is not None:
+                await close()
+        await self._end(end, received)
+
+    async def _end(self, end: ForwardEnd, received: bool) -> None:
+        if self._closed or self._relay.closed:
+            return
+        if end.execution == Execution.NOT_RUN.value and not received:
+            await self._refusals.forward_refused(self._relay, end.reason)
+        else:
+            self._relay.source_ended()
+
+
+class ForwardedSink:
+    """Sink of a relay whose answer goes to another VM."""
+
+    def __init__(self, relay: Relay) -> None:
+        """Create an empty sink."""
+        self._relay = relay
+        self._waiting: asyncio.Queue[ForwardAnswer] = asyncio.Queue()
+        self._waiting_bytes = 0
+
+    def send(self, events: bytes) -> None:
+        """Queue events; a full queue pauses the endpoint."""
+        self._waiting_bytes += len(events)
+        self._waiting.put_nowait(ForwardChunk(events))
+        if self._waiting_bytes > WAITING_LIMIT_BYTES:
+            self._relay.pause_source()
+
+    def finish(self) -> None:
+        """Queue the end of a complete answer."""
+        self._waiting.put_nowait(ForwardEnd(complete=True, execution=Execution.UNKNOWN.value))
+
+    def fail(self, problem: Problem) -> None:
+        """Queue the end of an answer that could not be completed."""
+        end = ForwardEnd(complete=False, execution=problem.execution.value, reason=problem.code)
+        self._waiting.put_nowait(end)
+
+    async def answers(self) -> AsyncIterator[ForwardAnswer]:
+        """Yield the answer's parts up to its end."""
+        yield ForwardHead(200, EVENT_STREAM)
+        while True:
+            answer = await self._waiting.get()
+            yield answer
+            if isinstance(answer, ForwardEnd):
+                return
+            if isinstance(answer, ForwardChunk):
+                self._waiting_bytes -= len(answer.data)
+                if self._waiting_bytes <= WAITING_LIMIT_BYTES // 2:
+                    self._relay.resume_source()
+
+
+class ForwardedChats:
+    """Runs chat requests that other VMs forward to this one."""
+
+    def __init__(self, service: "ForwardedChatService") -> None:
+        """Create the handler for a chat service."""
+        self._service = service
+
+    async def handle(self, _sender: VmId, request: ForwardRequest) -> AsyncIterator[ForwardAnswer]:
+        """Run one request and yield its answer."""
+        headers = {"x-request-class": request.request_class}
+        parsed = parse_chat(
+            CallerRequest("POST", request.path, "", headers, request.body, request.request_id)
+        )
+        if not isinstance(parsed, Success):
+            yield ForwardEnd(False, Execution.NOT_RUN.value, "malformed-request")
+            return
+        version = VersionId(request.traffic.version) if request.traffic.version else None
+        async for answer in self._service.run_forwarded(
+            parsed.unwrap(), request.organisation, version
+        ):
+            yield answer
+
+
+class ForwardedChatService(Protocol):
+    """Runs a forwarded chat request."""
+
+    def run_forwarded(
+        self, chat: ChatRequest, organisation: OrganisationId, version: VersionId | None
+    ) -> AsyncIterator[ForwardAnswer]:
+        """Admit, relay and yield the answer."""
+        ...
--- /dev/null
+++ b/src/mangosaddle/gateway/_metrics.py
@@ -0,0 +1,63 @@
+"""Counters and histograms of request handling."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LABEL_SETS_LIMIT = 512
+OTHER = "other"
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.42, 0.6, 1.0, 2.0, 5.0, 15.0, 60.0)
+GAP_BUCKETS_S = (0.005, 0.02, 0.05, 0.08, 0.12, 0.2, 0.5, 1.0, 5.0)
+
+
+class GatewayMetrics:
+    """Metrics with a bounded number of organisations as labels."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Register all metrics."""
+        self._organisations: set[str] = set()
+        self.requests = Counter(
+            "mangosaddle_requests_total",
+            "Requests by organisation, class and outcome",
+            ("organisation", "request_class", "outcome"),
+            registry=registry,
+        )
+        self.tokens = Counter(
+            "mangosaddle_tokens_total",
+            "Tokens charged, by organisation",
+            ("organisation",),
+            registry=registry,
+        )
+        self.first_token_s = Histogram(
+            "mangosaddle_first_token_seconds",
+            "Time from the request to its first token, by class",
+            ("request_class",),
+            buckets=FIRST_TOKEN_BUCKETS_S,
+            registry=registry,
+        )
+        self.answer_s = Histogram(
+            "mangosaddle_answer_seconds",
+            "Time from the request to the end of its answer, by organisation",
+            ("organisation",),
+            buckets=FIRST_TOKEN_BUCKETS_S,
+            registry=registry,
+        )
+        self.attempts = Counter(
+            "mangosaddle_attempts_total",
+            "Attempts at endpoints by outcome",
+            ("outcome",),
+            registry=registry,
+        )
+        self.forwards = Counter(
+            "mangosaddle_forwards_total", "Requests forwarded to another VM", registry=registry
+        )
+        self.open_streams = Gauge(
+            "mangosaddle_open_streams", "Answers that are being relayed", registry=registry
+        )
+
+    def organisation_label(self, organisation: str) -> str:
+        """Return the organisation's label, or ``other`` when there are too many already."""
+        if organisation in self._organisations:
+            return organisation
+        if len(self._organisations) >= LABEL_SETS_LIMIT:
+            return OTHER
+        self._organisations.add(organisation)
+        return organisation
--- /dev/null
+++ b/src/mangosaddle/gateway/_refusals.py
@@ -0,0 +1,109 @@
+"""The refusals that request handling gives."""
+
+from collections.abc import Iterable
+
+from ..configuration import Vm
+from ..keys import KeyRefusal
+from ..routing import RefusalReason, Refused
+from ._exceptions import EndpointError, EndpointRefusedError, EndpointTimeoutError, NotSentError
+from ._ports import Shortage
+from ._problems import Execution, Finding, Problem
+
+KEY_DETAILS = {
+    KeyRefusal.MISSING: "the request has no key",
+    KeyRefusal.MALFORMED: "the Authorization header is not 'Bearer' with one key",
+    KeyRefusal.WRONG: "the key is not known",
+    KeyRefusal.WITHDRAWN: "the key has been withdrawn",
+}
+STATUS_BY_REASON = {
+    RefusalReason.UNKNOWN_ORGANISATION: 403,
+    RefusalReason.UNKNOWN_TARGET: 404,
+    RefusalReason.RESIDENCY: 503,
+    RefusalReason.REGION_UNREACHABLE: 503,
+    RefusalReason.NO_ENDPOINT: 503,
+    RefusalReason.QUARANTINED: 422,
+    RefusalReason.QUEUE_FULL: 503,
+    RefusalReason.QUEUE_TIMEOUT: 503,
+}
+DETAIL_BY_REASON = {
+    RefusalReason.UNKNOWN_ORGANISATION: "the organisation is not in the inventory",
+    RefusalReason.UNKNOWN_TARGET: "nothing in the inventory serves this",
+    RefusalReason.RESIDENCY: "no allowed region can serve this now",
+    RefusalReason.REGION_UNREACHABLE: "the regions that may serve this cannot be reached",
+    RefusalReason.NO_ENDPOINT: "no endpoint can serve this now",
+    RefusalReason.QUARANTINED: "this request stopped two endpoints and is not tried again",
+    RefusalReason.QUEUE_FULL: "all endpoints and their queue are full",
+    RefusalReason.QUEUE_TIMEOUT: "no endpoint had room in time",
+}
+
+
+def refuse_key(refusal: KeyRefusal) -> Problem:
+    """Refuse a request without a valid key."""
+    code = "key-withdrawn" if refusal is KeyRefusal.WITHDRAWN else "key-refused"
+    finding = Finding("header Authorization", KEY_DETAILS[refusal], "send Bearer and a valid key")
+    return Problem(401, code, KEY_DETAILS[refusal], findings=(finding,))
+
+
+def refuse_draining(others: Iterable[Vm]) -> Problem:
+    """Refuse new work while this VM shuts down."""
+    return Problem(
+        503,
+        "shutting-down",
+        "this entry VM takes no new requests",
+        retry_after_s=1.0,
+        entry_vms=tuple(vm.url for vm in others),
+    )
+
+
+def refuse_shortage(shortage: Shortage) -> Problem:
+    """Refuse a request above the organisation's allowance."""
+    if shortage.retry_after_s is None:
+        detail = "the request's upper bound exceeds the organisation's burst"
+        finding = Finding("body.max_tokens", detail, "ask for fewer tokens")
+        return Problem(422, "above-burst", detail, findings=(finding,))
+    detail = "the organisation has used its rate and burst"
+    return Problem(429, "allowance-used", detail, retry_after_s=shortage.retry_after_s)
+
+
+def refuse_routing(refused: Refused) -> Problem:
+    """Refuse a request that no endpoint can take."""
+    reason = refused.reason
+    return Problem(
+        STATUS_BY_REASON[reason],
+        reason.value,
+        DETAIL_BY_REASON[reason],
+        retry_after_s=refused.retry_after_s,
+    )
+
+
+def refuse_unknown_model(model: str, known: Iterable[str]) -> Problem:
+    """Refuse a request for a model that is not in the inventory."""
+    remedy = "use one of " + ", ".join(sorted(known))
+    finding = Finding("body.model", f"model {model!r} is not known", remedy)
+    return Problem(404, "unknown-model", finding.message, findings=(finding,))
+
+
+def refuse_failed_attempt(error: EndpointError) -> Problem:
+    """Refuse a request whose attempts failed; the last error tells what may have happened."""
+    if isinstance(error, NotSentError):
+        return Problem(503, "endpoint-unreachable", "no endpoint was reached", retry_after_s=1.0)
+    if isinstance(error, EndpointTimeoutError):
+        return Problem(504, "endpoint-timeout", "no answer in time", Execution.UNKNOWN, 1.0)
+    if isinstance(error, EndpointRefusedError):
+        detail = f"the endpoint answered with status {error.status}"
+        return Problem(502, "endpoint-error", detail, Execution.UNKNOWN, 1.0)
+    return Problem(502, "endpoint-lost", "the endpoint broke off", Execution.UNKNOWN, 1.0)
+
+
+def refuse_withdrawn_stream() -> Problem:
+    """End an open stream whose key was withdrawn."""
+    return Problem(401, "key-withdrawn", "the key has been withdrawn", Execution.UNKNOWN)
+
+
+CUT_ANSWER = Problem(
+    status=502,
+    code="answer-cut",
+    detail="the answer broke off and could not be resumed",
+    execution=Execution.UNKNOWN,
+    retry_after_s=1.0,
+)
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -13,7 +13,7 @@
 from .._identifiers import RequestId
 from ._endpoint import EndpointStream
 from ._events import EventBuffer, parse_events
-from ._problems import Execution, Problem
+from ._problems import Problem
 
 CALLER_BUFFER_BYTES = 65_536
 STREAM_HEAD = (
@@ -341,11 +341,3 @@
     )
     return head.encode("ascii") + body
 
-
-EXECUTION_UNKNOWN_CUT = Problem(
-    status=502,
-    code="answer-cut",
-    detail="the answer broke off and could not be resumed",
-    execution=Execution.UNKNOWN,
-    retry_after_s=1.0,
-)
