Add membership core and links between entry VMs

Entry VMs had no way to reach each other, so facts, loans and forwards had no carrier. The membership package now holds the pure part (facts with merge rules, topology, VM states, draining) and the peers package the authenticated links, the codec and forwarding.

--- a/src/mangosaddle/membership/__init__.py
+++ b/src/mangosaddle/membership/__init__.py
@@ -1,1 +1,60 @@
 """Which VMs live, how they are linked and what facts they share."""
+
+from ._drain import LATE_CALLER_GRACE_S, Drain, DrainAction, DrainPhase, DrainStep
+from ._exceptions import InvalidFactError, MembershipError, UnknownFactKindError
+from ._facts import (
+    LEVEL_KINDS,
+    FactSummary,
+    FactTable,
+    SummaryAnswer,
+    SummaryPart,
+    fact_size_bytes,
+)
+from ._hashing import stable_hash
+from ._platform_list import ListedRow, PlatformList
+from ._rules import (
+    GROW_ONLY,
+    HIGHEST_VERSION,
+    PER_ORIGIN,
+    Fact,
+    FactKind,
+    MergeRule,
+)
+from ._status import VM_STATE_KIND, VmIdentity, VmState, VmStatus
+from ._table import HEARTBEAT_INTERVAL_S, MISSED_HEARTBEATS, MembershipTable
+from ._topology import PeerTopology, rendezvous
+
+__all__ = [
+    "GROW_ONLY",
+    "HEARTBEAT_INTERVAL_S",
+    "HIGHEST_VERSION",
+    "LATE_CALLER_GRACE_S",
+    "LEVEL_KINDS",
+    "MISSED_HEARTBEATS",
+    "PER_ORIGIN",
+    "VM_STATE_KIND",
+    "Drain",
+    "DrainAction",
+    "DrainPhase",
+    "DrainStep",
+    "Fact",
+    "FactKind",
+    "FactSummary",
+    "FactTable",
+    "InvalidFactError",
+    "ListedRow",
+    "MembershipError",
+    "MembershipTable",
+    "MergeRule",
+    "PeerTopology",
+    "PlatformList",
+    "SummaryAnswer",
+    "SummaryPart",
+    "UnknownFactKindError",
+    "VmIdentity",
+    "VmState",
+    "VmStatus",
+    "fact_size_bytes",
+    "rendezvous",
+    "stable_hash",
+]
--- /dev/null
+++ b/src/mangosaddle/membership/_hashing.py
@@ -0,0 +1,12 @@
+"""Stable 64-bit hashes: equal on every VM and in every process."""
+
+from hashlib import blake2b
+
+HASH_BYTES = 8
+
+
+def stable_hash(*parts: str | bytes) -> int:
+    """Return a 64-bit hash of the parts; the lengths of the parts are part of the input."""
+    encoded = [part.encode() if isinstance(part, str) else part for part in parts]
+    joined = b"".join(b"%d:%b" % (len(part), part) for part in encoded)
+    return int.from_bytes(blake2b(joined, digest_size=HASH_BYTES).digest(), "big")
--- /dev/null
+++ b/src/mangosaddle/peers/_connector.py
@@ -0,0 +1,280 @@
+"""Opens, accepts and keeps the links of a node."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from dataclasses import dataclass
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import NegotiationError, WebSocketException
+from websockets.typing import Subprotocol
+
+from .._identifiers import VmId
+from ..configuration import Vm
+from ..membership import VmIdentity
+from ._authentication import (
+    SUBPROTOCOL,
+    AcceptingHandshake,
+    Credentials,
+    DiallingHandshake,
+    Session,
+)
+from ._codec import MAX_FRAME_BYTES
+from ._exceptions import LinkRefusedError, NotSentError, RefusalReason
+from ._link import Link
+from ._metrics import PeerMetrics
+from ._settings import PeerSettings
+
+REFUSED_CLOSE_CODE = 1008
+"""WebSocket close code "policy violation"."""
+
+logger = logging.getLogger(__name__)
+websockets_logger = logging.getLogger(f"{__name__}.websockets")
+# The library logs each failed handshake with a traceback; the refusal counters tell the same.
+websockets_logger.setLevel(logging.CRITICAL)
+
+
+@dataclass(slots=True)
+class _Backoff:
+    failures: int = 0
+    due_at_s: float = 0.0
+
+
+class Connector:
+    """Holds at most one link per VM and decides between two that were opened at once."""
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        metrics: PeerMetrics,
+        rng: random.Random,
+        clock: Callable[[], float],
+        is_current: Callable[[VmIdentity], bool],
+        on_message: Callable[[Link, object], None],
+        on_change: Callable[[Link, bool], None],
+    ) -> None:
+        """Create the connector; ``on_change`` hears of each opened and closed link."""
+        self.links_by_vm: dict[VmId, Link] = {}
+        self.vms_by_id: Mapping[VmId, Vm] = {}
+        self._settings = settings
+        self._credentials = Credentials(settings.fleet, settings.secret, settings.identity)
+        self._metrics = metrics
+        self._rng = rng
+        self._clock = clock
+        self._is_current = is_current
+        self._on_message = on_message
+        self._on_change = on_change
+        self._backoffs_by_vm: dict[VmId, _Backoff] = {}
+        self._dials_by_vm: dict[VmId, asyncio.Task[None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: Server | None = None
+
+    async def start(self) -> tuple[str, int]:
+        """Listen and return the bound address and port."""
+        self._server = await serve(
+            self._accept,
+            self._settings.listen_address,
+            self._settings.listen_port,
+            subprotocols=[Subprotocol(SUBPROTOCOL)],
+            select_subprotocol=self._select_subprotocol,
+            compression=None,
+            ping_interval=None,
+            open_timeout=self._settings.timings.dial_timeout_s,
+            close_timeout=1.0,
+            max_size=MAX_FRAME_BYTES,
+            server_header=None,
+            logger=websockets_logger,
+        )
+        address, port = next(iter(self._server.sockets)).getsockname()[:2]
+        return address, port
+
+    async def stop(self) -> None:
+        """Close all links and the listening socket."""
+        for dial in list(self._dials_by_vm.values()):
+            dial.cancel()
+        for link in list(self.links_by_vm.values()):
+            await link.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def dial_when_due(self, vm: VmId, now: float) -> None:
+        """Start to dial a VM of the topology unless it is linked, being dialled or backed off.
+
+        The side with the larger id starts after a pause: usually the other side has dialled then.
+        """
+        if vm in self.links_by_vm or vm in self._dials_by_vm or vm not in self.vms_by_id:
+            return
+        backoff = self._backoffs_by_vm.get(vm)
+        if backoff is None:
+            pause_s = self._settings.timings.backoff_initial_s
+            due_at_s = now if self._settings.identity.vm < vm else now + pause_s
+            backoff = self._backoffs_by_vm[vm] = _Backoff(due_at_s=due_at_s)
+        if now >= backoff.due_at_s:
+            self._dial(vm)
+
+    async def link_to(self, vm: VmId) -> Link:
+        """Return the link to a VM, opening one on demand; raises ``NotSentError``."""
+        link = self.links_by_vm.get(vm)
+        if link is not None:
+            return link
+        if vm not in self.vms_by_id:
+            raise NotSentError(f"VM {vm} is not in the inventory")
+        dial = self._dials_by_vm.get(vm) or self._dial(vm)
+        await asyncio.shield(dial)
+        link = self.links_by_vm.get(vm)
+        if link is None:
+            raise NotSentError(f"VM {vm} cannot be reached")
+        return link
+
+    def _dial(self, vm: VmId) -> "asyncio.Task[None]":
+        dial = asyncio.create_task(self._dial_once(vm))
+        self._dials_by_vm[vm] = dial
+        self._tasks.add(dial)
+        dial.add_done_callback(self._tasks.discard)
+        return dial
+
+    async def _dial_once(self, vm: VmId) -> None:
+        self._metrics.dials.inc()
+        try:
+            async with asyncio.timeout(self._settings.timings.dial_timeout_s):
+                connection, session = await self._open(vm)
+        except LinkRefusedError as refusal:
+            self._metrics.count_refusal(refusal.reason)
+            self._back_off(vm)
+        except (OSError, TimeoutError, WebSocketException, KeyError):
+            self._back_off(vm)
+        else:
+            self._backoffs_by_vm.pop(vm, None)
+            link = Link(connection, session, True, self._metrics)
+            if self._adopt(link):
+                self._spawn(self._run(link))
+            else:
+                await link.close()
+        finally:
+            self._dials_by_vm.pop(vm, None)
+
+    async def _open(self, vm: VmId) -> tuple[Connection, Session]:
+        connection = await connect(
+            self.vms_by_id[vm].peer_url,
+            subprotocols=[Subprotocol(SUBPROTOCOL)],
+            compression=None,
+            ping_interval=None,
+            open_timeout=None,
+            close_timeout=1.0,
+            max_size=MAX_FRAME_BYTES,
+            user_agent_header=None,
+            proxy=None,
+            logger=websockets_logger,
+        )
+        try:
+            if connection.subprotocol != SUBPROTOCOL:
+                raise LinkRefusedError(RefusalReason.WRONG_SUBPROTOCOL)
+            handshake = DiallingHandshake(self._credentials, vm)
+            await connection.send(handshake.hello())
+            proof, session = handshake.answer(await _receive(connection))
+            self._check_current(session)
+            await connection.send(proof)
+        except BaseException:
+            await connection.close(REFUSED_CLOSE_CODE)
+            raise
+        return connection, session
+
+    def _back_off(self, vm: VmId) -> None:
+        """Wait longer after each failure, with jitter so that a healed region is not flooded."""
+        timings = self._settings.timings
+        backoff = self._backoffs_by_vm.setdefault(vm, _Backoff())
+        delay_s = min(timings.backoff_initial_s * 2**backoff.failures, timings.backoff_max_s)
+        backoff.due_at_s = self._clock() + delay_s * self._rng.uniform(0.5, 1.5)
+        backoff.failures = min(backoff.failures + 1, 16)
+
+    def _select_subprotocol(
+        self, _connection: ServerConnection, offered: Sequence[Subprotocol]
+    ) -> Subprotocol:
+        if SUBPROTOCOL not in offered:
+            self._metrics.count_refusal(RefusalReason.WRONG_SUBPROTOCOL)
+            raise NegotiationError(f"subprotocol {SUBPROTOCOL} required")
+        return Subprotocol(SUBPROTOCOL)
+
+    async def _accept(self, connection: ServerConnection) -> None:
+        try:
+            async with asyncio.timeout(self._settings.timings.dial_timeout_s):
+                handshake = AcceptingHandshake(self._credentials)
+                await connection.send(handshake.challenge(await _receive(connection)))
+                session = handshake.finish(await _receive(connection))
+            self._check_current(session)
+        except LinkRefusedError as refusal:
+            self._metrics.count_refusal(refusal.reason)
+            await connection.close(REFUSED_CLOSE_CODE)
+            return
+        except (TimeoutError, WebSocketException):
+            await connection.close(REFUSED_CLOSE_CODE)
+            return
+        link = Link(connection, session, False, self._metrics)
+        if self._adopt(link):
+            await self._run(link)
+        else:
+            await link.close()
+
+    def _check_current(self, session: Session) -> None:
+        if not self._is_current(session.peer):
+            raise LinkRefusedError(RefusalReason.STALE_INCARNATION)
+
+    def _adopt(self, link: Link) -> bool:
+        """Make a link the one to its VM; returns False if the present one is kept.
+
+        Of two links that both sides opened at once, both keep the one that the smaller id dialled.
+        """
+        vm = link.peer.vm
+        present = self.links_by_vm.get(vm)
+        if present is not None and not present.closed.is_set():
+            if present.peer.started_ms > link.peer.started_ms:
+                self._metrics.count_refusal(RefusalReason.STALE_INCARNATION)
+                return False
+            same_peer = present.peer == link.peer
+            if same_peer and link.dialled_by_us != present.dialled_by_us:
+                dialled_by_smaller = link.dialled_by_us == (self._settings.identity.vm < vm)
+                if not dialled_by_smaller:
+                    return False
+            self._forget(present)
+            self._spawn(present.close())
+        link.used_at_s = link.received_at_s = self._clock()
+        self.links_by_vm[vm] = link
+        self._backoffs_by_vm.pop(vm, None)
+        self._metrics.links.set(len(self.links_by_vm))
+        self._on_change(link, True)
+        return True
+
+    async def _run(self, link: Link) -> None:
+        try:
+            await link.run(self._on_message)
+        finally:
+            self._forget(link)
+
+    def _forget(self, link: Link) -> None:
+        link.closed.set()
+        if self.links_by_vm.get(link.peer.vm) is link:
+            del self.links_by_vm[link.peer.vm]
+            self._metrics.links.set(len(self.links_by_vm))
+            self._on_change(link, False)
+
+    def close_later(self, link: Link) -> None:
+        """Close a link without waiting for it."""
+        self._forget(link)
+        self._spawn(link.close())
+
+    def _spawn(self, coroutine: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _receive(connection: Connection) -> bytes:
+    frame = await connection.recv()
+    if isinstance(frame, str):
+        raise LinkRefusedError(RefusalReason.BAD_HANDSHAKE)
+    return frame
--- /dev/null
+++ b/src/mangosaddle/peers/_node.py
@@ -0,0 +1,414 @@
+"""A VM's node in the network of entry VMs."""
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import AsyncGenerator, Callable, Coroutine, Iterable, Mapping
+from contextlib import aclosing
+from itertools import count
+from typing import Any, TypeVar
+
+from prometheus_client import CollectorRegistry
+
+from .._identifiers import VmId
+from ..configuration import Vm
+from ..membership import (
+    VM_STATE_KIND,
+    Fact,
+    FactKind,
+    FactTable,
+    InvalidFactError,
+    ListedRow,
+    MembershipTable,
+    PeerTopology,
+    VmState,
+    VmStatus,
+)
+from ._codec import CODEC
+from ._confirmations import ConfirmationBook, Confirmations
+from ._connector import Connector
+from ._dispatch import Dispatch, MessageHandler
+from ._exceptions import EncodeError, NotSentError, RefusalReason
+from ._forward import ForwardHandler, ForwardService
+from ._forward_calls import ForwardCalls
+from ._gossip import Gossip
+from ._link import Link
+from ._messages import (
+    Confirmation,
+    FactRequest,
+    FactUpdate,
+    ForwardAnswer,
+    ForwardBody,
+    ForwardCancel,
+    ForwardChunk,
+    ForwardCredit,
+    ForwardEnd,
+    ForwardHead,
+    ForwardOpen,
+    ForwardRequest,
+    Heartbeat,
+    Request,
+    Response,
+)
+from ._metrics import PeerMetrics
+from ._requests import PendingRequests
+from ._settings import PeerSettings
+
+MAX_FACT_BYTES = 512 * 1024
+"""Largest payload of a fact, so that it fits into a frame with its other fields."""
+
+T = TypeVar("T")
+
+logger = logging.getLogger(__name__)
+
+
+class PeerNode:
+    """Links of one VM, its facts and its view of the other VMs.
+
+    All methods belong to the event loop that ran ``start``.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        vms_by_id: Mapping[VmId, Vm],
+        kinds: Iterable[FactKind],
+        registry: CollectorRegistry,
+        rng: random.Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Create a node that knows the inventory and the kinds of facts beside VM states."""
+        self.membership = MembershipTable(
+            settings.identity, vms_by_id, settings.timings.heartbeat_s
+        )
+        """States of all VMs as this one sees them."""
+        self.facts = FactTable((VM_STATE_KIND, *kinds))
+        """All replicated facts; to be changed by ``publish`` only."""
+        self._own = settings.identity
+        self._timings = settings.timings
+        self._rng = rng or random.Random()
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._metrics = PeerMetrics(registry)
+        self._topology = PeerTopology.from_config(vms_by_id)
+        self._wanted: frozenset[VmId] = frozenset()
+        self._zone: frozenset[VmId] = frozenset()
+        self._book = ConfirmationBook(self._own.vm, vms_by_id)
+        self._gossip = Gossip(
+            self.facts, self._book, self._metrics, self._neighbours, self._is_zone_neighbour
+        )
+        self._connector = Connector(
+            settings,
+            self._metrics,
+            self._rng,
+            clock,
+            self.membership.is_current,
+            self._received,
+            self._link_changed,
+        )
+        self._requests = PendingRequests(self._metrics)
+        self._service = ForwardService(self._metrics)
+        self._calls = ForwardCalls(self._metrics)
+        self._numbers = count(1)
+        self._dispatch = Dispatch(self._metrics)
+        self._link_handlers = self._own_handlers()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._maintain_now = asyncio.Event()
+        self._states_by_vm: dict[VmId, VmState] = {}
+        self._change_listeners: list[Callable[[], None]] = []
+        self._gossip.listen(VM_STATE_KIND.name, self._vm_state_changed)
+        self.update_vms(vms_by_id)
+
+    def _own_handlers(self) -> dict[type[Any], Callable[[Link, Any], None]]:
+        service = self._service
+        return {
+            Heartbeat: self._heartbeat,
+            FactUpdate: lambda link, m: self._gossip.received(link, m, self._wall_clock()),
+            FactRequest: lambda link, m: self._gossip.requested(link, m, self._clock()),
+            Confirmation: self._gossip.confirmed,
+            Request: self._dispatch.requested,
+            Response: self._requests.answered,
+            ForwardOpen: service.opened,
+            ForwardBody: service.continued,
+            ForwardCancel: service.cancelled,
+            ForwardCredit: service.credited,
+            ForwardHead: self._calls.answered,
+            ForwardChunk: self._calls.answered,
+            ForwardEnd: self._calls.answered,
+        }
+
+    # Life cycle
+
+    async def start(self) -> tuple[str, int]:
+        """Listen, begin to dial and return the bound address and port."""
+        bound = await self._connector.start()
+        self.publish(self.membership.own_fact())
+        self._spawn(self._heartbeat_loop())
+        self._spawn(self._maintenance_loop())
+        return bound
+
+    async def stop(self) -> None:
+        """Close all links; requests in progress fail with ``LinkLostError``."""
+        self._dispatch.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._connector.stop()
+
+    def update_vms(self, vms_by_id: Mapping[VmId, Vm]) -> None:
+        """Take over the inventory of a new configuration."""
+        self.membership.update_vms(vms_by_id)
+        self._connector.vms_by_id = dict(vms_by_id)
+        self._topology = self._topology.with_vms(vms_by_id)
+        if self._book.renumber(vms_by_id):
+            for link in self._connector.links_by_vm.values():
+                link.confirmations.clear()
+        self._update_topology()
+
+    def listed(self, rows: Iterable[ListedRow]) -> None:
+        """Take over a reading of the platform's list of VMs."""
+        self.membership.listed(rows, self._clock())
+        self._update_topology()
+
+    def leave(self) -> None:
+        """Publish that this VM is leaving."""
+        self.publish(self.membership.leave())
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call the listener after links, facts, confirmations or VM states have changed."""
+        self._change_listeners.append(listener)
+
+    def linked_vms(self) -> frozenset[VmId]:
+        """Return the VMs to which a link is open."""
+        return frozenset(self._connector.links_by_vm)
+
+    # Messages
+
+    def send(self, vm: VmId, message: object) -> None:
+        """Send a message without waiting; it is lost if the VM cannot be reached.
+
+        Raises ``EncodeError``.
+        """
+        body = CODEC.encode(message)
+        link = self._connector.links_by_vm.get(vm)
+        if link is not None:
+            link.used_at_s = self._clock()
+            link.send_encoded(body)
+        else:
+            self._spawn(self._send_on_demand(vm, body))
+
+    async def _send_on_demand(self, vm: VmId, body: bytes) -> None:
+        try:
+            link = await self._connector.link_to(vm)
+        except NotSentError:
+            self._metrics.count_drop("no_link")
+            return
+        link.send_encoded(body)
+
+    async def request(self, vm: VmId, message: object, timeout_s: float) -> object:
+        """Send a message and return the answer of the other VM's handler.
+
+        Raises ``NotSentError``, ``LinkLostError``, ``RequestTimeoutError``, ``RequestFailedError``
+        and ``EncodeError``. The time includes opening a link on demand.
+        """
+        deadline_s = self._clock() + timeout_s
+        link = await self._link_within(vm, timeout_s)
+        sent_at_s = link.used_at_s = self._clock()
+        left_s = max(deadline_s - sent_at_s, 0.0)
+        try:
+            return await self._requests.ask(link, next(self._numbers), message, left_s)
+        finally:
+            silent = link.received_at_s < sent_at_s and self._clock() >= deadline_s
+            if silent and not self._is_neighbour(link):
+                self._connector.close_later(link)
+
+    async def _link_within(self, vm: VmId, timeout_s: float) -> Link:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._connector.link_to(vm)
+        except TimeoutError as error:
+            raise NotSentError(f"no link to {vm} in {timeout_s} s") from error
+
+    def on_message(self, message_type: type[T], handler: MessageHandler[T]) -> None:
+        """Handle messages and requests of a type; the handler may be a coroutine function."""
+        self._dispatch.register(message_type, handler)
+
+    # Facts
+
+    def new_fact(self, kind: str, key: str, version: int, payload: bytes = b"") -> Fact:
+        """Return a fact of this VM, with the expiry of its kind.
+
+        The version of a kind with confirmations is the wall-clock time in milliseconds. Raises
+        ``UnknownFactKindError`` and ``EncodeError``.
+        """
+        if len(payload) > MAX_FACT_BYTES:
+            raise EncodeError(f"{len(payload)} B of payload exceed {MAX_FACT_BYTES} B")
+        lifetime_s = self.facts.kind(kind).lifetime_s
+        expires_at_s = 0.0 if lifetime_s is None else self._wall_clock() + lifetime_s
+        own = self._own
+        return Fact(
+            kind, key, own.vm, own.incarnation, own.started_ms, version, payload, expires_at_s
+        )
+
+    def publish(self, fact: Fact) -> bool:
+        """Take over an own fact and flood it; returns whether it changed the table."""
+        return self._gossip.publish(fact, self._wall_clock())
+
+    def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
+        """Call the listener for each changed fact of a kind, own facts included.
+
+        Raises ``UnknownFactKindError``.
+        """
+        self._gossip.listen(kind, listener)
+
+    def confirmations(self, kind: str, key: str) -> Confirmations:
+        """Return the VMs that have applied a withdrawal, and those that have not confirmed."""
+        return self._book.find((kind, key))
+
+    # Forwards
+
+    def on_forward(self, handler: ForwardHandler) -> None:
+        """Run forwarded requests of other VMs with this handler."""
+        self._service.handler = handler
+
+    @property
+    def forwards_running(self) -> int:
+        """Return the number of requests that run here for other VMs."""
+        return self._service.running
+
+    async def forward(
+        self, vm: VmId, request: ForwardRequest
+    ) -> AsyncGenerator[ForwardAnswer, None]:
+        """Forward a request and yield its answer up to ``ForwardEnd``.
+
+        Close the iterator (``contextlib.aclosing``) to cancel the request at the other VM. Raises
+        ``NotSentError`` (not run), ``LinkLostError`` (unknown) and ``EncodeError`` (not run).
+        """
+        link = await self._link_within(vm, self._timings.dial_timeout_s)
+        async with aclosing(self._calls.run(link, request)) as answers:
+            async for answer in answers:
+                yield answer
+
+    # Received messages
+
+    def _received(self, link: Link, message: object) -> None:
+        now = self._clock()
+        link.received_at_s = now
+        if not self.membership.is_current(link.peer):
+            self._metrics.count_refusal(RefusalReason.STALE_INCARNATION)
+            self._connector.close_later(link)
+            return
+        handler = self._link_handlers.get(type(message))
+        if type(message) not in (Heartbeat, FactUpdate, FactRequest, Confirmation):
+            link.used_at_s = now
+        if handler is None:
+            self._dispatch.handle(link, message)
+            return
+        handler(link, message)
+        if type(message) in (FactUpdate, Confirmation):
+            self._changed()
+
+    def _heartbeat(self, link: Link, message: Heartbeat) -> None:
+        link.wanted_by_peer = message.wanted
+        state = VmState.LEAVING if message.leaving else VmState.LIVE
+        now = self._clock()
+        if self.membership.heard(VmStatus(link.peer, message.counter, state), now):
+            self._gossip.compare(link, message.digest, now)
+
+    # Neighbours
+
+    def _is_neighbour(self, link: Link) -> bool:
+        return link.wanted_by_peer or link.peer.vm in self._wanted
+
+    def _neighbours(self) -> list[Link]:
+        links = self._connector.links_by_vm.values()
+        return [link for link in links if self._is_neighbour(link)]
+
+    def _is_zone_neighbour(self, vm: VmId) -> bool:
+        return vm in self._zone
+
+    def _update_topology(self) -> None:
+        self._topology = self._topology.avoiding(self.membership.avoided())
+        self._wanted = self._topology.links_of(self._own.vm)
+        self._zone = self._topology.zone_neighbours(self._own.vm)
+        self._maintain_now.set()
+
+    def _link_changed(self, link: Link, opened: bool) -> None:
+        if not opened:
+            self._requests.link_closed(link)
+            self._service.link_closed(link)
+            self._calls.link_closed(link)
+        else:
+            self.membership.heard(VmStatus(link.peer, 0, VmState.LIVE), self._clock())
+            if link.peer.vm in self._wanted:
+                self._send_heartbeat(link)
+        self._maintain_now.set()
+        self._changed()
+
+    def _changed(self) -> None:
+        for listener in self._change_listeners:
+            listener()
+
+    def _vm_state_changed(self, fact: Fact) -> None:
+        try:
+            refutation = self.membership.apply(fact)
+        except InvalidFactError:
+            self._metrics.count_drop("invalid_vm_state")
+            return
+        if refutation is not None:
+            self.publish(refutation)
+        self._maintain_now.set()
+
+    # Loops
+
+    async def _heartbeat_loop(self) -> None:
+        while True:
+            await asyncio.sleep(self._timings.heartbeat_s * self._rng.uniform(0.95, 1.05))
+            for link in self._neighbours():
+                self._send_heartbeat(link)
+            for fact in self.membership.tick(self._clock(), self._wanted):
+                self.publish(fact)
+            self.facts.expire(self._wall_clock())
+            self._note_changed_states()
+
+    def _send_heartbeat(self, link: Link) -> None:
+        own = self.membership.own
+        wanted = link.peer.vm in self._wanted
+        leaving = own.state is VmState.LEAVING
+        link.send(Heartbeat(own.counter, leaving, wanted, self.facts.digest()))
+
+    async def _maintenance_loop(self) -> None:
+        while True:
+            self._maintain_now.clear()
+            self._maintain(self._clock())
+            try:
+                async with asyncio.timeout(self._timings.maintenance_s):
+                    await self._maintain_now.wait()
+            except TimeoutError:
+                continue
+
+    def _maintain(self, now: float) -> None:
+        for vm in self._wanted:
+            self._connector.dial_when_due(vm, now)
+        for link in list(self._connector.links_by_vm.values()):
+            if not self._is_neighbour(link) and now - link.used_at_s > self._timings.idle_s:
+                self._connector.close_later(link)
+        self._gossip.send_confirmations()
+
+    def _note_changed_states(self) -> None:
+        """Log changes of state and let the topology avoid suspected and leaving VMs."""
+        states_by_vm = self.membership.states_by_vm()
+        changed = states_by_vm.items() - self._states_by_vm.items()
+        for vm, state in sorted(changed):
+            logger.info("VM state changed", extra={"vm": vm, "state": state.value})
+        if changed:
+            self._states_by_vm = states_by_vm
+            self._update_topology()
+            self._changed()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/tests/peers/peer_fleet.py
@@ -0,0 +1,215 @@
+"""Nodes on the loopback range, joined by forwarders that a test can cut."""
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from prometheus_client import CollectorRegistry
+
+from mangosaddle._identifiers import Incarnation, RegionName, VmId, ZoneName
+from mangosaddle.configuration import Vm
+from mangosaddle.membership import (
+    GROW_ONLY,
+    HIGHEST_VERSION,
+    PER_ORIGIN,
+    FactKind,
+    VmIdentity,
+)
+from mangosaddle.peers import PeerNode, PeerSettings, PeerTimings
+
+KINDS = (
+    FactKind("configuration", HIGHEST_VERSION),
+    FactKind("withdrawal", GROW_ONLY, confirmed=True),
+    FactKind("evidence", PER_ORIGIN, lifetime_s=600.0),
+)
+FAST = PeerTimings(
+    heartbeat_s=0.1,
+    maintenance_s=0.05,
+    dial_timeout_s=1.0,
+    backoff_initial_s=0.05,
+    backoff_max_s=0.1,
+)
+WAIT_S = 8.0
+"""Longest wait for an event; a test that needs it has failed."""
+
+
+def free_port(address: str) -> int:
+    """Return a port that is free at this moment."""
+    with socket.socket() as probe:
+        probe.bind((address, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Forwarder:
+    """TCP forwarder that can be cut and delayed."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        """Create a forwarder to an address and port."""
+        self._target = target
+        self.port = 0
+        self.delay_s = 0.0
+        self._is_cut = False
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Break all connections and refuse new ones."""
+        self._is_cut = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        """Accept connections again."""
+        self._is_cut = False
+
+    def stop(self) -> None:
+        """Stop listening and break all connections."""
+        self._server.close()
+        self.cut()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._is_cut:
+            writer.transport.abort()
+            return
+        with contextlib.suppress(OSError):
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
+            self._writers |= {writer, far_writer}
+            await asyncio.gather(self._copy(reader, far_writer), self._copy(far_reader, writer))
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
+@dataclass
+class Fleet:
+    """Nodes of one test; links between regions go through forwarders."""
+
+    nodes_by_vm: dict[VmId, PeerNode] = field(default_factory=dict)
+    registries_by_vm: dict[VmId, CollectorRegistry] = field(default_factory=dict)
+    settings_by_vm: dict[VmId, PeerSettings] = field(default_factory=dict)
+    vms_by_id: dict[VmId, Vm] = field(default_factory=dict)
+    forwarders: dict[tuple[VmId, VmId], Forwarder] = field(default_factory=dict)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    timings: PeerTimings = FAST
+
+    @classmethod
+    async def of(cls, *names: str, start: bool = True, timings: PeerTimings = FAST) -> "Fleet":
+        """Start nodes named ``region-number``; the VMs of a region form one zone."""
+        fleet = cls(timings=timings)
+        for number, name in enumerate(names):
+            region = name.split("-")[0]
+            address = f"127.0.0.{11 + number}"
+            url = f"ws://{address}:{free_port(address)}"
+            zone = ZoneName(f"{region}-a")
+            vm = Vm(VmId(name), RegionName(region), zone, "http://unused", url)
+            fleet.vms_by_id[vm.id] = vm
+        for vm in fleet.vms_by_id.values():
+            await fleet.add(vm.id, start=start)
+        return fleet
+
+    async def add(self, vm: VmId, started_ms: int = 1000, start: bool = True) -> PeerNode:
+        """Create a node, replacing an earlier one of the same VM."""
+        address, port = self._target(vm)
+        identity = VmIdentity(vm, Incarnation(f"{started_ms:016x}"), started_ms)
+        settings = PeerSettings(identity, "test fleet", b"secret", address, port, self.timings)
+        registry = CollectorRegistry()
+        rng = random.Random(f"{vm} {started_ms}")
+        node = PeerNode(settings, await self._view(vm), KINDS, registry, rng)
+        node.on_change(self.changed.set)
+        self.nodes_by_vm[vm] = node
+        self.registries_by_vm[vm] = registry
+        self.settings_by_vm[vm] = settings
+        if start:
+            await node.start()
+        return node
+
+    def _target(self, vm: VmId) -> tuple[str, int]:
+        address, port = self.vms_by_id[vm].peer_url.removeprefix("ws://").split(":")
+        return address, int(port)
+
+    async def _view(self, own: VmId) -> dict[VmId, Vm]:
+        view = {}
+        for vm in self.vms_by_id.values():
+            view[vm.id] = vm
+            if vm.region == self.vms_by_id[own].region:
+                continue
+            forwarder = self.forwarders.get((own, vm.id))
+            if forwarder is None:
+                forwarder = self.forwarders[(own, vm.id)] = Forwarder(self._target(vm.id))
+                await forwarder.start()
+            view[vm.id] = replace(vm, peer_url=f"ws://127.0.0.1:{forwarder.port}")
+        return view
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until the condition holds, looking again at each change of any node."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                self.changed.clear()
+                await self.changed.wait()
+
+    async def linked(self) -> None:
+        """Wait until every VM has told every other one its state."""
+        count = len(self.nodes_by_vm)
+        nodes = self.nodes_by_vm.values()
+        await self.until(lambda: all(len(node.membership.live_vms()) == count for node in nodes))
+
+    def cut(self, region: str) -> None:
+        """Cut a region off from the others."""
+        for forwarder in self._at_border(region):
+            forwarder.cut()
+
+    def heal(self, region: str) -> None:
+        """Join a region to the others again."""
+        for forwarder in self._at_border(region):
+            forwarder.heal()
+
+    def _at_border(self, region: str) -> list[Forwarder]:
+        return [
+            forwarder
+            for ends, forwarder in self.forwarders.items()
+            if region in {self.vms_by_id[vm].region for vm in ends}
+        ]
+
+    def counted(self, vm: VmId, name: str, **labels: str) -> float:
+        """Return a counter of a VM; 0 if it was never raised."""
+        value = self.registries_by_vm[vm].get_sample_value(f"mangosaddle_peer_{name}", labels)
+        return value or 0.0
+
+    async def stop(self) -> None:
+        """Stop all nodes and forwarders."""
+        for node in self.nodes_by_vm.values():
+            await node.stop()
+        for forwarder in self.forwarders.values():
+            forwarder.stop()
+
+
+def run_with_fleet(
+    scenario: Callable[..., object], *names: str, timings: PeerTimings = FAST
+) -> None:
+    """Run a scenario coroutine function with a started fleet."""
+
+    async def _run() -> None:
+        fleet = await Fleet.of(*names, timings=timings)
+        try:
+            await fleet.linked()
+            result = scenario(fleet)
+            if asyncio.iscoroutine(result):
+                await result
+        finally:
+            await fleet.stop()
+
+    asyncio.run(_run())
