Add rollouts decision core

New versions have to take over by a deadline or be taken back without a leader. This adds the share by plan and time, evidence as mergeable windowed counters, the veto by comparison with the old version, the planner of loads and the fencing rules for orders.

--- a/src/mangosaddle/rollouts/__init__.py
+++ b/src/mangosaddle/rollouts/__init__.py
@@ -1,1 +1,24 @@
 """Traffic share of new versions, evidence, verdicts and orders to endpoints."""
+
+from ._control import RolloutControl, RolloutState, RolloutStatus, Veto
+from ._evidence import EvidenceError
+from ._loads import EndpointVersions, LoadCost, LoadOrder, needed_s, plan_loads
+from ._order_holder import HolderState, OrderAnswer, OrderHolder
+from ._plan import share
+
+__all__ = [
+    "EndpointVersions",
+    "EvidenceError",
+    "HolderState",
+    "LoadCost",
+    "LoadOrder",
+    "OrderAnswer",
+    "OrderHolder",
+    "RolloutControl",
+    "RolloutState",
+    "RolloutStatus",
+    "Veto",
+    "needed_s",
+    "plan_loads",
+    "share",
+]
--- /dev/null
+++ b/src/mangosaddle/rollouts/_control.py
@@ -0,0 +1,282 @@
+"""Rollouts as one VM sees them: versions for requests, evidence, vetoes and status."""
+
+import hashlib
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from .._identifiers import EndpointId, ModelName, VersionId, VmId
+from ..configuration import Configuration, RolloutPlan
+from ._evidence import KEPT_WINDOWS, Counter, Evidence, EvidenceKey, window_of
+from ._plan import share
+from ._verdict import Comparison, Finding, compare, compare_with_past
+
+HOLD_BACK = ((20, 0.05), (60, 0.15), (200, 0.4))
+"""Requests of the new version below which the share is held back, and the share then.
+
+Sixty answers show a version that fails one request in six; a slower or rarer fault needs more.
+"""
+SAME_LOSS_S = 1.0
+"""Time within which lost connections to one endpoint count as one failure."""
+
+
+class RolloutState(StrEnum):
+    """Where a rollout stands."""
+
+    PLANNED = "planned"
+    MOVING = "moving"
+    MOVED = "moved"
+    TAKEN_BACK = "taken-back"
+    LATE = "late"
+    """The deadline has passed and the share is below 1, without a veto."""
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Where a rollout stands, and why."""
+
+    model: ModelName
+    old: VersionId
+    new: VersionId
+    state: RolloutState
+    share: float
+    """Share of the new version now."""
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Veto:
+    """Fact: a version gets no more traffic."""
+
+    model: str
+    version: str
+    reason: str
+    vm: str
+    """VM that found the fault."""
+    at_s: float
+    """Wall-clock time in seconds since the epoch."""
+
+
+class RolloutControl:
+    """Versions for requests by plan, evidence and vetoes; times are wall-clock seconds."""
+
+    def __init__(self, own: VmId) -> None:
+        self._own = own
+        self._configuration = Configuration(revision=-1)
+        self._evidence = Evidence()
+        self._vetoes: dict[tuple[str, str], Veto] = {}
+        self._loaded_share: dict[ModelName, float] = {}
+        self._last_loss_at: dict[tuple[EndpointId, VersionId], float] = {}
+        self._past: dict[tuple[ModelName, VersionId, str], Counter] = {}
+
+    @classmethod
+    def from_configuration(cls, own: VmId, configuration: Configuration) -> "RolloutControl":
+        """Return the control of the VM ``own``."""
+        control = cls(own)
+        control.apply_configuration(configuration)
+        return control
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take a newer configuration; an older revision is ignored. Vetoes stay."""
+        if configuration.revision >= self._configuration.revision:
+            self._configuration = configuration
+            self._evidence.keep_models(configuration.rollouts_by_model)
+
+    def share(self, model: ModelName, wall_time: float) -> float:
+        """Return the share of the new version now: the planned one, held back if need be.
+
+        0 without a plan and after a veto.
+        """
+        plan = self._configuration.rollouts_by_model.get(model)
+        if plan is None or self._is_vetoed(model, plan.new):
+            return 0.0
+        limit = min(self._sample_limit(plan), self._loaded_share.get(model, 1.0))
+        return min(share(plan, wall_time), limit)
+
+    def version_for(
+        self, model: ModelName, chosen_by: bytes | random.Random, wall_time: float
+    ) -> VersionId | None:
+        """Return the version for a request, ``None`` for an unknown model.
+
+        With a digest all VMs choose the same version, and a request that has once moved to the new
+        version stays there while the share grows.
+        """
+        plan = self._configuration.rollouts_by_model.get(model)
+        if plan is None:
+            return self._default(model)
+        if _unit(plan, chosen_by) < self.share(model, wall_time):
+            return plan.new
+        return plan.old
+
+    def versions_for(
+        self, model: ModelName, chosen_by: bytes | random.Random, wall_time: float
+    ) -> tuple[VersionId, ...]:
+        """Return the acceptable versions for the router, preferred first.
+
+        A request chosen for the new version may fall back to the old one, never the reverse.
+        """
+        version = self.version_for(model, chosen_by, wall_time)
+        plan = self._configuration.rollouts_by_model.get(model)
+        if version is None:
+            return ()
+        return (version, plan.old) if plan is not None and version == plan.new else (version,)
+
+    def loaded(self, model: ModelName, new_capacity: float, old_capacity: float) -> None:
+        """Note the capacity of the own region that serves the new and the old version.
+
+        The share stays below the new version's part: on too few endpoints it would look slow
+        through overload. Without any endpoint of the old version it is not limited.
+        """
+        capacity = new_capacity + old_capacity
+        self._loaded_share[model] = new_capacity / capacity if old_capacity > 0 else 1.0
+
+    def record(
+        self,
+        model: ModelName,
+        version: VersionId,
+        route: str,
+        wall_time: float,
+        *,
+        latency_s: float | None,
+        lost_endpoint: EndpointId | None = None,
+    ) -> None:
+        """Count a request of a model with a plan; ``latency_s`` is ``None`` for a failure.
+
+        ``lost_endpoint`` names the endpoint to which the connection was lost. The requests that
+        are lost with one endpoint are one failure: as many they would condemn a good version.
+        """
+        if model not in self._configuration.rollouts_by_model:
+            return
+        if latency_s is None and lost_endpoint is not None:
+            loss = (lost_endpoint, version)
+            last = self._last_loss_at.get(loss, float("-inf"))
+            self._last_loss_at[loss] = wall_time
+            if wall_time - last < SAME_LOSS_S:
+                return
+        key = EvidenceKey(window_of(wall_time), model, version, route)
+        self._evidence.count(key, latency_s)
+
+    def judge(self, wall_time: float) -> tuple[Veto, ...]:
+        """Compare the versions of all plans, veto the bad ones and return the new vetoes.
+
+        To be called about once a second; the vetoes are to be spread and stored.
+        """
+        self._evidence.forget_before(window_of(wall_time) - KEPT_WINDOWS + 1)
+        found = []
+        for plan in self._configuration.rollouts_by_model.values():
+            if wall_time < plan.start_s or self._is_vetoed(plan.model, plan.new):
+                continue
+            reason = self._fault(plan, window_of(wall_time))
+            if reason is not None:
+                found.append(Veto(plan.model, plan.new, reason, self._own, wall_time))
+        self.include_vetoes(found)
+        return tuple(found)
+
+    def vetoes(self) -> tuple[Veto, ...]:
+        """Return all vetoes, to be spread as facts and stored."""
+        return tuple(veto for _, veto in sorted(self._vetoes.items()))
+
+    def include_vetoes(self, vetoes: Iterable[Veto]) -> None:
+        """Take vetoes; of two on the same version the earlier one is kept. None is ever lifted."""
+        for veto in vetoes:
+            key = (veto.model, veto.version)
+            known = self._vetoes.get(key)
+            if known is None or (veto.at_s, veto.vm) < (known.at_s, known.vm):
+                self._vetoes[key] = veto
+
+    def evidence_payload(self) -> bytes:
+        """Return the own counters for other VMs."""
+        return self._evidence.to_payload(self._configuration.rollouts_by_model)
+
+    def include_evidence(self, vm: VmId, incarnation: str, payload: bytes) -> bool:
+        """Take the counters of another VM; return whether they were newer.
+
+        Raises ``EvidenceError`` for a payload that is not evidence.
+        """
+        return self._evidence.from_payload(vm, incarnation, payload)
+
+    def status(self, model: ModelName, wall_time: float) -> RolloutStatus | None:
+        """Return where the rollout of a model stands, ``None`` without a plan."""
+        plan = self._configuration.rollouts_by_model.get(model)
+        if plan is None:
+            return None
+        now_share = self.share(model, wall_time)
+        state, reason = self._state(plan, now_share, wall_time)
+        return RolloutStatus(model, plan.old, plan.new, state, now_share, reason)
+
+    def _state(
+        self, plan: RolloutPlan, now_share: float, wall_time: float
+    ) -> tuple[RolloutState, str]:
+        veto = self._vetoes.get((plan.model, plan.new))
+        if veto is not None:
+            return RolloutState.TAKEN_BACK, veto.reason
+        if wall_time < plan.start_s:
+            return RolloutState.PLANNED, ""
+        if now_share >= 1.0:
+            return RolloutState.MOVED, ""
+        reason = self._hold_reason(plan) if now_share < share(plan, wall_time) else ""
+        late = wall_time >= plan.deadline_s
+        return (RolloutState.LATE if late else RolloutState.MOVING), reason
+
+    def _hold_reason(self, plan: RolloutPlan) -> str:
+        loaded = self._loaded_share.get(plan.model, 1.0)
+        if loaded < self._sample_limit(plan):
+            return f"the new version is loaded on {loaded:.0%} of the capacity"
+        return (
+            f"only {self._evidence.requests(plan.model, plan.new)} requests of the new version seen"
+        )
+
+    def _sample_limit(self, plan: RolloutPlan) -> float:
+        sample = self._evidence.requests(plan.model, plan.new)
+        return next((limit for size, limit in HOLD_BACK if sample < size), 1.0)
+
+    def _is_vetoed(self, model: ModelName, version: VersionId) -> bool:
+        return (model, version) in self._vetoes
+
+    def _default(self, model: ModelName) -> VersionId | None:
+        versions = self._configuration.versions_by_model.get(model, ())
+        allowed = [version for version in versions if not self._is_vetoed(model, version)]
+        return next(iter(allowed or versions), None)
+
+    def _fault(self, plan: RolloutPlan, window: int) -> str | None:
+        merged = self._evidence.merged(plan.model)
+        windows = range(window, window - KEPT_WINDOWS, -1)
+        for route in sorted({key.route for key in merged}):
+            pairs = [
+                Comparison(
+                    merged.get(EvidenceKey(number, plan.model, plan.new, route), Counter()),
+                    merged.get(EvidenceKey(number, plan.model, plan.old, route), Counter()),
+                )
+                for number in windows
+            ]
+            finding = compare(pairs) or self._compare_with_past(plan, route, pairs)
+            if finding is not None:
+                return f"{finding.fault} on {route}: {finding.reason}"
+        return None
+
+    def _compare_with_past(
+        self, plan: RolloutPlan, route: str, pairs: list[Comparison]
+    ) -> Finding | None:
+        """Compare with the last full window of the old version once that has no traffic."""
+        key = (plan.model, plan.old, route)
+        if pairs[0].old.requests or pairs[1].old.requests:
+            full = max((pair.old for pair in pairs), key=lambda counter: counter.requests)
+            self._past[key] = full
+            return None
+        past = self._past.get(key)
+        if past is None:
+            return None
+        recent = Counter()
+        recent.add(pairs[0].new)
+        recent.add(pairs[1].new)
+        return compare_with_past(recent, past)
+
+
+def _unit(plan: RolloutPlan, chosen_by: bytes | random.Random) -> float:
+    """Return a number in [0, 1) that a digest always maps to for the same plan."""
+    if isinstance(chosen_by, random.Random):
+        return chosen_by.random()
+    name = f"{plan.model}/{plan.new}/".encode()
+    digest = hashlib.blake2b(name + chosen_by, digest_size=7).digest()
+    return int.from_bytes(digest, "big") / 2**56
--- /dev/null
+++ b/src/mangosaddle/rollouts/_evidence.py
@@ -0,0 +1,201 @@
+"""Evidence about versions: counters per VM that merge into one picture of the fleet."""
+
+import bisect
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+import cbor2
+
+from .._exceptions import MangosaddleError
+from .._identifiers import ModelName, VersionId, VmId
+
+WINDOW_S = 30.0
+"""Length of an evidence window on the wall clock; old and new version are compared in it."""
+KEPT_WINDOWS = 6
+ALL_TIME = 0
+"""Window number of the counters over the whole life of the VM, which tell the sample size."""
+BUCKETS_PER_DOUBLING = 4
+FIRST_EDGE_S = 0.005
+BUCKET_COUNT = 60
+"""Edges from 5 ms to about 140 s, a factor of 2 ** (1/4) apart."""
+EDGES_S = tuple(FIRST_EDGE_S * 2 ** (i / BUCKETS_PER_DOUBLING) for i in range(BUCKET_COUNT))
+PAYLOAD_VERSION = 1
+MAX_PAYLOAD_BYTES = 256 * 1024
+
+
+class EvidenceError(MangosaddleError):
+    """A payload of another VM is not evidence."""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class EvidenceKey:
+    """What one counter counts."""
+
+    window: int
+    """Number of the window since the epoch."""
+    model: ModelName
+    version: VersionId
+    route: str
+
+
+@dataclass(slots=True)
+class Counter:
+    """Requests, failures and latencies of answers."""
+
+    requests: int = 0
+    failures: int = 0
+    buckets: dict[int, int] = field(default_factory=dict)
+    """Answers by number of the histogram bucket."""
+
+    def add(self, other: "Counter") -> None:
+        """Add the counts of another counter."""
+        self.requests += other.requests
+        self.failures += other.failures
+        for bucket, count in other.buckets.items():
+            self.buckets[bucket] = self.buckets.get(bucket, 0) + count
+
+    def answers(self) -> int:
+        """Return the number of answers with a latency."""
+        return sum(self.buckets.values())
+
+    def p95_bucket(self) -> int | None:
+        """Return the bucket of the 95th percentile, ``None`` without answers."""
+        rest = self.answers() * 0.05
+        for bucket in sorted(self.buckets, reverse=True):
+            rest -= self.buckets[bucket]
+            if rest < 0:
+                return bucket
+        return None
+
+    def answers_above(self, bucket: int) -> int:
+        """Return the number of answers slower than the upper edge of the bucket."""
+        return sum(count for number, count in self.buckets.items() if number > bucket)
+
+
+def bucket_of(latency_s: float) -> int:
+    """Return the histogram bucket of a latency; bucket ``n`` ends at ``EDGES_S[n]``."""
+    return bisect.bisect_left(EDGES_S, latency_s)
+
+
+def window_of(wall_time: float) -> int:
+    """Return the number of the window at a time."""
+    return int(wall_time // WINDOW_S)
+
+
+class Evidence:
+    """The own counters of a VM and the latest ones of the other VMs."""
+
+    def __init__(self) -> None:
+        self._sequence = 0
+        self._own: dict[EvidenceKey, Counter] = {}
+        self._others: dict[str, tuple[int, dict[EvidenceKey, Counter]]] = {}
+        self._requests: dict[tuple[ModelName, VersionId], int] = {}
+
+    def count(self, key: EvidenceKey, latency_s: float | None) -> None:
+        """Count a request; ``latency_s`` is ``None`` for a failure."""
+        self._sequence += 1
+        overall = replace(key, window=ALL_TIME)
+        self._own.setdefault(overall, Counter()).requests += 1
+        self._add_requests(overall, 1)
+        counter = self._own.setdefault(key, Counter())
+        counter.requests += 1
+        if latency_s is None:
+            counter.failures += 1
+        else:
+            bucket = bucket_of(latency_s)
+            counter.buckets[bucket] = counter.buckets.get(bucket, 0) + 1
+
+    def requests(self, model: ModelName, version: VersionId) -> int:
+        """Return the requests of a version over all time and all VMs."""
+        return self._requests.get((model, version), 0)
+
+    def keep_models(self, models: Iterable[ModelName]) -> None:
+        """Drop the counters of all other models, whose plans have ended."""
+        wanted = set(models)
+        for counters in self._sources():
+            for key in [key for key in counters if key.model not in wanted]:
+                del counters[key]
+        for version in [version for version in self._requests if version[0] not in wanted]:
+            del self._requests[version]
+
+    def merged(self, model: ModelName) -> dict[EvidenceKey, Counter]:
+        """Return the counters of the model, summed over all VMs."""
+        total: dict[EvidenceKey, Counter] = {}
+        for counters in self._sources():
+            for key, counter in counters.items():
+                if key.model == model:
+                    total.setdefault(key, Counter()).add(counter)
+        return total
+
+    def _sources(self) -> list[dict[EvidenceKey, Counter]]:
+        return [self._own, *(counters for _, counters in self._others.values())]
+
+    def forget_before(self, window: int) -> None:
+        """Drop the counters of older windows; those over all time stay."""
+        for counters in self._sources():
+            for key in [key for key in counters if ALL_TIME < key.window < window]:
+                del counters[key]
+
+    def to_payload(self, models: Iterable[ModelName]) -> bytes:
+        """Return the own counters of the models as a compact payload."""
+        wanted = set(models)
+        rows = [
+            [k.window, k.model, k.version, k.route, c.requests, c.failures, c.buckets]
+            for k, c in sorted(self._own.items(), key=lambda item: item[0])
+            if k.model in wanted
+        ]
+        return cbor2.dumps([PAYLOAD_VERSION, self._sequence, rows])
+
+    def from_payload(self, vm: VmId, incarnation: str, payload: bytes) -> bool:
+        """Replace the counters of another VM if these are newer; return whether they were.
+
+        Counters only grow within an incarnation, so the higher sequence number holds all that the
+        lower one does, and repeats and crossed messages do no harm. Raises ``EvidenceError``.
+        """
+        sequence, counters = _parse(payload)
+        source = f"{vm}/{incarnation}"
+        known = self._others.get(source)
+        if known is not None and known[0] >= sequence:
+            return False
+        for key, counter in counters.items():
+            self._add_requests(key, counter.requests)
+        for key, counter in (known[1] if known is not None else {}).items():
+            self._add_requests(key, -counter.requests)
+        self._others[source] = (sequence, counters)
+        return True
+
+    def _add_requests(self, key: EvidenceKey, amount: int) -> None:
+        if key.window == ALL_TIME:
+            version = (key.model, key.version)
+            self._requests[version] = self._requests.get(version, 0) + amount
+
+
+def _parse(payload: bytes) -> tuple[int, dict[EvidenceKey, Counter]]:
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        raise EvidenceError(f"evidence of {len(payload)} bytes is above {MAX_PAYLOAD_BYTES}")
+    try:
+        version, sequence, rows = cbor2.loads(payload)
+        if version != PAYLOAD_VERSION:
+            raise EvidenceError(f"evidence format {version!r} is unknown")
+        return _count(sequence), dict(_parse_row(row) for row in rows)
+    except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as error:
+        raise EvidenceError(f"payload is not evidence: {error}") from error
+
+
+def _parse_row(row: list[object]) -> tuple[EvidenceKey, Counter]:
+    window, model, version, route, requests, failures, buckets = row
+    if not (isinstance(model, str) and isinstance(version, str) and isinstance(route, str)):
+        raise TypeError("model, version and route have to be text")
+    if not isinstance(buckets, dict):
+        raise TypeError("buckets have to be a map")
+    counted = {_count(bucket): _count(count) for bucket, count in buckets.items()}
+    if any(bucket > BUCKET_COUNT for bucket in counted):
+        raise ValueError("bucket number is out of range")
+    key = EvidenceKey(_count(window), ModelName(model), VersionId(version), route)
+    return key, Counter(_count(requests), _count(failures), counted)
+
+
+def _count(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise TypeError(f"{value!r} is not a count")
+    return value
