--- /dev/null
+++ b/src/mangosaddle/daemon/_administration.py
@@ -0,0 +1,121 @@
+"""What operators can do at one entry VM."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from .._identifiers import KeyId, OrganisationId
+from ..configuration import (
+    Configuration,
+    KeyExistsError,
+    ModelVersion,
+    UnknownKeyError,
+    UnknownOrganisationError,
+    with_key_granted,
+    with_key_withdrawn,
+)
+from ..gateway import Finding, GrantedKey, KeyConfirmations, Problem
+from ..keys import KeyText
+from ._configuration_service import ConfigurationService
+from ._key_service import KeyService
+from ._rollout_service import RolloutService
+
+CONFIRMATION_WAIT_S = 2.0
+CONFIRMATION_POLL_S = 0.05
+
+
+class OperatorDesk:
+    """Implements the administration port of the admin API; loop thread only."""
+
+    def __init__(
+        self,
+        current: Callable[[], Configuration],
+        configurations: ConfigurationService,
+        keys: KeyService,
+        rollouts: RolloutService,
+        status: Callable[[], dict[str, object]],
+    ) -> None:
+        """Create the desk from the process's services."""
+        self._current = current
+        self._configurations = configurations
+        self._keys = keys
+        self._rollouts = rollouts
+        self._status = status
+        self._tasks: set[asyncio.Task[object]] = set()
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force at this VM."""
+        return self._current()
+
+    def vetoed(self) -> frozenset[ModelVersion]:
+        """Return the versions that have been taken back."""
+        return self._rollouts.vetoed()
+
+    async def store(self, edited: Configuration, expected: int) -> Result[int, Problem]:
+        """Store an edit if the revision is the expected one."""
+        return await self._configurations.store(edited, expected)
+
+    async def grant_key(self, organisation: OrganisationId) -> Result[GrantedKey, Problem]:
+        """Grant a new key; it works once the configuration with its hash is stored."""
+        text = KeyText.generate()
+        record = text.record(organisation)
+        try:
+            stored = await self._configurations.edit(
+                lambda current: with_key_granted(current, record, time.time())
+            )
+        except UnknownOrganisationError as error:
+            finding = Finding("body.organisation", str(error), "add it to the inventory first")
+            return Failure(Problem(404, "unknown-organisation", str(error), findings=(finding,)))
+        except KeyExistsError:
+            # The edit was stored and its answer was lost: the retry finds the key in place.
+            return Success(GrantedKey(text.id, text.reveal()))
+        return stored.map(lambda _: GrantedKey(text.id, text.reveal()))
+
+    async def withdraw_key(self, key_id: KeyId) -> Result[KeyConfirmations, Problem]:
+        """Withdraw a key at once, write it to the store, and wait a moment for confirmations."""
+        if key_id not in self._current().keys_by_id and not self._keys.is_withdrawn(key_id):
+            await self._configurations.refresh()
+            if key_id not in self._current().keys_by_id:
+                return Failure(Problem(404, "unknown-key", f"key {key_id!r} is not known"))
+        self._keys.withdraw(key_id)
+        task = asyncio.get_running_loop().create_task(self._store_withdrawal(key_id))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return Success(await self._wait_for_confirmations(key_id))
+
+    async def _store_withdrawal(self, key_id: KeyId) -> None:
+        """Write the withdrawal to the store, again and again while it is down."""
+        pause_s = 0.5
+        while True:
+            try:
+                stored = await self._configurations.edit(
+                    lambda current: with_key_withdrawn(current, key_id, time.time())
+                )
+            except UnknownKeyError:
+                return
+            if isinstance(stored, Success):
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(pause_s * 2, 30.0)
+
+    async def _wait_for_confirmations(self, key_id: KeyId) -> KeyConfirmations:
+        deadline = time.monotonic() + CONFIRMATION_WAIT_S
+        confirmations = self._keys.confirmations(key_id)
+        while confirmations.unconfirmed and time.monotonic() < deadline:
+            await asyncio.sleep(CONFIRMATION_POLL_S)
+            confirmations = self._keys.confirmations(key_id)
+        return confirmations
+
+    def key_confirmations(self, key_id: KeyId) -> KeyConfirmations | None:
+        """Return where a withdrawal is in force."""
+        return self._keys.confirmations(key_id) if self._keys.is_withdrawn(key_id) else None
+
+    def versions(self) -> list[dict[str, object]]:
+        """Return the state of each rollout."""
+        return self._rollouts.versions()
+
+    def status(self) -> dict[str, object]:
+        """Return what this VM believes and how old that is."""
+        return self._status()
--- /dev/null
+++ b/src/mangosaddle/daemon/_allowance_service.py
@@ -0,0 +1,235 @@
+"""Fleet-wide allowances: runs the ledger and the slot directory over peers and store."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+from returns.result import Success
+
+from .._identifiers import Incarnation, OrganisationId, VmId
+from ..configuration import Configuration
+from ..gateway import Shortage
+from ..limits import (
+    AllowanceLedger,
+    BorrowGrant,
+    BorrowRequest,
+    BorrowSettle,
+    DocumentWrite,
+    ListedVm,
+    Outgoing,
+    Short,
+    SlotDirectory,
+    SlotDocumentError,
+    SlotRelease,
+    SlotReleased,
+    shard_key,
+)
+from ..peers import PeerNode, register
+from ..platform import ListedVmRow, ListedVmState, StoreClient
+from ._blocking import BlockingCalls
+from ._tasks import BackgroundTasks
+
+TICK_S = 0.05
+PLAN_S = 1.0
+LOAN_WAIT_S = 0.4
+"""A round trip between regions takes about 80 ms; a lost message must not delay a refusal long."""
+CLOCK_GAP_S = 2.0
+DEFAULT_RETRY_AFTER_S = 1.0
+
+register("br", BorrowRequest)
+register("bg", BorrowGrant)
+register("bs", BorrowSettle)
+register("sr", SlotRelease)
+register("sd", SlotReleased)
+
+_log = logging.getLogger(__name__)
+
+
+class AllowanceService:
+    """Implements the allowances port of request handling; loop thread only."""
+
+    def __init__(
+        self,
+        vm: VmId,
+        incarnation: Incarnation,
+        configuration: Configuration,
+        peers: PeerNode,
+        store: StoreClient,
+        blocking: BlockingCalls,
+        tasks: BackgroundTasks,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        """Create the service; ``start`` begins to read slots and to borrow."""
+        self.ledger = AllowanceLedger.from_configuration(vm, incarnation, configuration, clock())
+        self.directory = SlotDirectory(vm, incarnation, configuration, rng)
+        self._peers = peers
+        self._store = store
+        self._blocking = blocking
+        self._tasks = tasks
+        self._clock = clock
+        self._ticked_at = clock()
+        self._granted_by_organisation: dict[OrganisationId, asyncio.Event] = {}
+        self._reading: set[int] = set()
+        self._draining = False
+        self.clock_gaps = 0
+        """Gaps noticed in the process's own clock."""
+
+    def start(self) -> None:
+        """Handle messages and begin the periodic work."""
+        peers = self._peers
+        peers.on_message(BorrowRequest, self._borrow_requested)
+        peers.on_message(BorrowGrant, self._borrow_granted)
+        peers.on_message(BorrowSettle, self._borrow_settled)
+        peers.on_message(SlotRelease, self._release_asked)
+        peers.on_message(SlotReleased, self._slot_released)
+        self._tasks.every(TICK_S, self._tick)
+        self._tasks.every(PLAN_S, self._plan)
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Apply new limits; a lower one holds at once."""
+        self._send(self.ledger.apply_configuration(configuration, self._clock()))
+        self.directory.apply_configuration(configuration)
+
+    def list_read(self, rows: tuple[ListedVmRow, ...], requested_s: float, now: float) -> None:
+        """Take an answer of the platform's list."""
+        listed = [
+            ListedVm(row.id, row.incarnation, row.state is ListedVmState.LEAVING) for row in rows
+        ]
+        self.directory.observe_list(listed, requested_s, now)
+        self.ledger.set_usable_vms(self.directory.usable_vms())
+
+    async def reserve(self, organisation: OrganisationId, tokens: float) -> int | Shortage:
+        """Reserve an upper bound, waiting for a loan if one may cover it."""
+        self.check_clock()
+        result = self.ledger.reserve(organisation, tokens, self._clock())
+        deadline = self._clock() + LOAN_WAIT_S
+        while isinstance(result, Short):
+            self._send(result.messages)
+            remaining = deadline - self._clock()
+            if not result.worth_waiting or remaining <= 0:
+                return _shortage(result)
+            if not await self._wait_for_grant(organisation, remaining):
+                return _shortage(result)
+            result = self.ledger.reserve(organisation, tokens, self._clock(), waited=True)
+        self._send(result.messages)
+        return result.reservation_id
+
+    async def _wait_for_grant(self, organisation: OrganisationId, timeout_s: float) -> bool:
+        event = self._granted_by_organisation.setdefault(organisation, asyncio.Event())
+        try:
+            await asyncio.wait_for(event.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
+    def settle(self, reservation: int, used_tokens: float) -> None:
+        """Replace a reservation by the final cost."""
+        self._send(self.ledger.settle(reservation, used_tokens, self._clock()))
+
+    def holders(self, organisation: OrganisationId) -> tuple[VmId, ...]:
+        """Return the VMs that probably hold tokens of an organisation."""
+        return self.ledger.holders(organisation)
+
+    def check_clock(self) -> None:
+        """Stop using slots after a gap in the process's own clock, until the store confirms them.
+
+        Called before each admission as well: after a pause a request may come before the tick.
+        """
+        now = self._clock()
+        if now - self._ticked_at > CLOCK_GAP_S:
+            self.clock_gaps += 1
+            _log.warning("clock gap noticed", extra={"gap_s": round(now - self._ticked_at, 3)})
+            self.directory.note_clock_gap(now)
+            self._send(self.ledger.note_clock_gap(now))
+        self._ticked_at = now
+
+    def _tick(self) -> None:
+        self.check_clock()
+        self._send(self.ledger.tick(self._clock()))
+
+    async def _plan(self) -> None:
+        now = self._clock()
+        for vm in self._peers.linked_vms():
+            identity = self._peers.membership.identity_of(vm)
+            if identity is not None:
+                self.directory.observe_heartbeat(vm, identity.incarnation, now)
+        plan = self.directory.plan(now, self.ledger.released_slots(), self._draining)
+        self._send(plan.releases)
+        await asyncio.gather(
+            *(self._write(write) for write in plan.writes),
+            *(self._read(shard) for shard in plan.reads),
+        )
+        if not self._draining:
+            self.ledger.set_held_slots(self.directory.held(), self._clock())
+
+    async def _read(self, shard: int) -> None:
+        if shard in self._reading:
+            return
+        self._reading.add(shard)
+        try:
+            requested_s = self._clock()
+            result = await self._blocking.run(self._store.read, shard_key(shard))
+        finally:
+            self._reading.discard(shard)
+        if not isinstance(result, Success):
+            return
+        entry = result.unwrap()
+        try:
+            if entry is None:
+                self.directory.observe_document(shard, None, 0, requested_s)
+            else:
+                self.directory.observe_document(shard, entry.value, entry.modify_index, requested_s)
+        except SlotDocumentError:
+            _log.exception("slot document cannot be read", extra={"shard": shard})
+
+    async def _write(self, write: DocumentWrite) -> None:
+        # The outcome does not matter: the document is read back after every write.
+        await self._blocking.run(
+            self._store.compare_and_swap,
+            shard_key(write.shard),
+            write.content,
+            write.expected_index,
+        )
+        self.directory.note_write(write.shard)
+        await self._read(write.shard)
+
+    async def release_all(self, within_s: float) -> None:
+        """Stop using all slots and vacate them in the store, as far as it answers in time."""
+        self._draining = True
+        deadline = self._clock() + within_s
+        self._send(self.ledger.release_all(self._clock()))
+        while self.directory.held() and self._clock() < deadline:
+            self._send(self.ledger.release_all(self._clock()))
+            await self._plan()
+            await asyncio.sleep(TICK_S)
+
+    def _borrow_requested(self, sender: VmId, message: BorrowRequest) -> None:
+        self.check_clock()
+        self._send(self.ledger.handle_borrow_request(sender, message, self._clock()))
+
+    def _borrow_granted(self, sender: VmId, message: BorrowGrant) -> None:
+        self._send(self.ledger.handle_borrow_grant(sender, message, self._clock()))
+        event = self._granted_by_organisation.pop(message.organisation, None)
+        if event is not None:
+            event.set()
+
+    def _borrow_settled(self, sender: VmId, message: BorrowSettle) -> None:
+        self._send(self.ledger.handle_borrow_settle(sender, message, self._clock()))
+
+    def _release_asked(self, sender: VmId, message: SlotRelease) -> None:
+        self._send(self.ledger.handle_slot_release(sender, message, self._clock()))
+
+    def _slot_released(self, sender: VmId, message: SlotReleased) -> None:
+        self.directory.handle_released(sender, message)
+
+    def _send(self, messages: Iterable[Outgoing]) -> None:
+        for outgoing in messages:
+            self._peers.send(outgoing.destination, outgoing.message)
+
+
+def _shortage(short: Short) -> Shortage:
+    if short.retry_after_s is None:
+        return Shortage(None)
+    return Shortage(max(short.retry_after_s, DEFAULT_RETRY_AFTER_S / 10))
--- /dev/null
+++ b/src/mangosaddle/daemon/_fleet_service.py
@@ -0,0 +1,114 @@
+"""The other entry VMs: links, the platform's list, forwards and draining."""
+
+import logging
+import random
+from collections.abc import AsyncIterator, Callable
+
+from returns.result import Success
+
+from .._identifiers import RegionName, VmId
+from ..configuration import Configuration, Vm
+from ..membership import Drain, DrainAction, ListedRow
+from ..peers import ForwardAnswer, ForwardRequest, PeerNode
+from ..platform import ListedVmRow, ListedVmState, VmListClient
+from ._blocking import BlockingCalls
+from ._tasks import BackgroundTasks
+
+LIST_INTERVAL_S = 2.0
+DRAIN_INTERVAL_S = 0.1
+
+ListListener = Callable[[tuple[ListedVmRow, ...], float, float], None]
+"""Called with the rows, the time of the request and the time of the answer."""
+
+_log = logging.getLogger(__name__)
+
+
+class FleetService:
+    """Implements the fleet port of request handling; loop thread only."""
+
+    def __init__(
+        self,
+        own: VmId,
+        peers: PeerNode,
+        vm_list: VmListClient,
+        blocking: BlockingCalls,
+        tasks: BackgroundTasks,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        """Create the service; ``start`` begins to read the platform's list."""
+        self.peers = peers
+        self._own = own
+        self._vm_list = vm_list
+        self._blocking = blocking
+        self._tasks = tasks
+        self._rng = rng
+        self._clock = clock
+        self._drain = Drain()
+        self._listeners: list[ListListener] = []
+        self.list_read_at: float | None = None
+        """Time of the newest answer of the platform's list, in seconds; ``None`` before it."""
+
+    def start(self) -> None:
+        """Begin to read the platform's list."""
+        self._tasks.every(LIST_INTERVAL_S, self._read_list)
+
+    def on_list(self, listener: ListListener) -> None:
+        """Call the listener with each answer of the platform's list."""
+        self._listeners.append(listener)
+
+    async def _read_list(self) -> None:
+        requested_s = self._clock()
+        result = await self._blocking.run(self._vm_list.read)
+        if not isinstance(result, Success):
+            return
+        rows = tuple(result.unwrap().values())
+        now = self._clock()
+        self.list_read_at = now
+        self.peers.listed(
+            ListedRow(row.id, row.state is ListedVmState.LEAVING, row.incarnation) for row in rows
+        )
+        for listener in self._listeners:
+            listener(rows, requested_s, now)
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take over the VMs of a configuration."""
+        self.peers.update_vms(configuration.vms_by_id)
+
+    def accepts_work(self) -> bool:
+        """Return whether this VM takes new requests."""
+        return self._drain.accepts_work
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this VM has begun to shut down."""
+        return self._drain.is_leaving
+
+    def discovery(self, preferred: tuple[VmId, ...]) -> tuple[Vm, ...]:
+        """Return the VMs that callers should use now, best first."""
+        return self.peers.membership.discovery(preferred)
+
+    def vm_in(self, region: RegionName) -> VmId | None:
+        """Return a live VM of a region, one of those with an open link if there are any."""
+        live = self.peers.membership.live_vms(region) - {self._own}
+        linked = live & self.peers.linked_vms()
+        candidates = sorted(linked or live)
+        return self._rng.choice(candidates) if candidates else None
+
+    def forward(self, vm: VmId, request: ForwardRequest) -> AsyncIterator[ForwardAnswer]:
+        """Forward a request to another VM."""
+        return self.peers.forward(vm, request)
+
+    def terminate(self) -> None:
+        """Handle SIGTERM: the first one drains, a second one cuts running answers."""
+        step = self._drain.terminated(self._clock())
+        self._drain = step.drain
+        if DrainAction.PUBLISH_LEAVING in step.actions:
+            _log.info("draining")
+            self.peers.leave()
+
+    def drain_tick(self, active: int) -> bool:
+        """Advance the shutdown; return whether the slots should be released now."""
+        step = self._drain.ticked(self._clock(), active)
+        self._drain = step.drain
+        return DrainAction.RELEASE_SLOTS in step.actions
--- /dev/null
+++ b/src/mangosaddle/daemon/_node.py
@@ -0,0 +1,335 @@
+"""One entry process: assembly, start, drain and stop."""
+
+import asyncio
+import logging
+import random
+import secrets
+import threading
+import time
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, generate_latest
+
+from .._identifiers import Incarnation
+from ..configuration import Configuration, Vm
+from ..gateway import (
+    ADMIN_PREFIX,
+    CHAT_ROUTE,
+    SERVICES_PREFIX,
+    AdminHandler,
+    Application,
+    CallerRequest,
+    CallerResponse,
+    ChatHandler,
+    ChatService,
+    DiscoveryHandler,
+    ForwardedRequests,
+    FrontServer,
+    GatewayMetrics,
+    Problem,
+    RouteDesk,
+    ServiceCaller,
+    ServiceDesk,
+    ServiceHandler,
+)
+from ..keys import KeyRing
+from ..membership import VmIdentity
+from ..orders import EntryOrders, OrderExecutor, OrderIdIssuer
+from ..peers import PeerNode, PeerSettings
+from ..platform import PlatformMetrics, StoreClient, VmListClient
+from ..rollouts import RolloutControl, Veto
+from ..routing import Router
+from ._administration import OperatorDesk
+from ._allowance_service import AllowanceService
+from ._blocking import BlockingCalls
+from ._configuration_holder import ConfigurationHolder
+from ._configuration_service import CONFIGURATION_KIND, ConfigurationService
+from ._control_loop import ControlLoop
+from ._fleet_service import DRAIN_INTERVAL_S, FleetService
+from ._key_service import KEY_WITHDRAWAL_KIND, KeyService
+from ._load_service import CRASH_KIND, ENDPOINT_LOAD_KIND, REGION_LOAD_KIND, LoadService
+from ._opener import StreamOpener
+from ._rollout_service import EVIDENCE_KIND, VETO_KIND, RolloutService
+from ._settings import EntrySettings
+from ._tasks import BackgroundTasks
+
+STALL_CHECK_S = 1.0
+PENDING_ORDERS_S = 2.0
+SLOT_RELEASE_WITHIN_S = 5.0
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+FACT_KINDS = (
+    CONFIGURATION_KIND,
+    KEY_WITHDRAWAL_KIND,
+    EVIDENCE_KIND,
+    VETO_KIND,
+    ENDPOINT_LOAD_KIND,
+    REGION_LOAD_KIND,
+    CRASH_KIND,
+)
+
+_log = logging.getLogger(__name__)
+
+
+def boot_clock_s() -> float:
+    """Return seconds since boot, counting suspension: the process's own monotonic clock."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class EntryNode:
+    """An entry process; its public methods may be called from any thread."""
+
+    def __init__(self, settings: EntrySettings, rng: random.Random | None = None) -> None:
+        """Create the process's parts; nothing runs before ``start``."""
+        self.settings = settings
+        self.incarnation = Incarnation(secrets.token_hex(8))
+        self._rng = rng or random.Random()
+        self._clock: Callable[[], float] = boot_clock_s
+        self._registry = CollectorRegistry()
+        self._metrics = GatewayMetrics(self._registry)
+        self._platform_metrics = PlatformMetrics.from_registry(self._registry)
+        self._store = StoreClient(settings.store_url, self._platform_metrics)
+        self._blocking = BlockingCalls(f"blocking-{settings.vm}")
+        self._control = ControlLoop(f"control-{settings.vm}")
+        self._tasks = BackgroundTasks()
+        self._holder = ConfigurationHolder()
+        self._exited = threading.Event()
+        self._started_at_s = time.time()
+        self._build()
+
+    def _build(self) -> None:
+        settings = self.settings
+        self._peers = self._new_peers()
+        vm_list = VmListClient(settings.vm_list_url, self._platform_metrics)
+        self.fleet = FleetService(
+            settings.vm, self._peers, vm_list, self._blocking, self._tasks, self._rng, self._clock
+        )
+        self._configurations = ConfigurationService(
+            settings.region,
+            settings.vm,
+            self._holder,
+            self._peers,
+            self._store,
+            self._blocking,
+            self._tasks,
+            self._rng,
+        )
+        self.allowances = AllowanceService(
+            settings.vm,
+            self.incarnation,
+            self._holder.current,
+            self._peers,
+            self._store,
+            self._blocking,
+            self._tasks,
+            self._rng,
+            self._clock,
+        )
+        self._routes = RouteDesk(
+            Router(settings.region, wall_offset_s=time.time() - self._clock()),
+            self._rng,
+            self._clock,
+        )
+        self._loads = LoadService(
+            settings.vm,
+            settings.region,
+            self._routes,
+            self._peers,
+            self._blocking,
+            self._tasks,
+            self._platform_metrics,
+            self._clock,
+        )
+        self._rollouts = RolloutService(
+            RolloutControl(settings.vm), self._peers, self._tasks, self._vetoed
+        )
+        self._build_requests()
+        self._holder.listen(self._apply)
+
+    def _new_peers(self) -> PeerNode:
+        settings = self.settings
+        identity = VmIdentity(settings.vm, self.incarnation, int(self._started_at_s * 1000))
+        # Seeds stand in the own zone until the inventory tells where they are.
+        vms = {
+            vm: Vm(vm, settings.region, settings.zone, "", url)
+            for vm, url in settings.peer_urls_by_vm.items()
+        }
+        peer_settings = PeerSettings(
+            identity,
+            settings.fleet,
+            settings.peer_secret.encode(),
+            settings.address,
+            settings.peer_port,
+        )
+        return PeerNode(peer_settings, vms, FACT_KINDS, self._registry, self._rng)
+
+    def _build_requests(self) -> None:
+        settings, current = self.settings, self._current
+        self._keys = KeyRing()
+        self._opener = StreamOpener(current, self._loads, self._blocking, self._tasks)
+        self.chats = ChatService(
+            current,
+            self._keys,
+            self._rollouts.control,
+            self._routes,
+            self.allowances,
+            self.fleet,
+            self._opener,
+            self._metrics,
+            time.time,
+        )
+        issuer = OrderIdIssuer.from_secret(
+            settings.vm, self.incarnation, settings.peer_secret.encode()
+        )
+        self._desk = ServiceDesk(
+            current,
+            self._keys,
+            self._routes,
+            self.allowances,
+            self.fleet,
+            EntryOrders(issuer),
+            self._metrics,
+            time.time,
+        )
+        self._executor = OrderExecutor(self._store, settings.vm, self.incarnation)
+        calls = ServiceHandler(self._control, self._desk, self._executor, ServiceCaller())
+        forwards = ForwardedRequests(self.chats, self._desk, calls, self._blocking.run)
+        self._peers.on_forward(forwards.handle)
+        self._key_service = KeyService(self._keys, self._peers, self.chats.end_withdrawn_streams)
+        self._discovery = DiscoveryHandler(
+            current, self._keys, self.allowances, self.fleet, issuer, time.time
+        )
+        operators = OperatorDesk(
+            current, self._configurations, self._key_service, self._rollouts, self._status
+        )
+        admin = AdminHandler(operators, settings.operator_token, time.time)
+        application = Application(self._control)
+        chat = ChatHandler(self._control, self.chats, self._opener.url_of)
+        application.add("POST", CHAT_ROUTE, chat.handle)
+        application.add_loop("GET", "/v1/models", self._discovery.models)
+        application.add_loop("GET", "/v1/entry-vms", self._discovery.entry_vms)
+        application.add("GET", "/metrics", self._show_metrics)
+        application.add(
+            "GET", "/healthz", lambda _request: CallerResponse(200, b"ok\n", "text/plain")
+        )
+        application.add("GET", "/readyz", self._show_ready)
+        application.add_prefix(SERVICES_PREFIX, calls.handle)
+        application.add_loop_prefix(ADMIN_PREFIX, admin.handle)
+        self._front = FrontServer(settings.address, settings.port, application.handle)
+
+    def _current(self) -> Configuration:
+        return self._holder.current
+
+    def _apply(self, configuration: Configuration) -> None:
+        self.fleet.apply_configuration(configuration)
+        self._key_service.apply_configuration(configuration)
+        self.allowances.apply_configuration(configuration)
+        self._loads.apply_configuration(configuration)
+        self._rollouts.apply_configuration(configuration)
+
+    def _vetoed(self, veto: Veto) -> None:
+        """Keep a veto of this VM beyond the life of the fleet's memory."""
+
+    def start(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Start all threads, wait for a configuration and serve callers.
+
+        Raises ``TimeoutError`` when no configuration can be had in time.
+        """
+        self._control.start()
+        self._control.run(self._start(), timeout_s)
+        self._front.start()
+        _log.info("serving", extra={"vm": self.settings.vm, "address": self.settings.address})
+
+    async def _start(self) -> None:
+        await self._peers.start()
+        self._configurations.start()
+        self.allowances.start()
+        self._loads.start()
+        self._rollouts.start()
+        self.fleet.on_list(self.allowances.list_read)
+        self.fleet.start()
+        self._tasks.every(STALL_CHECK_S, self._check_stalled)
+        self._tasks.every(PENDING_ORDERS_S, self._release_pending_orders)
+        await self._configurations.loaded()
+
+    def _check_stalled(self) -> None:
+        self.chats.cut_stalled(asyncio.get_running_loop().time())
+
+    async def _release_pending_orders(self) -> None:
+        if self._executor.pending_releases:
+            await self._blocking.run(self._executor.release_pending)
+
+    def terminate(self) -> None:
+        """Handle SIGTERM: drain on the first call, cut running answers on the second."""
+        self._control.post(self._terminate)
+
+    def _terminate(self) -> None:
+        first = not self.fleet.is_leaving
+        self.fleet.terminate()
+        if first:
+            self._tasks.spawn(self._drain())
+
+    async def _drain(self) -> None:
+        while not self.fleet.drain_tick(self._active()):
+            await asyncio.sleep(DRAIN_INTERVAL_S)
+        await self.allowances.release_all(SLOT_RELEASE_WITHIN_S)
+        _log.info("drained", extra={"vm": self.settings.vm})
+        self._exited.set()
+
+    def _active(self) -> int:
+        return self.chats.open_relays + self._desk.running + self._peers.forwards_running
+
+    def wait_until_drained(self, timeout_s: float | None = None) -> bool:
+        """Wait for the end of a drain."""
+        return self._exited.wait(timeout_s)
+
+    def stop(self) -> None:
+        """Stop all threads; what still runs is cut."""
+        self._front.stop()
+        self._control.run(self._stop(), STOP_TIMEOUT_S)
+        self._control.stop()
+        self._blocking.stop()
+        self._store.close()
+        self._exited.set()
+
+    async def _stop(self) -> None:
+        await self._tasks.stop()
+        await self._peers.stop()
+
+    def _show_metrics(self, _request: CallerRequest) -> CallerResponse:
+        return CallerResponse(200, generate_latest(self._registry), "text/plain; version=0.0.4")
+
+    def _show_ready(self, request: CallerRequest) -> CallerResponse:
+        if self._holder.is_loaded and self.fleet.accepts_work():
+            return CallerResponse(200, b"ready\n", "text/plain")
+        problem = Problem(503, "not-ready", "no configuration yet, or shutting down")
+        return CallerResponse.from_problem(problem, request.request_id)
+
+    def _status(self) -> dict[str, object]:
+        now = self._clock()
+        membership = self._peers.membership
+        configuration = self._holder.current
+        read_at = self.fleet.list_read_at
+        organisations = sorted(configuration.organisations_by_id)
+        return {
+            "vm": self.settings.vm,
+            "incarnation": self.incarnation,
+            "revision": configuration.revision,
+            "store_answers": self._configurations.store_ok,
+            "vm_list_age_s": None if read_at is None else round(now - read_at, 3),
+            "vms": [
+                {"id": vm.id, "region": vm.region, "state": membership.state_of(vm.id).value}
+                for _, vm in sorted(configuration.vms_by_id.items())
+            ],
+            "endpoints": [
+                {"id": e.id, "region": e.region, "kind": e.kind.value, "leaving": e.leaving}
+                for _, e in sorted(configuration.endpoints_by_id.items())
+            ],
+            "slots": len(self.allowances.directory.held()),
+            "slots_suspended": self.allowances.ledger.is_suspended,
+            "tokens": {
+                organisation: round(self.allowances.ledger.available_tokens(organisation, now), 1)
+                for organisation in organisations[:100]
+            },
+            "open_streams": self.chats.open_relays,
+        }
--- /dev/null
+++ b/src/mangosaddle/daemon/_opener.py
@@ -0,0 +1,56 @@
+"""Opens and cancels streams at engines from the event loop."""
+
+from collections.abc import Callable
+
+from ..configuration import Configuration
+from ..gateway import ChatRequest, EndpointStream, NotSentError, engine_payload, open_stream
+from ..routing import Chosen
+from ._blocking import BlockingCalls
+from ._load_service import LoadService
+from ._tasks import BackgroundTasks
+
+
+class StreamOpener:
+    """Implements the opener of the chat service; loop thread only."""
+
+    def __init__(
+        self,
+        current: Callable[[], Configuration],
+        loads: LoadService,
+        blocking: BlockingCalls,
+        tasks: BackgroundTasks,
+    ) -> None:
+        """Create the opener."""
+        self._current = current
+        self._loads = loads
+        self._blocking = blocking
+        self._tasks = tasks
+
+    def url_of(self, target: Chosen) -> str:
+        """Return an endpoint's base URL; raises ``NotSentError`` if it has been removed."""
+        endpoint = self._current().endpoints_by_id.get(target.endpoint)
+        if endpoint is None:
+            raise NotSentError(f"endpoint {target.endpoint} is no longer in the inventory")
+        return endpoint.url
+
+    async def open(self, target: Chosen, chat: ChatRequest, resume_from: int) -> EndpointStream:
+        """Open a stream; raises ``EndpointError``."""
+        return await self._blocking.run(
+            open_stream,
+            self.url_of(target),
+            engine_payload(chat, str(target.version), resume_from),
+            chat.request_id,
+            target.priority,
+        )
+
+    def cancel(self, target: Chosen, chat: ChatRequest) -> None:
+        """Tell the endpoint that the answer is no longer wanted."""
+        endpoint = self._current().endpoints_by_id.get(target.endpoint)
+        if endpoint is not None:
+            client = self._loads.client_of(endpoint)
+
+            async def _cancel() -> None:
+                # The engine also notices the closed connection, so a failure costs nothing.
+                await self._blocking.run(client.cancel, chat.request_id)
+
+            self._tasks.spawn(_cancel())
--- /dev/null
+++ b/src/mangosaddle/daemon/_rollout_service.py
@@ -0,0 +1,117 @@
+"""Spreads evidence and vetoes of rollouts between VMs."""
+
+import json
+import logging
+import time
+from collections.abc import Callable
+
+from .._identifiers import ModelName, VersionId
+from ..configuration import Configuration, ModelVersion
+from ..membership import GROW_ONLY, PER_ORIGIN, Fact, FactKind
+from ..peers import PeerNode
+from ..rollouts import EvidenceError, RolloutControl, Veto
+from ._tasks import BackgroundTasks
+
+EVIDENCE_KIND = FactKind("evidence", PER_ORIGIN, lifetime_s=120.0)
+VETO_KIND = FactKind("veto", GROW_ONLY)
+JUDGE_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class RolloutService:
+    """Runs the rollout control with evidence of all VMs; loop thread only."""
+
+    def __init__(
+        self,
+        control: RolloutControl,
+        peers: PeerNode,
+        tasks: BackgroundTasks,
+        on_veto: Callable[[Veto], None],
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Create the service; ``on_veto`` is called once for each new veto of this VM."""
+        self.control = control
+        self._peers = peers
+        self._tasks = tasks
+        self._on_veto = on_veto
+        self._wall_clock = wall_clock
+        self._version = 0
+        self._published = b""
+        self._configuration = Configuration(revision=-1)
+
+    def start(self) -> None:
+        """Handle facts and begin to judge."""
+        self._peers.on_fact(EVIDENCE_KIND.name, self._evidence_received)
+        self._peers.on_fact(VETO_KIND.name, self._veto_received)
+        self._tasks.every(JUDGE_S, self._judge)
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take over the plans of a configuration."""
+        self._configuration = configuration
+        self.control.apply_configuration(configuration)
+
+    def _judge(self) -> None:
+        payload = self.control.evidence_payload()
+        if self._configuration.rollouts_by_model and payload != self._published:
+            self._published = payload
+            self._version += 1
+            self._peers.publish(
+                self._peers.new_fact(EVIDENCE_KIND.name, "", self._version, payload)
+            )
+        for veto in self.control.judge(self._wall_clock()):
+            _log.warning(
+                "version vetoed",
+                extra={"model": veto.model, "version": veto.version, "reason": veto.reason},
+            )
+            self._peers.publish(
+                self._peers.new_fact(
+                    VETO_KIND.name, f"{veto.model}@{veto.version}", 1, _veto_payload(veto)
+                )
+            )
+            self._on_veto(veto)
+
+    def _evidence_received(self, fact: Fact) -> None:
+        try:
+            self.control.include_evidence(fact.origin, fact.incarnation, fact.payload)
+        except EvidenceError:
+            _log.warning("evidence cannot be read", extra={"vm": fact.origin})
+
+    def _veto_received(self, fact: Fact) -> None:
+        model, _, version = fact.key.partition("@")
+        try:
+            document = json.loads(fact.payload)
+            reason, at_s = str(document["reason"]), float(document["at_s"])
+        except (ValueError, KeyError, TypeError):
+            # The key alone says which version is bad; a veto must not be lost over its reason.
+            reason, at_s = "reason not readable", self._wall_clock()
+        veto = Veto(ModelName(model), VersionId(version), reason, fact.origin, at_s)
+        self.control.include_vetoes([veto])
+
+    def vetoed(self) -> frozenset[ModelVersion]:
+        """Return the versions that have been taken back."""
+        return frozenset(ModelVersion(ModelName(v.model), VersionId(v.version)) for v in self.control.vetoes())
+
+    def versions(self) -> list[dict[str, object]]:
+        """Return the state of each rollout for operators."""
+        rows: list[dict[str, object]] = []
+        for model, plan in sorted(self._configuration.rollouts_by_model.items()):
+            status = self.control.status(model, self._wall_clock())
+            if status is None:
+                continue
+            rows.append(
+                {
+                    "model": model,
+                    "old": plan.old,
+                    "new": plan.new,
+                    "share": status.share,
+                    "state": status.state.value,
+                    "reason": status.reason,
+                    "deadline": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(plan.deadline_s)),
+                }
+            )
+        return rows
+
+
+def _veto_payload(veto: Veto) -> bytes:
+    return json.dumps({"reason": veto.reason, "at_s": veto.at_s}).encode()
--- /dev/null
+++ b/src/mangosaddle/gateway/_admin_handler.py
@@ -0,0 +1,221 @@
+"""The operators' API; runs on the event loop."""
+
+import hmac
+import json
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from returns.result import Result, Success
+
+from .._identifiers import KeyId, OrganisationId
+from ..configuration import (
+    Configuration,
+    ModelVersion,
+    ParsedEdit,
+    configuration_body,
+    etag_of,
+    parse_edit,
+    revision_of_etag,
+)
+from ._messages import CallerRequest, CallerResponse
+from ._problems import Finding, Problem
+
+ADMIN_PREFIX = "/admin/v1/"
+KEYS_PREFIX = "/admin/v1/keys/"
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedKey:
+    """A new key; its text is shown once."""
+
+    key_id: KeyId
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyConfirmations:
+    """Where a key's withdrawal is in force."""
+
+    confirmed: tuple[str, ...]
+    unconfirmed: tuple[str, ...]
+
+
+class Administration(Protocol):
+    """What operators can do; loop thread only."""
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force at this VM."""
+        ...
+
+    def vetoed(self) -> frozenset[ModelVersion]:
+        """Return the versions that have been taken back."""
+        ...
+
+    async def store(self, edited: Configuration, expected: int) -> Result[int, Problem]:
+        """Store an edit if the revision is the expected one; return the new revision."""
+        ...
+
+    async def grant_key(self, organisation: OrganisationId) -> Result[GrantedKey, Problem]:
+        """Grant a new key."""
+        ...
+
+    async def withdraw_key(self, key_id: KeyId) -> Result[KeyConfirmations, Problem]:
+        """Withdraw a key: here at once, at all VMs as fast as facts spread."""
+        ...
+
+    def key_confirmations(self, key_id: KeyId) -> KeyConfirmations | None:
+        """Return where a withdrawal is in force; ``None`` for a key that was not withdrawn."""
+        ...
+
+    def versions(self) -> list[dict[str, object]]:
+        """Return the state of each rollout."""
+        ...
+
+    def status(self) -> dict[str, object]:
+        """Return what this VM believes and how old that is."""
+        ...
+
+
+class AdminHandler:
+    """Answers ``/admin/v1/...``."""
+
+    def __init__(
+        self, administration: Administration, token: str, wall_clock: Callable[[], float]
+    ) -> None:
+        """Create the handler; requests must carry the operator token."""
+        self._administration = administration
+        self._token = token
+        self._wall_clock = wall_clock
+        self._routes: dict[
+            tuple[str, str], Callable[[CallerRequest], Coroutine[Any, Any, CallerResponse]]
+        ] = {
+            ("GET", "configuration"): self._get_configuration,
+            ("PUT", "configuration"): self._put_configuration,
+            ("POST", "configuration/check"): self._check_configuration,
+            ("POST", "keys"): self._grant_key,
+            ("GET", "versions"): self._versions,
+            ("GET", "status"): self._status,
+        }
+
+    async def handle(self, request: CallerRequest) -> CallerResponse:
+        """Answer one request of an operator."""
+        if not self._is_operator(request):
+            finding = Finding("header Authorization", "not the operator token", "send Bearer TOKEN")
+            return _refuse(
+                request, Problem(401, "operator-refused", finding.message, findings=(finding,))
+            )
+        if request.path.startswith(KEYS_PREFIX):
+            return await self._key(request, KeyId(request.path.removeprefix(KEYS_PREFIX)))
+        route = self._routes.get((request.method, request.path.removeprefix(ADMIN_PREFIX)))
+        if route is None:
+            return _refuse(request, Problem(404, "not-found", "nothing is served here"))
+        return await route(request)
+
+    def _is_operator(self, request: CallerRequest) -> bool:
+        presented = (request.header("authorization") or "").encode()
+        return hmac.compare_digest(presented, f"Bearer {self._token}".encode())
+
+    async def _get_configuration(self, _request: CallerRequest) -> CallerResponse:
+        configuration = self._administration.configuration()
+        headers = (("ETag", etag_of(configuration.revision)),)
+        return CallerResponse.from_json(configuration_body(configuration), headers=headers)
+
+    def _parse(self, request: CallerRequest) -> ParsedEdit:
+        return parse_edit(
+            self._administration.configuration(),
+            request.body,
+            self._wall_clock(),
+            request.header("content-encoding") or "",
+            self._administration.vetoed(),
+        )
+
+    async def _check_configuration(self, request: CallerRequest) -> CallerResponse:
+        parsed = self._parse(request)
+        return CallerResponse.from_json({"findings": [f.to_json() for f in parsed.findings]})
+
+    async def _put_configuration(self, request: CallerRequest) -> CallerResponse:
+        expected = revision_of_etag(request.header("if-match") or "")
+        current = self._administration.configuration().revision
+        if expected is None:
+            finding = Finding("header If-Match", "missing or no revision", "send the ETag you read")
+            problem = Problem(428, "revision-required", finding.message, findings=(finding,))
+            return _refuse(request, problem)
+        if expected != current:
+            return _refuse(request, revision_conflict(current))
+        parsed = self._parse(request)
+        findings = [f.to_json() for f in parsed.findings]
+        if parsed.configuration is None:
+            return _refuse_edit(request, findings)
+        stored = await self._administration.store(parsed.configuration, expected)
+        if not isinstance(stored, Success):
+            return _refuse(request, stored.failure())
+        revision = stored.unwrap()
+        body = {"revision": revision, "findings": findings}
+        return CallerResponse.from_json(body, headers=(("ETag", etag_of(revision)),))
+
+    async def _grant_key(self, request: CallerRequest) -> CallerResponse:
+        organisation = _organisation_of(request.body)
+        if organisation is None:
+            finding = Finding("body.organisation", "missing", 'send {"organisation": "..."}')
+            problem = Problem(400, "malformed-request", finding.message, findings=(finding,))
+            return _refuse(request, problem)
+        granted = await self._administration.grant_key(organisation)
+        if not isinstance(granted, Success):
+            return _refuse(request, granted.failure())
+        key = granted.unwrap()
+        return CallerResponse.from_json({"key": key.text, "key_id": key.key_id}, status=201)
+
+    async def _key(self, request: CallerRequest, key_id: KeyId) -> CallerResponse:
+        confirmations: KeyConfirmations | None
+        if request.method == "DELETE":
+            withdrawn = await self._administration.withdraw_key(key_id)
+            if not isinstance(withdrawn, Success):
+                return _refuse(request, withdrawn.failure())
+            confirmations = withdrawn.unwrap()
+        elif request.method == "GET":
+            confirmations = self._administration.key_confirmations(key_id)
+        else:
+            return _refuse(request, Problem(405, "method-not-allowed", "use GET or DELETE"))
+        if confirmations is None:
+            return _refuse(request, Problem(404, "not-withdrawn", "this key was not withdrawn"))
+        return CallerResponse.from_json(
+            {
+                "confirmed": list(confirmations.confirmed),
+                "unconfirmed": list(confirmations.unconfirmed),
+            }
+        )
+
+    async def _versions(self, _request: CallerRequest) -> CallerResponse:
+        return CallerResponse.from_json({"versions": self._administration.versions()})
+
+    async def _status(self, _request: CallerRequest) -> CallerResponse:
+        return CallerResponse.from_json(self._administration.status())
+
+
+def revision_conflict(current: int) -> Problem:
+    """Refuse an edit that started from another revision."""
+    finding = Finding(
+        "header If-Match", f"the current revision is {current}", "read and edit again"
+    )
+    return Problem(412, "revision-conflict", finding.message, findings=(finding,))
+
+
+def _refuse(request: CallerRequest, problem: Problem) -> CallerResponse:
+    return CallerResponse.from_problem(problem, request.request_id)
+
+
+def _refuse_edit(request: CallerRequest, findings: list[dict[str, Any]]) -> CallerResponse:
+    problem = Problem(422, "documents-refused", f"{len(findings)} findings")
+    document = json.loads(problem.to_json(request.request_id))
+    document["findings"] = findings
+    return CallerResponse(422, json.dumps(document).encode(), "application/problem+json")
+
+
+def _organisation_of(body: bytes) -> OrganisationId | None:
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return None
+    name = document.get("organisation") if isinstance(document, dict) else None
+    return OrganisationId(name) if isinstance(name, str) and name else None
--- /dev/null
+++ b/src/mangosaddle/gateway/_chat_handler.py
@@ -0,0 +1,75 @@
+"""Handles chat requests in worker threads up to the hand-over of the stream."""
+
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol, TypeVar
+
+from returns.result import Success
+
+from ..routing import Chosen
+from ._chat_request import engine_payload, parse_chat
+from ._chat_service import ChatService, OpenChat
+from ._endpoint import EndpointStream, open_stream
+from ._exceptions import EndpointError
+from ._messages import Answer, CallerRequest, CallerResponse, Handover
+
+Value = TypeVar("Value")
+ADMISSION_TIMEOUT_S = 120.0
+
+
+class LoopCalls(Protocol):
+    """Calls from a worker thread into the event loop."""
+
+    def run(self, coroutine: Coroutine[Any, Any, Value], timeout_s: float | None = None) -> Value:
+        """Run a coroutine on the loop and wait for its result."""
+        ...
+
+
+class ChatHandler:
+    """Answers ``POST /v1/chat/completions``."""
+
+    def __init__(
+        self, loop: LoopCalls, service: ChatService, url_of: Callable[[Chosen], str]
+    ) -> None:
+        """Create the handler; ``url_of`` returns an endpoint's base URL."""
+        self._loop = loop
+        self._service = service
+        self._url_of = url_of
+
+    def handle(self, request: CallerRequest) -> Answer:
+        """Admit the request, open the endpoint's stream and hand the caller's socket over."""
+        parsed = parse_chat(request)
+        if not isinstance(parsed, Success):
+            return CallerResponse.from_problem(parsed.failure(), request.request_id)
+        admitted = self._loop.run(
+            self._service.admit(parsed.unwrap(), request.header("authorization")),
+            ADMISSION_TIMEOUT_S,
+        )
+        if not isinstance(admitted, Success):
+            return CallerResponse.from_problem(admitted.failure(), request.request_id)
+        return self._open(admitted.unwrap())
+
+    def _open(self, open_chat: OpenChat) -> Answer:
+        while isinstance(open_chat.target, Chosen):
+            try:
+                stream = self._open_stream(open_chat, open_chat.target)
+            except EndpointError as error:
+                retried = self._loop.run(self._service.retry(open_chat, error))
+                if not isinstance(retried, Success):
+                    problem = retried.failure()
+                    self._loop.run(self._service.give_up(open_chat, problem))
+                    return CallerResponse.from_problem(problem, open_chat.chat.request_id)
+                continue
+            return self._hand_over(open_chat, stream)
+        return self._hand_over(open_chat, None)
+
+    def _open_stream(self, open_chat: OpenChat, target: Chosen) -> EndpointStream:
+        chat = open_chat.chat
+        payload = engine_payload(chat, str(target.version), chat.resume_from)
+        return open_stream(self._url_of(target), payload, chat.request_id, target.priority)
+
+    def _hand_over(self, open_chat: OpenChat, stream: EndpointStream | None) -> Handover:
+        def take(caller: socket.socket) -> None:
+            self._loop.run(self._service.begin(open_chat, caller, stream))
+
+        return Handover(take)
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -2,21 +2,22 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, replace
-from typing import Protocol
+from typing import Any, Protocol
 
 from returns.result import Failure, Result, Success
 
 from .._identifiers import OrganisationId, VersionId
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
+from ..peers import ForwardAnswer, ForwardEnd
 from ..rollouts import RolloutControl
 from ..routing import Chosen, FailureKind, Forward, Refused, RequestClass, RouteRequest
 from ._chat_request import ChatRequest
 from ._endpoint import EndpointStream
-from ._exceptions import EndpointError
-from ._forwarding import ForwardedSource, forward_request
+from ._exceptions import EndpointCutError, EndpointError
+from ._forwarding import ForwardedSink, ForwardedSource, forward_request
 from ._metrics import GatewayMetrics
 from ._ports import Allowances, Fleet, Shortage
 from ._problems import Problem
@@ -124,10 +125,12 @@
             return self._refuse(chat, caller.organisation, refuse_shortage(reserved))
         return await self._route(chat, caller.organisation, caller, reserved, ())
 
-    async def admit_forwarded(
+    async def _admit_forwarded(
         self, chat: ChatRequest, organisation: OrganisationId, version: VersionId | None
     ) -> Result[OpenChat, Problem]:
-        """Admit a request of another VM, which has checked the key and reserved the tokens."""
+        # The other VM has checked the key and reserved the tokens.
+        if not self._fleet.accepts_work():
+            return self._refuse(chat, organisation, refuse_draining(()))
         versions = (version,) if version is not None else ()
         return await self._route(chat, organisation, None, None, versions)
 
@@ -198,7 +201,7 @@
         if kind is not FailureKind.CONNECTION_REFUSED and open_chat.target.version is not None:
             self._record(open_chat, None)
 
-    def give_up(self, open_chat: OpenChat, problem: Problem) -> None:
+    async def give_up(self, open_chat: OpenChat, problem: Problem) -> None:
         """Settle a request that ended before its relay began."""
         self._settle(open_chat.reservation, 0)
         self._count(open_chat.organisation, open_chat.chat.request_class, problem.code)
@@ -216,17 +219,27 @@
         await attach_caller(sink, caller)
         self._start(open_chat, relay, sink, stream)
 
-    def begin_forwarded(self, open_chat: OpenChat, sink: Sink, relay: Relay) -> None:
-        """Relay the answer of a forwarded request to a sink towards the other VM."""
-        self._start(open_chat, relay, sink, None)
+    async def run_forwarded(
+        self, chat: ChatRequest, organisation: OrganisationId, version: VersionId | None
+    ) -> AsyncIterator[ForwardAnswer]:
+        """Run a request that another VM has admitted, and yield its answer."""
+        admitted = await self._admit_forwarded(chat, organisation, version)
+        if not isinstance(admitted, Success):
+            problem = admitted.failure()
+            yield ForwardEnd(False, problem.execution.value, problem.code)
+            return
+        relay = self._new_relay(admitted.unwrap())
+        sink = ForwardedSink(relay)
+        self._start(admitted.unwrap(), relay, sink, None)
+        try:
+            async for answer in sink.answers():
+                yield answer
+        finally:
+            relay.sink_lost()
 
     def _new_relay(self, open_chat: OpenChat) -> Relay:
         return Relay(open_chat.chat.request_id, self, open_chat.chat.resume_from)
 
-    def relay_for(self, open_chat: OpenChat) -> Relay:
-        """Return a new relay that this service observes."""
-        return self._new_relay(open_chat)
-
     def _start(
         self, open_chat: OpenChat, relay: Relay, sink: Sink, stream: EndpointStream | None
     ) -> None:
@@ -248,7 +261,7 @@
         else:
             self._spawn(self._connect(open_chat, relay))
 
-    def _spawn(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -319,7 +332,9 @@
         # Only the same version continues an answer; another one would mix two answers.
         if relay.buffer.tokens and open_chat.target.version is not None:
             open_chat.route = replace(open_chat.route, versions=(open_chat.target.version,))
-        retried = await self.retry(open_chat, _cut_error(), relay.buffer.tokens)
+        retried = await self.retry(
+            open_chat, EndpointCutError("the stream broke off"), relay.buffer.tokens
+        )
         if not isinstance(retried, Success):
             relay.fail(retried.failure())
             return
@@ -398,9 +413,3 @@
         resumed = open_chat.chat.resume_from
         return float(usage.prompt_tokens + max(0, usage.completion_tokens - resumed))
     return float(open_chat.chat.prompt_tokens + relay.buffer.tokens - open_chat.chat.resume_from)
-
-
-def _cut_error() -> EndpointError:
-    from ._exceptions import EndpointCutError
-
-    return EndpointCutError("the stream broke off")
--- /dev/null
+++ b/src/mangosaddle/gateway/_discovery_handler.py
@@ -0,0 +1,83 @@
+"""Answers which VMs to use and which models there are."""
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+from returns.result import Success
+
+from .._identifiers import OrganisationId
+from ..configuration import Configuration
+from ..keys import KeyRing
+from ..orders import OrderIdIssuer
+from ._messages import CallerRequest, CallerResponse
+from ._ports import Allowances, Fleet
+from ._problems import Finding, Problem
+from ._refusals import refuse_key
+
+DISCOVERY_VALID_S = 10
+MAX_ORDER_IDS = 100
+
+
+class DiscoveryHandler:
+    """Answers ``GET /v1/entry-vms`` and ``GET /v1/models``; its methods run on the loop."""
+
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration],
+        keys: KeyRing,
+        allowances: Allowances,
+        fleet: Fleet,
+        issuer: OrderIdIssuer,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Create the handler from the process's parts."""
+        self._configuration = configuration
+        self._keys = keys
+        self._allowances = allowances
+        self._fleet = fleet
+        self._issuer = issuer
+        self._wall_clock = wall_clock
+
+    async def entry_vms(self, request: CallerRequest) -> CallerResponse:
+        """Return the VMs to use now; with a key, holders of the organisation's tokens first."""
+        organisation: OrganisationId | None = None
+        authorization = request.header("authorization")
+        if authorization is not None:
+            verified = self._keys.verify(authorization)
+            if not isinstance(verified, Success):
+                problem = refuse_key(verified.failure())
+                return CallerResponse.from_problem(problem, request.request_id)
+            organisation = verified.unwrap().organisation
+        count = _order_id_count(request.query)
+        if count is None or (count and organisation is None):
+            return CallerResponse.from_problem(_bad_count(), request.request_id)
+        holders = self._allowances.holders(organisation) if organisation is not None else ()
+        vms = self._fleet.discovery(holders)
+        return CallerResponse.from_json(
+            {
+                "vms": [
+                    {"id": vm.id, "region": vm.region, "zone": vm.zone, "url": vm.url} for vm in vms
+                ],
+                "valid_for_s": DISCOVERY_VALID_S,
+                "order_ids": list(self._issuer.issue(count, self._wall_clock())) if count else [],
+            }
+        )
+
+    async def models(self, _request: CallerRequest) -> CallerResponse:
+        """Return the models of the inventory."""
+        names = sorted(self._configuration().versions_by_model)
+        data = [{"id": name, "object": "model", "owned_by": "mangosaddle"} for name in names]
+        return CallerResponse.from_json({"object": "list", "data": data})
+
+
+def _order_id_count(query: str) -> int | None:
+    values = parse_qs(query).get("order_ids", ["0"])
+    if len(values) != 1 or not values[0].isdecimal() or int(values[0][:6]) > MAX_ORDER_IDS:
+        return None
+    return int(values[0])
+
+
+def _bad_count() -> Problem:
+    message = f"must be a number up to {MAX_ORDER_IDS}, and needs a key"
+    finding = Finding("query order_ids", message, "send ?order_ids=N with an Authorization header")
+    return Problem(400, "malformed-request", message, findings=(finding,))
--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -147,25 +147,50 @@
         )
 
     def call(
-        self, url: str, method: str, path: str, headers: dict[str, str], body: bytes
+        self,
+        url: str,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        *,
+        may_repeat: bool,
     ) -> EndpointAnswer:
         """Send one request and return the complete answer.
 
+        A call that may not be repeated gets a connection of its own: the other end may have closed
+        a pooled one, and then it is unknown whether the request arrived.
+
         Raises:
             NotSentError: the endpoint was not reached.
             EndpointCutError: the connection broke after the request may have been sent.
             EndpointTimeoutError: no answer arrived in time.
 
         """
-        pool = self._manager.connection_from_url(url)
-        response = _send(pool, method, path, headers, body)
+        if may_repeat:
+            pool = self._manager.connection_from_url(url)
+            return _call(pool, method, path, headers, body)
+        parsed = urllib3.util.parse_url(url)
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=HEAD_TIMEOUT_S)
+        single = HTTPConnectionPool(str(parsed.host), parsed.port, timeout=timeout, retries=False)
         try:
-            data = response.read(ANSWER_LIMIT_BYTES + 1)
-            if len(data) > ANSWER_LIMIT_BYTES:
-                raise EndpointCutError("the answer exceeds 1 MiB")
-        except urllib3.exceptions.HTTPError as error:
-            response.close()
-            raise EndpointCutError("the answer broke off") from error
-        response.release_conn()
-        content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return EndpointAnswer(response.status, content_type, data)
+            return _call(single, method, path, headers, body)
+        finally:
+            single.close()
+
+
+def _call(
+    pool: HTTPConnectionPool, method: str, path: str, headers: dict[str, str], body: bytes
+) -> EndpointAnswer:
+    response = _send(pool, method, path, headers, body)
+    try:
+        data = response.read(ANSWER_LIMIT_BYTES + 1)
+    except urllib3.exceptions.HTTPError as error:
+        response.close()
+        raise EndpointCutError("the answer broke off") from error
+    if len(data) > ANSWER_LIMIT_BYTES:
+        response.close()
+        raise EndpointCutError("the answer exceeds 1 MiB")
+    response.release_conn()
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    return EndpointAnswer(response.status, content_type, data)
--- /dev/null
+++ b/src/mangosaddle/gateway/_forwarded_requests.py
@@ -0,0 +1,70 @@
+"""Runs the requests that other VMs forward to this one."""
+
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+from returns.result import Success
+
+from .._identifiers import VersionId, VmId
+from ..peers import ForwardAnswer, ForwardChunk, ForwardEnd, ForwardHead, ForwardRequest
+from ._chat_service import CHAT_ROUTE, ChatService
+from ._forwarding import parse_forwarded
+from ._messages import CallerRequest, CallerResponse
+from ._problems import Execution
+from ._service_desk import OpenCall, ServiceDesk
+from ._service_handler import ServiceHandler
+from ._service_request import parse_service_call
+
+FORWARDED_HOPS = 1
+
+RunBlocking = Callable[[Callable[[], CallerResponse]], Coroutine[Any, Any, CallerResponse]]
+
+
+class ForwardedRequests:
+    """Handler of forwards; loop thread only."""
+
+    def __init__(
+        self, chats: ChatService, desk: ServiceDesk, calls: ServiceHandler, blocking: RunBlocking
+    ) -> None:
+        """Create the handler from the process's parts."""
+        self._chats = chats
+        self._desk = desk
+        self._calls = calls
+        self._blocking = blocking
+
+    async def handle(self, _sender: VmId, request: ForwardRequest) -> AsyncIterator[ForwardAnswer]:
+        """Run one request and yield its answer."""
+        if request.path == CHAT_ROUTE:
+            parsed = parse_forwarded(request)
+            if not isinstance(parsed, Success):
+                yield ForwardEnd(False, Execution.NOT_RUN.value, parsed.failure().code)
+                return
+            version = VersionId(request.traffic.version) if request.traffic.version else None
+            chat = parsed.unwrap()
+            async for answer in self._chats.run_forwarded(chat, request.organisation, version):
+                yield answer
+            return
+        async for answer in self._run_call(request):
+            yield answer
+
+    async def _run_call(self, request: ForwardRequest) -> AsyncIterator[ForwardAnswer]:
+        headers = {"content-type": request.content_type}
+        if request.traffic.order_id:
+            headers["idempotency-key"] = request.traffic.order_id
+        path, _, query = request.path.partition("?")
+        parsed = parse_service_call(
+            CallerRequest(request.method, path, query, headers, request.body, request.request_id),
+            self._desk.configuration(),
+        )
+        if not isinstance(parsed, Success):
+            yield ForwardEnd(False, Execution.NOT_RUN.value, parsed.failure().code)
+            return
+        admitted = await self._desk.admit_forwarded(parsed.unwrap(), request.organisation)
+        if not isinstance(admitted, Success):
+            yield ForwardEnd(False, admitted.failure().execution.value, admitted.failure().code)
+            return
+        call: OpenCall = admitted.unwrap()
+        response = await self._blocking(lambda: self._calls.run(call, FORWARDED_HOPS))
+        yield ForwardHead(response.status, response.content_type)
+        yield ForwardChunk(response.body)
+        yield ForwardEnd(complete=True)
--- a/src/mangosaddle/gateway/_forwarding.py
+++ b/src/mangosaddle/gateway/_forwarding.py
@@ -4,9 +4,9 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
-from returns.result import Success
+from returns.result import Result
 
-from .._identifiers import OrganisationId, VersionId, VmId
+from .._identifiers import OrganisationId
 from ..peers import (
     ForwardAnswer,
     ForwardChunk,
@@ -155,34 +155,9 @@
                     self._relay.resume_source()
 
 
-class ForwardedChats:
-    """Runs chat requests that other VMs forward to this one."""
-
-    def __init__(self, service: "ForwardedChatService") -> None:
-        """Create the handler for a chat service."""
-        self._service = service
-
-    async def handle(self, _sender: VmId, request: ForwardRequest) -> AsyncIterator[ForwardAnswer]:
-        """Run one request and yield its answer."""
-        headers = {"x-request-class": request.request_class}
-        parsed = parse_chat(
-            CallerRequest("POST", request.path, "", headers, request.body, request.request_id)
-        )
-        if not isinstance(parsed, Success):
-            yield ForwardEnd(False, Execution.NOT_RUN.value, "malformed-request")
-            return
-        version = VersionId(request.traffic.version) if request.traffic.version else None
-        async for answer in self._service.run_forwarded(
-            parsed.unwrap(), request.organisation, version
-        ):
-            yield answer
-
-
-class ForwardedChatService(Protocol):
-    """Runs a forwarded chat request."""
-
-    def run_forwarded(
-        self, chat: ChatRequest, organisation: OrganisationId, version: VersionId | None
-    ) -> AsyncIterator[ForwardAnswer]:
-        """Admit, relay and yield the answer."""
-        ...
+def parse_forwarded(request: ForwardRequest) -> Result[ChatRequest, Problem]:
+    """Return the chat request that another VM forwards."""
+    headers = {"x-request-class": request.request_class}
+    return parse_chat(
+        CallerRequest("POST", request.path, "", headers, request.body, request.request_id)
+    )
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -89,6 +89,11 @@
         self._source: Source | None = None
         self._paused = False
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the source waits for a slow caller."""
+        return self._paused
+
     def attach_sink(self, sink: Sink) -> None:
         """Set where the answer goes."""
         self._sink = sink
@@ -340,4 +345,3 @@
         f"Connection: close\r\nX-Request-Id: {request_id}\r\n{extra}\r\n"
     )
     return head.encode("ascii") + body
-
--- /dev/null
+++ b/src/mangosaddle/gateway/_service_desk.py
@@ -0,0 +1,217 @@
+"""Decides about calls of plain services; loop thread only."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from .._identifiers import EndpointId, OrganisationId, VmId
+from ..configuration import Configuration
+from ..keys import Caller, KeyRing
+from ..orders import EntryOrderDecision, EntryOrders, OrderAnswer, SendOutcome
+from ..peers import (
+    ForwardChunk,
+    ForwardEnd,
+    ForwardHead,
+    ForwardRequest,
+    PeerError,
+    TrafficMetadata,
+)
+from ..peers import NotSentError as PeerNotSentError
+from ..routing import Chosen, Forward, Refused, RequestClass, RouteRequest
+from ._endpoint import EndpointAnswer
+from ._exceptions import EndpointCutError, EndpointError, NotSentError
+from ._metrics import GatewayMetrics
+from ._ports import Allowances, Fleet, Shortage
+from ._problems import Execution, Problem
+from ._refusals import refuse_draining, refuse_key, refuse_routing, refuse_shortage
+from ._route_desk import NextTarget, RouteDesk
+from ._service_request import SERVICES_PREFIX, ServiceRequest
+
+CALL_TOKENS = 1.0
+"""A call of a plain service counts as one token of the organisation's allowance."""
+OPEN_ROUTE_ORGANISATION = OrganisationId("open-route")
+
+
+@dataclass(slots=True, eq=False)
+class OpenCall:
+    """A call that has been admitted."""
+
+    request: ServiceRequest
+    organisation: OrganisationId
+    route: RouteRequest
+    target: Chosen | Forward
+
+
+class ServiceDesk:
+    """Admits calls of plain services and chooses their targets."""
+
+    def __init__(
+        self,
+        configuration: Callable[[], Configuration],
+        keys: KeyRing,
+        routes: RouteDesk,
+        allowances: Allowances,
+        fleet: Fleet,
+        entry_orders: EntryOrders,
+        metrics: GatewayMetrics,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Create the desk from the process's parts."""
+        self._configuration = configuration
+        self._keys = keys
+        self._routes = routes
+        self._allowances = allowances
+        self._fleet = fleet
+        self._entry_orders = entry_orders
+        self._metrics = metrics
+        self._wall_clock = wall_clock
+        self._running = 0
+
+    @property
+    def running(self) -> int:
+        """Number of calls that have been admitted and not yet ended."""
+        return self._running
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self._configuration()
+
+    async def admit(
+        self, request: ServiceRequest, authorization: str | None
+    ) -> Result[OpenCall, Problem]:
+        """Admit a caller's call: key unless the route is open, allowance and route."""
+        if not self._fleet.accepts_work():
+            return Failure(refuse_draining(self._fleet.discovery(())))
+        if request.is_open:
+            return await self._route(request, None, forwarded=False)
+        verified = self._keys.verify(authorization)
+        if not isinstance(verified, Success):
+            return Failure(refuse_key(verified.failure()))
+        caller: Caller = verified.unwrap()
+        reserved = await self._allowances.reserve(caller.organisation, CALL_TOKENS)
+        if isinstance(reserved, Shortage):
+            self._count(caller.organisation, "allowance-used")
+            return Failure(refuse_shortage(reserved))
+        self._allowances.settle(reserved, CALL_TOKENS)
+        return await self._route(request, caller.organisation, forwarded=False)
+
+    async def admit_forwarded(
+        self, request: ServiceRequest, organisation: OrganisationId
+    ) -> Result[OpenCall, Problem]:
+        """Admit a call that another VM has admitted."""
+        if not self._fleet.accepts_work():
+            return Failure(refuse_draining(()))
+        known = None if organisation == OPEN_ROUTE_ORGANISATION else organisation
+        return await self._route(request, known, forwarded=True)
+
+    async def _route(
+        self, request: ServiceRequest, organisation: OrganisationId | None, *, forwarded: bool
+    ) -> Result[OpenCall, Problem]:
+        route = RouteRequest(
+            request_id=request.request_id,
+            organisation=organisation,
+            request_class=RequestClass.SERVICE,
+            service=request.service.name,
+            forwarded=forwarded,
+        )
+        decision = await self._routes.choose(route)
+        label = organisation or OPEN_ROUTE_ORGANISATION
+        if isinstance(decision, Refused):
+            self._count(label, decision.reason.value)
+            return Failure(refuse_routing(decision))
+        self._running += 1
+        return Success(OpenCall(request, label, route, decision))
+
+    async def next_target(self, call: OpenCall, error: EndpointError, idempotent: bool) -> bool:
+        """Move a call to another target after a failed attempt; False when there is none."""
+        if isinstance(call.target, Chosen):
+            self._routes.failed(call.route, call.target, error)
+            following = await self._routes.next_target(
+                call.route, call.target, error, idempotent=idempotent
+            )
+        else:
+            following = await self._routes.next_region(call.route, call.target)
+        if not isinstance(following, NextTarget):
+            return False
+        call.route, call.target = following.request, following.target
+        return True
+
+    async def finished(self, call: OpenCall) -> None:
+        """Note a complete answer of the chosen endpoint."""
+        if isinstance(call.target, Chosen):
+            self._routes.finished(call.route, call.target)
+
+    async def end(self, call: OpenCall, outcome: str) -> None:
+        """Count the end of a call, once for each admitted call."""
+        self._running -= 1
+        self._count(call.organisation, outcome)
+
+    async def release(self, call: OpenCall) -> None:
+        """Give the chosen endpoint back unused: the answer came from a record."""
+        if isinstance(call.target, Chosen):
+            self._routes.cancelled(call.route, call.target)
+
+    def _count(self, organisation: str, outcome: str) -> None:
+        label = self._metrics.organisation_label(organisation)
+        self._metrics.requests.labels(label, RequestClass.SERVICE.value, outcome).inc()
+
+    async def endpoint_url(self, endpoint: EndpointId) -> str:
+        """Return the base URL of an endpoint; raises ``KeyError`` for a removed one."""
+        return self._configuration().endpoints_by_id[endpoint].url
+
+    async def begin_entry_order(
+        self, text: str, organisation: OrganisationId, digest: str, hops: int
+    ) -> EntryOrderDecision:
+        """Decide about an order with an entry-issued id."""
+        return self._entry_orders.begin(text, organisation, digest, self._wall_clock(), hops)
+
+    async def finish_entry_order(self, text: str, outcome: SendOutcome) -> OrderAnswer:
+        """Record what came of an order with an entry-issued id."""
+        return self._entry_orders.finish(text, outcome)
+
+    async def forward(self, call: OpenCall, vm: VmId | None = None) -> EndpointAnswer:
+        """Forward a call to a VM, or to one of the target's region, and return the whole answer.
+
+        Raises ``NotSentError`` when nothing ran and ``EndpointCutError`` when that is unknown.
+        """
+        if vm is None and isinstance(call.target, Forward):
+            vm = self._fleet.vm_in(call.target.region)
+        if vm is None:
+            raise NotSentError("no entry VM of the region is reachable")
+        self._metrics.forwards.inc()
+        head = ForwardHead(502, "application/json")
+        parts: list[bytes] = []
+        try:
+            async for answer in self._fleet.forward(vm, _forward_request(call)):
+                if isinstance(answer, ForwardHead):
+                    head = answer
+                elif isinstance(answer, ForwardChunk):
+                    parts.append(answer.data)
+                elif not answer.complete:
+                    raise _forward_error(answer)
+        except PeerNotSentError as error:
+            raise NotSentError(str(error)) from error
+        except (TimeoutError, PeerError) as error:
+            raise EndpointCutError(str(error)) from error
+        return EndpointAnswer(head.status, head.content_type, b"".join(parts))
+
+
+def _forward_error(end: ForwardEnd) -> EndpointError:
+    if end.execution == Execution.NOT_RUN.value:
+        return NotSentError(end.reason)
+    return EndpointCutError(end.reason)
+
+
+def _forward_request(call: OpenCall) -> ForwardRequest:
+    request = call.request
+    return ForwardRequest(
+        method=request.method,
+        path=f"{SERVICES_PREFIX}{request.service.name}{request.path}",
+        content_type=request.content_type,
+        body=request.body,
+        organisation=call.organisation,
+        request_class=RequestClass.SERVICE.value,
+        request_id=request.request_id,
+        traffic=TrafficMetadata(order_id=request.idempotency_key or ""),
+    )
--- /dev/null
+++ b/src/mangosaddle/gateway/_service_handler.py
@@ -0,0 +1,237 @@
+"""Runs calls of plain services in worker threads; orders at most once."""
+
+from functools import singledispatch
+
+from returns.result import Success
+
+from ..orders import (
+    AnswerUnknown,
+    Deliver,
+    EndpointResponse,
+    Execute,
+    ForwardToIssuer,
+    InvalidOrderId,
+    NotSent,
+    Order,
+    OrderAnswer,
+    OrderExecutor,
+    RefuseBodyDiffers,
+    RefuseNotRun,
+    Replay,
+    SendOutcome,
+    SentOutcomeUnknown,
+    request_digest,
+)
+from ..routing import Chosen
+from ._chat_handler import ADMISSION_TIMEOUT_S, LoopCalls
+from ._endpoint import EndpointAnswer, ServiceCaller
+from ._exceptions import EndpointError, EndpointTimeoutError, NotSentError
+from ._messages import Answer, CallerRequest, CallerResponse
+from ._problems import Execution, Finding, Problem
+from ._refusals import refuse_failed_attempt
+from ._service_desk import OpenCall, ServiceDesk
+from ._service_request import ServiceRequest, parse_service_call
+
+ORDER_ID_PREFIX = "oid_"
+REPLAY_HEADER = ("Idempotency-Replayed", "true")
+
+Outcome = EndpointAnswer | Problem
+
+
+class ServiceHandler:
+    """Answers ``/v1/services/{service}/{path}``."""
+
+    def __init__(
+        self,
+        loop: LoopCalls,
+        desk: ServiceDesk,
+        executor: OrderExecutor,
+        caller: ServiceCaller,
+    ) -> None:
+        """Create the handler from the process's parts."""
+        self._loop = loop
+        self._desk = desk
+        self._executor = executor
+        self._caller = caller
+
+    def handle(self, request: CallerRequest) -> Answer:
+        """Run a caller's call."""
+        parsed = parse_service_call(request, self._desk.configuration())
+        if not isinstance(parsed, Success):
+            return CallerResponse.from_problem(parsed.failure(), request.request_id)
+        admitted = self._loop.run(
+            self._desk.admit(parsed.unwrap(), request.header("authorization")),
+            ADMISSION_TIMEOUT_S,
+        )
+        if not isinstance(admitted, Success):
+            return CallerResponse.from_problem(admitted.failure(), request.request_id)
+        return self.run(admitted.unwrap(), hops=0)
+
+    def run(self, call: OpenCall, hops: int) -> CallerResponse:
+        """Run an admitted call and return its response."""
+        response = CallerResponse.from_problem(
+            Problem(500, "internal-error", "the gateway failed", Execution.UNKNOWN),
+            call.request.request_id,
+        )
+        try:
+            if call.request.idempotency_key is None:
+                response = _response(self._attempt(call, idempotent=True), call.request)
+            else:
+                response = self._run_order(call, call.request.idempotency_key, hops)
+        finally:
+            outcome = "complete" if response.status < 400 else f"status-{response.status}"
+            self._loop.run(self._desk.end(call, outcome))
+        return response
+
+    def _run_order(self, call: OpenCall, key: str, hops: int) -> CallerResponse:
+        request = call.request
+        if key.startswith(ORDER_ID_PREFIX):
+            return self._run_entry_order(call, key, hops)
+        order = Order(
+            call.organisation, request.service.name, key, request.method, request.path, request.body
+        )
+        sent = _SendOnce(self, call)
+        answer = self._executor.execute(order, sent)
+        return self._answer_order(call, answer, sent)
+
+    def _answer_order(
+        self, call: OpenCall, answer: OrderAnswer, sent: "_SendOnce"
+    ) -> CallerResponse:
+        if not sent.called:
+            self._loop.run(self._desk.release(call))
+        return order_response(answer, call.request)
+
+    def _run_entry_order(self, call: OpenCall, key: str, hops: int) -> CallerResponse:
+        request = call.request
+        digest = request_digest(request.method, request.path, request.body)
+        decision = self._loop.run(
+            self._desk.begin_entry_order(key, call.organisation, digest, hops)
+        )
+        sent = _SendOnce(self, call)
+        if isinstance(decision, Execute):
+            answer = self._loop.run(self._desk.finish_entry_order(key, sent()))
+            return self._answer_order(call, answer, sent)
+        if isinstance(decision, ForwardToIssuer):
+            self._loop.run(self._desk.release(call))
+            return self._forward_to_issuer(call, decision)
+        if isinstance(decision, InvalidOrderId):
+            self._loop.run(self._desk.release(call))
+            return _invalid_order_id(request)
+        return self._answer_order(call, decision, sent)
+
+    def _forward_to_issuer(self, call: OpenCall, issuer: ForwardToIssuer) -> CallerResponse:
+        try:
+            answer = self._loop.run(self._desk.forward(call, issuer.vm))
+        except EndpointError:
+            # An earlier attempt may have run at the issuer, which cannot be asked now.
+            unknown = AnswerUnknown("the VM that issued this id cannot be asked")
+            return order_response(unknown, call.request)
+        return _response(answer, call.request)
+
+    def _attempt(self, call: OpenCall, *, idempotent: bool) -> Outcome:
+        while True:
+            try:
+                answer = self._send(call)
+            except EndpointError as error:
+                if not self._loop.run(self._desk.next_target(call, error, idempotent)):
+                    return refuse_failed_attempt(error)
+                continue
+            self._loop.run(self._desk.finished(call))
+            return answer
+
+    def _send(self, call: OpenCall) -> EndpointAnswer:
+        if not isinstance(call.target, Chosen):
+            return self._loop.run(self._desk.forward(call))
+        request = call.request
+        headers = {"Content-Type": request.content_type, "X-Request-Id": request.request_id}
+        if request.idempotency_key is not None:
+            headers["Idempotency-Key"] = request.idempotency_key
+        return self._caller.call(
+            self._loop.run(self._desk.endpoint_url(call.target.endpoint)),
+            request.method,
+            request.path,
+            headers,
+            request.body,
+            may_repeat=request.idempotency_key is None,
+        )
+
+    def send_order(self, call: OpenCall) -> SendOutcome:
+        """Send an order, again only after attempts that reached nothing."""
+        while True:
+            try:
+                answer = self._send(call)
+            except NotSentError as error:
+                if not self._loop.run(self._desk.next_target(call, error, idempotent=False)):
+                    return NotSent(str(error))
+                continue
+            except EndpointError as error:
+                self._loop.run(self._desk.next_target(call, error, idempotent=False))
+                return SentOutcomeUnknown(
+                    "no answer in time" if isinstance(error, EndpointTimeoutError) else str(error)
+                )
+            self._loop.run(self._desk.finished(call))
+            return EndpointResponse(answer.status, answer.content_type, answer.body)
+
+
+class _SendOnce:
+    """The order executor's callable; remembers whether it was called."""
+
+    def __init__(self, handler: ServiceHandler, call: OpenCall) -> None:
+        self._handler = handler
+        self._call = call
+        self.called = False
+
+    def __call__(self) -> SendOutcome:
+        self.called = True
+        return self._handler.send_order(self._call)
+
+
+@singledispatch
+def order_response(answer: OrderAnswer, request: ServiceRequest) -> CallerResponse:
+    """Return the response for the answer to an order."""
+    raise TypeError(f"no response for {type(answer).__name__}")
+
+
+@order_response.register
+def _(answer: Deliver, request: ServiceRequest) -> CallerResponse:
+    response = answer.response
+    return CallerResponse(response.status, response.body, response.content_type)
+
+
+@order_response.register
+def _(answer: Replay, request: ServiceRequest) -> CallerResponse:
+    response = answer.response
+    return CallerResponse(response.status, response.body, response.content_type, (REPLAY_HEADER,))
+
+
+@order_response.register
+def _(answer: RefuseNotRun, request: ServiceRequest) -> CallerResponse:
+    problem = Problem(503, "order-not-run", answer.reason, Execution.NOT_RUN, retry_after_s=2.0)
+    return CallerResponse.from_problem(problem, request.request_id)
+
+
+@order_response.register
+def _(answer: AnswerUnknown, request: ServiceRequest) -> CallerResponse:
+    problem = Problem(409, "order-outcome-unknown", answer.reason, Execution.UNKNOWN)
+    return CallerResponse.from_problem(problem, request.request_id)
+
+
+@order_response.register
+def _(answer: RefuseBodyDiffers, request: ServiceRequest) -> CallerResponse:
+    detail = "the key belongs to an order with another content"
+    finding = Finding("header Idempotency-Key", detail, "send a new key for a new order")
+    problem = Problem(422, "order-differs", detail, Execution.NOT_RUN, findings=(finding,))
+    return CallerResponse.from_problem(problem, request.request_id)
+
+
+def _invalid_order_id(request: ServiceRequest) -> CallerResponse:
+    detail = "the order id was not issued by this fleet"
+    finding = Finding("header Idempotency-Key", detail, "take an id from GET /v1/entry-vms")
+    problem = Problem(400, "malformed-request", detail, findings=(finding,))
+    return CallerResponse.from_problem(problem, request.request_id)
+
+
+def _response(outcome: Outcome, request: ServiceRequest) -> CallerResponse:
+    if isinstance(outcome, Problem):
+        return CallerResponse.from_problem(outcome, request.request_id)
+    return CallerResponse(outcome.status, outcome.body, outcome.content_type)
--- a/src/mangosaddle/limits/_liveness.py
+++ b/src/mangosaddle/limits/_liveness.py
@@ -35,7 +35,8 @@
     """One row of the platform's VM list."""
 
     id: VmId
-    incarnation: Incarnation
+    incarnation: Incarnation | None
+    """``None`` if the list does not state it; the row then stands for any incarnation."""
     leaving: bool = False
 
 
@@ -60,12 +61,13 @@
         before = {(vm.id, vm.incarnation) for vm in self._listed_by_id.values()}
         self._listed_by_id = {vm.id: vm for vm in listed}
         shown = {(vm.id, vm.incarnation) for vm in self._listed_by_id.values()}
-        for gone in before - shown:
-            self._dropped.add(gone)
-            self._missing_since_s.setdefault(gone, now)
-        for back in shown & self._missing_since_s.keys():
-            del self._missing_since_s[back]
-        self._dropped -= shown
+        for vm, incarnation in before - shown:
+            if incarnation is not None:
+                self._dropped.add((vm, incarnation))
+                self._missing_since_s.setdefault((vm, incarnation), now)
+        for who in [who for who in self._missing_since_s if self._is_listed(*who)]:
+            del self._missing_since_s[who]
+            self._dropped.discard(who)
         self._forget(now)
         self._requested_s, self._read_s = requested_s, now
 
@@ -114,4 +116,9 @@
 
     def _is_listed(self, vm: VmId, incarnation: Incarnation) -> bool:
         listed = self._listed_by_id.get(vm)
-        return listed is not None and listed.incarnation == incarnation
+        if listed is None:
+            return False
+        if listed.incarnation is None:
+            # Only one process can listen on the VM's address, so an earlier one has ended.
+            return vm != self._self[0] or incarnation == self._self[1]
+        return listed.incarnation == incarnation
--- a/tests/gateway/test_chat_request.py
+++ b/tests/gateway/test_chat_request.py
@@ -9,7 +9,8 @@
 
 from mangosaddle._identifiers import RequestId
 from mangosaddle.gateway import CallerRequest, Execution
-from mangosaddle.gateway._chat_request import RequestClass, parse_chat
+from mangosaddle.gateway._chat_request import parse_chat
+from mangosaddle.routing import RequestClass
 
 GOOD = {"model": "advisor", "messages": [{"role": "user", "content": "How late is the bell?"}]}
 
