--- a/src/mangosaddle/platform/_services.py
+++ b/src/mangosaddle/platform/_services.py
@@ -163,7 +163,7 @@
         return min(float(text), RETRY_AFTER_LIMIT_S)
     try:
         moment = parsedate_to_datetime(text)
-    except ValueError:
+    except (ValueError, OverflowError):
         return DEFAULT_RETRY_AFTER_S
     aware = moment if moment.tzinfo else moment.replace(tzinfo=UTC)
     wait_s = (aware - datetime.fromtimestamp(wall_now_s, UTC)).total_seconds()
--- a/src/mangosaddle/standins/_store.py
+++ b/src/mangosaddle/standins/_store.py
@@ -195,7 +195,7 @@
         if self.values_by_key.pop(key, None) is not None:
             self._advance()
         self._lose_answer(request)
-        return web.json_response(True)
+        return self._answer_badly() or web.json_response(True)
 
     async def _create_session(self, request: web.Request) -> web.Response:
         self.calls_by_kind["lease"] += 1
--- /dev/null
+++ b/tests/platform/test_service_clients.py
@@ -0,0 +1,177 @@
+"""Contract tests of the clients of engines, VM list, weight store and client directory."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from aiohttp import web
+from prometheus_client import CollectorRegistry
+from returns.result import Failure, Success
+
+from mangosaddle._identifiers import Incarnation, ModelName, RequestId, VersionId, VmId
+from mangosaddle.platform import (
+    ClientDirectoryClient,
+    EngineClient,
+    EngineOrderKind,
+    EngineVersion,
+    ListedVmRow,
+    ListedVmState,
+    MalformedAnswer,
+    NotListed,
+    OldFencingNumber,
+    OutcomeUnknown,
+    PlatformMetrics,
+    RateLimited,
+    ServiceUnavailable,
+    VmListClient,
+    WeightStoreClient,
+    parse_retry_after,
+)
+from mangosaddle.standins import (
+    ClientDirectoryStandIn,
+    EngineStandIn,
+    ListedVm,
+    StandInHost,
+    VmListStandIn,
+    WeightStoreStandIn,
+)
+
+MODEL, VERSION = ModelName("strap"), VersionId("2")
+ENGINE_VERSION = EngineVersion(MODEL, VERSION)
+QUERIES: dict[str, Callable[[str, PlatformMetrics], Any]] = {
+    "vm list": lambda url, metrics: VmListClient(url, metrics, 0.5, 0.15).read(),
+    "load": lambda url, metrics: EngineClient(url, metrics, 0.5, 0.15).load(),
+    "versions": lambda url, metrics: EngineClient(url, metrics, 0.5, 0.15).versions(),
+    "weights": lambda url, metrics: WeightStoreClient(url, metrics, 0.5, 0.15).manifest(
+        MODEL, VERSION
+    ),
+    "directory": lambda url, metrics: ClientDirectoryClient(url, metrics, 0.5, 0.15).find("c"),
+}
+ORDERS: dict[str, Callable[[str, PlatformMetrics], Any]] = {
+    "cancel": lambda url, metrics: EngineClient(url, metrics, 0.5, 0.15).cancel(RequestId("r")),
+    "order": lambda url, metrics: EngineClient(url, metrics, 0.5, 0.15).order(
+        EngineOrderKind.LOAD, ENGINE_VERSION, 1
+    ),
+}
+BROKEN_ANSWERS: dict[str, tuple[int, bytes | None, type, tuple[type, ...]]] = {
+    "cut": (200, None, ServiceUnavailable, (OutcomeUnknown,)),
+    "not json": (200, b"<html>", MalformedAnswer, (OutcomeUnknown, Success)),
+    "wrong shape": (200, b'[{"id": 3}]', MalformedAnswer, (OutcomeUnknown, Success)),
+    "deep": (200, b"[" * 200_000, MalformedAnswer, (OutcomeUnknown, Success)),
+    "oversized": (200, b" " * 1_048_577, MalformedAnswer, (OutcomeUnknown,)),
+}
+
+
+@pytest.fixture
+def metrics() -> PlatformMetrics:
+    """Counters in a registry of their own."""
+    return PlatformMetrics.from_registry(CollectorRegistry())
+
+
+@pytest.mark.parametrize("call", [*QUERIES, *ORDERS])
+@pytest.mark.parametrize("fault", BROKEN_ANSWERS)
+def test_broken_answer_gives_a_typed_failure(
+    standin_host: StandInHost, metrics: PlatformMetrics, call: str, fault: str
+) -> None:
+    """A broken answer must not raise, and must not make an order look as if it was not given."""
+    status, body, of_queries, of_orders = BROKEN_ANSWERS[fault]
+
+    async def answer(request: web.Request) -> web.Response:
+        if body is None and request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=status, body=body)
+
+    application = web.Application()
+    application.router.add_route("*", "/{path:.*}", answer)
+    url = standin_host.serve(application, "127.0.0.1")
+    result = {**QUERIES, **ORDERS}[call](url, metrics)
+    outcome = result if isinstance(result, Success) else result.failure()
+    assert isinstance(outcome, of_queries if call in QUERIES else of_orders)
+
+
+@pytest.mark.parametrize("call", [*QUERIES, *ORDERS])
+def test_refused_connection_is_unavailable(metrics: PlatformMetrics, call: str) -> None:
+    """An endpoint that accepts no connection has seen nothing."""
+    result = {**QUERIES, **ORDERS}[call]("http://127.0.0.1:9", metrics)
+    assert isinstance(result.failure(), ServiceUnavailable)
+
+
+def test_vm_list(standin_host: StandInHost, metrics: PlatformMetrics) -> None:
+    """A list that is down or not understood must not look like one without VMs."""
+    standin = VmListStandIn()
+    client = VmListClient(standin_host.serve(standin.application(), "127.0.0.1"), metrics)
+    standin.vms = [ListedVm("a-1", "live", "f00d"), ListedVm("a-2", "leaving")]
+    live = ListedVmRow(VmId("a-1"), ListedVmState.LIVE, Incarnation("f00d"))
+    leaving = ListedVmRow(VmId("a-2"), ListedVmState.LEAVING, None)
+    assert client.read() == Success({live.id: live, leaving.id: leaving})
+    standin.vms.append(ListedVm("a-3", "confused"))
+    assert isinstance(client.read().failure(), MalformedAnswer)
+    standin.down = True
+    assert isinstance(client.read().failure(), ServiceUnavailable)
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+def test_engine_orders_carry_the_fencing_number(
+    standin_host: StandInHost, metrics: PlatformMetrics, checks_fencing: bool
+) -> None:
+    """An order with an old number must be told apart from one that failed."""
+    engine = EngineStandIn("e", ("strap@1",), checks_fencing=checks_fencing)
+    client = EngineClient(standin_host.serve(engine.application(), "127.0.0.1"), metrics)
+    client.order(EngineOrderKind.LOAD, ENGINE_VERSION, 7).unwrap()
+    old = client.order(EngineOrderKind.UNLOAD, ENGINE_VERSION, 6)
+    assert (old == Failure(OldFencingNumber())) is checks_fencing
+    versions = client.versions().unwrap()
+    assert versions.fencing == 7
+    assert (ENGINE_VERSION in versions.versions) is checks_fencing
+    assert client.cancel(RequestId("r/1")) == Success(None)
+    assert engine.cancelled == {"r/1"}
+    load = client.load().unwrap()
+    assert (load.running, load.capacity) == (0, 32)
+
+
+def test_weight_store_is_left_alone_until_the_wait_is_over(
+    standin_host: StandInHost, metrics: PlatformMetrics
+) -> None:
+    """A call inside the stated wait would use up the fleet's rate for nothing."""
+    standin, now = WeightStoreStandIn(), [50.0]
+    url = standin_host.serve(standin.application(), "127.0.0.1")
+    client = WeightStoreClient(url, metrics, clock=lambda: now[0])
+    standin.size_bytes_by_version["strap@2"] = 7
+    assert client.manifest(MODEL, VERSION).unwrap().size_bytes == 7
+    assert client.manifest(MODEL, VersionId("3")) == Failure(NotListed())
+    standin.budget = 0
+    assert client.manifest(MODEL, VERSION) == Failure(RateLimited(2.0))
+    now[0] = 51.5
+    assert client.manifest(MODEL, VERSION) == Failure(RateLimited(0.5))
+    assert standin.calls == 3
+    standin.budget, now[0] = 1, 52.0
+    assert isinstance(client.manifest(MODEL, VERSION), Success)
+
+
+@pytest.mark.parametrize(
+    ("text", "wait_s"),
+    [
+        ("3", 3.0),
+        ("Thu, 01 Jan 1970 00:00:40 GMT", 30.0),
+        ("Thu, 01 Jan 1970 00:00:01 GMT", 0.0),
+        ("99999999999", 3600.0),
+        ("-4", 1.0),
+        ("soon", 1.0),
+        ("", 1.0),
+    ],
+)
+def test_retry_after_is_bounded(text: str, wait_s: float) -> None:
+    """A malformed or huge wait must neither raise nor stop the client for good."""
+    assert parse_retry_after({"retry-after": text}, wall_now_s=10.0) == wait_s
+
+
+def test_client_directory(standin_host: StandInHost, metrics: PlatformMetrics) -> None:
+    """An unknown caller must be told apart from a directory that is down."""
+    standin = ClientDirectoryStandIn()
+    url = standin_host.serve(standin.application(), "127.0.0.1")
+    client = ClientDirectoryClient(url, metrics)
+    standin.organisation_by_client["keeper/1"] = "gondar"
+    assert client.find("keeper/1").unwrap().organisation == "gondar"
+    assert client.find("nobody") == Failure(NotListed())
+    standin.down = True
+    assert isinstance(client.find("keeper/1").failure(), ServiceUnavailable)
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,268 @@
+"""Contract tests of the store client against the store stand-in."""
+
+import threading
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+from prometheus_client import CollectorRegistry
+from returns.result import Failure, Success
+
+from mangosaddle.platform import (
+    VALUE_LIMIT_BYTES,
+    BadAnswer,
+    Conflict,
+    LeaseHeld,
+    LeaseLost,
+    PlatformMetrics,
+    StoreClient,
+    StoreUnavailable,
+    ValueTooLarge,
+    WriteOutcomeUnknown,
+    Written,
+)
+from mangosaddle.standins import StandInHost, StoredValue, StoreStandIn
+
+
+class FakeTime:
+    """Clock that moves only when something sleeps."""
+
+    def __init__(self) -> None:
+        """Start at 100 s."""
+        self.now = 100.0
+        self.on_sleep: Callable[[], None] = lambda: None
+
+    def clock(self) -> float:
+        """Return the time in seconds."""
+        return self.now
+
+    def sleep(self, duration_s: float) -> None:
+        """Move on and run the hook of the test."""
+        self.now += duration_s
+        self.on_sleep()
+
+
+@dataclass
+class StoreUnderTest:
+    """A store stand-in and a client of it."""
+
+    standin: StoreStandIn
+    client: StoreClient
+    time: FakeTime
+    registry: CollectorRegistry
+    host: StandInHost
+
+    def calls(self, kind: str) -> float:
+        """Return the number of counted calls of a kind."""
+        return sum(
+            sample.value
+            for metric in self.registry.collect()
+            for sample in metric.samples
+            if sample.name.endswith("_total") and sample.labels["kind"] == kind
+        )
+
+
+@pytest.fixture
+def store(standin_host: StandInHost) -> Iterator[StoreUnderTest]:
+    """Store stand-in with a client whose clock is under the test's control."""
+    standin, fake_time, registry = StoreStandIn(), FakeTime(), CollectorRegistry()
+    url = standin_host.serve(standin.application(), "127.0.0.1")
+    client = StoreClient(
+        url,
+        PlatformMetrics.from_registry(registry),
+        connect_timeout_s=0.5,
+        read_timeout_s=0.15,
+        clock=fake_time.clock,
+        sleep=fake_time.sleep,
+    )
+    yield StoreUnderTest(standin, client, fake_time, registry, standin_host)
+    client.close()
+
+
+READS: dict[str, Callable[[StoreClient], Any]] = {
+    "read": lambda client: client.read("key"),
+    "read_prefix": lambda client: client.read_prefix("k"),
+    "watch": lambda client: client.watch("key", 0, 1.0),
+}
+WRITES: dict[str, Callable[[StoreClient], Any]] = {
+    "compare_and_swap": lambda client: client.compare_and_swap("key", b"mine", 0),
+    "delete": lambda client: client.delete("key", 0),
+}
+FAULTS: dict[str, tuple[dict[str, object], type, type]] = {
+    "down": ({"down": True}, StoreUnavailable, WriteOutcomeUnknown),
+    "slow": ({"delay_s": 2.5}, StoreUnavailable, WriteOutcomeUnknown),
+    "garbage": ({"garbage_answers": 99}, BadAnswer, WriteOutcomeUnknown),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("call", [*READS, *WRITES])
+def test_fault_gives_a_typed_failure(store: StoreUnderTest, fault: str, call: str) -> None:
+    """A write whose answer is missing must not look like one that wrote nothing."""
+    settings, of_reads, of_writes = FAULTS[fault]
+    for name, value in settings.items():
+        setattr(store.standin.faults, name, value)
+    if call in READS:
+        assert isinstance(READS[call](store.client).failure(), of_reads)
+    else:
+        assert isinstance(WRITES[call](store.client).failure(), of_writes)
+
+
+@pytest.mark.parametrize("call", [*READS, *WRITES])
+def test_refused_connection_is_unavailable(call: str) -> None:
+    """A store that accepts no connection has written nothing, which the caller may say."""
+    metrics = PlatformMetrics.from_registry(CollectorRegistry())
+    client = StoreClient("http://127.0.0.1:9", metrics)
+    assert isinstance({**READS, **WRITES}[call](client).failure(), StoreUnavailable)
+
+
+@pytest.mark.parametrize("call", READS)
+def test_oversized_answer_is_dropped(store: StoreUnderTest, call: str) -> None:
+    """An endless answer must not fill the memory."""
+    store.standin.faults.oversized_answer_bytes = 17 * 1_048_576
+    assert isinstance(READS[call](store.client).failure(), BadAnswer)
+
+
+@pytest.mark.parametrize("omitted", [False, True])
+def test_values_and_indices_round_trip(store: StoreUnderTest, omitted: bool) -> None:
+    """An index that is wrong, or missing in the answer, would break the next swap."""
+    store.standin.faults.omit_write_index = omitted
+    first = store.client.compare_and_swap("a/ä?#", b"\x00\xff", 0).unwrap()
+    entry = store.client.read("a/ä?#").unwrap()
+    assert entry is not None
+    assert (entry.value, entry.modify_index) == (b"\x00\xff", first.modify_index)
+    second = store.client.compare_and_swap("a/ä?#", b"2", first.modify_index).unwrap()
+    conflict = store.client.compare_and_swap("a/ä?#", b"3", first.modify_index).failure()
+    assert isinstance(conflict, Conflict)
+    assert (conflict.current_index, conflict.entry) == (
+        second.modify_index,
+        store.client.read("a/ä?#").unwrap(),
+    )
+    assert [entry.value for entry in store.client.read_prefix("a/").unwrap()] == [b"2"]
+    assert store.client.delete("a/ä?#", second.modify_index) == Success(None)
+    assert store.client.read("a/ä?#") == Success(None)
+    assert store.client.compare_and_swap("a/ä?#", b"4", 9) == Failure(Conflict(0))
+
+
+def test_value_limit_is_checked_before_sending(store: StoreUnderTest) -> None:
+    """A value above the store's limit must fail without a call, and one at it must pass."""
+    too_large = store.client.compare_and_swap("key", b"x" * (VALUE_LIMIT_BYTES + 1), 0)
+    assert too_large == Failure(ValueTooLarge(VALUE_LIMIT_BYTES + 1))
+    assert store.calls("write") == 0
+    assert isinstance(store.client.compare_and_swap("key", b"x" * VALUE_LIMIT_BYTES, 0), Success)
+    assert store.client.read("key").unwrap() is not None
+
+
+def _foreign_write(store: StoreUnderTest) -> None:
+    store.standin.values_by_key["key"] = StoredValue(b"theirs", 50, 50)
+    store.standin.faults.down = False
+
+
+RESOLUTIONS: dict[str, tuple[dict[str, object], Callable[[StoreUnderTest], None], object]] = {
+    "effect, answer lost": ({"lose_write_answers": 1}, lambda s: None, Written(2)),
+    "effect, garbage answer": ({"garbage_answers": 1}, lambda s: None, Written(2)),
+    "cut before, back later": (
+        {"down": True},
+        lambda s: setattr(s.standin.faults, "down", False),
+        Written(2),
+    ),
+    "cut before, other writer": (
+        {"down": True},
+        _foreign_write,
+        Conflict,
+    ),
+    "stays down": ({"down": True}, lambda s: None, WriteOutcomeUnknown),
+    "every answer lost": ({"lose_write_answers": 99}, lambda s: None, Written(2)),
+}
+
+
+@pytest.mark.parametrize("case", RESOLUTIONS)
+def test_ambiguous_write_is_resolved_by_reading_back(store: StoreUnderTest, case: str) -> None:
+    """A lost answer must end as written, not written or unknown, as it is, in bounded time."""
+    settings, on_sleep, expected = RESOLUTIONS[case]
+    for name, value in settings.items():
+        setattr(store.standin.faults, name, value)
+    store.time.on_sleep = lambda: on_sleep(store)
+    result = store.client.compare_and_swap_resolved("key", b"nonce-1", 0, within_s=1.0)
+    if isinstance(expected, Written):
+        assert result == Success(expected)
+        assert store.standin.values_by_key["key"].value == b"nonce-1"
+    else:
+        assert isinstance(expected, type)
+        assert isinstance(result.failure(), expected)
+    assert store.time.now <= 101.0
+
+
+def test_watch_returns_on_change_and_after_a_restart(store: StoreUnderTest) -> None:
+    """A watcher that keeps an index above a restarted store's would never wake again."""
+    written = store.client.compare_and_swap("key", b"1", 0).unwrap()
+    seen = store.client.watch("key", 0, 1.0).unwrap()
+    assert (seen.next_index, seen.restarted) == (written.modify_index, False)
+    with ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(store.client.watch, "key", seen.next_index, 5.0)
+        store.client.compare_and_swap("key", b"2", written.modify_index).unwrap()
+        changed = waiting.result(5.0).unwrap()
+    assert changed.entry is not None
+    assert changed.entry.value == b"2"
+
+    async def restart() -> None:
+        store.standin.restart(1)
+
+    store.host.run(restart())
+    after = store.client.watch("key", changed.next_index, 1.0).unwrap()
+    assert (after.entry, after.next_index, after.restarted) == (None, 0, True)
+
+
+def test_lease_excludes_and_fences(store: StoreUnderTest) -> None:
+    """A later holder must get a higher fencing number, and a lapsed holder must learn of it."""
+    first = store.client.acquire_lease("leases/m", b"a", 10.0).unwrap()
+    assert first.expires_at == pytest.approx(110.0)
+    held = store.client.acquire_lease("leases/m", b"b", 10.0).failure()
+    assert isinstance(held, LeaseHeld)
+    assert held.entry is not None
+    assert held.entry.value == b"a"
+    store.time.now += 4.0
+    assert store.client.renew(first).unwrap().expires_at == pytest.approx(114.0)
+    assert store.client.release(first) == Success(None)
+    assert store.client.renew(first) == Failure(LeaseLost())
+    second = store.client.acquire_lease("leases/m", b"b", 10.0).unwrap()
+    assert second.fencing > first.fencing
+
+
+@pytest.mark.parametrize("fault", ["lose_write_answers", "garbage_answers"])
+def test_lease_whose_answer_is_lost(store: StoreUnderTest, fault: str) -> None:
+    """A lost answer must neither leave the lease to nobody nor give it to two."""
+    setattr(store.standin.faults, fault, 1)
+    first = store.client.acquire_lease("leases/m", b"a", 10.0).unwrap()
+    stored = store.standin.values_by_key["leases/m"]
+    assert (first.session, first.fencing) == (stored.session, stored.modify_index)
+    assert isinstance(store.client.acquire_lease("leases/m", b"b", 10.0).failure(), LeaseHeld)
+
+
+def test_one_of_many_threads_wins(store: StoreUnderTest) -> None:
+    """Threads that share a client must not get each other's answers."""
+    barrier = threading.Barrier(8)
+
+    def write(number: int) -> object:
+        barrier.wait(5.0)
+        return store.client.compare_and_swap(f"k{number % 2}", str(number).encode(), 0)
+
+    with ThreadPoolExecutor(8) as pool:
+        results = list(pool.map(write, range(8)))
+    winners = [n for n, result in enumerate(results) if isinstance(result, Success)]
+    stored = sorted(int(v.value) for v in store.standin.values_by_key.values())
+    assert winners == stored
+    assert len(winners) == 2
+
+
+def test_calls_are_counted_by_kind(store: StoreUnderTest) -> None:
+    """The store's limits count every call, so a repeat or a read back must be counted too."""
+    store.client.read("key")
+    store.client.compare_and_swap("key", b"1", 5)
+    store.client.acquire_lease("lease", b"", 10.0)
+    assert [store.calls(kind) for kind in ("read", "write", "lease")] == [3, 1, 2]
+    with pytest.raises(ValueError, match="Duplicated"):
+        PlatformMetrics.from_registry(store.registry)
+    PlatformMetrics.from_registry(CollectorRegistry())
