--- a/src/mangosaddle/configuration/_admin.py
+++ b/src/mangosaddle/configuration/_admin.py
@@ -41,7 +41,8 @@
 ) -> ParsedEdit:
     """Check the body of ``PUT /admin/v1/configuration`` against the current configuration.
 
-    `now` is the wall-clock time in seconds since the epoch, `vetoed` the versions taken back. Keys come from the current
+    `now` is the wall-clock time in seconds since the epoch, `vetoed` the versions taken back.
+    Keys come from the current
     configuration, so that an edit of the documents cannot grant, remove or restore one.
     """
     try:
