Add the operators' command line

Cause: operators need check, diff, apply and show for both documents, keys, rollouts and status, with exit codes for scripts. Change: mangosaddle.cli on click with one environment variable per flag.

--- /dev/null
+++ b/src/mangosaddle/cli/_documents.py
@@ -0,0 +1,232 @@
+"""Commands on the two documents: check, diff, apply and show."""
+
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ..configuration import (
+    DocumentFile,
+    Finding,
+    TomlSource,
+    check_documents,
+    has_errors,
+    inventory_of,
+    rules_of,
+)
+from ._admin_client import AdminClient, Json
+from ._diff import differences
+from ._exceptions import ExitCode, FindingsError
+from ._options import admin_options, json_option, option, reports_findings
+from ._output import print_document, print_findings, print_json, print_table
+from ._toml import revision_of, to_toml, with_revision
+
+TOML_PATH = click.Path(exists=True, dir_okay=False, readable=True, path_type=Path)
+_FILES = {"inventory": DocumentFile.INVENTORY, "rules": DocumentFile.RULES}
+
+
+@dataclass(frozen=True, slots=True)
+class LocalDocuments:
+    """Documents that the operator has as files."""
+
+    paths_by_name: dict[str, Path]
+    sources_by_name: dict[str, TomlSource]
+    documents_by_name: dict[str, Json]
+
+    @classmethod
+    def from_paths(cls, paths_by_name: dict[str, Path | None]) -> "LocalDocuments":
+        """Read the files that are given; raises `FindingsError` for files that are no TOML."""
+        given = {name: path for name, path in paths_by_name.items() if path is not None}
+        sources, documents = {}, {}
+        findings: list[Finding] = []
+        for name, path in given.items():
+            sources[name] = TomlSource.from_path(path, _FILES[name])
+            document, faults = sources[name].parse()
+            documents[name] = _with_text_moments(document)
+            findings += faults
+        if findings:
+            raise FindingsError(tuple(findings))
+        return cls(given, sources, documents)
+
+    def merged(self, current: Json) -> tuple[Json, Json]:
+        """Return inventory and rules, those without a file from the current configuration."""
+        merged = {**current, **self.documents_by_name}
+        return merged.get("inventory", {}), merged.get("rules", {})
+
+    def located(self, findings: tuple[Finding, ...]) -> tuple[Finding, ...]:
+        """Return the findings with lines of the files."""
+        for source in self.sources_by_name.values():
+            findings = tuple(source.locate(finding) for finding in findings)
+        return findings
+
+    def base_revision(self) -> int | None:
+        """Return the oldest revision that the files state."""
+        stated = [revision_of(source.text) for source in self.sources_by_name.values()]
+        return min((revision for revision in stated if revision is not None), default=None)
+
+    def state_revision(self, revision: int) -> None:
+        """Write the revision into those files that state one."""
+        for name, source in self.sources_by_name.items():
+            text = with_revision(source.text, revision)
+            if text != source.text:
+                self.paths_by_name[name].write_text(text, encoding="utf-8")
+
+
+def _with_text_moments(value: Any) -> Any:  # noqa: ANN401 - JSON
+    if isinstance(value, datetime):
+        return value.isoformat()
+    if isinstance(value, dict):
+        return {name: _with_text_moments(entry) for name, entry in value.items()}
+    if isinstance(value, list):
+        return [_with_text_moments(entry) for entry in value]
+    # Dates and times without the other half have no meaning here; as text they become findings.
+    return value if isinstance(value, str | int | float) else str(value)
+
+
+def document_group(name: str, other: str) -> click.Group:
+    """Return the group of commands for one of the documents."""
+
+    @click.group(name, help=f"Check, compare, apply and show {_FILES[name]}.")
+    def group() -> None:
+        """Contain the commands."""
+
+    other_option = option(
+        f"--{other}",
+        "other_path",
+        envvar=f"{other.upper()}_FILE",
+        type=TOML_PATH,
+        help=f"File {_FILES[other]} to use in the same edit; otherwise the one in force.",
+    )
+
+    def local(path: Path, other_path: Path | None) -> LocalDocuments:
+        return LocalDocuments.from_paths({name: path, other: other_path})
+
+    @group.command("lint")
+    @click.argument("path", type=TOML_PATH)
+    @click.argument("other_path", type=TOML_PATH)
+    @json_option
+    @reports_findings
+    def lint(path: Path, other_path: Path, as_json: bool) -> None:
+        """Check both files without contacting an entry VM.
+
+        Exit code 1 if there are errors.
+        """
+        documents = local(path, other_path)
+        findings = documents.located(check_documents(*documents.merged({})).findings)
+        _report(findings, as_json)
+
+    @group.command("check")
+    @click.argument("path", type=TOML_PATH)
+    @other_option
+    @admin_options
+    def check(admin: AdminClient, path: Path, other_path: Path | None, as_json: bool) -> None:
+        """Check a file against the configuration in force, without applying it.
+
+        Also reports what the edit would break. Exit code 1 if there are errors.
+        """
+        documents = local(path, other_path)
+        inventory, rules = documents.merged(admin.configuration())
+        _report(documents.located(admin.check(inventory, rules)), as_json)
+
+    @group.command("diff")
+    @click.argument("path", type=TOML_PATH)
+    @other_option
+    @admin_options
+    def diff(admin: AdminClient, path: Path, other_path: Path | None, as_json: bool) -> None:
+        """Show what applying a file would change. Exit code 1 if the file has errors."""
+        documents = local(path, other_path)
+        current = admin.configuration()
+        checked = check_documents(*documents.merged(current))
+        edited = checked.to_configuration()
+        if edited is None:
+            raise FindingsError(documents.located(checked.findings))
+        found = [
+            *differences(current["inventory"], inventory_of(edited)),
+            *differences(current["rules"], rules_of(edited)),
+        ]
+        rows = [difference.to_json() for difference in found]
+        if as_json:
+            print_json({"revision": current["revision"], "differences": rows})
+        elif rows:
+            print_table(("kind", "collection", "id", "detail"), rows)
+        else:
+            click.echo(f"no differences from revision {current['revision']}")
+
+    @group.command("apply")
+    @click.argument("path", type=TOML_PATH)
+    @other_option
+    @option(
+        "--revision",
+        envvar="REVISION",
+        type=click.IntRange(0),
+        help="Revision that the edit is based on; default: the line '# revision: N' of the file.",
+    )
+    @option(
+        "--overwrite",
+        envvar="OVERWRITE",
+        is_flag=True,
+        help="Base the edit on the revision in force, whatever changed since the file was read.",
+    )
+    @admin_options
+    def apply(
+        admin: AdminClient,
+        path: Path,
+        other_path: Path | None,
+        revision: int | None,
+        overwrite: bool,
+        as_json: bool,
+    ) -> None:
+        """Apply a file. All other keys and documents stay as they are.
+
+        The edit is refused with exit code 3 if another operator was faster, and with exit code 1
+        if there are errors. The line '# revision: N' of the file, if any, is brought up to date.
+        """
+        documents = local(path, other_path)
+        current = admin.configuration()
+        base = current["revision"] if overwrite else revision
+        if base is None:
+            base = documents.base_revision()
+        if base is None:
+            if current["inventory"].get("vms"):
+                raise click.UsageError(
+                    f"{path} states no '# revision: N'; give --revision (in force: "
+                    f"{current['revision']}) or --overwrite"
+                )
+            base = current["revision"]
+        inventory, rules = documents.merged(current)
+        try:
+            new_revision, warnings = admin.apply(inventory, rules, base)
+        except FindingsError as error:
+            raise FindingsError(documents.located(error.findings)) from error
+        documents.state_revision(new_revision)
+        if as_json:
+            rows = [finding.to_json() for finding in documents.located(warnings)]
+            print_json({"revision": new_revision, "findings": rows})
+        else:
+            print_findings(documents.located(warnings), as_json)
+            click.echo(f"accepted as revision {new_revision}")
+
+    @group.command("show")
+    @option("--toml", "as_toml", envvar="TOML", is_flag=True, help="Print TOML to edit and apply.")
+    @admin_options
+    def show(admin: AdminClient, as_toml: bool, as_json: bool) -> None:
+        """Show the document in force."""
+        current = admin.configuration()
+        if as_toml:
+            click.echo(to_toml(current[name], current["revision"]), nl=False)
+        elif as_json:
+            print_json({"revision": current["revision"], name: current[name]})
+        else:
+            print_document({"revision": current["revision"], **current[name]})
+
+    return group
+
+
+def _report(findings: tuple[Finding, ...], as_json: bool) -> None:
+    print_findings(findings, as_json)
+    if not findings and not as_json:
+        click.echo("no findings")
+    if has_errors(findings):
+        raise click.exceptions.Exit(ExitCode.FINDINGS)
--- /dev/null
+++ b/src/mangosaddle/cli/_main.py
@@ -0,0 +1,47 @@
+"""Entry point of the command `mangosaddle`."""
+
+import click
+
+from .. import __version__
+from ._admin_client import AdminClient
+from ._documents import document_group
+from ._keys import keys
+from ._options import admin_options
+from ._output import print_document, print_json
+from ._processes import demo, entry, measure
+from ._versions import versions
+
+
+@click.group()
+@click.version_option(__version__, prog_name="mangosaddle")
+def main() -> None:
+    """Operate a Mangosaddle fleet.
+
+    Every flag can also be given as the environment variable that its help text names.
+
+    \b
+    Exit codes:
+      0  done
+      1  findings: a document has errors, a request is refused, a version is rolled back
+      2  wrong usage
+      3  conflict: the configuration has changed since the revision of the edit
+      4  no entry VM answered
+      5  not done in time
+    """  # noqa: D301 - click needs the form feed escape as it is
+
+
+@main.command("status")
+@admin_options
+def status(admin: AdminClient, as_json: bool) -> None:
+    """Show the state of the fleet."""
+    body = admin.status()
+    if as_json:
+        print_json(body)
+    else:
+        print_document(body)
+
+
+main.add_command(document_group("inventory", "rules"))
+main.add_command(document_group("rules", "inventory"))
+for _command in (keys, versions, demo, entry, measure):
+    main.add_command(_command)
--- /dev/null
+++ b/src/mangosaddle/cli/_versions.py
@@ -0,0 +1,59 @@
+"""Commands on the rollout of model versions."""
+
+import click
+
+from ._admin_client import AdminClient, Json
+from ._exceptions import NotInTimeError, RollbackError
+from ._options import Pacing, admin_options, timeout_option
+from ._output import print_json, print_table
+
+MOVED = "moved"
+TAKEN_BACK = "taken_back"
+WAIT_TIMEOUT_S = 86_400.0
+POLL_INTERVAL_S = 5.0
+COLUMNS = ("model", "old", "new", "share", "state", "deadline", "reason")
+
+
+@click.group("versions")
+def versions() -> None:
+    """Follow rollouts of model versions."""
+
+
+@versions.command("status")
+@admin_options
+def status(admin: AdminClient, as_json: bool) -> None:
+    """Show the state of all rollouts."""
+    _print(admin.versions(), as_json)
+
+
+@versions.command("wait")
+@click.argument("model")
+@timeout_option(WAIT_TIMEOUT_S, "ROLLOUT_TIMEOUT")
+@admin_options
+def wait(admin: AdminClient, model: str, timeout: float, as_json: bool) -> None:
+    """Wait until the rollout of a model is complete or rolled back.
+
+    Exit code 0: complete; 1: rolled back, or the model has no rollout; 5: neither in time.
+    """
+    row: Json = {}
+
+    def is_decided() -> bool:
+        nonlocal row
+        row = next((entry for entry in admin.versions() if entry["model"] == model), {})
+        return row.get("state", TAKEN_BACK) in (MOVED, TAKEN_BACK)
+
+    done = Pacing.from_context().wait_for(is_decided, timeout, POLL_INTERVAL_S)
+    if not row:
+        raise RollbackError(f"model {model!r} has no rollout")
+    _print([row], as_json)
+    if not done:
+        raise NotInTimeError(f"not decided in {timeout:g} s")
+    if row["state"] == TAKEN_BACK:
+        raise RollbackError(f"rolled back: {row.get('reason')}")
+
+
+def _print(rows: list[Json], as_json: bool) -> None:
+    if as_json:
+        print_json({"versions": rows})
+    else:
+        print_table(COLUMNS, rows)
