Test routing and fix two faults that the tests found

A target whose endpoints all leave was refused as unknown without advice to retry, and a hot shared prefix pushed conversations away from their cached endpoint.

--- a/src/mangosaddle/routing/_fleet.py
+++ b/src/mangosaddle/routing/_fleet.py
@@ -75,7 +75,8 @@
         if endpoint.kind is EndpointKind.SERVICE:
             served = [(f"service/{endpoint.service}", None)]
         for target, version in served:
+            regions = self._regions_by_target.setdefault(target, set())
             if not endpoint.leaving:
-                self._regions_by_target.setdefault(target, set()).add(endpoint.region)
+                regions.add(endpoint.region)
             if endpoint.region == self.own_region:
                 self.own_endpoints.setdefault((target, version), []).append(endpoint.id)
--- a/src/mangosaddle/routing/_placement.py
+++ b/src/mangosaddle/routing/_placement.py
@@ -15,6 +15,12 @@
 An engine with continuous batching hardly slows down below it, while a prefix computed again costs
 its whole prefill.
 """
+REMEMBERED_ROOM = 1.5
+"""Factor by which a remembered conversation may exceed the bound.
+
+New conversations that share a hot first prefix stop at the bound, which leaves room for the next
+turns of those that the endpoint has cached.
+"""
 
 Condition = Callable[[EndpointState], bool]
 
@@ -39,7 +45,7 @@
     remembered = memory.find(scope, digests)
     if remembered is not None:
         state = view.states_by_id.get(remembered)
-        if state is not None and _takes(view, state, wanted, limit, now):
+        if state is not None and _takes(view, state, wanted, REMEMBERED_ROOM * limit, now):
             return state
     for state in pool.ranking(digests[0], now):
         if _takes(view, state, wanted, limit, now):
--- /dev/null
+++ b/tests/routing/test_routing_overload.py
@@ -0,0 +1,242 @@
+"""Queue, retries and quarantine under overload and crashes."""
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from routing_fleet import engine, organisation, request, rng, router
+
+from mangosaddle._identifiers import EndpointId
+from mangosaddle.routing import (
+    Chosen,
+    CrashReport,
+    FailureKind,
+    Queue,
+    RefusalReason,
+    Refused,
+    RequestClass,
+    Router,
+    fingerprint,
+)
+from mangosaddle.routing._fair_queue import MAX_LENGTH_PER_ORGANISATION, FairQueue
+from mangosaddle.routing._quarantine import QUARANTINE_S, Quarantine
+from mangosaddle.routing._retry_budget import RESERVE_RETRIES, RetryBudget
+
+N1, N2 = EndpointId("n1"), EndpointId("n2")
+
+
+def drain(queue: FairQueue, weights: dict[str, float]) -> list[str]:
+    """Release everything and return the organisations in order."""
+    order = []
+    while queue:
+        head = queue.heads(1)[0]
+        name = str(head.request.organisation)
+        queue.pop(name, weights[name])
+        order.append(name)
+    return order
+
+
+@settings(derandomize=True, deadline=None, max_examples=50)
+@given(st.lists(st.sampled_from("abc"), max_size=60), st.tuples(*[st.integers(1, 4)] * 3))
+def test_queue_equals_naive_fair_queueing(
+    arrivals: list[str], shares: tuple[int, int, int]
+) -> None:
+    """Guards against an unfair release order: compared with finish times computed at once."""
+    weights = dict(zip("abc", map(float, shares), strict=True))
+    queue = FairQueue()
+    naive = []
+    seen: Counter[str] = Counter()
+    for number, name in enumerate(arrivals):
+        queue.push(request(number, name), 0.0)
+        naive.append((seen[name] / weights[name], name))
+        seen[name] += 1
+    released = drain(queue, weights)
+    expected = [name for _, name in sorted(naive)]
+    got, wanted = Counter[str](), Counter[str]()
+    for have, want in zip(released, expected, strict=True):
+        got[have] += 1
+        wanted[want] += 1
+        assert all(abs(got[name] - wanted[name]) <= 1 for name in "abc")
+
+
+def test_a_flooding_organisation_does_not_starve_another() -> None:
+    """Guards the worst-served organisation: ten times the requests get no larger share."""
+    flood, quiet = organisation("flood"), organisation("quiet")
+    north = router(engine("n1", capacity=1), organisations=(flood, quiet))
+    first = north.choose(request("first"), 0.0, rng())
+    assert isinstance(first, Chosen)
+    for number in range(100):
+        assert isinstance(north.choose(request(f"f{number}", "flood"), 0.0, rng()), Queue)
+    for number in range(10):
+        north.choose(request(f"q{number}", "quiet"), 0.0, rng())
+    running, order = "first", []
+    for _ in range(20):
+        north.finished(running, N1, 0.0)
+        (released,) = north.release(0.0, rng())
+        running = released.request_id
+        order.append(running[0])
+    assert order.count("q") == 10
+
+
+@pytest.mark.parametrize(("deadline_s", "refused_at"), [(None, 20.0), (5.0, 5.0), (60.0, 20.0)])
+def test_waiting_is_bounded(deadline_s: float | None, refused_at: float) -> None:
+    """Guards against callers that wait past their deadline or for ever."""
+    north = router(engine("n1", capacity=1))
+    north.choose(request("first"), 0.0, rng())
+    north.choose(request("second", deadline_s=deadline_s), 0.0, rng())
+    assert north.release(refused_at - 0.1, rng()) == []
+    (released,) = north.release(refused_at, rng())
+    assert isinstance(released.decision, Refused)
+    assert released.decision.reason is RefusalReason.QUEUE_TIMEOUT
+
+
+def test_the_queue_is_bounded_per_organisation_and_cancel_frees_it() -> None:
+    """Guards against memory growth, and against one organisation that fills the queue."""
+    north = router(engine("n1", capacity=1))
+    north.choose(request("first"), 0.0, rng())
+    for number in range(MAX_LENGTH_PER_ORGANISATION):
+        assert north.choose(request(number), 0.0, rng()) == Queue(number)
+    full = north.choose(request("x"), 0.0, rng())
+    assert isinstance(full, Refused)
+    assert full.reason is RefusalReason.QUEUE_FULL
+    assert isinstance(north.choose(request("y", "home"), 0.0, rng()), Queue)
+    assert north.cancel("0")
+    assert not north.cancel("0")
+    assert isinstance(north.choose(request("z"), 0.0, rng()), Queue)
+
+
+def test_interactive_requests_of_an_organisation_go_first() -> None:
+    """Guards the class order inside an organisation."""
+    north = router(engine("n1", capacity=1))
+    north.choose(request("first"), 0.0, rng())
+    north.choose(request("slow", request_class=RequestClass.PATIENT), 0.0, rng())
+    north.choose(request("quick"), 0.0, rng())
+    north.finished("first", N1, 0.0)
+    assert [released.request_id for released in north.release(0.0, rng())] == ["quick"]
+
+
+def test_new_requests_do_not_overtake_waiting_ones() -> None:
+    """Guards against starvation in the queue by newly arriving requests."""
+    north = router(engine("n1", capacity=1))
+    north.choose(request("first"), 0.0, rng())
+    north.choose(request("second"), 0.0, rng())
+    north.finished("first", N1, 0.0)
+    assert isinstance(north.choose(request("third"), 0.0, rng()), Queue)
+    assert [released.request_id for released in north.release(0.0, rng())] == ["second"]
+
+
+@pytest.mark.parametrize(
+    ("sent", "idempotent", "allowed"),
+    [(False, False, True), (False, True, True), (True, True, True), (True, False, False)],
+)
+def test_retry_needs_safety(sent: bool, idempotent: bool, allowed: bool) -> None:
+    """Guards against running a call twice that may not be repeated."""
+    assert RetryBudget().take(sent=sent, idempotent=idempotent) is allowed
+
+
+@settings(derandomize=True, deadline=None, max_examples=30)
+@given(st.lists(st.booleans(), max_size=400))
+def test_retries_stay_within_the_budget(events: list[bool]) -> None:
+    """Guards against retry storms: at most 10% of requests and the reserve."""
+    budget, requests, retries = RetryBudget(), 0, 0
+    for is_request in events:
+        if is_request:
+            budget.earned()
+            requests += 1
+        else:
+            retries += budget.take(sent=False, idempotent=False)
+        assert retries <= RESERVE_RETRIES + 0.1 * requests + 1e-6
+
+
+def crash(north: Router, number: str, endpoint: EndpointId, digest: str, now: float) -> None:
+    """Lose an endpoint while a request is in flight there."""
+    north.started(request(number, fingerprint=digest), endpoint, now)
+    north.failed(number, endpoint, FailureKind.CONNECTION_LOST, now)
+
+
+def test_a_request_that_crashes_two_endpoints_is_refused_everywhere_until_expiry() -> None:
+    """Guards against a crashing request that its caller repeats until no endpoint is left."""
+    endpoints = [engine("n1"), engine("n2"), engine("n3")]
+    first, second = router(*endpoints), router(*endpoints)
+    crash(first, "1", N1, "bad", 0.0)
+    crash(first, "2", N1, "bad", 1.0)
+    assert isinstance(first.choose(request("3", fingerprint="bad"), 2.0, rng()), Chosen)
+    crash(first, "4", N2, "bad", 3.0)
+    second.import_crashes(first.export_crashes(4.0), 4.0)
+    for north in (first, second):
+        refused = north.choose(request("5", fingerprint="bad"), 4.0, rng())
+        assert isinstance(refused, Refused)
+        assert refused.reason is RefusalReason.QUARANTINED
+        assert isinstance(north.choose(request("6", fingerprint="good"), 4.0, rng()), Chosen)
+    second.import_crashes(first.export_crashes(500.0), 500.0)
+    first.import_crashes(second.export_crashes(599.0), 599.0)
+    later = QUARANTINE_S + 4.0
+    assert isinstance(first.choose(request("7", fingerprint="bad"), later, rng()), Chosen)
+
+
+@pytest.mark.parametrize(
+    "kind", [FailureKind.CONNECTION_REFUSED, FailureKind.TIMEOUT, FailureKind.SERVER_ERROR]
+)
+def test_other_failures_do_not_quarantine(kind: FailureKind) -> None:
+    """Guards against refusing a request because of endpoints that merely fail."""
+    north = router(engine("n1"), engine("n2"), engine("n3"))
+    for number, endpoint in enumerate((N1, N2)):
+        north.started(request(number, fingerprint="x"), endpoint, 0.0)
+        north.failed(str(number), endpoint, kind, 0.0)
+    assert isinstance(north.choose(request("2", fingerprint="x"), 0.0, rng()), Chosen)
+
+
+@settings(derandomize=True, deadline=None, max_examples=40)
+@given(st.integers(0, 10**9))
+def test_only_the_crashing_request_is_quarantined(seed: int) -> None:
+    """Guards the organisation's other requests, which are lost with the crashing one and retried.
+
+    Every request lost at a crash comes back at once; the one marked ``bad`` crashes again.
+    """
+    generator = random.Random(seed)
+    north = router(*(engine(f"n{i}") for i in range(6)))
+    waiting = ["bad", *(f"good{i}" for i in range(12))]
+    running: dict[str, EndpointId] = {}
+    now, attempt, quarantined = 0.0, 0, set()
+    for _ in range(200):
+        now += 0.1
+        generator.shuffle(waiting)
+        for digest in waiting[:]:
+            attempt += 1
+            name = f"{digest}.{attempt}"
+            decision = north.choose(request(name, fingerprint=digest), now, generator)
+            if isinstance(decision, Chosen):
+                running[name] = decision.endpoint
+                waiting.remove(digest)
+            elif isinstance(decision, Refused) and decision.reason is RefusalReason.QUARANTINED:
+                quarantined.add(digest)
+                waiting.remove(digest)
+            else:
+                north.cancel(name)
+        bad = next((name for name in running if name.startswith("bad")), None)
+        if bad is not None and generator.random() < 0.5:
+            endpoint = running[bad]
+            for name in [name for name, at in running.items() if at == endpoint]:
+                north.failed(name, endpoint, FailureKind.CONNECTION_LOST, now)
+                waiting.append(name.partition(".")[0])
+                del running[name]
+        for name in [n for n in running if not n.startswith("bad") and generator.random() < 0.1]:
+            north.finished(name, running.pop(name), now)
+    assert quarantined == {"bad"}
+
+
+def test_imported_reports_are_bounded_in_time() -> None:
+    """Guards against a wrong clock elsewhere that quarantines a request for ever."""
+    quarantine = Quarantine()
+    quarantine.include((CrashReport("x", "a", 1e12), CrashReport("x", "b", 1e12)), 0.0)
+    assert quarantine.is_quarantined("x", QUARANTINE_S - 1)
+    assert not quarantine.is_quarantined("x", QUARANTINE_S)
+    assert quarantine.retry_after_s("x", 100.0) == QUARANTINE_S - 100.0
+
+
+def test_fingerprints_separate_their_parts() -> None:
+    """Guards against two organisations whose joined names and bodies are equal."""
+    assert fingerprint("ab", "c", b"") != fingerprint("a", "bc", b"")
+    assert fingerprint("a", "m", b"x") == fingerprint("a", "m", b"x")
