--- /dev/null
+++ b/tests/rollouts/test_load_orders.py
@@ -0,0 +1,175 @@
+"""Loads of new versions, and who may order them."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mangosaddle._identifiers import EndpointId, ModelName, RegionName, VersionId
+from mangosaddle.configuration import RolloutPlan
+from mangosaddle.rollouts import (
+    EndpointVersions,
+    HolderState,
+    LoadCost,
+    OrderAnswer,
+    OrderHolder,
+    needed_s,
+    plan_loads,
+    share,
+)
+
+OLD, NEW = VersionId("v1"), VersionId("v2")
+PLAN = RolloutPlan(ModelName("m"), OLD, NEW, 1000.0, 4000.0)
+COST = LoadCost(version_bytes=6e10, store_bytes_per_s=1e9, start_s=30.0)
+E = EndpointId("e")
+
+
+def fleet(sizes: list[int]) -> dict[EndpointId, EndpointVersions]:
+    """Return endpoints of the old version, so many per region."""
+    rows = [
+        EndpointVersions(EndpointId(f"r{region}e{i}"), RegionName(f"r{region}"), 4 + i, OLD)
+        for region, size in enumerate(sizes)
+        for i in range(size)
+    ]
+    return {row.endpoint: row for row in rows}
+
+
+def simulate(
+    rows: dict[EndpointId, EndpointVersions], veto_at_s: float, until_s: float
+) -> list[tuple[float, dict[EndpointId, EndpointVersions]]]:
+    """Follow the orders each 5 s; transfers share the store's rate. Return the states over time."""
+    left_bytes: dict[EndpointId, float] = {}
+    wanted: dict[EndpointId, VersionId] = {}
+    history = []
+    at = 0.0
+    while at < until_s:
+        for order in plan_loads(PLAN, list(rows.values()), COST, at, vetoed=at >= veto_at_s):
+            loading = order.version
+            rows[order.endpoint] = replace(rows[order.endpoint], serving=None, loading=loading)
+            left_bytes[order.endpoint] = COST.version_bytes + COST.start_s * COST.store_bytes_per_s
+            wanted[order.endpoint] = loading
+        for endpoint in list(left_bytes):
+            left_bytes[endpoint] -= 5.0 * COST.store_bytes_per_s / max(1, len(left_bytes))
+            if left_bytes[endpoint] <= 0:
+                del left_bytes[endpoint]
+                rows[endpoint] = replace(rows[endpoint], serving=wanted[endpoint], loading=None)
+        history.append((at, dict(rows)))
+        at += 5.0
+    return history
+
+
+@settings(derandomize=True, deadline=None, max_examples=30)
+@given(st.lists(st.integers(1, 4), min_size=1, max_size=4), st.sampled_from([1e9, 2500.0, 1500.0]))
+def test_loads_keep_the_old_version_serving_and_end_in_time(
+    sizes: list[int], veto_at_s: float
+) -> None:
+    """Guards against a region without service, and against loads that miss the deadline."""
+    history = simulate(fleet(sizes), veto_at_s, 6000.0)
+    for at, rows in history:
+        for region in {row.region for row in rows.values()}:
+            of_region = [row for row in rows.values() if row.region == region]
+            assert sum(row.loading is not None for row in of_region) <= 1
+            if len(of_region) > 1 and share(PLAN, at) < 0.7 and at < 3000:
+                assert any(row.serving == OLD for row in of_region)
+        if 4000.0 <= at < veto_at_s:
+            assert all(row.serving == NEW for row in rows.values())
+    if veto_at_s < 1e9:
+        assert all(row.serving == OLD for row in history[-1][1].values())
+
+
+def test_the_first_endpoint_is_ready_at_the_start_and_doubt_holds_the_rest() -> None:
+    """Guards against a share without an endpoint, and against loads for a version under doubt."""
+    rows = list(fleet([2, 2, 1]).values())
+    lead_s = 1.5 * needed_s(rows, NEW, COST)
+    assert plan_loads(PLAN, rows, COST, 1000.0 - lead_s - 1) == ()
+    (order,) = plan_loads(PLAN, rows, COST, 1000.0 - lead_s + 1)
+    assert (order.endpoint, order.version) == ("r0e0", NEW)
+    rows[0] = replace(rows[0], serving=NEW)
+    assert plan_loads(PLAN, rows, COST, 3900.0, held_share=0.05) == ()
+    assert plan_loads(PLAN, rows, COST, 3900.0) != ()
+
+
+@pytest.mark.parametrize(
+    ("now", "checks_fencing", "known", "expected"),
+    [
+        (101.0, True, None, OrderAnswer.SEND),
+        (101.0, False, None, OrderAnswer.WAIT),
+        (119.9, False, None, OrderAnswer.WAIT),
+        (121.0, False, None, OrderAnswer.READ_BACK),
+        (121.0, False, frozenset({OLD}), OrderAnswer.SEND),
+        (121.0, False, frozenset({OLD, NEW}), OrderAnswer.DONE),
+        (129.0, True, None, OrderAnswer.STOPPED),
+        (129.0, False, frozenset({OLD}), OrderAnswer.STOPPED),
+    ],
+)
+def test_fencing_table(
+    now: float, checks_fencing: bool, known: frozenset[VersionId] | None, expected: OrderAnswer
+) -> None:
+    """Guards against orders of two holders, by a lease of 30 s after a former one of 15 s."""
+    holder = OrderHolder()
+    assert holder.lease_acquired(7, 99.9, 100.0, 30.0, 15.0)
+    if known is not None:
+        holder.read_back(E, known, 120.5)
+    assert holder.check(E, NEW, now, checks_fencing=checks_fencing) is expected
+
+
+@pytest.mark.parametrize(
+    ("fencing", "asked_at", "taken"),
+    [(7, 200.0, False), (6, 200.0, False), (8, 100.0, False), (8, 199.0, True)],
+)
+def test_old_numbers_and_late_leases_are_of_no_use(
+    fencing: int, asked_at: float, taken: bool
+) -> None:
+    """Guards against an old lease answer that arrives after a newer one, or after its own end."""
+    holder = OrderHolder()
+    holder.lease_acquired(7, 0.0, 0.0, 10.0, 10.0)
+    assert holder.lease_acquired(fencing, asked_at, 200.0, 10.0, 10.0) is taken
+
+
+def test_a_holder_paused_past_its_lease_stops_for_good() -> None:
+    """Guards against a renewal or order that a woken holder sends on an ended lease."""
+    holder = OrderHolder()
+    holder.lease_acquired(1, 0.0, 0.0, 10.0, 0.0)
+    holder.lease_renewed(5.0, 5.0, 10.0)
+    assert holder.state(13.0) is HolderState.HOLDING
+    holder.lease_renewed(14.5, 14.5, 10.0)
+    assert holder.state(14.5) is HolderState.STOPPED
+    assert holder.check(E, NEW, 15.0, checks_fencing=True) is OrderAnswer.STOPPED
+    holder.lease_acquired(2, 20.0, 20.0, 10.0, 0.0)
+    holder.lease_lost()
+    assert holder.check(E, NEW, 20.1, checks_fencing=True) is OrderAnswer.STOPPED
+
+
+def test_a_read_back_from_before_the_old_lease_ended_does_not_count() -> None:
+    """Guards against a state that the former holder's last order has changed since."""
+    holder = OrderHolder()
+    holder.lease_acquired(1, 0.0, 0.0, 60.0, 10.0)
+    holder.read_back(E, frozenset({OLD}), 14.0)
+    assert holder.check(E, NEW, 16.0, checks_fencing=False) is OrderAnswer.READ_BACK
+    holder.read_back(E, frozenset({OLD}), 16.0)
+    assert holder.check(E, NEW, 17.0, checks_fencing=False) is OrderAnswer.SEND
+    holder.ordered(E)
+    assert holder.check(E, NEW, 18.0, checks_fencing=False) is OrderAnswer.READ_BACK
+
+
+@settings(derandomize=True, deadline=None, max_examples=80)
+@given(st.lists(st.tuples(st.integers(0, 1), st.floats(0.1, 15.0)), max_size=30))
+def test_two_holders_never_order_the_same_endpoint_at_a_time(
+    turns: list[tuple[int, float]],
+) -> None:
+    """Guards endpoints that ignore the number: whichever holder sleeps, one of them may send."""
+    holders = [OrderHolder(), OrderHolder()]
+    now, fencing, lease_until = 0.0, 0, 0.0
+    sent: list[tuple[float, int]] = []
+    for who, pause in turns:
+        now += pause
+        if now >= lease_until and holders[who].state(now) is not HolderState.HOLDING:
+            fencing += 1
+            lease_until = now + 20.0
+            holders[who].lease_acquired(fencing, now, now, 20.0, 10.0)
+        holders[who].read_back(E, frozenset({OLD}), now)
+        if holders[who].check(E, NEW, now, checks_fencing=False) is OrderAnswer.SEND:
+            sent.append((now, fencing if holders[who].fencing() == fencing else -1))
+    assert all(number > 0 for _, number in sent)
+    assert [number for _, number in sent] == sorted(number for _, number in sent)
