Add stand-ins of a whole deployment

Cause: demo, tests and measurement need all platform parts of an inventory at once. Change: one class serves them on free ports and seeds the store.

--- a/src/mangosaddle/daemon/_rollout_service.py
+++ b/src/mangosaddle/daemon/_rollout_service.py
@@ -90,7 +90,9 @@
 
     def vetoed(self) -> frozenset[ModelVersion]:
         """Return the versions that have been taken back."""
-        return frozenset(ModelVersion(ModelName(v.model), VersionId(v.version)) for v in self.control.vetoes())
+        return frozenset(
+            ModelVersion(ModelName(v.model), VersionId(v.version)) for v in self.control.vetoes()
+        )
 
     def versions(self) -> list[dict[str, object]]:
         """Return the state of each rollout for operators."""
--- a/src/mangosaddle/standins/__init__.py
+++ b/src/mangosaddle/standins/__init__.py
@@ -1,6 +1,7 @@
 """Small stand-ins of the platform, shared by demo, tests and measurement."""
 
 from ._client_directory import ClientDirectoryStandIn
+from ._deployment import DeploymentStandIns, free_port
 from ._engine import EngineFaults, EngineSpeed, EngineStandIn
 from ._host import StandInHost
 from ._service import ServiceStandIn
@@ -10,6 +11,7 @@
 
 __all__ = [
     "ClientDirectoryStandIn",
+    "DeploymentStandIns",
     "EngineFaults",
     "EngineSpeed",
     "EngineStandIn",
@@ -21,4 +23,5 @@
     "StoredValue",
     "VmListStandIn",
     "WeightStoreStandIn",
+    "free_port",
 ]
--- a/src/mangosaddle/standins/_store.py
+++ b/src/mangosaddle/standins/_store.py
@@ -64,6 +64,11 @@
         application.router.add_put("/v1/session/destroy/{session}", self._destroy_session)
         return application
 
+    def seed(self, key: str, stored: StoredValue) -> None:
+        """Put a value in place before any client runs."""
+        self.values_by_key[key] = stored
+        self._index = max(self._index, stored.modify_index)
+
     def restart(self, index: int) -> None:
         """Lose all values and leases and go on from an index; call it on the host's loop."""
         self.values_by_key.clear()
