End a handed-over connection with an explicit end of stream

Cause: a caller of a finished stream waited for ever, because cheroot's own copy of the socket stayed open and close() sent no FIN. Ruled out: a blocked worker thread (none was busy in the thread dump). Change: write_eof before close.

--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -237,6 +237,9 @@
 
     def _close(self) -> None:
         if self._transport is not None:
+            # cheroot's own copy of the socket may still be open, so closing alone sends no FIN.
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
             self._transport.close()
 
 
