Add the demonstration and the entry command

Cause: a newcomer needs one command that shows the promises. Change: a local fleet of stand-ins and six entry VMs in one process, seven steps, a table; the entry command checks all settings at once.

--- a/src/mangosaddle/cli/__init__.py
+++ b/src/mangosaddle/cli/__init__.py
@@ -2,6 +2,5 @@
 
 from ._exceptions import ExitCode
 from ._main import main
-from ._processes import EntrySettings
 
-__all__ = ["EntrySettings", "ExitCode", "main"]
+__all__ = ["ExitCode", "main"]
--- a/src/mangosaddle/cli/_processes.py
+++ b/src/mangosaddle/cli/_processes.py
@@ -1,57 +1,53 @@
 """Commands that run processes: an entry VM, the demo and the measurement."""
 
-from dataclasses import dataclass
 from importlib import import_module
 
 import click
+from returns.result import Success
 
 from ._exceptions import ExitCode
 from ._options import option
 
 
-@dataclass(frozen=True, slots=True)
-class EntrySettings:
-    """Settings of one entry process."""
-
-    vm: str
-    region: str
-    zone: str
-    listen: str
-    """Address and port for callers."""
-    peer_listen: str
-    """Address and port for other entry VMs."""
-    store_url: str
-    vm_list_url: str
-    fleet: str
-    """Name of the fleet; links to VMs of other fleets are refused."""
-    peer_secret: str
-    operator_token: str
-
-
 @click.command("entry")
-@option("--vm", envvar="VM", required=True, help="Id of this entry VM in the inventory.")
-@option("--region", envvar="REGION", required=True, help="Region of this VM.")
-@option("--zone", envvar="ZONE", required=True, help="Availability zone of this VM.")
-@option("--listen", envvar="LISTEN", required=True, help="ADDRESS:PORT for callers.")
-@option("--peer-listen", envvar="PEER_LISTEN", required=True, help="ADDRESS:PORT for peers.")
-@option("--store-url", envvar="STORE_URL", required=True, help="Base URL of the store.")
-@option("--vm-list-url", envvar="VM_LIST_URL", required=True, help="Base URL of the VM list.")
-@option("--fleet", envvar="FLEET", default="mangosaddle", show_default=True, help="Fleet name.")
+@option("--vm", envvar="VM", help="Id of this entry VM in the inventory.")
+@option("--region", envvar="REGION", help="Region of this VM.")
+@option("--zone", envvar="ZONE", help="Availability zone of this VM.")
+@option("--address", envvar="ADDRESS", help="IP address to listen on.")
+@option("--port", envvar="PORT", help="TCP port for callers and operators.")
+@option("--peer-port", envvar="PEER_PORT", help="TCP port for other entry VMs.")
+@option("--fleet", envvar="FLEET", help="Fleet name; links to VMs of other fleets are refused.")
+@option("--store-url", envvar="STORE_URL", help="Base URL of the store.")
+@option("--vm-list-url", envvar="VM_LIST_URL", help="Base URL of the platform's VM list.")
 @option(
     "--peer-secret",
     envvar="PEER_SECRET",
-    required=True,
     help="Secret shared by all VMs. Prefer the variable: flags show in process lists.",
 )
 @option(
     "--operator-token",
     envvar="OPERATOR_TOKEN",
-    required=True,
     help="Token that operators present. Prefer the variable.",
 )
-def entry(**settings: str) -> None:
+@option(
+    "--peers",
+    envvar="PEERS",
+    help="VMs to ask while the store is down: ID=ws://ADDRESS:PORT, separated by commas.",
+)
+@option("--log-level", envvar="LOG_LEVEL", help="DEBUG, INFO, WARNING or ERROR.")
+def entry(**flags: str | None) -> None:
     """Run one entry VM until SIGTERM, then shut it down gracefully."""
-    import_module("mangosaddle.daemon").run_entry(EntrySettings(**settings))
+    from ..daemon import EntrySettings, run_entry
+
+    values: dict[str, object] = {name: value for name, value in flags.items() if value is not None}
+    if "peers" in values:
+        values["peers"] = tuple(str(values["peers"]).split(","))
+    settings = EntrySettings.from_values(values)
+    if not isinstance(settings, Success):
+        for finding in settings.failure():
+            click.echo(f"{finding.place}: {finding.message}", err=True)
+        raise click.exceptions.Exit(ExitCode.USAGE)
+    _exit(run_entry(settings.unwrap()))
 
 
 @click.command("demo")
--- a/src/mangosaddle/daemon/__init__.py
+++ b/src/mangosaddle/daemon/__init__.py
@@ -1,6 +1,15 @@
 """Assembly of one entry process."""
 
 from ._node import EntryNode
-from ._settings import EntrySettings, SettingFinding
+from ._run import configure_logging, run_entry
+from ._settings import ENVIRONMENT_PREFIX, EntrySettings, SettingFinding, SettingsDocument
 
-__all__ = ["EntryNode", "EntrySettings", "SettingFinding"]
+__all__ = [
+    "ENVIRONMENT_PREFIX",
+    "EntryNode",
+    "EntrySettings",
+    "SettingFinding",
+    "SettingsDocument",
+    "configure_logging",
+    "run_entry",
+]
--- /dev/null
+++ b/src/mangosaddle/daemon/_run.py
@@ -0,0 +1,59 @@
+"""Runs one entry process until SIGTERM."""
+
+import logging
+import os
+import signal
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+from ..keys import redact
+from ._node import EntryNode
+from ._settings import EntrySettings
+
+WAIT_SLICE_S = 0.5
+EXIT_OK = 0
+EXIT_NOT_STARTED = 4
+
+
+class RedactingJsonFormatter(JsonFormatter):
+    """JSON lines without the secrets of keys, whatever a message or a traceback contains."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return one line."""
+        return redact(super().format(record))
+
+
+def configure_logging(level: str, vm: str) -> None:
+    """Log JSON lines to standard error; each line names the VM."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        RedactingJsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
+            static_fields={"entry_vm": vm},
+        )
+    )
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    # Both log each connection; the metrics count them.
+    logging.getLogger("websockets").setLevel(logging.ERROR)
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Serve until SIGTERM or SIGINT, drain, and return the exit code."""
+    configure_logging(settings.log_level, settings.vm)
+    node = EntryNode(settings)
+    signals = (signal.SIGTERM, signal.SIGINT)
+    for number in signals:
+        signal.signal(number, lambda _number, _frame: node.terminate())
+    try:
+        node.start()
+    except TimeoutError:
+        logging.getLogger(__name__).error("no configuration from store or peers in time")
+        # Threads of the half-started process must not keep it alive.
+        os._exit(EXIT_NOT_STARTED)
+    while not node.wait_until_drained(WAIT_SLICE_S):
+        pass
+    node.stop()
+    return EXIT_OK
--- /dev/null
+++ b/src/mangosaddle/demo/__init__.py
@@ -0,0 +1,62 @@
+"""Demonstration: a whole deployment in one process."""
+
+import sys
+
+import click
+
+from ..standins import EngineSpeed
+from ._local_fleet import (
+    OPERATOR_TOKEN,
+    PEER_SECRET,
+    FleetError,
+    LocalFleet,
+    example_configuration,
+    wait_for,
+)
+from ._steps import STEPS, StepResult
+
+DEMO_SPEED = EngineSpeed(token_interval_s=0.002)
+
+__all__ = [
+    "OPERATOR_TOKEN",
+    "PEER_SECRET",
+    "FleetError",
+    "LocalFleet",
+    "StepResult",
+    "example_configuration",
+    "run_demo",
+    "wait_for",
+]
+
+
+def run_demo() -> int:
+    """Run the Authority's fleet and all steps; return 0 if each kept its promise."""
+    fleet = LocalFleet(example_configuration("authority"), speed=DEMO_SPEED)
+    click.echo("Starting 6 entry VMs, 5 runners, 3 services, store and VM list on loopback ...")
+    results: list[StepResult] = []
+    try:
+        fleet.start()
+        for step in STEPS:
+            result = step(fleet)
+            click.echo(f"- {result.name}: {result.got}")
+            results.append(result)
+        click.echo("Shutting down gracefully ...")
+        for node in fleet.nodes_by_vm.values():
+            node.terminate()
+        drained = all(node.wait_until_drained(15.0) for node in fleet.nodes_by_vm.values())
+        got = "all 6 drained" if drained else "not all drained"
+        results.append(StepResult("graceful shutdown", "every VM drains", got, drained))
+    except FleetError as error:
+        click.echo(f"the fleet did not start: {error}", err=True)
+    finally:
+        fleet.stop()
+    _print_table(results)
+    sys.stdout.flush()
+    return 0 if len(results) == len(STEPS) + 1 and all(r.kept for r in results) else 1
+
+
+def _print_table(results: list[StepResult]) -> None:
+    click.echo(f"\n{'step':<28} {'kept':<5} {'promised':<46} got")
+    for result in results:
+        kept = "yes" if result.kept else "NO"
+        click.echo(f"{result.name:<28} {kept:<5} {result.promised:<46} {result.got}")
