Plan slots again at once after a lost write, and mend the demo's withdrawal

Cause: six VMs that start together write the same slot documents; each round of 1 s has one winner, so the last slots were held after 7.2 s. The demo's withdrawal step waited 5 s because its organisation had too few tokens for the stream. Ruled out: slow list reads (the first one is immediate). Change: up to 8 rounds with a pause of up to 50 ms; the step checks that the stream ran.

--- a/src/mangosaddle/daemon/_allowance_service.py
+++ b/src/mangosaddle/daemon/_allowance_service.py
@@ -32,6 +32,9 @@
 
 TICK_S = 0.05
 PLAN_S = 1.0
+PLAN_ROUNDS = 8
+"""VMs that start together write the same documents: all but one lose each round and try again."""
+CONFLICT_PAUSE_S = 0.05
 LOAN_WAIT_S = 0.4
 """A round trip between regions takes about 80 ms; a lost message must not delay a refusal long."""
 CLOCK_GAP_S = 2.0
@@ -68,6 +71,7 @@
         self._store = store
         self._blocking = blocking
         self._tasks = tasks
+        self._rng = rng
         self._clock = clock
         self._ticked_at = clock()
         self._granted_by_organisation: dict[OrganisationId, asyncio.Event] = {}
@@ -155,14 +159,22 @@
             identity = self._peers.membership.identity_of(vm)
             if identity is not None:
                 self.directory.observe_heartbeat(vm, identity.incarnation, now)
-        plan = self.directory.plan(now, self.ledger.released_slots(), self._draining)
+        for _ in range(PLAN_ROUNDS):
+            if not await self._plan_once():
+                break
+            await asyncio.sleep(self._rng.uniform(0, CONFLICT_PAUSE_S))
+        if not self._draining:
+            self.ledger.set_held_slots(self.directory.held(), self._clock())
+
+    async def _plan_once(self) -> bool:
+        """Do what the directory plans now; return whether it has written."""
+        plan = self.directory.plan(self._clock(), self.ledger.released_slots(), self._draining)
         self._send(plan.releases)
         await asyncio.gather(
             *(self._write(write) for write in plan.writes),
             *(self._read(shard) for shard in plan.reads),
         )
-        if not self._draining:
-            self.ledger.set_held_slots(self.directory.held(), self._clock())
+        return bool(plan.writes or plan.reads)
 
     async def _read(self, shard: int) -> None:
         if shard in self._reading:
--- a/src/mangosaddle/demo/_steps.py
+++ b/src/mangosaddle/demo/_steps.py
@@ -96,7 +96,7 @@
     errors: list[Exception] = []
 
     def read() -> None:
-        with _client(fleet, "school-clocks", "mekele-1", 2.0) as client:
+        with _client(fleet, "station-clocks", "mekele-1", 2.0) as client:
             try:
                 options = {"max_tokens": LONG_STREAM_TOKENS}
                 for _ in client.stream_chat(QUESTION, MODEL, options):
@@ -108,7 +108,7 @@
     threading.Thread(target=read, daemon=True).start()
     first.wait(5.0)
     started = time.monotonic()
-    key = fleet.standins.keys_by_organisation[OrganisationId("school-clocks")]
+    key = fleet.standins.keys_by_organisation[OrganisationId("station-clocks")]
     answer = fleet.operate("DELETE", "addis-1", f"/admin/v1/keys/{key.id}")
     ended.wait(WITHDRAWN_WITHIN_S)
     elapsed_s = time.monotonic() - started
@@ -118,7 +118,10 @@
         "key withdrawn",
         f"open stream ended within {WITHDRAWN_WITHIN_S:.0f} s",
         f"ended after {elapsed_s:.2f} s, in force at {confirmed} of 6 VMs",
-        cut and elapsed_s < WITHDRAWN_WITHIN_S and confirmed == len(fleet.nodes_by_vm),
+        first.is_set()
+        and cut
+        and elapsed_s < WITHDRAWN_WITHIN_S
+        and confirmed == len(fleet.nodes_by_vm),
     )
 
 
