--- a/src/mangosaddle/demo/_steps.py
+++ b/src/mangosaddle/demo/_steps.py
@@ -17,7 +17,7 @@
 STREAM_TOKENS = 12
 LONG_STREAM_TOKENS = 2000
 FLOOD_REQUESTS = 60
-FLOOD_TOKENS = 500
+FLOOD_TOKENS = 200
 WITHDRAWN_WITHIN_S = 4.0
 
 
