--- a/src/mangosaddle/cli/_documents.py
+++ b/src/mangosaddle/cli/_documents.py
@@ -70,8 +70,12 @@
         """Write the revision into those files that state one."""
         for name, source in self.sources_by_name.items():
             text = with_revision(source.text, revision)
-            if text != source.text:
+            if text == source.text:
+                continue
+            try:
                 self.paths_by_name[name].write_text(text, encoding="utf-8")
+            except OSError as error:
+                click.echo(f"the line '# revision' is not brought up to date: {error}", err=True)
 
 
 def _with_text_moments(value: Any) -> Any:  # noqa: ANN401 - JSON
--- a/src/mangosaddle/client/_attempts.py
+++ b/src/mangosaddle/client/_attempts.py
@@ -11,6 +11,10 @@
 
 BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
+MAX_SENT_ATTEMPTS = 3
+"""Attempts of one request that may have run and brought nothing: a request that crashes endpoints
+must not reach more of them."""
+
 RETRIED_STATUSES = frozenset({429, 502, 503, 504})
 
 
@@ -39,6 +43,7 @@
         self._url = ""
         self._tried: set[str] = set()
         self._rounds = 0
+        self._sent = 0
         self._execution = Execution.NOT_RUN
         self._problem: Problem | None = None
 
@@ -61,27 +66,38 @@
         self._ends_at_s = self._pacing.clock() + self._deadline_s
         self._tried = {self._url}
         self._rounds = 0
+        self._sent = 0
 
     def note(self, failure: AttemptFailed | Problem) -> None:
         """Note a failed attempt and wait as long as it demands.
 
         Raises `RefusedError` when a retry does not help, `OverloadedError` or `UnreachableError`
-        when the wait would pass the deadline.
+        when the wait would pass the deadline or too many attempts may have run.
         """
         if isinstance(failure, AttemptFailed):
             self._vms.mark_failed(self._url)
-            if failure.sent:
-                self._execution = Execution.UNKNOWN
+            self._count(may_have_run=failure.sent)
             self._wait(None)
             return
         self._problem = failure
-        if not failure.not_run:
-            self._execution = Execution.UNKNOWN
+        self._count(may_have_run=not failure.not_run)
         may_retry = failure.not_run or self._retry_unknown
         if failure.status not in RETRIED_STATUSES or not may_retry:
             raise RefusedError(failure.detail, self._execution, failure)
         self._wait(failure.retry_after_s)
 
+    def _count(self, may_have_run: bool) -> None:
+        if not may_have_run:
+            return
+        self._execution = Execution.UNKNOWN
+        self._sent += 1
+        if self._sent == MAX_SENT_ATTEMPTS:
+            reason = f"{self._sent} attempts that may have run have failed"
+            if self._problem is not None:
+                detail = f"{reason}: {self._problem.detail}"
+                raise RefusedError(detail, self._execution, self._problem)
+            raise UnreachableError(reason, self._execution)
+
     def _wait(self, retry_after_s: float | None) -> None:
         untried = [url for url in self._vms.urls() if url not in self._tried]
         wait_s = retry_after_s
--- a/src/mangosaddle/client/_client.py
+++ b/src/mangosaddle/client/_client.py
@@ -15,7 +15,7 @@
 from ._attempts import Attempts, Pacing
 from ._discovery import discover
 from ._entry_vms import EntryVms
-from ._exceptions import ClientError, IncompleteAnswer
+from ._exceptions import ClientError, Execution, IncompleteAnswer
 from ._http import AttemptFailed, Http, Request, read_all
 from ._problem import Problem
 from ._stream import END_MARKER, StreamBroken, delta_of, events_of
@@ -87,8 +87,11 @@
 
     def models(self) -> list[str]:
         """Return the names of the models; raises `ClientError`."""
-        body = self._send(self._request("GET", "/v1/models")).json()
-        return [str(model["id"]) for model in body["data"]]
+        response = self._send(self._request("GET", "/v1/models"))
+        try:
+            return [str(model["id"]) for model in response.json()["data"]]
+        except (ValueError, LookupError, TypeError) as error:
+            raise ClientError("the response is no list of models", Execution.UNKNOWN) from error
 
     def chat(
         self,
@@ -161,7 +164,7 @@
         All retries carry the same key, so that none of them runs the order again. With
         `entry_issued` and no key the key is an order id that an entry VM issues: such an order
         needs no store. Raises `ClientError`; after `execution` ``unknown``, repeat the call with
-        the same key.
+        the `idempotency_key` of the error.
         """
         issuer: str | None = None
         if idempotency_key is None and entry_issued:
@@ -173,7 +176,11 @@
         request = self._request(
             "POST", _service_path(service, path), body, extra={"Idempotency-Key": key}
         )
-        return self._send(request, issuer, key)
+        try:
+            return self._send(request, issuer, key)
+        except ClientError as error:
+            error.idempotency_key = key
+            raise
 
     def _request(
         self,
--- a/src/mangosaddle/client/_exceptions.py
+++ b/src/mangosaddle/client/_exceptions.py
@@ -23,10 +23,12 @@
         super().__init__(f"{message} (execution: {execution})")
         self.execution = execution
         self.problem = problem
+        self.idempotency_key: str | None = None
+        """Key of an order that failed: a repeat with it does not run the order twice."""
 
 
 class UnreachableError(ClientError):
-    """No entry VM answered before the deadline."""
+    """No entry VM answered in time, or several took the request without an answer."""
 
 
 class RefusedError(ClientError):
--- a/tests/client/test_client_scripts.py
+++ b/tests/client/test_client_scripts.py
@@ -24,6 +24,8 @@
 )
 from mangosaddle.client._problem import Problem
 from mangosaddle.client._stream import StreamBroken, delta_of, events_of
+from mangosaddle.standins import EngineSpeed, EngineStandIn, StandInHost
+from mangosaddle.standins._engine import ANSWER_WORDS
 
 WORDS = ["a", "b", "c", "d"]
 MESSAGES = [{"role": "user", "content": "q"}]
@@ -232,6 +234,7 @@
     ([problem(503, "not_run", "Retry-After: 61")], OverloadedError, Execution.NOT_RUN),
     ([LOST, problem(429, "not_run", "Retry-After: 1e9")], OverloadedError, Execution.UNKNOWN),
     ([problem(503, "unknown", "Retry-After: 61")], OverloadedError, Execution.UNKNOWN),
+    ([problem(502, "unknown")] * 3, RefusedError, Execution.UNKNOWN),
 ]
 
 
@@ -329,6 +332,19 @@
     with pytest.raises(RefusedError) as caught:
         client.order("orders", "clocks/7", {})
     assert caught.value.execution is Execution.UNKNOWN
+    assert caught.value.idempotency_key == fleet.seen[0].headers["Idempotency-Key"]
+
+
+def test_request_that_breaks_every_vm_is_given_up(fleet: Fleet, client: Client) -> None:
+    """A request that crashes each endpoint must not be sent on until the deadline."""
+    fleet.script = [LOST] * 9
+    with pytest.raises(UnreachableError) as caught:
+        client.chat(MESSAGES, "advisor")
+    assert (caught.value.execution, len(fleet.seen)) == (Execution.UNKNOWN, 3)
+    fleet.script = [words(0, 2, b""), LOST, LOST, LOST]
+    with pytest.raises(IncompleteAnswer):
+        list(client.stream_chat(MESSAGES, "advisor"))
+    assert len(fleet.script) == 1
 
 
 def test_issued_order_id_goes_to_its_issuer(fleet: Fleet, client: Client) -> None:
@@ -340,6 +356,22 @@
     assert [seen.vm for seen in fleet.seen] == [0, 0]
 
 
+@pytest.mark.parametrize("cut_after", [None, 0, 1, 7, 15])
+def test_resumed_answer_of_an_engine_equals_the_uncut_one(
+    standin_host: StandInHost, cut_after: int | None
+) -> None:
+    """P9: offsets must count what engines count, or words are lost or repeated at each cut."""
+    engine = EngineStandIn("e", ("advisor@v1",), speed=EngineSpeed(0.0, 0.0))
+    engine.faults.cut_after_tokens = cut_after
+    application = engine.application()
+    urls = [standin_host.serve(application, "127.0.0.1")]
+    with Client(urls, "msk_k_s", rng=random.Random(1), sleep=lambda seconds: None) as client:
+        answer = list(client.stream_chat(MESSAGES, "advisor@v1"))
+    expected = [f"{ANSWER_WORDS[n % len(ANSWER_WORDS)]} " for n in range(16)]
+    assert answer == expected
+    assert len(engine.seen_bodies) == (1 if cut_after is None else 2)
+
+
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(
     data=st.one_of(st.binary(max_size=80), st.just(words(0, 4)[50:])),
