Test that faults of both documents are reported together

Cause: the table of bad documents changes one place at a time, so that a fault hidden by another one would go unnoticed. Change: one test applies five bad edits at once and compares with the findings of each alone. The findings of several faults are the union of those of each.

--- a/tests/configuration/test_configuration_documents.py
+++ b/tests/configuration/test_configuration_documents.py
@@ -1,5 +1,6 @@
 """Loading of the operators' documents: every finding, with its place and line."""
 
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -9,6 +10,7 @@
 
 from mangosaddle.configuration import (
     DocumentFile,
+    Finding,
     TomlSource,
     check_documents,
     check_sources,
@@ -99,6 +101,23 @@
     assert lines == snapshot
 
 
+def test_faults_of_both_documents_are_reported_together() -> None:
+    """Operators who see only the first fault need one attempt for each."""
+    sources = {source.file: source for source in load_sources(EXAMPLES / "authority")}
+    names = {"capacity_text", "duplicate_id", "wrong_scheme", "burst_too_small", "share_falls"}
+    alone: list[Finding] = []
+    for name, document, old, new in BAD_EDITS:
+        if name in names:
+            alone += check_sources(*edited_sources(document, old, new)).findings
+            file = f"{document}.toml"
+            sources[file] = replace(sources[file], text=sources[file].text.replace(old, new))
+    together = check_sources(sources[DocumentFile.INVENTORY], sources[DocumentFile.RULES]).findings
+    assert len(together) >= len(names)
+    assert {(f.place, f.line, f.message) for f in together} == {
+        (f.place, f.line, f.message) for f in alone
+    }
+
+
 @pytest.mark.parametrize("deployment", ["authority", "division"])
 def test_examples_survive_a_round_trip(deployment: str) -> None:
     """Documents shown by the admin API must mean the same when they are applied again."""
