Keep an outage of the store from holding all worker threads

With the store slow, each order waited several seconds for its claim and held a worker thread, and the read back after a timeout of 2 s never took place because its bound counted from before the first call. While the store fails one order at a time now tries it and the others are refused not_run at once, and the bound counts from the first answer or timeout. A test shows that the second order makes no store call while the first waits; tests/ passes.

--- a/src/mangosaddle/orders/_entry_orders.py
+++ b/src/mangosaddle/orders/_entry_orders.py
@@ -122,7 +122,7 @@
     def finish(self, text: str, outcome: SendOutcome) -> OrderAnswer:
         """Record what came of an executed order and return the answer to its caller.
 
-        Raises ``ValueError`` for an id that this incarnation did not issue.
+        Raises ``ValueError`` for a text that is no order id.
         """
         verified = self._issuer.verify(text)
         if not isinstance(verified, Success):
--- a/src/mangosaddle/orders/_executor.py
+++ b/src/mangosaddle/orders/_executor.py
@@ -7,8 +7,10 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
+from returns.result import Success
+
 from .._identifiers import Incarnation, OrganisationId, ServiceName, VmId
-from ..platform import RESOLVE_WITHIN_S
+from ..platform import RESOLVE_WITHIN_S, StoreUnavailable, WriteOutcomeUnknown
 from ._claims import (
     CLAIM_LIFETIME_S,
     Claim,
@@ -17,7 +19,7 @@
     encode_claim,
     request_digest,
 )
-from ._responses import OrderAnswer, SendOutcome, SentOutcomeUnknown
+from ._responses import OrderAnswer, RefuseNotRun, SendOutcome, SentOutcomeUnknown
 from ._steps import (
     AttemptEnd,
     Effect,
@@ -91,6 +93,8 @@
         self._new_nonce = new_nonce
         self._pending_by_nonce: dict[str, PendingUpdate] = {}
         self._lock = threading.Lock()
+        self._store_failing = False
+        self._probe = threading.Lock()
         self.dropped_updates = 0
         """Pending updates that found no room; their orders are answered ``unknown`` from then."""
 
@@ -104,8 +108,20 @@
         """Execute an order, or answer it from its record.
 
         ``send`` is called at most once and tells what came of it. An exception that it raises
-        counts as an unknown outcome. Blocks for the store and for ``send``.
+        counts as an unknown outcome. Blocks for the store and for ``send``. While the store fails,
+        one order at a time tries it and the others are refused at once, so that an outage does not
+        hold all worker threads.
         """
+        probing = self._store_failing
+        if probing and not self._probe.acquire(blocking=False):
+            return RefuseNotRun("the store is not available")
+        try:
+            return self._attempt(order, send)
+        finally:
+            if probing:
+                self._probe.release()
+
+    def _attempt(self, order: Order, send: Send) -> OrderAnswer:
         key = order.key()
         for pending in self.pending_releases:
             if pending.key == key:
@@ -158,12 +174,13 @@
                 self._pending_by_nonce.pop(pending.target.nonce, None)
         return settled
 
-    @staticmethod
-    def _perform(store: ClaimStore, effect: Effect, send: Send | None) -> EffectResult:
+    def _perform(self, store: ClaimStore, effect: Effect, send: Send | None) -> EffectResult:
         if isinstance(effect, WriteRecord):
-            return store.compare_and_swap_resolved(
+            written = store.compare_and_swap_resolved(
                 effect.key, encode_claim(effect.claim), effect.expected_index
             )
+            self._store_failing = _is_store_failure(written)
+            return written
         if isinstance(effect, ReadRecord):
             return store.read(effect.key)
         assert isinstance(effect, SendOrder)
@@ -184,6 +201,12 @@
             self._pending_by_nonce[pending.target.nonce] = pending
 
 
+def _is_store_failure(written: WriteResult) -> bool:
+    if isinstance(written, Success):
+        return False
+    return isinstance(written.failure(), StoreUnavailable | WriteOutcomeUnknown)
+
+
 def _body_bytes(update: PendingUpdate) -> int:
     response = update.target.response
     return len(response.body) if response is not None and response.body is not None else 0
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -125,11 +125,11 @@
 
         The value has to hold a nonce, so that equal values mean the same write. When the key is
         unchanged the same write is sent again: it can take effect once only, because the first of
-        the two changes the index that both expect. After ``within_s`` seconds an outcome that is
-        still open stays ``WriteOutcomeUnknown``.
+        the two changes the index that both expect. No call starts later than ``within_s`` seconds
+        after the first answer or timeout; an outcome still open then is ``WriteOutcomeUnknown``.
         """
-        deadline = self._clock() + within_s
         result = self.compare_and_swap(key, value, expected_index)
+        deadline = self._clock() + within_s
         pause_s = RESOLVE_INTERVAL_S
         ambiguous = False
         while True:
--- a/tests/orders/test_entry_orders.py
+++ b/tests/orders/test_entry_orders.py
@@ -88,7 +88,7 @@
     st.sampled_from(["begin", "finish", "wait"]),
     st.integers(0, 2),
     st.sampled_from(OUTCOMES),
-    st.sampled_from([-50.0, 1.0, 200.0, EXPIRED_RETENTION_S, ENDS]),
+    st.sampled_from([-400.0, 1.0, 200.0, EXPIRED_RETENTION_S, ENDS]),
 )
 
 
@@ -141,6 +141,16 @@
     assert isinstance(decision, expected)
 
 
+def test_clock_that_goes_back_does_not_revive_an_id() -> None:
+    """An id whose use was forgotten after its expiry must not run again."""
+    own = issuer()
+    table, text = EntryOrders(own), own.issue(1, 0.0)[0]
+    assert table.begin(text, ORGANISATION, "d", 1.0, hops=0) == Execute()
+    table.finish(text, RESPONSE)
+    for now in (ENDS + EXPIRED_RETENTION_S, 2.0):
+        assert isinstance(table.begin(text, ORGANISATION, "d", now, hops=0), AnswerUnknown)
+
+
 def test_full_table_refuses_and_recovers() -> None:
     """An execution that cannot be remembered must not start; expiry makes room."""
     own = issuer()
--- a/tests/orders/test_executor.py
+++ b/tests/orders/test_executor.py
@@ -8,6 +8,7 @@
 import pytest
 import urllib3
 from prometheus_client import CollectorRegistry
+from returns.result import Failure
 
 from mangosaddle._identifiers import Incarnation, OrganisationId, ServiceName, VmId
 from mangosaddle.orders import (
@@ -23,7 +24,8 @@
     SendOutcome,
     SentOutcomeUnknown,
 )
-from mangosaddle.platform import PlatformMetrics, StoreClient
+from mangosaddle.orders._steps import ReadResult, WriteResult
+from mangosaddle.platform import PlatformMetrics, StoreClient, StoreUnavailable
 from mangosaddle.standins import ServiceStandIn, StandInHost, StoreStandIn
 
 ORDER = Order(OrganisationId("o"), ServiceName("s"), "key-1", "POST", "/orders", b'{"n": 1}')
@@ -147,3 +149,44 @@
     assert isinstance(fleet.executors[1].execute(ORDER, fail), AnswerUnknown)
     assert isinstance(fleet.executors[0].execute(ORDER, fleet.send), AnswerUnknown)
     assert fleet.executions == 0
+
+
+class FailingStore:
+    """Store whose writes fail after the test lets them."""
+
+    def __init__(self) -> None:
+        """Create a store that fails at once."""
+        self.calls = 0
+        self.entered, self.may_answer = threading.Event(), threading.Event()
+        self.may_answer.set()
+
+    def read(self, key: str) -> ReadResult:
+        """Fail."""
+        return Failure(StoreUnavailable("down"))
+
+    def compare_and_swap_resolved(
+        self, key: str, value: bytes, expected_index: int, within_s: float = 1.0
+    ) -> WriteResult:
+        """Wait for the test, then fail."""
+        self.calls += 1
+        self.entered.set()
+        self.may_answer.wait(5.0)
+        return Failure(StoreUnavailable("down"))
+
+
+def test_outage_holds_one_thread_only() -> None:
+    """Orders that wait for a slow store must not take the worker threads of other requests."""
+    store = FailingStore()
+    executor = OrderExecutor(store, VmId("a"), Incarnation("1"))
+    assert isinstance(executor.execute(ORDER, lambda: NotSent("x")), RefuseNotRun)
+    store.entered.clear()
+    store.may_answer.clear()
+    with ThreadPoolExecutor(1) as pool:
+        probe = pool.submit(executor.execute, ORDER, lambda: NotSent("x"))
+        assert store.entered.wait(5.0)
+        assert isinstance(executor.execute(ORDER, lambda: NotSent("x")), RefuseNotRun)
+        assert store.calls == 2
+        store.may_answer.set()
+        assert isinstance(probe.result(5.0), RefuseNotRun)
+    executor.execute(ORDER, lambda: NotSent("x"))
+    assert store.calls == 3
