--- a/src/mangosaddle/platform/_store_types.py
+++ b/src/mangosaddle/platform/_store_types.py
@@ -43,7 +43,7 @@
     """Modify index of the acquisition; a later holder has a higher one."""
     ttl_s: float
     expires_at: float
-    """Moment by the client's clock (``boot_clock`` unless given) from which the lease may have lapsed."""
+    """Moment by the client's clock, ``boot_clock`` by default, from which it may have lapsed."""
 
 
 @dataclass(frozen=True, slots=True)
