--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -8,7 +8,7 @@
 
 from ._http import CONNECT_TIMEOUT_S, READ_TIMEOUT_S, HttpExchange
 from ._metrics import PlatformMetrics
-from ._store_leases import StoreLeases
+from ._store_leases import StoreLeases, boot_clock
 from ._store_types import (
     BadAnswer,
     Conflict,
@@ -43,7 +43,7 @@
         metrics: PlatformMetrics,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         read_timeout_s: float = READ_TIMEOUT_S,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_clock,
         sleep: Callable[[float], None] = time.sleep,
     ) -> None:
         """Create a client for a store at a base URL such as ``http://127.0.0.1:8500``."""
@@ -125,11 +125,11 @@
 
         The value has to hold a nonce, so that equal values mean the same write. When the key is
         unchanged the same write is sent again: it can take effect once only, because the first of
-        the two changes the index that both expect. After ``within_s`` seconds an outcome that is
-        still open stays ``WriteOutcomeUnknown``.
+        the two changes the index that both expect. No call starts later than ``within_s`` seconds
+        after the first answer or timeout; an outcome still open then is ``WriteOutcomeUnknown``.
         """
-        deadline = self._clock() + within_s
         result = self.compare_and_swap(key, value, expected_index)
+        deadline = self._clock() + within_s
         pause_s = RESOLVE_INTERVAL_S
         ambiguous = False
         while True:
