Add a link stand-in with delay, cut and freeze between regions

Cause: partitions and wide-area delay have to be brought about on running processes. Change: a forwarder before each VM's peer port that knows the region pair by source address; links dial from the VM's own address.

--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -169,6 +169,8 @@
             max_size=MAX_FRAME_BYTES,
             user_agent_header=None,
             proxy=None,
+            # The own address as source lets the network tell VMs on one machine apart.
+            local_addr=(self._settings.listen_address, 0),
             logger=websockets_logger,
         )
         try:
--- a/src/mangosaddle/standins/__init__.py
+++ b/src/mangosaddle/standins/__init__.py
@@ -4,6 +4,7 @@
 from ._deployment import DeploymentStandIns, free_port
 from ._engine import EngineFaults, EngineSpeed, EngineStandIn
 from ._host import StandInHost
+from ._links import LinkConditions, PeerLinks
 from ._service import ServiceStandIn
 from ._store import StoredValue, StoreFaults, StoreStandIn
 from ._vm_list import ListedVm, VmListStandIn
@@ -15,7 +16,9 @@
     "EngineFaults",
     "EngineSpeed",
     "EngineStandIn",
+    "LinkConditions",
     "ListedVm",
+    "PeerLinks",
     "ServiceStandIn",
     "StandInHost",
     "StoreFaults",
--- a/src/mangosaddle/standins/_deployment.py
+++ b/src/mangosaddle/standins/_deployment.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass, replace
 from urllib.parse import urlsplit
 
-from .._identifiers import EndpointId, OrganisationId, VmId
+from .._identifiers import EndpointId, OrganisationId, RegionName, VmId
 from ..configuration import Configuration, Endpoint, EndpointKind, Vm, encode_configuration
 from ..keys import KeyText
 from ._engine import EngineSpeed, EngineStandIn
 from ._host import StandInHost
+from ._links import PeerLinks
 from ._service import ServiceStandIn
 from ._store import StoredValue, StoreStandIn
 from ._vm_list import ListedVm, VmListStandIn
@@ -25,6 +26,9 @@
 
     callers: int
     peers: int
+    """Port of the inventory, at which the link stand-in listens."""
+    peers_behind_link: int
+    """Port at which the process itself listens for peers."""
 
 
 class DeploymentStandIns:
@@ -39,6 +43,7 @@
         self.services_by_id: dict[EndpointId, ServiceStandIn] = {}
         self.keys_by_organisation: dict[OrganisationId, KeyText] = {}
         self.ports_by_vm: dict[VmId, Ports] = {}
+        self.links = PeerLinks({})
         self.store_url = ""
         self.vm_list_url = ""
         self.configuration = configuration
@@ -72,6 +77,11 @@
         )
         self.vm_list.vms = [ListedVm(vm, "live") for vm in vms]
         self.host.run(self._seed())
+        regions = {str(urlsplit(vm.url).hostname): vm.region for vm in vms.values()}
+        self.links = PeerLinks(regions)
+        for vm_id, ports in self.ports_by_vm.items():
+            address = str(urlsplit(vms[vm_id].url).hostname)
+            self.host.run(self.links.forward(address, ports.peers, ports.peers_behind_link))
 
     async def _seed(self) -> None:
         value = encode_configuration(self.configuration, "seed")
@@ -97,7 +107,7 @@
 
     def _place(self, vm: Vm) -> Vm:
         address = str(urlsplit(vm.url).hostname)
-        ports = Ports(free_port(address), free_port(address))
+        ports = Ports(free_port(address), free_port(address), free_port(address))
         self.ports_by_vm[vm.id] = ports
         return replace(
             vm,
@@ -115,7 +125,7 @@
             "zone": row.zone,
             "address": str(urlsplit(row.url).hostname),
             "port": self.ports_by_vm[vm].callers,
-            "peer_port": self.ports_by_vm[vm].peers,
+            "peer_port": self.ports_by_vm[vm].peers_behind_link,
             "fleet": "stand-in",
             "store_url": self.store_url,
             "vm_list_url": self.vm_list_url,
@@ -128,8 +138,18 @@
         """Return the text of an organisation's key."""
         return self.keys_by_organisation[OrganisationId(organisation)].reveal()
 
+    def isolate(self, region: RegionName) -> None:
+        """Cut a region off from the others."""
+        self.links.conditions.isolate(region, self.configuration.regions())
+        self.host.run(self.links.break_cut_links())
+
+    def heal(self) -> None:
+        """Mend all links between regions."""
+        self.links.conditions.heal()
+
     def stop(self) -> None:
         """Stop all stand-ins."""
+        self.host.run(self.links.close())
         self.host.stop()
 
 
