--- a/src/mangosaddle/membership/__init__.py
+++ b/src/mangosaddle/membership/__init__.py
@@ -20,7 +20,7 @@
     FactKind,
     MergeRule,
 )
-from ._status import VM_STATE_KIND, VmIdentity, VmState, VmStatus
+from ._status import VM_STATE_KIND, VM_STATE_LIFETIME_S, VmIdentity, VmState, VmStatus
 from ._table import HEARTBEAT_INTERVAL_S, MISSED_HEARTBEATS, MembershipTable
 from ._topology import PeerTopology, rendezvous
 
@@ -33,6 +33,7 @@
     "MISSED_HEARTBEATS",
     "PER_ORIGIN",
     "VM_STATE_KIND",
+    "VM_STATE_LIFETIME_S",
     "Drain",
     "DrainAction",
     "DrainPhase",
--- a/src/mangosaddle/membership/_status.py
+++ b/src/mangosaddle/membership/_status.py
@@ -7,7 +7,9 @@
 from ._exceptions import InvalidFactError
 from ._rules import HIGHEST_VERSION, Fact, FactKind
 
-VM_STATE_KIND = FactKind("vm", HIGHEST_VERSION)
+VM_STATE_LIFETIME_S = 24 * 3600.0
+"""States of VMs that have left the inventory are forgotten after this time."""
+VM_STATE_KIND = FactKind("vm", HIGHEST_VERSION, lifetime_s=VM_STATE_LIFETIME_S)
 """State of each VM, keyed by the VM; published by the VM itself and by VMs that suspect it."""
 
 _COUNTER_BITS = 20
--- a/src/mangosaddle/membership/_topology.py
+++ b/src/mangosaddle/membership/_topology.py
@@ -33,24 +33,31 @@
         rankings: dict[tuple[str, frozenset[VmId]], tuple[VmId, ...]] | None = None,
     ) -> None:
         """Use ``from_config``, ``avoiding`` and ``with_vms`` instead."""
-        self._vms_by_id = dict(vms_by_id)
+        self._vms_by_id = vms_by_id
         self._avoided = frozenset(avoided)
         self._rankings = {} if rankings is None else rankings
 
     @classmethod
     def from_config(cls, vms_by_id: Mapping[VmId, Vm]) -> "PeerTopology":
         """Return the topology of an inventory."""
-        return cls(vms_by_id)
+        return cls(dict(vms_by_id))
 
     def avoiding(self, avoided: Collection[VmId]) -> "PeerTopology":
         """Return the topology that passes over suspected and leaving VMs."""
         if self._avoided == frozenset(avoided):
             return self
-        return PeerTopology(self._vms_by_id, avoided, self._rankings)
+        topology = PeerTopology(self._vms_by_id, avoided, self._rankings)
+        topology.__dict__["_members"] = self._members
+        return topology
 
     def with_vms(self, vms_by_id: Mapping[VmId, Vm]) -> "PeerTopology":
         """Return the topology of a changed inventory, keeping rankings that still hold."""
-        return PeerTopology(vms_by_id, self._avoided, dict(self._rankings))
+        topology = PeerTopology(dict(vms_by_id), self._avoided)
+        places = frozenset(topology._members.values())
+        topology._rankings.update(
+            {key: ranking for key, ranking in self._rankings.items() if key[1] in places}
+        )
+        return topology
 
     @cached_property
     def _members(self) -> dict[Place, frozenset[VmId]]:
--- a/src/mangosaddle/peers/_authentication.py
+++ b/src/mangosaddle/peers/_authentication.py
@@ -2,6 +2,7 @@
 
 import hmac
 import os
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -140,9 +141,14 @@
 class AcceptingHandshake:
     """Handshake of the side that accepted the connection."""
 
-    def __init__(self, credentials: Credentials) -> None:
-        """Prepare the handshake with a fresh nonce."""
+    def __init__(self, credentials: Credentials, is_current: Callable[[VmIdentity], bool]) -> None:
+        """Prepare the handshake with a fresh nonce.
+
+        An incarnation that is not current is refused before the proof, so that the dialling side
+        does not send a request on a link that is about to close.
+        """
         self._credentials = credentials
+        self._is_current = is_current
         self._nonce = os.urandom(NONCE_BYTES)
         self._hello: Hello | None = None
         self._transcript = b""
@@ -155,6 +161,8 @@
             raise LinkRefusedError(RefusalReason.FOREIGN_FLEET)
         if len(hello.nonce) != NONCE_BYTES or hello.identity.vm == own.identity.vm:
             raise LinkRefusedError(RefusalReason.BAD_HANDSHAKE)
+        if not self._is_current(hello.identity):
+            raise LinkRefusedError(RefusalReason.STALE_INCARNATION)
         self._hello = hello
         self._transcript = _transcript(
             own.fleet, hello.identity, own.identity, hello.nonce + self._nonce
--- a/src/mangosaddle/peers/_codec.py
+++ b/src/mangosaddle/peers/_codec.py
@@ -53,6 +53,8 @@
             return
         if name in self._types_by_name or message_type in self._names_by_type:
             raise RegistrationError(f"{name!r} or {message_type.__name__} is already registered")
+        if not dataclasses.is_dataclass(message_type):
+            raise RegistrationError(f"{message_type.__name__} is no data class")
         self._converter(message_type, name)
         self._types_by_name[name] = message_type
         self._names_by_type[message_type] = name
@@ -114,15 +116,17 @@
 
 
 def _load(encoded: bytes) -> object:
-    stream = io.BytesIO(encoded)
+    decoder = cbor2.CBORDecoder(io.BytesIO(encoded))
     try:
-        value: object = cbor2.CBORDecoder(stream).decode()
+        value: object = decoder.decode()
     # The decoder passes on whatever constructors of tagged values raise, such as decimal errors.
     except Exception as error:
         raise DecodeError(f"no valid CBOR: {type(error).__name__}") from error
-    if stream.tell() != len(encoded):
-        raise DecodeError("bytes follow the message")
-    return value
+    try:
+        decoder.read(1)
+    except cbor2.CBORDecodeEOF:
+        return value
+    raise DecodeError("bytes follow the message")
 
 
 def _plain(plain_type: type[Any]) -> _Converter:
--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -58,6 +58,8 @@
     ) -> None:
         """Create the connector; ``on_change`` hears of each opened and closed link."""
         self.links_by_vm: dict[VmId, Link] = {}
+        self.spares: set[Link] = set()
+        """Second links to a VM, kept until nothing runs on them."""
         self.vms_by_id: Mapping[VmId, Vm] = {}
         self._settings = settings
         self._credentials = Credentials(settings.fleet, settings.secret, settings.identity)
@@ -95,7 +97,7 @@
         """Close all links and the listening socket."""
         for dial in list(self._dials_by_vm.values()):
             dial.cancel()
-        for link in list(self.links_by_vm.values()):
+        for link in [*self.links_by_vm.values(), *self.spares]:
             await link.close()
         if self._server is not None:
             self._server.close()
@@ -131,6 +133,14 @@
             raise NotSentError(f"VM {vm} cannot be reached")
         return link
 
+    async def link_within(self, vm: VmId, timeout_s: float) -> Link:
+        """Return the link to a VM if it is there in time; raises ``NotSentError``."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.link_to(vm)
+        except TimeoutError as error:
+            raise NotSentError(f"no link to {vm} in {timeout_s} s") from error
+
     def _dial(self, vm: VmId) -> "asyncio.Task[None]":
         dial = asyncio.create_task(self._dial_once(vm))
         self._dials_by_vm[vm] = dial
@@ -154,7 +164,7 @@
             if self._adopt(link):
                 self._spawn(self._run(link))
             else:
-                await link.close()
+                self._spawn(link.close())
         finally:
             self._dials_by_vm.pop(vm, None)
 
@@ -177,7 +187,8 @@
             handshake = DiallingHandshake(self._credentials, vm)
             await connection.send(handshake.hello())
             proof, session = handshake.answer(await _receive(connection))
-            self._check_current(session)
+            if not self._is_current(session.peer):
+                raise LinkRefusedError(RefusalReason.STALE_INCARNATION)
             await connection.send(proof)
         except BaseException:
             await connection.close(REFUSED_CLOSE_CODE)
@@ -203,10 +214,9 @@
     async def _accept(self, connection: ServerConnection) -> None:
         try:
             async with asyncio.timeout(self._settings.timings.dial_timeout_s):
-                handshake = AcceptingHandshake(self._credentials)
+                handshake = AcceptingHandshake(self._credentials, self._is_current)
                 await connection.send(handshake.challenge(await _receive(connection)))
                 session = handshake.finish(await _receive(connection))
-            self._check_current(session)
         except LinkRefusedError as refusal:
             self._metrics.count_refusal(refusal.reason)
             await connection.close(REFUSED_CLOSE_CODE)
@@ -220,16 +230,14 @@
         else:
             await link.close()
 
-    def _check_current(self, session: Session) -> None:
-        if not self._is_current(session.peer):
-            raise LinkRefusedError(RefusalReason.STALE_INCARNATION)
-
     def _adopt(self, link: Link) -> bool:
-        """Make a link the one to its VM; returns False if the present one is kept.
+        """Make a link the one to its VM; returns False if it is to be closed.
 
-        Of two links that both sides opened at once, both keep the one that the smaller id dialled.
+        Of two links that both sides opened at once, both send on the one that the smaller id
+        dialled. The other one stays open as a spare, because it may already carry a request.
         """
         vm = link.peer.vm
+        link.used_at_s = link.received_at_s = self._clock()
         present = self.links_by_vm.get(vm)
         if present is not None and not present.closed.is_set():
             if present.peer.started_ms > link.peer.started_ms:
@@ -238,11 +246,12 @@
             same_peer = present.peer == link.peer
             if same_peer and link.dialled_by_us != present.dialled_by_us:
                 dialled_by_smaller = link.dialled_by_us == (self._settings.identity.vm < vm)
-                if not dialled_by_smaller:
-                    return False
-            self._forget(present)
-            self._spawn(present.close())
-        link.used_at_s = link.received_at_s = self._clock()
+                spare = present if dialled_by_smaller else link
+                self.spares.add(spare)
+                if spare is link:
+                    return True
+            else:
+                self.close_later(present)
         self.links_by_vm[vm] = link
         self._backoffs_by_vm.pop(vm, None)
         self._metrics.links.set(len(self.links_by_vm))
@@ -257,10 +266,11 @@
 
     def _forget(self, link: Link) -> None:
         link.closed.set()
+        self.spares.discard(link)
         if self.links_by_vm.get(link.peer.vm) is link:
             del self.links_by_vm[link.peer.vm]
             self._metrics.links.set(len(self.links_by_vm))
-            self._on_change(link, False)
+        self._on_change(link, False)
 
     def close_later(self, link: Link) -> None:
         """Close a link without waiting for it."""
--- a/src/mangosaddle/peers/_forward.py
+++ b/src/mangosaddle/peers/_forward.py
@@ -123,6 +123,10 @@
             served.credit_bytes = min(served.credit_bytes + message.size_bytes, WINDOW_BYTES)
             served.credit_given.set()
 
+    def is_busy(self, link: Link) -> bool:
+        """Return whether a request of the link is being served."""
+        return any(other is link for other, _ in self._served)
+
     def link_closed(self, link: Link) -> None:
         """Stop all requests of a link."""
         for other, number in list(self._served):
--- a/src/mangosaddle/peers/_forward_calls.py
+++ b/src/mangosaddle/peers/_forward_calls.py
@@ -118,6 +118,10 @@
             self._metrics.count_drop("window_exceeded")
             link.abort()
 
+    def is_busy(self, link: Link) -> bool:
+        """Return whether an answer is awaited on the link."""
+        return any(other is link for other, _ in self._calls)
+
     def link_closed(self, link: Link) -> None:
         """Wake the calls of a link, which then fail."""
         for (other, _), call in self._calls.items():
--- a/src/mangosaddle/peers/_gossip.py
+++ b/src/mangosaddle/peers/_gossip.py
@@ -1,15 +1,15 @@
 """Spreads facts along the topology and repairs differences between neighbours."""
 
 import logging
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
-from .._identifiers import VmId
 from ..membership import LEVEL_KINDS, Fact, FactTable, fact_size_bytes
 from ._codec import CODEC
 from ._confirmations import ConfirmationBook
 from ._link import Link
 from ._messages import Confirmation, FactRequest, FactUpdate
 from ._metrics import PeerMetrics
+from ._neighbourhood import Neighbourhood
 
 MAX_UPDATE_BYTES = 64 * 1024
 """Facts of one frame; more are split over frames so that heartbeats get between them."""
@@ -34,15 +34,13 @@
         table: FactTable,
         book: ConfirmationBook,
         metrics: PeerMetrics,
-        neighbours: Callable[[], Iterable[Link]],
-        is_zone_neighbour: Callable[[VmId], bool],
+        neighbourhood: Neighbourhood,
     ) -> None:
-        """Create the gossip of a node; the callables tell the current links."""
+        """Create the gossip of a node."""
         self.table = table
         self.book = book
         self._metrics = metrics
-        self._neighbours = neighbours
-        self._is_zone_neighbour = is_zone_neighbour
+        self._neighbourhood = neighbourhood
         self._listeners_by_kind: dict[str, list[Callable[[Fact], None]]] = {}
         self._exchanges_until_s: dict[Link, float] = {}
 
@@ -103,7 +101,7 @@
 
     def send_confirmations(self) -> None:
         """Send bitmaps that neighbours do not have yet; called at every tick."""
-        for link in self._neighbours():
+        for link in self._neighbourhood.links():
             if link.confirmations_revision == self.book.revision:
                 continue
             link.confirmations_revision = self.book.revision
@@ -130,10 +128,10 @@
         """Send facts on; those of a zone neighbour have reached the rest of the zone's mesh."""
         if not facts:
             return
-        in_zone = source is not None and self._is_zone_neighbour(source.peer.vm)
+        in_zone = source is not None and self._neighbourhood.is_in_zone(source.peer.vm)
         bodies = [CODEC.encode(FactUpdate(batch)) for batch in _batches(facts)]
-        for link in self._neighbours():
-            if link is source or (in_zone and self._is_zone_neighbour(link.peer.vm)):
+        for link in self._neighbourhood.links():
+            if link is source or (in_zone and self._neighbourhood.is_in_zone(link.peer.vm)):
                 continue
             for body in bodies:
                 link.send_encoded(body)
--- /dev/null
+++ b/src/mangosaddle/peers/_neighbourhood.py
@@ -0,0 +1,95 @@
+"""Links that the topology asks for, and the upkeep of all links."""
+
+from collections.abc import Callable, Collection, Mapping
+
+from .._identifiers import VmId
+from ..configuration import Vm
+from ..membership import MISSED_HEARTBEATS, MembershipTable, PeerTopology
+from ._connector import Connector
+from ._link import Link
+from ._settings import PeerTimings
+
+
+class Neighbourhood:
+    """Neighbours of a VM; a link is a neighbour's if either side's topology asks for it."""
+
+    def __init__(
+        self,
+        connector: Connector,
+        membership: MembershipTable,
+        vms_by_id: Mapping[VmId, Vm],
+        timings: PeerTimings,
+        clock: Callable[[], float],
+        is_busy: Callable[[Link], bool],
+    ) -> None:
+        """Compute the neighbours of the inventory."""
+        self.wanted: frozenset[VmId] = frozenset()
+        """VMs to which the own topology asks for a link."""
+        self._zone: frozenset[VmId] = frozenset()
+        self._own = membership.own.identity.vm
+        self._connector = connector
+        self._topology = PeerTopology.from_config(vms_by_id)
+        self._timings = timings
+        self._is_busy = is_busy
+        self._maintained_at_s = clock()
+        self._compute()
+
+    def update_vms(self, vms_by_id: Mapping[VmId, Vm]) -> None:
+        """Take over the inventory."""
+        self._topology = self._topology.with_vms(vms_by_id)
+        self._compute()
+
+    def avoid(self, vms: Collection[VmId]) -> None:
+        """Give pair links of suspected and leaving VMs to others."""
+        topology = self._topology.avoiding(vms)
+        if topology is not self._topology:
+            self._topology = topology
+            self._compute()
+
+    def _compute(self) -> None:
+        self.wanted = self._topology.links_of(self._own)
+        self._zone = self._topology.zone_neighbours(self._own)
+
+    def is_neighbour(self, link: Link) -> bool:
+        """Return whether heartbeats and facts travel on a link."""
+        return link.wanted_by_peer or link.peer.vm in self.wanted
+
+    def is_in_zone(self, vm: VmId) -> bool:
+        """Return whether a VM belongs to the own zone's mesh."""
+        return vm in self._zone
+
+    def links(self) -> list[Link]:
+        """Return the open links to neighbours."""
+        links = self._connector.links_by_vm.values()
+        return [link for link in links if self.is_neighbour(link)]
+
+    def maintain(self, now: float) -> None:
+        """Dial missing links and close dead and idle ones; ``now`` is monotonic seconds."""
+        # After an own pause the silence of a link says nothing about the other side.
+        paused = now - self._maintained_at_s > self._timings.heartbeat_s
+        self._maintained_at_s = now
+        for vm in self.wanted:
+            self._connector.dial_when_due(vm, now)
+        for link in [*self._connector.links_by_vm.values(), *self._connector.spares]:
+            if paused:
+                link.received_at_s = now
+            if self._is_dead(link, now) or self._is_idle(link, now):
+                self._connector.close_later(link)
+
+    def _is_dead(self, link: Link, now: float) -> bool:
+        """Return whether heartbeats are missing on a link that should carry them."""
+        silent_s = now - link.received_at_s
+        is_spare = link in self._connector.spares
+        expected = not is_spare and self.is_neighbour(link)
+        return expected and silent_s >= MISSED_HEARTBEATS * self._timings.heartbeat_s
+
+    def _is_idle(self, link: Link, now: float) -> bool:
+        """Return whether nothing runs on a link that the topology does not ask for."""
+        idle_s = self._timings.idle_s
+        if link in self._connector.spares:
+            idle_s = self._timings.dial_timeout_s
+        elif self.is_neighbour(link):
+            return False
+        if now - link.used_at_s < idle_s:
+            return False
+        return not self._is_busy(link)
--- a/src/mangosaddle/peers/_node.py
+++ b/src/mangosaddle/peers/_node.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncGenerator, Callable, Coroutine, Iterable, Mapping
 from contextlib import aclosing
+from dataclasses import replace
 from itertools import count
 from typing import Any, TypeVar
 
@@ -15,13 +16,13 @@
 from ..configuration import Vm
 from ..membership import (
     VM_STATE_KIND,
+    VM_STATE_LIFETIME_S,
     Fact,
     FactKind,
     FactTable,
     InvalidFactError,
     ListedRow,
     MembershipTable,
-    PeerTopology,
     VmState,
     VmStatus,
 )
@@ -52,6 +53,7 @@
     Response,
 )
 from ._metrics import PeerMetrics
+from ._neighbourhood import Neighbourhood
 from ._requests import PendingRequests
 from ._settings import PeerSettings
 
@@ -92,13 +94,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._metrics = PeerMetrics(registry)
-        self._topology = PeerTopology.from_config(vms_by_id)
-        self._wanted: frozenset[VmId] = frozenset()
-        self._zone: frozenset[VmId] = frozenset()
         self._book = ConfirmationBook(self._own.vm, vms_by_id)
-        self._gossip = Gossip(
-            self.facts, self._book, self._metrics, self._neighbours, self._is_zone_neighbour
-        )
         self._connector = Connector(
             settings,
             self._metrics,
@@ -111,12 +107,17 @@
         self._requests = PendingRequests(self._metrics)
         self._service = ForwardService(self._metrics)
         self._calls = ForwardCalls(self._metrics)
+        self._neighbourhood = Neighbourhood(
+            self._connector, self.membership, vms_by_id, self._timings, clock, self._is_busy
+        )
+        self._gossip = Gossip(self.facts, self._book, self._metrics, self._neighbourhood)
         self._numbers = count(1)
         self._dispatch = Dispatch(self._metrics)
         self._link_handlers = self._own_handlers()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._maintain_now = asyncio.Event()
         self._states_by_vm: dict[VmId, VmState] = {}
+        self._state_published_at_s = 0.0
         self._change_listeners: list[Callable[[], None]] = []
         self._gossip.listen(VM_STATE_KIND.name, self._vm_state_changed)
         self.update_vms(vms_by_id)
@@ -144,7 +145,7 @@
     async def start(self) -> tuple[str, int]:
         """Listen, begin to dial and return the bound address and port."""
         bound = await self._connector.start()
-        self.publish(self.membership.own_fact())
+        self._publish_state(self.membership.own_fact())
         self._spawn(self._heartbeat_loop())
         self._spawn(self._maintenance_loop())
         return bound
@@ -161,20 +162,20 @@
         """Take over the inventory of a new configuration."""
         self.membership.update_vms(vms_by_id)
         self._connector.vms_by_id = dict(vms_by_id)
-        self._topology = self._topology.with_vms(vms_by_id)
+        self._neighbourhood.update_vms(vms_by_id)
         if self._book.renumber(vms_by_id):
             for link in self._connector.links_by_vm.values():
                 link.confirmations.clear()
-        self._update_topology()
+        self._maintain_now.set()
 
     def listed(self, rows: Iterable[ListedRow]) -> None:
         """Take over a reading of the platform's list of VMs."""
         self.membership.listed(rows, self._clock())
-        self._update_topology()
+        self._avoid_bad_vms()
 
     def leave(self) -> None:
         """Publish that this VM is leaving."""
-        self.publish(self.membership.leave())
+        self._publish_state(self.membership.leave())
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Call the listener after links, facts, confirmations or VM states have changed."""
@@ -214,23 +215,16 @@
         and ``EncodeError``. The time includes opening a link on demand.
         """
         deadline_s = self._clock() + timeout_s
-        link = await self._link_within(vm, timeout_s)
+        link = await self._connector.link_within(vm, timeout_s)
         sent_at_s = link.used_at_s = self._clock()
         left_s = max(deadline_s - sent_at_s, 0.0)
         try:
             return await self._requests.ask(link, next(self._numbers), message, left_s)
         finally:
             silent = link.received_at_s < sent_at_s and self._clock() >= deadline_s
-            if silent and not self._is_neighbour(link):
+            if silent and not self._neighbourhood.is_neighbour(link):
                 self._connector.close_later(link)
 
-    async def _link_within(self, vm: VmId, timeout_s: float) -> Link:
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._connector.link_to(vm)
-        except TimeoutError as error:
-            raise NotSentError(f"no link to {vm} in {timeout_s} s") from error
-
     def on_message(self, message_type: type[T], handler: MessageHandler[T]) -> None:
         """Handle messages and requests of a type; the handler may be a coroutine function."""
         self._dispatch.register(message_type, handler)
@@ -286,7 +280,7 @@
         Close the iterator (``contextlib.aclosing``) to cancel the request at the other VM. Raises
         ``NotSentError`` (not run), ``LinkLostError`` (unknown) and ``EncodeError`` (not run).
         """
-        link = await self._link_within(vm, self._timings.dial_timeout_s)
+        link = await self._connector.link_within(vm, self._timings.dial_timeout_s)
         async with aclosing(self._calls.run(link, request)) as answers:
             async for answer in answers:
                 yield answer
@@ -317,23 +311,7 @@
         if self.membership.heard(VmStatus(link.peer, message.counter, state), now):
             self._gossip.compare(link, message.digest, now)
 
-    # Neighbours
-
-    def _is_neighbour(self, link: Link) -> bool:
-        return link.wanted_by_peer or link.peer.vm in self._wanted
-
-    def _neighbours(self) -> list[Link]:
-        links = self._connector.links_by_vm.values()
-        return [link for link in links if self._is_neighbour(link)]
-
-    def _is_zone_neighbour(self, vm: VmId) -> bool:
-        return vm in self._zone
-
-    def _update_topology(self) -> None:
-        self._topology = self._topology.avoiding(self.membership.avoided())
-        self._wanted = self._topology.links_of(self._own.vm)
-        self._zone = self._topology.zone_neighbours(self._own.vm)
-        self._maintain_now.set()
+    # Changes
 
     def _link_changed(self, link: Link, opened: bool) -> None:
         if not opened:
@@ -342,7 +320,7 @@
             self._calls.link_closed(link)
         else:
             self.membership.heard(VmStatus(link.peer, 0, VmState.LIVE), self._clock())
-            if link.peer.vm in self._wanted:
+            if link.peer.vm in self._neighbourhood.wanted:
                 self._send_heartbeat(link)
         self._maintain_now.set()
         self._changed()
@@ -351,6 +329,13 @@
         for listener in self._change_listeners:
             listener()
 
+    def _avoid_bad_vms(self) -> None:
+        self._neighbourhood.avoid(self.membership.avoided())
+        self._maintain_now.set()
+
+    def _is_busy(self, link: Link) -> bool:
+        return any(part.is_busy(link) for part in (self._requests, self._calls, self._service))
+
     def _vm_state_changed(self, fact: Fact) -> None:
         try:
             refutation = self.membership.apply(fact)
@@ -358,7 +343,7 @@
             self._metrics.count_drop("invalid_vm_state")
             return
         if refutation is not None:
-            self.publish(refutation)
+            self._publish_state(refutation)
         self._maintain_now.set()
 
     # Loops
@@ -366,46 +351,48 @@
     async def _heartbeat_loop(self) -> None:
         while True:
             await asyncio.sleep(self._timings.heartbeat_s * self._rng.uniform(0.95, 1.05))
-            for link in self._neighbours():
+            for link in self._neighbourhood.links():
                 self._send_heartbeat(link)
-            for fact in self.membership.tick(self._clock(), self._wanted):
-                self.publish(fact)
+            for fact in self.membership.tick(self._clock(), self._neighbourhood.wanted):
+                self._publish_state(fact)
+            if self._wall_clock() - self._state_published_at_s > VM_STATE_LIFETIME_S / 2:
+                self._publish_state(self.membership.refresh())
             self.facts.expire(self._wall_clock())
             self._note_changed_states()
 
+    def _publish_state(self, fact: Fact) -> None:
+        wall_s = self._wall_clock()
+        if fact.key == self._own.vm:
+            self._state_published_at_s = wall_s
+        self.publish(replace(fact, expires_at_s=wall_s + VM_STATE_LIFETIME_S))
+
     def _send_heartbeat(self, link: Link) -> None:
         own = self.membership.own
-        wanted = link.peer.vm in self._wanted
+        wanted = link.peer.vm in self._neighbourhood.wanted
         leaving = own.state is VmState.LEAVING
         link.send(Heartbeat(own.counter, leaving, wanted, self.facts.digest()))
 
     async def _maintenance_loop(self) -> None:
         while True:
             self._maintain_now.clear()
-            self._maintain(self._clock())
+            self._neighbourhood.maintain(self._clock())
+            self._gossip.send_confirmations()
             try:
                 async with asyncio.timeout(self._timings.maintenance_s):
                     await self._maintain_now.wait()
             except TimeoutError:
                 continue
 
-    def _maintain(self, now: float) -> None:
-        for vm in self._wanted:
-            self._connector.dial_when_due(vm, now)
-        for link in list(self._connector.links_by_vm.values()):
-            if not self._is_neighbour(link) and now - link.used_at_s > self._timings.idle_s:
-                self._connector.close_later(link)
-        self._gossip.send_confirmations()
-
     def _note_changed_states(self) -> None:
         """Log changes of state and let the topology avoid suspected and leaving VMs."""
         states_by_vm = self.membership.states_by_vm()
         changed = states_by_vm.items() - self._states_by_vm.items()
         for vm, state in sorted(changed):
             logger.info("VM state changed", extra={"vm": vm, "state": state.value})
+        self._states_by_vm = states_by_vm
+        self._neighbourhood.avoid(self.membership.avoided())
         if changed:
-            self._states_by_vm = states_by_vm
-            self._update_topology()
+            self._maintain_now.set()
             self._changed()
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/src/mangosaddle/peers/_requests.py
+++ b/src/mangosaddle/peers/_requests.py
@@ -51,6 +51,10 @@
             return
         future.set_result(response)
 
+    def is_busy(self, link: Link) -> bool:
+        """Return whether an answer is awaited on the link."""
+        return any(other is link for other, _ in self._pending)
+
     def link_closed(self, link: Link) -> None:
         """Fail the requests of a link."""
         for (other, _), future in list(self._pending.items()):
