--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -10,7 +10,7 @@
 from ..configuration import Configuration, RolloutPlan
 from ._evidence import KEPT_WINDOWS, Counter, Evidence, EvidenceKey, window_of
 from ._plan import share
-from ._verdict import Comparison, Finding, compare, compare_with_past
+from ._verdict import Comparison, Finding, compare, compare_together, compare_with_past
 
 HOLD_BACK = ((20, 0.05), (60, 0.15), (200, 0.4))
 """Requests of the new version below which the share is held back, and the share then.
@@ -242,6 +242,7 @@
     def _fault(self, plan: RolloutPlan, window: int) -> str | None:
         merged = self._evidence.merged(plan.model)
         windows = range(window, window - KEPT_WINDOWS, -1)
+        of_all_routes: list[Comparison] = []
         for route in sorted({key.route for key in merged}):
             pairs = [
                 Comparison(
@@ -250,10 +251,12 @@
                 )
                 for number in windows
             ]
+            of_all_routes += pairs
             finding = compare(pairs) or self._compare_with_past(plan, route, pairs)
             if finding is not None:
                 return f"{finding.fault} on {route}: {finding.reason}"
-        return None
+        finding = compare_together(of_all_routes)
+        return None if finding is None else f"{finding.fault} on all routes: {finding.reason}"
 
     def _compare_with_past(
         self, plan: RolloutPlan, route: str, pairs: list[Comparison]
--- a/src/mangosaddle/rollouts/_verdict.py
+++ b/src/mangosaddle/rollouts/_verdict.py
@@ -20,7 +20,8 @@
 """Answers of the old version without which its p95 is too uncertain."""
 PAST_MIN_RATE = 0.05
 PAST_FACTOR = 5.0
-MIN_FAILURES = 3
+MIN_HITS = 3
+"""Failures or slow answers without which no version is vetoed."""
 MIN_FAILURE_EXCESS = 0.01
 """Difference of failure rates below which a version is good enough."""
 SLOW_FACTOR_BUCKETS = BUCKETS_PER_DOUBLING
@@ -98,8 +99,20 @@
     The two newest windows count alone, which shows a fault at once; all of them together show it
     where traffic is thin.
     """
+    return _compare(windows, alone=2)
+
+
+def compare_together(windows: Sequence[Comparison]) -> Finding | None:
+    """Return the fault that only the windows of all routes together show.
+
+    A small share spread over many routes would otherwise take long to reach a sample.
+    """
+    return _compare(windows, alone=0)
+
+
+def _compare(windows: Sequence[Comparison], alone: int) -> Finding | None:
     usable = [window for window in windows if window.old.requests and window.new.requests]
-    return _compare_failures(usable) or _compare_latency(usable)
+    return _compare_failures(usable, alone) or _compare_latency(usable, alone)
 
 
 def compare_with_past(new: Counter, old: Counter) -> Finding | None:
@@ -116,13 +129,13 @@
     return _failures(stratum) if tail_probability(*stratum) < ALPHA else None
 
 
-def _compare_failures(windows: Sequence[Comparison]) -> Finding | None:
+def _compare_failures(windows: Sequence[Comparison], alone: int) -> Finding | None:
     strata = [(w.new.failures, w.new.requests, w.old.failures, w.old.requests) for w in windows]
-    found = _find(strata, MIN_FAILURES, MIN_FAILURE_EXCESS, ALPHA)
+    found = _find(strata, alone, MIN_FAILURE_EXCESS, ALPHA)
     return None if found is None else _failures(found)
 
 
-def _compare_latency(windows: Sequence[Comparison]) -> Finding | None:
+def _compare_latency(windows: Sequence[Comparison], alone: int) -> Finding | None:
     strata = []
     for window in windows:
         bucket = window.old.p95_bucket()
@@ -133,17 +146,17 @@
         strata.append(
             (new.answers_above(bound), new.answers(), old.answers_above(bound), old.answers())
         )
-    found = _find(strata, MIN_FAILURES, 0.05, ALPHA_LATENCY)
+    found = _find(strata, alone, 0.05, ALPHA_LATENCY)
     if found is None:
         return None
     reason = f"{found[0]} of {found[1]} slower than 2x the p95 of the old version"
     return Finding(Fault.LATENCY, f"{reason} ({found[2]} of {found[3]})")
 
 
-def _find(strata: list[_Stratum], least: int, excess: float, alpha: float) -> _Stratum | None:
-    """Return the stratum, or the sum of all, in which the new version has too many hits."""
-    for stratum in strata[:2]:
-        if _exceeds(stratum, least, excess) and tail_probability(*stratum) < alpha:
+def _find(strata: list[_Stratum], alone: int, excess: float, alpha: float) -> _Stratum | None:
+    """Return one of the first ``alone`` strata or the sum of all, if it has too many hits."""
+    for stratum in strata[:alone]:
+        if _exceeds(stratum, excess) and tail_probability(*stratum) < alpha:
             return stratum
     summed = (
         sum(s[0] for s in strata),
@@ -151,14 +164,14 @@
         sum(s[2] for s in strata),
         sum(s[3] for s in strata),
     )
-    if _exceeds(summed, least, excess) and stratified_bound(strata) < alpha:
+    if _exceeds(summed, excess) and stratified_bound(strata) < alpha:
         return summed
     return None
 
 
-def _exceeds(stratum: _Stratum, least: int, excess: float) -> bool:
+def _exceeds(stratum: _Stratum, excess: float) -> bool:
     hits_new, size_new, hits_old, size_old = stratum
-    if hits_new < least or size_old < MIN_REFERENCE:
+    if hits_new < MIN_HITS or size_old < MIN_REFERENCE:
         return False
     return hits_new / size_new >= hits_old / size_old + excess
 
--- a/src/mangosaddle/routing/_endpoint_state.py
+++ b/src/mangosaddle/routing/_endpoint_state.py
@@ -42,6 +42,7 @@
         self._ejections = 0
         self._ejected_until: float | None = None
         self._probing = False
+        self._down_at: float | None = None
 
     def capacity(self) -> float:
         """Return the requests that the endpoint runs at the same time, at least 1."""
@@ -79,7 +80,15 @@
     def reported(
         self, running: int, waiting: int, capacity: int, sampled_at: float, now: float
     ) -> None:
-        """Take a load report; one older than the report in hand is dropped."""
+        """Take a load report; one older than the report in hand is dropped.
+
+        A report sampled after a refused connection shows that the endpoint listens again: it is
+        probed without waiting for the whole ejection, which grows while the endpoint is away.
+        """
+        if self._down_at is not None and sampled_at > self._down_at:
+            self._down_at = None
+            if self._ejected_until is not None:
+                self._ejected_until = min(self._ejected_until, now)
         if self._reported is not None and sampled_at < self._sampled_at:
             return
         self._sampled_at = min(sampled_at, now)
@@ -101,6 +110,7 @@
     def fault(self, now: float, *, down: bool) -> None:
         """Note a failed attempt; ``down`` ejects at once, as for a refused connection."""
         self._failures_in_row += 1
+        self._down_at = now if down else self._down_at
         probe_failed = self._ejected_until is not None and now >= self._ejected_until
         if probe_failed or (
             self._ejected_until is None and (down or self._failures_in_row >= EJECT_FAILURES)
--- a/src/mangosaddle/routing/_placement.py
+++ b/src/mangosaddle/routing/_placement.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from ._affinity import PrefixMemory
+from ._affinity import PrefixMemory, hash64, rendezvous_score
 from ._endpoint_state import EndpointState
 from ._pool import Pool, PoolView
 
@@ -21,6 +21,8 @@
 New conversations that share a hot first prefix stop at the bound, which leaves room for the next
 turns of those that the endpoint has cached.
 """
+SHARED_AMONG = 4
+"""Endpoints among which the conversations with one shared prefix are spread."""
 
 Condition = Callable[[EndpointState], bool]
 
@@ -47,12 +49,28 @@
         state = view.states_by_id.get(remembered)
         if state is not None and _takes(view, state, wanted, REMEMBERED_ROOM * limit, now):
             return state
-    for state in pool.ranking(digests[0], now):
+    for state in _ranked(pool, digests, now):
         if _takes(view, state, wanted, limit, now):
             return state
     return None
 
 
+def _ranked(pool: Pool, digests: tuple[bytes, ...], now: float) -> list[EndpointState]:
+    """Return the endpoints of the shared prefix in the order of the conversation.
+
+    The shared prefix stays in few caches, and the turns of a conversation meet at one of them
+    whichever VM they come to.
+    """
+    ranking = list(pool.ranking(digests[0], now))
+    if len(digests) > 1:
+        key = hash64(digests[1])
+        ranking[:SHARED_AMONG] = sorted(
+            ranking[:SHARED_AMONG],
+            key=lambda state: -rendezvous_score(state.hash, key, state.weight(now)),
+        )
+    return ranking
+
+
 def place_by_load(
     pool: Pool, wanted: Condition, rng: random.Random, now: float
 ) -> EndpointState | None:
--- a/src/mangosaddle/routing/_regions.py
+++ b/src/mangosaddle/routing/_regions.py
@@ -17,6 +17,10 @@
 
 Capacity that comes back has cold caches, so traffic must not return to it all at once.
 """
+RISE_S = 30.0
+"""Time in which a region at its capacity comes to spill everything."""
+MAX_STEP_S = 5.0
+"""Longest time for which one sample of the usage counts."""
 REGION_LOAD_VALID_S = 15.0
 """Age after which a fact about a region is no longer believed."""
 UNREACHABLE_S = 5.0
@@ -24,28 +28,26 @@
 
 
 class Spill:
-    """Share of requests for one target that leaves the region."""
+    """Share of requests for one target that leaves the region.
+
+    It grows above ``SPILL_ABOVE``, shrinks below ``RETURN_BELOW`` and is kept in between. A share
+    that followed the usage at once would swing: the spill itself lowers the usage. Requests that
+    find no room spill beside it, so the growth may be slow.
+    """
 
     def __init__(self) -> None:
-        self._active = False
         self._share = 0.0
         self._updated_at: float | None = None
 
     def share(self, usage: float, now: float) -> float:
-        """Return the share to spill at this usage.
-
-        It follows the usage upwards at once and downwards over ``RETURN_S``.
-        """
+        """Return the share to spill, after the usage since the last call."""
+        elapsed = 0.0 if self._updated_at is None else min(MAX_STEP_S, now - self._updated_at)
+        self._updated_at = now
         if usage > SPILL_ABOVE:
-            self._active = True
+            speed = min(1.0, (usage - SPILL_ABOVE) / (1.0 - SPILL_ABOVE))
+            self._share = min(1.0, self._share + max(0.0, elapsed) * speed / RISE_S)
         elif usage < RETURN_BELOW:
-            self._active = False
-        wanted = 0.0
-        if self._active:
-            wanted = min(1.0, max(0.0, (usage - RETURN_BELOW) / (1.0 - RETURN_BELOW)))
-        elapsed = 0.0 if self._updated_at is None else max(0.0, now - self._updated_at)
-        self._updated_at = now
-        self._share = max(wanted, self._share - elapsed / RETURN_S)
+            self._share = max(0.0, self._share - max(0.0, elapsed) / RETURN_S)
         return self._share
 
 
--- a/tests/routing/test_router_decisions.py
+++ b/tests/routing/test_router_decisions.py
@@ -223,6 +223,17 @@
     assert 1 < later.count(N1) <= 10
 
 
+@pytest.mark.parametrize(("sampled_at", "expected"), [(9.0, {N2}), (11.0, {N1, N2})])
+def test_a_report_shows_that_a_refusing_endpoint_is_back(
+    sampled_at: float, expected: set[str]
+) -> None:
+    """Guards against returned capacity left unused, and against belief in an earlier report."""
+    north = router(engine("n1"), engine("n2"))
+    north.connection_refused(N1, 10.0)
+    north.load_reported(N1, 0, 0, 10, 11.5 - sampled_at, 11.5)
+    assert {kind(north.choose(request(i), 11.5, rng(i))) for i in range(9)} == expected
+
+
 def test_all_endpoints_ejected_are_used_all_the_same() -> None:
     """Guards against refusing everything after a fault of the VM's own network."""
     north = router(engine("n1"))
