Queue without threads, bind a resumed answer to its version, drop stuck callers

Cause: a request in the fair queue held a worker thread, so 64 waiting requests stopped the front end; a resumed answer could continue with another version; a caller that stopped reading held its endpoint for ever; a request between admission and relay was not counted by the drain; leaving endpoints of the platform's list were ignored. Change: the caller's socket moves to the loop before the queue; resume_version; 60 s limit; the drain counts admitted requests; leaving rows reach the router.

--- a/src/mangosaddle/client/_client.py
+++ b/src/mangosaddle/client/_client.py
@@ -18,7 +18,7 @@
 from ._exceptions import ClientError, Execution, IncompleteAnswer
 from ._http import AttemptFailed, Http, Request, read_all
 from ._problem import Problem
-from ._stream import END_MARKER, StreamBroken, delta_of, events_of
+from ._stream import END_MARKER, Event, StreamBroken, delta_of, events_of, version_of
 
 DEADLINE_S = 60.0
 """Default time that a request may take with its retries, counted anew when a token arrives."""
@@ -129,8 +129,10 @@
             failure: AttemptFailed | Problem
             try:
                 response = self._open(request, attempts)
-                for text in self._texts(response):
+                for event, text in self._texts(response):
                     received += 1
+                    # Another version would continue with another answer.
+                    body["resume_version"] = version_of(event)
                     attempts.received()
                     yield text
                 return
@@ -241,7 +243,7 @@
                 continue
             attempts.note(Problem.from_body(response.status, body, response.headers))
 
-    def _texts(self, response: urllib3.BaseHTTPResponse) -> Iterator[str]:
+    def _texts(self, response: urllib3.BaseHTTPResponse) -> Iterator[tuple[Event, str]]:
         """Return the texts of token events until the end marker; any other end is raised."""
         try:
             for event in events_of(_chunks(response)):
@@ -252,7 +254,7 @@
                     return
                 text = delta_of(event)
                 if text is not None:
-                    yield text
+                    yield event, text
             raise AttemptFailed(sent=True)
         except (HTTPError, OSError, StreamBroken) as error:
             raise AttemptFailed(sent=True) from error
--- a/src/mangosaddle/client/_stream.py
+++ b/src/mangosaddle/client/_stream.py
@@ -43,6 +43,15 @@
                 name, data = "", []
 
 
+def version_of(event: Event) -> str | None:
+    """Return the model and version that produced an event, as ``model@version``."""
+    try:
+        model = json.loads(event.data).get("model")
+    except (ValueError, AttributeError):
+        return None
+    return model if isinstance(model, str) and "@" in model else None
+
+
 def delta_of(event: Event) -> str | None:
     """Return the text of a token event, ``None`` for other events.
 
--- a/src/mangosaddle/daemon/_load_service.py
+++ b/src/mangosaddle/daemon/_load_service.py
@@ -12,7 +12,13 @@
 from ..gateway import RouteDesk
 from ..membership import HIGHEST_VERSION, PER_ORIGIN, Fact, FactKind, rendezvous
 from ..peers import PeerNode
-from ..platform import EngineClient, EngineLoad, PlatformMetrics
+from ..platform import (
+    EngineClient,
+    EngineLoad,
+    ListedVmRow,
+    ListedVmState,
+    PlatformMetrics,
+)
 from ..routing import CrashReport, RegionLoad
 from ._blocking import BlockingCalls
 from ._tasks import BackgroundTasks
@@ -58,6 +64,7 @@
         self._engines: tuple[Endpoint, ...] = ()
         self._published_crashes: frozenset[CrashReport] = frozenset()
         self._version = 0
+        self._listed_leaving: set[str] = set()
 
     def start(self) -> None:
         """Handle facts and begin to poll."""
@@ -80,6 +87,15 @@
             if urls.get(endpoint) != self._urls_by_endpoint[endpoint]:
                 del self._clients_by_endpoint[endpoint]
 
+    def list_read(self, rows: tuple[ListedVmRow, ...], _requested_s: float, now: float) -> None:
+        """Give no new work to endpoints whose VMs the platform's list shows as leaving."""
+        leaving = {str(row.id) for row in rows if row.state is ListedVmState.LEAVING}
+        for endpoint in leaving - self._listed_leaving:
+            self._routes.router.endpoint_leaving(EndpointId(endpoint))
+        for endpoint in self._listed_leaving - leaving:
+            self._routes.router.endpoint_live(EndpointId(endpoint), now)
+        self._listed_leaving = leaving
+
     def client_of(self, endpoint: Endpoint) -> EngineClient:
         """Return the client of an engine."""
         client = self._clients_by_endpoint.get(endpoint.id)
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -247,6 +247,7 @@
         self._loads.start()
         self._rollouts.start()
         self.fleet.on_list(self.allowances.list_read)
+        self.fleet.on_list(self._loads.list_read)
         self.fleet.start()
         self._tasks.every(STALL_CHECK_S, self._check_stalled)
         self._tasks.every(PENDING_ORDERS_S, self._release_pending_orders)
@@ -277,7 +278,7 @@
         self._exited.set()
 
     def _active(self) -> int:
-        return self.chats.open_relays + self._desk.running + self._peers.forwards_running
+        return self.chats.active + self._desk.running + self._peers.forwards_running
 
     def wait_until_drained(self, timeout_s: float | None = None) -> bool:
         """Wait for the end of a drain."""
--- a/src/mangosaddle/gateway/_chat_request.py
+++ b/src/mangosaddle/gateway/_chat_request.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
-from .._identifiers import ModelName, RequestId
+from .._identifiers import ModelName, RequestId, VersionId
 from ..routing import RequestClass
 from ._messages import CallerRequest
 from ._problems import Finding, Problem
@@ -44,6 +44,7 @@
     stream: bool = False
     max_tokens: int = Field(default=DEFAULT_OUTPUT_TOKENS, ge=1, le=MAX_OUTPUT_TOKENS)
     resume_from: int = Field(default=0, ge=0)
+    resume_version: str | None = Field(default=None, max_length=128)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +63,8 @@
     """Upper bound of the answer's length."""
     resume_from: int
     """Token events that the caller already has."""
+    resume_version: VersionId | None
+    """Version that produced them; only the same version can continue an answer."""
     prefix_digests: tuple[bytes, ...]
     """Digests of growing prefixes of the prompt, shortest first."""
     body_digest: bytes
@@ -93,7 +96,7 @@
 def _chat_request(
     request_id: RequestId, document: ChatDocument, request_class: RequestClass
 ) -> ChatRequest:
-    payload = document.model_dump(mode="json")
+    payload = document.model_dump(mode="json", exclude={"resume_version"})
     payload["stream"] = True
     payload.setdefault("stream_options", {"include_usage": True})
     text = "\x1e".join(f"{m.role}\x1f{m.content}" for m in document.messages).encode()
@@ -106,11 +109,17 @@
         prompt_tokens=_estimate_tokens(document.messages),
         output_tokens=document.max_tokens,
         resume_from=document.resume_from,
+        resume_version=_version_of(document.resume_version),
         prefix_digests=_prefix_digests(text),
         body_digest=hashlib.sha256(document.model.encode() + b"\x1d" + text).digest(),
     )
 
 
+def _version_of(name: str | None) -> VersionId | None:
+    """Return the version in a name such as ``advisor@v1``, as answers show it."""
+    return VersionId(name.rpartition("@")[2]) if name else None
+
+
 def _estimate_tokens(messages: list[MessageDocument]) -> int:
     # A tokenizer makes about one token of four bytes and at least one of each word.
     return sum(
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -1,6 +1,7 @@
 """Decides about chat requests and watches over their relays; loop thread only."""
 
 import asyncio
+import logging
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, replace
@@ -8,7 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-from .._identifiers import OrganisationId, VersionId
+from .._identifiers import EndpointId, OrganisationId, VersionId
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
 from ..peers import ForwardAnswer, ForwardEnd
@@ -32,7 +33,9 @@
     refuse_withdrawn_stream,
 )
 from ._relay import CollectSink, Relay, Sink, StreamSink, attach_caller, attach_endpoint
-from ._route_desk import RouteDesk
+from ._route_desk import RouteDesk, Waiting
+
+_log = logging.getLogger(__name__)
 
 FIRST_TOKEN_LIMIT_S = 60.0
 STALL_LIMIT_S = 10.0
@@ -41,6 +44,8 @@
 of it: the caller may send it again at once, to any of them."""
 CHAT_ROUTE = "/v1/chat/completions"
 
+SLOW_CALLER_LIMIT_S = 60.0
+
 Target = Chosen | Forward
 
 
@@ -67,7 +72,7 @@
     reservation: int | None
     """``None`` when another VM holds the reservation."""
     route: RouteRequest
-    target: Target
+    target: Target | Waiting
     started_at: float
     """Event loop time in seconds."""
     attempt_at: float
@@ -103,6 +108,12 @@
         self._wall_clock = wall_clock
         self._open_by_relay: dict[Relay, OpenChat] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._admitted = 0
+
+    @property
+    def active(self) -> int:
+        """Number of requests that have been admitted and not yet ended."""
+        return self._admitted
 
     @property
     def open_relays(self) -> int:
@@ -156,20 +167,19 @@
             fingerprint=f"{organisation}/{chat.body_digest.hex()}",
             cost=float(chat.bound_tokens),
         )
-        try:
-            decision = await self._routes.choose(request)
-        except asyncio.CancelledError:
-            self._settle(reservation, 0)
-            raise
+        decision = self._routes.choose_now(request)
         if isinstance(decision, Refused):
             self._settle(reservation, 0)
             return self._refuse(chat, organisation, refuse_routing(decision))
         now = asyncio.get_running_loop().time()
+        self._admitted += 1
         return Success(
             OpenChat(chat, organisation, caller, reservation, request, decision, now, now)
         )
 
     def _versions(self, chat: ChatRequest) -> tuple[VersionId, ...]:
+        if chat.resume_from and chat.resume_version is not None:
+            return (chat.resume_version,)
         digest = chat.body_digest + str(chat.request_id).encode()
         return self._rollouts.versions_for(chat.model, digest, self._wall_clock())
 
@@ -204,10 +214,12 @@
         self._metrics.attempts.labels(type(error).__name__).inc()
         kind = self._routes.failed(open_chat.route, open_chat.target, error)
         if kind is not FailureKind.CONNECTION_REFUSED and open_chat.target.version is not None:
-            self._record(open_chat, None)
+            lost = kind is FailureKind.CONNECTION_LOST
+            self._record(open_chat, None, open_chat.target.endpoint if lost else None)
 
     async def give_up(self, open_chat: OpenChat, problem: Problem) -> None:
         """Settle a request that ended before its relay began."""
+        self._admitted -= 1
         self._settle(open_chat.reservation, 0)
         self._count(open_chat.organisation, open_chat.chat.request_class, problem.code)
 
@@ -264,12 +276,32 @@
         if stream is not None:
             self._spawn(attach_endpoint(relay, stream))
         else:
-            self._spawn(self._connect(open_chat, relay))
+            self._spawn(self._wait_and_connect(open_chat, relay))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            _log.error("a request's task failed", exc_info=error)
+
+    async def _wait_and_connect(self, open_chat: OpenChat, relay: Relay) -> None:
+        """Wait for the queue's decision if there is none yet, then attach a source."""
+        waiting = open_chat.target
+        if isinstance(waiting, Waiting):
+            decision = await self._routes.wait(waiting)
+            now = asyncio.get_running_loop().time()
+            relay.last_data_at = open_chat.attempt_at = now
+            if isinstance(decision, Refused):
+                relay.fail(refuse_routing(decision))
+                return
+            open_chat.target = decision
+            if relay.closed and isinstance(decision, Chosen):
+                self._routes.cancelled(open_chat.route, decision)
+        await self._connect(open_chat, relay)
 
     async def _connect(self, open_chat: OpenChat, relay: Relay) -> None:
         """Attach a source to the relay, trying further targets while the budget allows."""
@@ -277,6 +309,7 @@
             if isinstance(open_chat.target, Forward):
                 self._connect_forward(open_chat, relay, open_chat.target)
                 return
+            assert isinstance(open_chat.target, Chosen)
             try:
                 stream = await self._opener.open(
                     open_chat.target, open_chat.chat, relay.buffer.tokens
@@ -331,7 +364,7 @@
             self._spawn(self._resume(open_chat, relay))
 
     async def _resume(self, open_chat: OpenChat, relay: Relay) -> None:
-        if isinstance(open_chat.target, Forward):
+        if not isinstance(open_chat.target, Chosen):
             relay.fail(CUT_ANSWER)
             return
         # Only the same version continues an answer; another one would mix two answers.
@@ -351,6 +384,9 @@
         if open_chat is None:
             return
         self._metrics.open_streams.dec()
+        self._admitted -= 1
+        if isinstance(open_chat.target, Waiting):
+            self._routes.abandon(open_chat.target)
         if open_chat.caller is not None:
             self._keys.unregister_stream(open_chat.caller.key_id, open_chat.chat.request_id)
         complete = relay.buffer.is_complete
@@ -374,7 +410,12 @@
         self._routes.cancelled(open_chat.route, target)
         self._opener.cancel(target, open_chat.chat)
 
-    def _record(self, open_chat: OpenChat, latency_s: float | None) -> None:
+    def _record(
+        self,
+        open_chat: OpenChat,
+        latency_s: float | None,
+        lost_endpoint: EndpointId | None = None,
+    ) -> None:
         target = open_chat.target
         if isinstance(target, Chosen) and target.version is not None:
             route = open_chat.chat.request_class.value
@@ -383,6 +424,7 @@
                 target.version,
                 route,
                 latency_s=latency_s,
+                lost_endpoint=lost_endpoint,
                 wall_time=self._wall_clock(),
             )
 
@@ -397,8 +439,12 @@
     def cut_stalled(self, now: float) -> None:
         """Give up sources that have sent nothing for too long; call it each second."""
         for relay in list(self._open_by_relay):
+            if relay.paused_for_s(now) > SLOW_CALLER_LIMIT_S:
+                relay.abandon()
+                continue
             limit_s = STALL_LIMIT_S if relay.buffer.tokens else FIRST_TOKEN_LIMIT_S
-            if not relay.is_paused and now - relay.last_data_at > limit_s:
+            is_waiting = isinstance(self._open_by_relay[relay].target, Waiting)
+            if not is_waiting and not relay.is_paused and now - relay.last_data_at > limit_s:
                 relay.last_data_at = now
                 relay.cut_source()
 
--- a/src/mangosaddle/gateway/_forwarding.py
+++ b/src/mangosaddle/gateway/_forwarding.py
@@ -141,6 +141,10 @@
         end = ForwardEnd(complete=False, execution=problem.execution.value, reason=problem.code)
         self._waiting.put_nowait(end)
 
+    def abandon(self) -> None:
+        """Queue the end of an answer that the other VM does not read."""
+        self._waiting.put_nowait(ForwardEnd(complete=False, reason="not read"))
+
     async def answers(self) -> AsyncIterator[ForwardAnswer]:
         """Yield the answer's parts up to its end."""
         yield ForwardHead(200, EVENT_STREAM)
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -34,6 +34,9 @@
     def fail(self, problem: Problem) -> None:
         """End an answer that cannot be completed."""
 
+    def abandon(self) -> None:
+        """Drop the connection with what it has not read."""
+
 
 class Source(Protocol):
     """Where an answer comes from."""
@@ -66,7 +69,7 @@
 
     __slots__ = (
         "_observer",
-        "_paused",
+        "_paused_at",
         "_sink",
         "_source",
         "buffer",
@@ -87,12 +90,16 @@
         self._observer = observer
         self._sink: Sink | None = None
         self._source: Source | None = None
-        self._paused = False
+        self._paused_at: float | None = None
 
     @property
     def is_paused(self) -> bool:
         """Whether the source waits for a slow caller."""
-        return self._paused
+        return self._paused_at is not None
+
+    def paused_for_s(self, now: float) -> float:
+        """Return how long the source has waited for a slow caller."""
+        return 0.0 if self._paused_at is None else now - self._paused_at
 
     def attach_sink(self, sink: Sink) -> None:
         """Set where the answer goes."""
@@ -104,7 +111,7 @@
         self.last_data_at = now
         if self.closed:
             source.close()
-        elif self._paused:
+        elif self.is_paused:
             source.pause()
 
     def feed(self, data: bytes, now: float) -> None:
@@ -145,6 +152,12 @@
             self._sink.fail(problem)
         self._close()
 
+    def abandon(self) -> None:
+        """Give a caller up that does not read its answer."""
+        if self._sink is not None:
+            self._sink.abandon()
+        self.sink_lost()
+
     def sink_lost(self) -> None:
         """Handle a caller that is gone."""
         if not self.closed:
@@ -153,13 +166,15 @@
 
     def pause_source(self) -> None:
         """Stop the source while the caller is slow."""
-        self._paused = True
+        self._paused_at = asyncio.get_running_loop().time()
         if self._source is not None:
             self._source.pause()
 
     def resume_source(self) -> None:
         """Let the source deliver again."""
-        self._paused = False
+        if self._paused_at is not None:
+            self.last_data_at = asyncio.get_running_loop().time()
+        self._paused_at = None
         if self._source is not None:
             self._source.resume()
 
@@ -235,6 +250,11 @@
         if self._transport is not None:
             self._transport.write(data)
 
+    def abandon(self) -> None:
+        """Drop the connection with what it has not read."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def _close(self) -> None:
         if self._transport is not None:
             # cheroot's own copy of the socket may still be open, so closing alone sends no FIN.
--- a/src/mangosaddle/gateway/_route_desk.py
+++ b/src/mangosaddle/gateway/_route_desk.py
@@ -41,6 +41,14 @@
     target: Chosen | Forward
 
 
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request's place in the fair queue."""
+
+    request: RouteRequest
+    future: "asyncio.Future[Chosen | Forward | Refused]"
+
+
 class RouteDesk:
     """Gives each request a target, now or when the queue releases it."""
 
@@ -54,28 +62,39 @@
         endpoints, and the other VMs have to learn of it at once."""
         self._waiting_by_request: dict[str, asyncio.Future[Chosen | Forward | Refused]] = {}
 
-    async def choose(self, request: RouteRequest) -> Chosen | Forward | Refused:
-        """Return a target, after waiting in the fair queue if all endpoints are full."""
+    def choose_now(self, request: RouteRequest) -> Chosen | Forward | Refused | Waiting:
+        """Return a target, or the place in the fair queue if all endpoints are full."""
         decision = self.router.choose(request, self._clock(), self._rng)
         if not isinstance(decision, Queue):
             return decision
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_request[request.request_id] = future
+        return Waiting(request, future)
+
+    async def choose(self, request: RouteRequest) -> Chosen | Forward | Refused:
+        """Return a target, after waiting in the fair queue if all endpoints are full."""
+        decision = self.choose_now(request)
+        return await self.wait(decision) if isinstance(decision, Waiting) else decision
+
+    async def wait(self, waiting: Waiting) -> Chosen | Forward | Refused:
+        """Return the target of a waiting request; a cancelled wait gives its place up."""
+        request, future = waiting.request, waiting.future
         try:
-            released: Chosen | Forward | Refused = await future
+            return await future
         except asyncio.CancelledError:
-            self._abandon(request, future)
+            self.abandon(waiting)
             raise
         finally:
             self._waiting_by_request.pop(request.request_id, None)
-        return released
 
-    def _abandon(
-        self, request: RouteRequest, future: "asyncio.Future[Chosen | Forward | Refused]"
-    ) -> None:
+    def abandon(self, waiting: Waiting) -> None:
+        """Give up a place in the queue, or the target that it has just brought."""
+        request, future = waiting.request, waiting.future
         self.router.cancel(request.request_id)
-        if future.done() and not future.cancelled() and isinstance(future.result(), Chosen):
-            self.cancelled(request, future.result())  # type: ignore[arg-type]
+        if not future.done():
+            future.set_result(Refused(RefusalReason.QUEUE_TIMEOUT, None))
+        elif not future.cancelled() and isinstance(chosen := future.result(), Chosen):
+            self.cancelled(request, chosen)
 
     def release(self) -> None:
         """Give waiting requests their targets; call it each 100 ms and after each end."""
