--- a/tests/orders/test_entry_orders.py
+++ b/tests/orders/test_entry_orders.py
@@ -144,6 +144,16 @@
     assert isinstance(decision, expected)
 
 
+@pytest.mark.parametrize(("now", "expected"), [(2.0, Execute), (ENDS, RefuseNotRun)])
+def test_unsent_order_may_be_repeated_until_it_expires(now: float, expected: type) -> None:
+    """An order that reached nobody must not use its id up."""
+    own = issuer()
+    table, text = EntryOrders(own), own.issue(1, 0.0)[0]
+    assert table.begin(text, ORGANISATION, "d", 1.0, hops=0) == Execute()
+    assert table.finish(text, NotSent("refused")) == RefuseNotRun("refused")
+    assert isinstance(table.begin(text, ORGANISATION, "d", now, hops=0), expected)
+
+
 def test_clock_that_goes_back_does_not_revive_an_id() -> None:
     """An id whose use was forgotten after its expiry must not run again."""
     own = issuer()
