End delayed calls of the store stand-in when the delay is switched off

Slow-store cases left handlers asleep, so stopping the host waited 0.5 s for each and printed pending tasks in one of the runs. Waiting calls now notice that the delay is off.

--- a/src/mangosaddle/standins/_store.py
+++ b/src/mangosaddle/standins/_store.py
@@ -11,6 +11,7 @@
 
 VALUE_LIMIT_BYTES = 1_048_576
 WATCH_LIMIT_S = 600.0
+DELAY_STEP_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +33,7 @@
     lose_write_answers: int = 0
     """This many of the next writes take effect and their answers are lost."""
     delay_s: float = 0.0
-    """Time before each answer."""
+    """Time before each answer; 0 also ends the delay of calls that wait already."""
     garbage_answers: int = 0
     """This many of the next answers are not understandable; writes take effect."""
     oversized_answer_bytes: int = 0
@@ -77,8 +78,10 @@
         return None
 
     async def _meet_faults(self, request: web.Request) -> None:
-        if self.faults.delay_s:
-            await asyncio.sleep(self.faults.delay_s)
+        loop = asyncio.get_running_loop()
+        delayed_until = loop.time() + self.faults.delay_s
+        while self.faults.delay_s and loop.time() < delayed_until:
+            await asyncio.sleep(max(0.0, min(DELAY_STEP_S, delayed_until - loop.time())))
         if self.faults.down:
             self._cut(request)
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -80,7 +80,9 @@
     )
     impatient = StoreClient(url, metrics, read_timeout_s=0.1)
     yield StoreUnderTest(standin, client, fake_time, registry, standin_host, impatient)
+    standin.faults.delay_s = 0.0
     client.close()
+    impatient.close()
 
 
 READS: dict[str, Callable[[StoreClient], Any]] = {
