Watch a small head of the configuration and work beside the event loop

Change: watchers follow the key configuration-head (revision, nonce, delta of the newest change), which is written after the configuration and repaired by any watcher that finds it behind. Encoding, decoding, deltas and edits run in worker threads. Edits of an authenticated operator may have 8 MiB; every other request keeps 1 MiB.

--- a/src/mangosaddle/daemon/_administration.py
+++ b/src/mangosaddle/daemon/_administration.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from typing import TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -22,6 +23,8 @@
 from ._key_service import KeyService
 from ._rollout_service import RolloutService
 
+Value = TypeVar("Value")
+
 CONFIRMATION_WAIT_S = 2.0
 CONFIRMATION_POLL_S = 0.05
 
@@ -53,6 +56,14 @@
         """Return the versions that have been taken back."""
         return self._rollouts.vetoed()
 
+    async def compute(self, function: Callable[[], Value]) -> Value:
+        """Run a long pure function beside the event loop."""
+        return await self._configurations.compute(function)
+
+    async def refresh(self) -> None:
+        """Read the store once and apply what is newer."""
+        await self._configurations.refresh()
+
     async def store(self, edited: Configuration, expected: int) -> Result[int, Problem]:
         """Store an edit if the revision is the expected one."""
         return await self._configurations.store(edited, expected)
--- /dev/null
+++ b/src/mangosaddle/daemon/_configuration_head.py
@@ -0,0 +1,78 @@
+"""Companion of the configuration in the store: small enough to be watched."""
+
+import base64
+import json
+import secrets
+from dataclasses import dataclass
+
+from pydantic import Base64Bytes, BaseModel, ConfigDict, Field, ValidationError
+from returns.result import Success
+
+from ..platform import Conflict, StoreClient, StoreEntry
+
+HEAD_KEY = "configuration-head"
+MAX_DELTA_BYTES = 64 * 1024
+"""Larger deltas are left out of facts and of the head: readers then fetch the whole document."""
+RAISE_ATTEMPTS = 4
+
+
+class _HeadModel(BaseModel):
+    """The head as JSON."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    revision: int = Field(ge=1)
+    nonce: str
+    delta: Base64Bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationHead:
+    """The newest change of the configuration."""
+
+    revision: int
+    delta: bytes
+    """Encoded delta that leads to the revision; empty when the whole value has to be read."""
+
+    def to_bytes(self, nonce: str) -> bytes:
+        """Return the value for the store; the nonce tells equal heads of two writers apart."""
+        delta = base64.b64encode(self.delta).decode()
+        document = {"revision": self.revision, "nonce": nonce, "delta": delta}
+        return json.dumps(document).encode()
+
+    @classmethod
+    def from_entry(cls, entry: StoreEntry | None) -> "ConfigurationHead | None":
+        """Return the head in the store, ``None`` when it is missing or cannot be read."""
+        if entry is None:
+            return None
+        try:
+            model = _HeadModel.model_validate_json(entry.value)
+        except ValidationError:
+            return None
+        return cls(model.revision, model.delta)
+
+
+def raise_head(store: StoreClient, head: ConfigurationHead, resolve_s: float) -> bool:
+    """Write the head unless the store has the same or a newer one; blocks.
+
+    Returns whether the store's head is not older now; ``False`` when the store did not say so
+    within ``resolve_s`` seconds for each attempt.
+    """
+    value = head.to_bytes(secrets.token_hex(16))
+    found = store.read(HEAD_KEY)
+    if not isinstance(found, Success):
+        return False
+    entry = found.unwrap()
+    for _ in range(RAISE_ATTEMPTS):
+        stored = ConfigurationHead.from_entry(entry)
+        if stored is not None and stored.revision >= head.revision:
+            return True
+        index = entry.modify_index if entry is not None else 0
+        written = store.compare_and_swap_resolved(HEAD_KEY, value, index, resolve_s)
+        if isinstance(written, Success):
+            return True
+        failure = written.failure()
+        if not isinstance(failure, Conflict) or failure.current_index is None:
+            return False
+        entry = failure.entry
+    return False
--- a/src/mangosaddle/daemon/_configuration_service.py
+++ b/src/mangosaddle/daemon/_configuration_service.py
@@ -5,7 +5,8 @@
 import random
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -14,26 +15,34 @@
     Configuration,
     ConfigurationError,
     Delta,
+    TooLargeError,
     decode_configuration,
     encode_configuration,
     merge_delta,
+    with_digest,
 )
 from ..gateway import Execution, Problem, revision_conflict
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import PeerError, PeerNode, register
 from ..platform import Conflict, StoreClient, StoreEntry, ValueTooLarge, WriteOutcomeUnknown
 from ._blocking import BlockingCalls
+from ._configuration_head import MAX_DELTA_BYTES, ConfigurationHead, raise_head
 from ._configuration_holder import ConfigurationHolder
+from ._configuration_watch import (
+    RESOLVE_S,
+    RETRY_INITIAL_S,
+    RETRY_MAX_S,
+    ConfigurationWatch,
+    WatchPort,
+)
 from ._tasks import BackgroundTasks
 
 CONFIGURATION_KEY = "configuration"
 CONFIGURATION_KIND = FactKind("configuration", HIGHEST_VERSION)
-WATCH_S = 20.0
-RETRY_INITIAL_S = 0.2
-RETRY_MAX_S = 3.0
-NOT_WATCHING_S = 1.0
-PULL_TIMEOUT_S = 2.0
-RESOLVE_S = 2.0
+PULL_TIMEOUT_S = 5.0
+"""Includes the time in which the other VM encodes a configuration of the target scale, 1.1 s."""
+
+Value = TypeVar("Value")
 
 _log = logging.getLogger(__name__)
 
@@ -83,15 +92,35 @@
         self._rng = rng
         self._loaded = asyncio.Event()
         self._pulling = False
+        self._encoding = asyncio.Lock()
+        self._encoded = ConfigurationAnswer(0, b"")
+        self._watch = ConfigurationWatch(self._watch_port(), store, blocking, rng)
         self.store_ok = False
         """Whether the newest call to the store was answered."""
 
+    def _watch_port(self) -> WatchPort:
+        return WatchPort(
+            is_watcher=lambda: self._own in self._peers.membership.config_watchers(self._region),
+            revision=lambda: self._holder.current.revision,
+            newest_delta=self._newest_delta,
+            take_delta=self._take_delta,
+            read_whole=self.refresh,
+            answered=self._store_answered,
+        )
+
+    def _store_answered(self, answered: bool) -> None:
+        self.store_ok = answered
+
     def start(self) -> None:
         """Begin to load the configuration, to watch the store and to answer other VMs."""
         self._peers.on_fact(CONFIGURATION_KIND.name, self._fact_received)
         self._peers.on_message(ConfigurationRequest, self._answer)
-        self._tasks.spawn(self._load())
-        self._tasks.spawn(self._watch())
+        self._tasks.spawn(self._run())
+
+    async def _run(self) -> None:
+        await self._load()
+        self._tasks.spawn(self._watch.follow())
+        self._tasks.spawn(self._watch.keep_up())
 
     async def loaded(self) -> None:
         """Wait until a configuration has been applied."""
@@ -101,54 +130,70 @@
         """Load from the store, or from another VM while the store is down."""
         pause_s = RETRY_INITIAL_S
         while not self._holder.is_loaded:
-            result = await self._blocking.run(self._store.read, CONFIGURATION_KEY)
-            self.store_ok = isinstance(result, Success)
-            if isinstance(result, Success):
-                self._take_entry(result.unwrap())
-            else:
+            self.store_ok = await self.refresh() is not None
+            if not self.store_ok:
                 await self._pull_from_any()
             if not self._holder.is_loaded:
                 await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
                 pause_s = min(pause_s * 2, RETRY_MAX_S)
 
-    def _take_entry(self, entry: StoreEntry | None) -> None:
+    async def _take_entry(self, entry: StoreEntry | None) -> None:
         if entry is None or entry.modify_index <= self._holder.current.revision:
             return
         try:
-            stored = decode_configuration(entry.value, entry.modify_index)
+            stored = await self._blocking.run(decode_configuration, entry.value, entry.modify_index)
         except ConfigurationError:
             _log.exception("the stored configuration cannot be read")
             return
-        self._apply(stored.configuration, publish=True)
-
-    def _apply(self, candidate: Configuration, *, publish: bool) -> None:
-        base = self._holder.current
-        if not self._holder.offer(candidate):
-            return
-        self._loaded.set()
-        if publish:
-            known = self._peers.facts.find(CONFIGURATION_KIND.name, CONFIGURATION_KEY)
-            if known is None or known.version < candidate.revision:
-                self._publish(base, candidate)
-
-    def _publish(self, base: Configuration, candidate: Configuration) -> None:
-        payload = Delta.between(base, candidate).to_bytes() if base.revision else b""
-        self._peers.publish(
-            self._peers.new_fact(
-                CONFIGURATION_KIND.name, CONFIGURATION_KEY, candidate.revision, payload
-            )
-        )
+        await self._take(self._holder.current, stored.configuration)
+
+    async def _take(self, base: Configuration, candidate: Configuration) -> bytes:
+        """Apply a configuration of the store, spread it, and return the delta from the base."""
+        self._apply(candidate)
+        delta = b""
+        if 0 < base.revision < candidate.revision:
+            delta = await self._blocking.run(_delta_bytes, base, candidate)
+        self._publish(candidate.revision, delta)
+        return delta
+
+    def _apply(self, candidate: Configuration) -> None:
+        if self._holder.offer(candidate):
+            self._loaded.set()
+
+    def _publish(self, revision: int, delta: bytes) -> None:
+        """Spread a change unless the VMs have it from another origin."""
+        known = self._peers.facts.find(CONFIGURATION_KIND.name, CONFIGURATION_KEY)
+        if known is None or known.version < revision:
+            fact = self._peers.new_fact(CONFIGURATION_KIND.name, CONFIGURATION_KEY, revision, delta)
+            self._peers.publish(fact)
+
+    def _newest_delta(self) -> bytes:
+        known = self._peers.facts.find(CONFIGURATION_KIND.name, CONFIGURATION_KEY)
+        fits = known is not None and known.version == self._holder.current.revision
+        return known.payload if known is not None and fits else b""
+
+    def _take_delta(self, payload: bytes) -> None:
+        """Apply a delta of the head and spread it."""
+        if self._apply_delta(payload):
+            self._publish(self._holder.current.revision, payload)
+
+    def _apply_delta(self, payload: bytes) -> bool:
+        try:
+            merged = merge_delta(self._holder.current, Delta.from_bytes(payload))
+        except ConfigurationError as error:
+            # A step was missed: the delta does not start at this VM's revision.
+            _log.info("configuration delta does not fit", extra={"reason": str(error)})
+            return False
+        if merged is self._holder.current:
+            return False
+        self._apply(merged)
+        return True
 
     def _fact_received(self, fact: Fact) -> None:
         if fact.version <= self._holder.current.revision:
             return
         if fact.payload and self._holder.is_loaded:
-            try:
-                delta = Delta.from_bytes(fact.payload)
-                self._apply(merge_delta(self._holder.current, delta), publish=False)
-            except ConfigurationError:
-                # A step was missed: the delta does not start at this VM's revision.
-                _log.info("configuration delta does not fit", extra={"revision": fact.version})
+            self._apply_delta(fact.payload)
         if fact.version > self._holder.current.revision:
             self._tasks.spawn(self._pull(fact))
 
@@ -184,43 +229,34 @@
         if not isinstance(answer, ConfigurationAnswer) or not answer.encoded:
             return False
         try:
-            stored = decode_configuration(answer.encoded, answer.revision)
+            stored = await self._blocking.run(decode_configuration, answer.encoded, answer.revision)
         except ConfigurationError:
             _log.exception("configuration of a peer cannot be read", extra={"vm": vm})
             return False
-        self._apply(stored.configuration, publish=False)
+        self._apply(stored.configuration)
         return True
 
-    def _answer(self, _sender: VmId, request: ConfigurationRequest) -> ConfigurationAnswer:
+    async def _answer(self, _sender: VmId, request: ConfigurationRequest) -> ConfigurationAnswer:
         current = self._holder.current
         if current.revision <= request.revision:
             return ConfigurationAnswer(current.revision, b"")
-        return ConfigurationAnswer(current.revision, encode_configuration(current, ""))
+        # Many VMs may ask after a missed step: the lock lets one of them pay for the encoding.
+        async with self._encoding:
+            current = self._holder.current
+            if self._encoded.revision != current.revision:
+                encoded = await self._blocking.run(encode_configuration, current, "")
+                self._encoded = ConfigurationAnswer(current.revision, encoded)
+            return self._encoded
 
-    async def _watch(self) -> None:
-        """Watch the store while this VM is one of its region's watchers."""
-        await self._loaded.wait()
-        pause_s = RETRY_INITIAL_S
-        while True:
-            if self._own not in self._peers.membership.config_watchers(self._region):
-                await asyncio.sleep(NOT_WATCHING_S)
-                continue
-            index = self._holder.current.revision
-            result = await self._blocking.run(self._store.watch, CONFIGURATION_KEY, index, WATCH_S)
-            self.store_ok = isinstance(result, Success)
-            if isinstance(result, Success):
-                pause_s = RETRY_INITIAL_S
-                self._take_entry(result.unwrap().entry)
-                if result.unwrap().restarted:
-                    await asyncio.sleep(NOT_WATCHING_S)
-            else:
-                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
-                pause_s = min(pause_s * 2, RETRY_MAX_S)
+    async def compute(self, function: Callable[[], Value]) -> Value:
+        """Run a long pure function in a thread, so that the event loop relays meanwhile."""
+        return await self._blocking.run(function)
 
     async def store(self, edited: Configuration, expected: int) -> Result[int, Problem]:
         """Store an edit if the store still has the expected revision; return the new one."""
+        base = self._holder.current
         try:
-            encoded = encode_configuration(edited, secrets.token_hex(16))
+            complete, encoded = await self._blocking.run(_with_encoding, edited)
         except ConfigurationError as error:
             return Failure(Problem(413, "configuration-too-large", str(error)))
         result = await self._blocking.run(
@@ -229,9 +265,15 @@
         if not isinstance(result, Success):
             return Failure(_store_problem(result.failure()))
         revision = result.unwrap().modify_index
-        self._apply(decode_configuration(encoded, revision).configuration, publish=True)
+        delta = await self._take(base, replace(complete, revision=revision))
+        self._tasks.spawn(self._raise_head(ConfigurationHead(revision, delta)))
         return Success(revision)
 
+    async def _raise_head(self, head: ConfigurationHead) -> None:
+        """Tell the watchers of a change; when this fails, a watcher repairs the head."""
+        if not await self._blocking.run(raise_head, self._store, head, RESOLVE_S):
+            _log.info("configuration head not written", extra={"revision": head.revision})
+
     async def edit(
         self, change: Callable[[Configuration], Configuration], attempts: int = 5
     ) -> Result[Configuration, Problem]:
@@ -254,11 +296,28 @@
             await self.refresh()
         return Failure(problem)
 
-    async def refresh(self) -> None:
-        """Read the store once."""
+    async def refresh(self) -> int | None:
+        """Read the store once; return the value's size in bytes, ``None`` without an answer."""
         result = await self._blocking.run(self._store.read, CONFIGURATION_KEY)
-        if isinstance(result, Success):
-            self._take_entry(result.unwrap())
+        if not isinstance(result, Success):
+            return None
+        entry = result.unwrap()
+        await self._take_entry(entry)
+        return len(entry.value) if entry is not None else 0
+
+
+def _with_encoding(edited: Configuration) -> tuple[Configuration, bytes]:
+    complete = with_digest(edited)
+    return complete, encode_configuration(complete, secrets.token_hex(16))
+
+
+def _delta_bytes(base: Configuration, result: Configuration) -> bytes:
+    """Return the encoded delta, or nothing when the whole document is the better message."""
+    try:
+        encoded = Delta.between(base, result).to_bytes()
+    except TooLargeError:
+        return b""
+    return encoded if len(encoded) <= MAX_DELTA_BYTES else b""
 
 
 def _store_problem(failure: object) -> Problem:
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -215,7 +215,12 @@
         application.add("GET", "/readyz", self._show_ready)
         application.add_prefix(SERVICES_PREFIX, calls.handle)
         application.add_loop_prefix(ADMIN_PREFIX, admin.handle)
-        self._front = FrontServer(settings.address, settings.port, application.handle)
+        self._front = FrontServer(
+            settings.address,
+            settings.port,
+            application.handle,
+            body_limit=admin.body_limit_bytes,
+        )
 
     def _current(self) -> Configuration:
         return self._holder.current
--- a/src/mangosaddle/gateway/_admin_handler.py
+++ b/src/mangosaddle/gateway/_admin_handler.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from returns.result import Result, Success
 
@@ -23,6 +23,11 @@
 
 ADMIN_PREFIX = "/admin/v1/"
 KEYS_PREFIX = "/admin/v1/keys/"
+CONFIGURATION_PATHS = ("/admin/v1/configuration", "/admin/v1/configuration/check")
+EDIT_BODY_LIMIT_BYTES = 8 * 1_048_576
+"""Body of an edit as it is sent: the documents of the target scale are 2.9 MB of plain JSON."""
+
+Value = TypeVar("Value")
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +57,14 @@
         """Return the versions that have been taken back."""
         ...
 
+    async def compute(self, function: Callable[[], Value]) -> Value:
+        """Run a long pure function beside the event loop."""
+        ...
+
+    async def refresh(self) -> None:
+        """Read the store once and apply what is newer."""
+        ...
+
     async def store(self, edited: Configuration, expected: int) -> Result[int, Problem]:
         """Store an edit if the revision is the expected one; return the new revision."""
         ...
@@ -98,6 +111,11 @@
             ("GET", "status"): self._status,
         }
 
+    def body_limit_bytes(self, path: str, authorization: str, default_bytes: int) -> int:
+        """Return how large a request's body may be; the larger limit is for operators only."""
+        is_edit = path in CONFIGURATION_PATHS and self._is_token(authorization)
+        return EDIT_BODY_LIMIT_BYTES if is_edit else default_bytes
+
     async def handle(self, request: CallerRequest) -> CallerResponse:
         """Answer one request of an operator."""
         if not self._is_operator(request):
@@ -113,37 +131,45 @@
         return await route(request)
 
     def _is_operator(self, request: CallerRequest) -> bool:
-        presented = (request.header("authorization") or "").encode()
-        return hmac.compare_digest(presented, f"Bearer {self._token}".encode())
+        return self._is_token(request.header("authorization") or "")
+
+    def _is_token(self, authorization: str) -> bool:
+        expected = f"Bearer {self._token}".encode()
+        return hmac.compare_digest(authorization.encode(), expected)
 
     async def _get_configuration(self, _request: CallerRequest) -> CallerResponse:
         configuration = self._administration.configuration()
         headers = (("ETag", etag_of(configuration.revision)),)
-        return CallerResponse.from_json(configuration_body(configuration), headers=headers)
-
-    def _parse(self, request: CallerRequest) -> ParsedEdit:
-        return parse_edit(
-            self._administration.configuration(),
-            request.body,
-            self._wall_clock(),
-            request.header("content-encoding") or "",
-            self._administration.vetoed(),
+        return await self._administration.compute(
+            lambda: CallerResponse.from_json(configuration_body(configuration), headers=headers)
+        )
+
+    async def _parse(self, request: CallerRequest) -> ParsedEdit:
+        current = self._administration.configuration()
+        vetoed = self._administration.vetoed()
+        now = self._wall_clock()
+        encoding = request.header("content-encoding") or ""
+        return await self._administration.compute(
+            lambda: parse_edit(current, request.body, now, encoding, vetoed)
         )
 
     async def _check_configuration(self, request: CallerRequest) -> CallerResponse:
-        parsed = self._parse(request)
+        parsed = await self._parse(request)
         return CallerResponse.from_json({"findings": [f.to_json() for f in parsed.findings]})
 
     async def _put_configuration(self, request: CallerRequest) -> CallerResponse:
         expected = revision_of_etag(request.header("if-match") or "")
-        current = self._administration.configuration().revision
         if expected is None:
             finding = Finding("header If-Match", "missing or no revision", "send the ETag you read")
             problem = Problem(428, "revision-required", finding.message, findings=(finding,))
             return _refuse(request, problem)
+        if expected > self._administration.configuration().revision:
+            # The operator read a newer revision at another VM.
+            await self._administration.refresh()
+        current = self._administration.configuration().revision
         if expected != current:
             return _refuse(request, revision_conflict(current))
-        parsed = self._parse(request)
+        parsed = await self._parse(request)
         findings = [f.to_json() for f in parsed.findings]
         if parsed.configuration is None:
             return _refuse_edit(request, findings)
--- a/src/mangosaddle/gateway/_front.py
+++ b/src/mangosaddle/gateway/_front.py
@@ -26,6 +26,8 @@
 READ_BLOCK_BYTES = 65_536
 
 Handler = Callable[[CallerRequest], Answer]
+BodyLimit = Callable[[str, str, int], int]
+"""Returns the limit in bytes from path, ``Authorization`` header and the default limit."""
 
 _log = logging.getLogger(__name__)
 
@@ -33,6 +35,10 @@
 class BodyTooLargeError(Exception):
     """The request's body exceeds the limit."""
 
+    def __init__(self, limit_bytes: int) -> None:
+        """Create the error."""
+        super().__init__(f"body exceeds {limit_bytes} bytes")
+
 
 class RequestTooSlowError(Exception):
     """The request's body did not arrive within the time limit."""
@@ -46,8 +52,8 @@
         request_id = _request_id(self.req.inheaders)
         try:
             body = self._read_body()
-        except BodyTooLargeError:
-            problem = _body_problem(413, "body-too-large", f"body exceeds {BODY_LIMIT_BYTES} bytes")
+        except BodyTooLargeError as error:
+            problem = _body_problem(413, "body-too-large", str(error))
             self._refuse_and_close(problem, request_id)
             return
         except (RequestTooSlowError, TimeoutError, OSError):
@@ -88,11 +94,20 @@
             request_id=request_id,
         )
 
+    def _body_limit_bytes(self) -> int:
+        limit: BodyLimit | None = self.req.server.body_limit
+        if limit is None:
+            return BODY_LIMIT_BYTES
+        path = self.req.path.decode("ascii", "replace")
+        authorization = self.req.inheaders.get(b"Authorization", b"").decode("latin-1")
+        return limit(path, authorization, BODY_LIMIT_BYTES)
+
     def _read_body(self) -> bytes:
         chunked = b"chunked" in self.req.inheaders.get(b"Transfer-Encoding", b"").lower()
         declared = int(self.req.inheaders.get(b"Content-Length", b"0"))
-        if declared > BODY_LIMIT_BYTES:
-            raise BodyTooLargeError
+        limit_bytes = self._body_limit_bytes()
+        if declared > limit_bytes:
+            raise BodyTooLargeError(limit_bytes)
         if not declared and not chunked:
             return b""
         deadline = time.monotonic() + REQUEST_READ_LIMIT_S
@@ -101,8 +116,8 @@
         while block := self.req.rfile.read(READ_BLOCK_BYTES):
             size += len(block)
             parts.append(block)
-            if size > BODY_LIMIT_BYTES:
-                raise BodyTooLargeError
+            if size > limit_bytes:
+                raise BodyTooLargeError(limit_bytes)
             if time.monotonic() > deadline:
                 raise RequestTooSlowError
         if size < declared:
@@ -139,16 +154,23 @@
     """Serves callers and operators on one address."""
 
     def __init__(
-        self, address: str, port: int, handler: Handler, socket_timeout_s: int = SOCKET_TIMEOUT_S
+        self,
+        address: str,
+        port: int,
+        handler: Handler,
+        socket_timeout_s: int = SOCKET_TIMEOUT_S,
+        body_limit: BodyLimit | None = None,
     ) -> None:
         """Create the server; ``start`` binds it.
 
-        ``socket_timeout_s`` bounds the time between two blocks of a request.
+        ``socket_timeout_s`` bounds the time between two blocks of a request. ``body_limit`` may
+        allow larger bodies than ``BODY_LIMIT_BYTES`` to some requests.
         """
         self._server = HTTPServer(
             (address, port), _FrontGateway, minthreads=8, maxthreads=WORKER_THREADS
         )
         self._server.handler = handler  # type: ignore[attr-defined]
+        self._server.body_limit = body_limit  # type: ignore[attr-defined]
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
         self._server.max_request_body_size = 0
         self._server.timeout = socket_timeout_s
--- /dev/null
+++ b/tests/daemon/test_configuration_service.py
@@ -0,0 +1,336 @@
+"""The configuration service in a running fleet: races, lost answers, outages, late answers."""
+
+import copy
+import json
+import threading
+import time
+import zlib
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from typing import Any
+
+import pytest
+import urllib3
+
+from mangosaddle._identifiers import VmId
+from mangosaddle.configuration import decode_configuration, encode_configuration
+from mangosaddle.daemon import EntryNode
+from mangosaddle.daemon import _configuration_service as service_module
+from mangosaddle.daemon._configuration_head import HEAD_KEY, ConfigurationHead
+from mangosaddle.daemon._configuration_service import CONFIGURATION_KEY
+from mangosaddle.daemon._configuration_watch import FALLBACK_MIN_S
+from mangosaddle.demo import OPERATOR_TOKEN, LocalFleet, example_configuration, wait_for
+from mangosaddle.gateway import _admin_handler as handler_module
+from mangosaddle.platform import StoreEntry
+
+IN_FORCE_S = 4.0
+"""Target: a change is in force everywhere within this time."""
+WAIT_S = 15.0
+MIB = 1_048_576
+TOKEN = f"Bearer {OPERATOR_TOKEN}"
+PATH = "/admin/v1/configuration"
+Json = dict[str, Any]
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[LocalFleet]:
+    """Six entry VMs of the Authority."""
+    running = LocalFleet(example_configuration("authority"), seed=3)
+    try:
+        running.start()
+        yield running
+    finally:
+        running.stop()
+
+
+def _send(
+    fleet: LocalFleet,
+    method: str,
+    vm: str,
+    path: str = PATH,
+    headers: dict[str, str] | None = None,
+    body: bytes | None = None,
+) -> urllib3.BaseHTTPResponse:
+    sent = {"Authorization": TOKEN, **(headers or {})}
+    url = fleet.url(vm) + path
+    return urllib3.request(method, url, headers=sent, body=body, retries=False, timeout=20.0)
+
+
+def _put(fleet: LocalFleet, vm: str, document: Json) -> urllib3.BaseHTTPResponse:
+    headers = {"If-Match": f'"{document["revision"]}"'}
+    return _send(fleet, "PUT", vm, headers=headers, body=_body(document))
+
+
+def _body(document: Json) -> bytes:
+    return json.dumps({name: document[name] for name in ("inventory", "rules")}).encode()
+
+
+def _read(fleet: LocalFleet, vm: str) -> Json:
+    document: Json = _send(fleet, "GET", vm).json()
+    return document
+
+
+def _with_rate(document: Json, organisation: str, rate: int) -> Json:
+    edited = copy.deepcopy(document)
+    for allowance in edited["rules"]["allowances"]:
+        if allowance["organisation"] == organisation:
+            allowance["rate_tokens_per_s"] = rate
+    return edited
+
+
+def _rate(document: Json, organisation: str) -> float:
+    rates = {a["organisation"]: a["rate_tokens_per_s"] for a in document["rules"]["allowances"]}
+    return float(rates[organisation])
+
+
+def _revision(fleet: LocalFleet, vm: str) -> int:
+    return int(_send(fleet, "GET", vm, "/admin/v1/status").json()["revision"])
+
+
+def _wait_in_force(fleet: LocalFleet, revision: int) -> None:
+    """Wait until all VMs have the revision or a higher one."""
+    everywhere = fleet.nodes_by_vm
+    wait_for(
+        lambda: all(_revision(fleet, vm) >= revision for vm in everywhere),
+        f"revision {revision} at {len(everywhere)} VMs",
+        WAIT_S,
+    )
+
+
+def _head(fleet: LocalFleet) -> ConfigurationHead | None:
+    stored = fleet.standins.store.values_by_key.get(HEAD_KEY)
+    if stored is None:
+        return None
+    return ConfigurationHead.from_entry(StoreEntry(HEAD_KEY, stored.value, stored.modify_index))
+
+
+def _edit(fleet: LocalFleet, rate: int) -> int:
+    answer = _put(fleet, "addis-1", _with_rate(_read(fleet, "addis-1"), "tower-trust", rate))
+    assert answer.status == 200, answer.data
+    return int(answer.json()["revision"])
+
+
+def _edit_with_lost_answer(fleet: LocalFleet, rate: int) -> int:
+    fleet.standins.store.faults.lose_write_answers = 1
+    return _edit(fleet, rate)
+
+
+def _write_behind_the_vms(fleet: LocalFleet, rate: int) -> int:
+    """Do what a VM does that is killed between the write of the value and that of the head."""
+    store = next(iter(fleet.nodes_by_vm.values()))._store
+    entry = store.read(CONFIGURATION_KEY).unwrap()
+    assert entry is not None
+    current = decode_configuration(entry.value, entry.modify_index).configuration
+    organisations = {
+        name: replace(organisation, rate_tokens_per_s=float(rate))
+        if name == "tower-trust"
+        else organisation
+        for name, organisation in current.organisations_by_id.items()
+    }
+    edited = replace(current, organisations_by_id=organisations, digest=b"")
+    value = encode_configuration(edited, "killed writer")
+    return (
+        store.compare_and_swap(CONFIGURATION_KEY, value, entry.modify_index).unwrap().modify_index
+    )
+
+
+@pytest.mark.parametrize(
+    ("write", "rate"),
+    [(_edit, 4101), (_edit_with_lost_answer, 4102), (_write_behind_the_vms, 4103)],
+    ids=["stored", "answer lost after the write", "writer killed before the head"],
+)
+def test_a_change_is_in_force_in_time(
+    fleet: LocalFleet,
+    write: Callable[[LocalFleet, int], int],
+    rate: int,
+    record_property: Callable[[str, object], None],
+) -> None:
+    """Guards against an accepted change that VMs miss or learn late (P14)."""
+    begin = time.monotonic()
+    revision = write(fleet, rate)
+    _wait_in_force(fleet, revision)
+    elapsed_s = time.monotonic() - begin
+    print(f"in force at {len(fleet.nodes_by_vm)} VMs after {elapsed_s:.2f} s")
+    record_property("in_force_s", elapsed_s)
+    assert elapsed_s < IN_FORCE_S
+    for vm in fleet.nodes_by_vm:
+        assert _rate(_read(fleet, vm), "tower-trust") == rate
+    wait_for(
+        lambda: (head := _head(fleet)) is not None and head.revision == revision,
+        "the head names the newest revision",
+        WAIT_S,
+    )
+
+
+def test_of_two_racing_operators_one_wins_and_nothing_is_lost(fleet: LocalFleet) -> None:
+    """Guards against an edit that overwrites another one, or is refused and stored."""
+    for turn in range(6):
+        document = _read(fleet, "addis-1")
+        _wait_in_force(fleet, document["revision"])
+        edits = [
+            ("addis-1", "tower-trust", 4200 + turn),
+            ("mekele-2", "station-clocks", 3200 + turn),
+        ]
+
+        def put(edit: tuple[str, str, int], base: Json) -> int:
+            vm, organisation, rate = edit
+            return _put(fleet, vm, _with_rate(base, organisation, rate)).status
+
+        with ThreadPoolExecutor(2) as pool:
+            statuses = list(pool.map(lambda edit, base=document: put(edit, base), edits))
+        assert sorted(statuses) == [200, 412]
+        loser = edits[statuses.index(412)]
+        winner = edits[statuses.index(200)]
+        newest = _read(fleet, winner[0])
+        assert _rate(newest, winner[1]) == winner[2]
+        assert _rate(newest, loser[1]) == _rate(document, loser[1])
+        assert put(loser, newest) == 200
+        merged = _read(fleet, loser[0])
+        assert [_rate(merged, organisation) for _, organisation, _ in edits] == [
+            rate for _, _, rate in edits
+        ]
+
+
+def test_an_old_answer_that_arrives_late_changes_nothing(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a VM that goes back to an older revision."""
+    node = fleet.nodes_by_vm[VmId("gondar-1")]
+    _wait_in_force(fleet, _revision(fleet, "addis-1"))
+    seen: list[int] = []
+    node._control.run(_listen(node, seen))
+    original, answered, release = node._store.read, threading.Event(), threading.Event()
+
+    def held(key: str) -> object:
+        answer = original(key)
+        if key == CONFIGURATION_KEY:
+            answered.set()
+            release.wait(WAIT_S)
+        return answer
+
+    monkeypatch.setattr(node._store, "read", held)
+    with ThreadPoolExecutor(1) as pool:
+        late = pool.submit(node._control.run, node._configurations.refresh())
+        assert answered.wait(WAIT_S)
+        revision = _edit(fleet, 4301)
+        wait_for(lambda: _revision(fleet, "gondar-1") == revision, "the new revision", WAIT_S)
+        release.set()
+        assert late.result(WAIT_S) is not None
+    assert _revision(fleet, "gondar-1") == revision
+    assert seen == sorted(seen)
+    assert seen[-1] == revision
+
+
+async def _listen(node: EntryNode, seen: list[int]) -> None:
+    node._holder.listen(lambda configuration: seen.append(configuration.revision))
+
+
+def test_watchers_do_not_read_the_value_at_each_change(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against 0.95 MB for each watcher and change at the target scale."""
+    reads: list[str] = []
+    for vm, node in fleet.nodes_by_vm.items():
+        for name in ("read", "watch"):
+            original = getattr(node._store, name)
+
+            def counted(
+                key: str, *rest: float, vm: str = vm, call: Callable[..., object] = original
+            ) -> object:
+                if key == CONFIGURATION_KEY:
+                    reads.append(vm)
+                return call(key, *rest)
+
+            monkeypatch.setattr(node._store, name, counted)
+    begin = time.monotonic()
+    changes = 12
+    for turn in range(changes):
+        _wait_in_force(fleet, _edit(fleet, 4400 + turn))
+    # A read of the value may come at half the fallback interval at the earliest.
+    allowed = 1 + (time.monotonic() - begin) / (FALLBACK_MIN_S / 2)
+    worst = max((reads.count(vm) for vm in fleet.nodes_by_vm), default=0)
+    assert worst <= allowed
+
+
+def test_large_documents_are_handled_beside_the_event_loop(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second of encoding between two tokens of a stream."""
+    threads_by_function: dict[str, set[str]] = {}
+    for module, name in (
+        (service_module, "encode_configuration"),
+        (service_module, "decode_configuration"),
+        (service_module, "_delta_bytes"),
+        (handler_module, "parse_edit"),
+        (handler_module, "configuration_body"),
+    ):
+        original = getattr(module, name)
+
+        def noted(
+            *args: object, name: str = name, call: Callable[..., object] = original
+        ) -> object:
+            thread = threading.current_thread().name
+            threads_by_function.setdefault(name, set()).add(thread.split("-")[0])
+            return call(*args)
+
+        monkeypatch.setattr(module, name, noted)
+    _wait_in_force(fleet, _edit(fleet, 4501))
+    node = fleet.nodes_by_vm[VmId("addis-1")]
+    request = service_module.ConfigurationRequest(0)
+    answer = node._control.run(node._configurations._answer(VmId("addis-2"), request))
+    assert answer.encoded
+    _wait_in_force(fleet, _write_behind_the_vms(fleet, 4502))
+    assert set(threads_by_function) == {
+        "encode_configuration",
+        "decode_configuration",
+        "_delta_bytes",
+        "parse_edit",
+        "configuration_body",
+    }
+    assert set.union(*threads_by_function.values()) == {"blocking"}
+
+
+@pytest.mark.parametrize(
+    ("path", "size_bytes", "headers", "status"),
+    [
+        (f"{PATH}/check", 3 * MIB, {}, 200),
+        (f"{PATH}/check", 9 * MIB, {}, 413),
+        (f"{PATH}/check", 9 * MIB, {"Content-Encoding": "deflate"}, 200),
+        (f"{PATH}/check", 3 * MIB, {"Authorization": "Bearer wrong"}, 413),
+        ("/admin/v1/keys", 3 * MIB, {}, 413),
+        ("/v1/chat/completions", 3 * MIB, {}, 413),
+    ],
+    ids=["large", "too large", "compressed", "no operator", "another request", "caller"],
+)
+def test_the_limit_of_a_body_depends_on_the_request(
+    fleet: LocalFleet, path: str, size_bytes: int, headers: dict[str, str], status: int
+) -> None:
+    """Guards against edits of the target scale refused, and large bodies of anyone accepted."""
+    document = _read(fleet, "addis-1")
+    body = _body(document).ljust(size_bytes)
+    if "Content-Encoding" in headers:
+        body = zlib.compress(body)
+    answer = _send(fleet, "POST", "addis-1", path, body=body, headers=headers)
+    assert answer.status == status
+    if status == 200:
+        assert answer.json() == {"findings": []}
+
+
+def test_a_vm_that_starts_in_an_outage_takes_the_newest_configuration_from_peers() -> None:
+    """Guards against a VM that cannot start, or starts with an old configuration."""
+    fleet = LocalFleet(example_configuration("authority"), seed=4)
+    late = VmId("mekele-2")
+    try:
+        fleet.standins.start()
+        for vm in fleet.standins.configuration.vms_by_id:
+            if vm != late:
+                fleet.start_vm(vm)
+        revision = _edit(fleet, 4601)
+        _wait_in_force(fleet, revision)
+        fleet.standins.store.faults.down = True
+        fleet.start_vm(late)
+        assert _revision(fleet, late) == revision
+        assert _read(fleet, late) == _read(fleet, "addis-1")
+    finally:
+        fleet.stop()
