--- a/src/mangosaddle/measure/peers.py
+++ b/src/mangosaddle/measure/peers.py
@@ -33,6 +33,7 @@
     VmIdentity,
     VmState,
     VmStatus,
+    stable_hash,
 )
 from ..peers import PeerNode, PeerSettings
 
@@ -110,7 +111,7 @@
         ]
 
     def _node(self, vm: Vm, vms_by_id: dict[VmId, Vm], registry: CollectorRegistry) -> PeerNode:
-        identity = VmIdentity(vm.id, Incarnation(f"{hash(vm.id) & (2**64 - 1):016x}"), 1)
+        identity = VmIdentity(vm.id, Incarnation(f"{stable_hash(vm.id):016x}"), 1)
         address, port = vm.peer_url.removeprefix("ws://").split(":")
         settings = PeerSettings(identity, "measurement", b"secret", address, int(port))
         node = PeerNode(settings, vms_by_id, KINDS, registry, random.Random(vm.id))
@@ -272,7 +273,7 @@
     table = FactTable((VM_STATE_KIND, *KINDS))
     members = MembershipTable(identity, vms)
     for vm in vms:
-        other = VmIdentity(vm, Incarnation(f"{hash(vm) & (2**64 - 1):016x}"), 1_700_000_000_000)
+        other = VmIdentity(vm, Incarnation(f"{stable_hash(vm):016x}"), 1_700_000_000_000)
         fact = VmStatus(other, 0, VmState.LIVE).to_fact(other)
         table.merge((fact,), 0.0)
         members.apply(fact)
