Let facts stay in their region and leave short-lived reports out of exchanges

Cause: a load report of each endpoint flooded the whole fleet, and each report on its way made digests differ, so that heartbeats started exchanges; at 10,000 endpoints neither fits 3 KB/s. Change: FactKind.regional and FactKind.reconciled. The test first counted exchanges, which the withdrawal in it starts as well; it now checks the digests that start them.

--- a/src/mangosaddle/membership/_facts.py
+++ b/src/mangosaddle/membership/_facts.py
@@ -99,6 +99,9 @@
     def __init__(self, kinds: Iterable[FactKind]) -> None:
         """Create an empty table for these kinds."""
         self._tables_by_kind = {kind.name: _KindTable(kind) for kind in kinds}
+        self._reconciled_by_kind = {
+            name: table for name, table in self._tables_by_kind.items() if table.kind.reconciled
+        }
 
     def kind(self, name: str) -> FactKind:
         """Return a kind by name; raises ``UnknownFactKindError``."""
@@ -142,9 +145,9 @@
         return self._table(kind).get((key, origin))
 
     def digest(self) -> bytes:
-        """Return the digest of the whole table (8 bytes)."""
+        """Return the digest of all reconciled kinds (8 bytes)."""
         combined = 0
-        for table in self._tables_by_kind.values():
+        for table in self._reconciled_by_kind.values():
             combined ^= table.digest
         return _to_bytes(combined)
 
@@ -152,7 +155,7 @@
         """Return the coarsest summary: one digest per kind."""
         parts = (
             SummaryPart(name, -1, _to_bytes(table.digest))
-            for name, table in self._tables_by_kind.items()
+            for name, table in self._reconciled_by_kind.items()
         )
         return FactSummary(LEVEL_KINDS, tuple(parts))
 
@@ -164,7 +167,7 @@
         The answer holds the facts that the other VM lacks, at most about ``max_reply_bytes`` of
         them, or a finer summary of the parts that differ.
         """
-        known = [part for part in other.parts if part.kind in self._tables_by_kind]
+        known = [part for part in other.parts if part.kind in self._reconciled_by_kind]
         if other.level == LEVEL_KINDS:
             return self._compare_kinds(known)
         if other.level == LEVEL_BUCKETS:
--- a/src/mangosaddle/membership/_rules.py
+++ b/src/mangosaddle/membership/_rules.py
@@ -121,6 +121,12 @@
     """Time after which a published fact expires; ``None`` means never."""
     confirmed: bool = False
     """Whether VMs confirm a fact, so that an operator learns where it is in force."""
+    regional: bool = False
+    """Whether facts stay in the region of their origin."""
+    reconciled: bool = True
+    """Whether neighbours compare and repair the kind. Reports that are soon repeated are not: each
+    one on its way would make digests differ, and every heartbeat would start an exchange. A
+    regional kind must not be reconciled, because VMs of other regions do not have it."""
 
     @property
     def is_grow_only(self) -> bool:
--- a/src/mangosaddle/peers/_gossip.py
+++ b/src/mangosaddle/peers/_gossip.py
@@ -162,11 +162,16 @@
         if not facts:
             return
         in_zone = source is not None and self._neighbourhood.is_in_zone(source.peer.vm)
+        everywhere = [fact for fact in facts if not self.table.kind(fact.kind).regional]
         bodies = [CODEC.encode(FactUpdate(batch)) for batch in _batches(facts)]
+        bodies_elsewhere = bodies
+        if len(everywhere) < len(facts):
+            bodies_elsewhere = [CODEC.encode(FactUpdate(b)) for b in _batches(everywhere)]
         for link in self._neighbourhood.links():
             if link is source or (in_zone and self._neighbourhood.is_in_zone(link.peer.vm)):
                 continue
-            for body in bodies:
+            in_region = self._neighbourhood.is_in_region(link.peer.vm)
+            for body in bodies if in_region else bodies_elsewhere:
                 link.send_encoded(body)
 
     def _begin(self, link: Link, now: float) -> bool:
--- a/src/mangosaddle/peers/_neighbourhood.py
+++ b/src/mangosaddle/peers/_neighbourhood.py
@@ -29,6 +29,7 @@
         self.wanted: frozenset[VmId] = frozenset()
         """VMs to which the own topology asks for a link."""
         self._zone: frozenset[VmId] = frozenset()
+        self._vms_by_id = dict(vms_by_id)
         self._relays: frozenset[VmId] = frozenset()
         self._avoided: frozenset[VmId] = frozenset()
         self._own = membership.own.identity.vm
@@ -41,6 +42,7 @@
 
     def update_vms(self, vms_by_id: Mapping[VmId, Vm]) -> None:
         """Take over the inventory."""
+        self._vms_by_id = dict(vms_by_id)
         self._topology = self._topology.with_vms(vms_by_id)
         self._compute()
 
@@ -66,6 +68,11 @@
         """Return whether a VM belongs to the own zone's mesh."""
         return vm in self._zone
 
+    def is_in_region(self, vm: VmId) -> bool:
+        """Return whether a VM belongs to the own region; unknown VMs count as elsewhere."""
+        own, other = self._vms_by_id.get(self._own), self._vms_by_id.get(vm)
+        return own is not None and other is not None and own.region == other.region
+
     def links(self) -> list[Link]:
         """Return the open links to neighbours."""
         links = self._connector.links_by_vm.values()
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -24,6 +24,7 @@
     FactKind("configuration", HIGHEST_VERSION),
     FactKind("withdrawal", GROW_ONLY, confirmed=True),
     FactKind("evidence", PER_ORIGIN, lifetime_s=600.0),
+    FactKind("load", PER_ORIGIN, lifetime_s=600.0, regional=True, reconciled=False),
 )
 FAST = PeerTimings(
     heartbeat_s=0.1,
--- a/tests/peers/test_peer_node.py
+++ b/tests/peers/test_peer_node.py
@@ -82,6 +82,31 @@
     run_with_fleet(_scenario, *SIX)
 
 
+def test_regional_facts_stay_in_their_region_and_cost_no_exchange() -> None:
+    """Guards against reports that travel the whole fleet, or that VMs pull from each other.
+
+    The withdrawal that follows shows that the links between regions carried facts meanwhile.
+    """
+
+    async def _scenario(fleet: Fleet) -> None:
+        origin = fleet.nodes_by_vm[ADDIS]
+        before = origin.facts.digest()
+        origin.publish(origin.new_fact("load", "runner-1", 1))
+        # Exchanges start on different digests only.
+        assert origin.facts.digest() == before
+        near = fleet.nodes_by_vm[VmId("addis-2")]
+        await fleet.until(lambda: near.facts.find("load", "runner-1", ADDIS) is not None)
+        withdraw(origin, "key1")
+        await fleet.until(lambda: knowing(fleet, "key1") == set(fleet.nodes_by_vm))
+        for vm, node in fleet.nodes_by_vm.items():
+            known = node.facts.find("load", "runner-1", ADDIS) is not None
+            assert known == vm.startswith("addis")
+        digests = {node.facts.digest() for node in fleet.nodes_by_vm.values()}
+        assert len(digests) == 1
+
+    run_with_fleet(_scenario, *SIX)
+
+
 def test_failed_withdrawal_is_not_confirmed() -> None:
     """Guards against a VM reported as confirmed that could not apply the withdrawal."""
 
