Take test ports below the range of outgoing connections

Cause: since links dial from the VM's own address, an outgoing connection could take a port between its probe and the start of its server; 1 of 12 parallel runs failed with 'address already in use'. Ruled out: a slow machine (load 4 of 10 cores). Change: ports from 12,000 up, another start for each process.

--- a/src/mangosaddle/standins/_deployment.py
+++ b/src/mangosaddle/standins/_deployment.py
@@ -1,5 +1,7 @@
 """A whole deployment's platform as stand-ins: store, VM list, engines and plain services."""
 
+import itertools
+import os
 import socket
 from dataclasses import dataclass, replace
 from urllib.parse import urlsplit
@@ -18,6 +20,9 @@
 FIRST_INDEX = 2
 PLATFORM_ADDRESS = "127.0.0.1"
 SMALL_CACHE_BLOCKS = 512
+FIRST_PORT = 12_000
+PORT_COUNT = 18_000
+_port_offsets = itertools.count(os.getpid() * 97)
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,7 +159,18 @@
 
 
 def free_port(address: str) -> int:
-    """Return a TCP port of an address that is free now."""
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port of an address that is free now.
+
+    The ports lie below the range from which the system takes ports for outgoing connections: such
+    a connection could otherwise take the port before its server listens. Each process begins at
+    another port, so that test runs side by side do not meet.
+    """
+    for _ in range(PORT_COUNT):
+        port = FIRST_PORT + next(_port_offsets) % PORT_COUNT
+        with socket.socket() as probe:
+            try:
+                probe.bind((address, port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f"no free port at {address}")
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -19,6 +18,7 @@
     VmIdentity,
 )
 from mangosaddle.peers import PeerNode, PeerSettings, PeerTimings
+from mangosaddle.standins import free_port
 
 KINDS = (
     FactKind("configuration", HIGHEST_VERSION),
@@ -37,14 +37,6 @@
 """Longest wait for an event; a test that needs it has failed."""
 
 
-def free_port(address: str) -> int:
-    """Return a port that is free at this moment."""
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Forwarder:
     """TCP forwarder that can be cut and delayed."""
 
