Serve the stand-ins of an example for VMs started by hand

Cause: the stand-ins of a deployment used free ports and lived in the process of the demo or a test, so that nobody could start, kill and replace entry VMs by hand.

Change: mangosaddle stand-ins serves store, VM list, runners and services at the inventory's addresses and ports, prints a key for each organisation and the six commands.

--- a/src/mangosaddle/cli/_main.py
+++ b/src/mangosaddle/cli/_main.py
@@ -9,6 +9,7 @@
 from ._options import admin_options
 from ._output import print_document, print_json
 from ._processes import demo, entry, measure
+from ._stand_ins import stand_ins
 from ._versions import versions
 
 
@@ -43,5 +44,5 @@
 
 main.add_command(document_group("inventory", "rules"))
 main.add_command(document_group("rules", "inventory"))
-for _command in (keys, versions, demo, entry, measure):
+for _command in (keys, versions, demo, entry, measure, stand_ins):
     main.add_command(_command)
--- a/src/mangosaddle/standins/__init__.py
+++ b/src/mangosaddle/standins/__init__.py
@@ -6,6 +6,7 @@
 from ._host import StandInHost
 from ._service import ServiceStandIn
 from ._store import StoredValue, StoreFaults, StoreStandIn
+from ._vm_follower import VmFollower
 from ._vm_list import ListedVm, VmListStandIn
 from ._weight_store import WeightStoreStandIn
 
@@ -21,6 +22,7 @@
     "StoreFaults",
     "StoreStandIn",
     "StoredValue",
+    "VmFollower",
     "VmListStandIn",
     "WeightStoreStandIn",
     "free_port",
--- a/src/mangosaddle/standins/_deployment.py
+++ b/src/mangosaddle/standins/_deployment.py
@@ -16,6 +16,9 @@
 CONFIGURATION_KEY = "configuration"
 FIRST_INDEX = 2
 PLATFORM_ADDRESS = "127.0.0.1"
+STORE_PORT = 8500
+VM_LIST_PORT = 8600
+FREE_PORT = 0
 SMALL_CACHE_BLOCKS = 512
 
 
@@ -28,9 +31,18 @@
 
 
 class DeploymentStandIns:
-    """Starts all stand-ins of an inventory on free ports and stores its configuration."""
-
-    def __init__(self, configuration: Configuration, speed: EngineSpeed | None = None) -> None:
+    """Starts all stand-ins of an inventory and stores its configuration.
+
+    On free ports, several fleets can run beside each other; with ``inventory_ports`` the addresses
+    and ports are those of the inventory, with the store at port 8500 and the VM list at port 8600.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        speed: EngineSpeed | None = None,
+        inventory_ports: bool = False,
+    ) -> None:
         """Create the stand-ins; ``start`` serves them."""
         self.host = StandInHost()
         self.store = StoreStandIn()
@@ -43,12 +55,20 @@
         self.vm_list_url = ""
         self.configuration = configuration
         self._speed = speed or EngineSpeed()
+        self._inventory_ports = inventory_ports
 
     def start(self) -> None:
-        """Serve all stand-ins, grant each organisation a key and store the configuration."""
+        """Serve all stand-ins, grant each organisation a key and store the configuration.
+
+        Raises ``OSError`` when a port of the inventory is taken.
+        """
         self.host.start()
-        self.store_url = self.host.serve(self.store.application(), PLATFORM_ADDRESS)
-        self.vm_list_url = self.host.serve(self.vm_list.application(), PLATFORM_ADDRESS)
+        store_port, list_port = FREE_PORT, FREE_PORT
+        if self._inventory_ports:
+            store_port, list_port = STORE_PORT, VM_LIST_PORT
+        store, vm_list = self.store.application(), self.vm_list.application()
+        self.store_url = self.host.serve(store, PLATFORM_ADDRESS, store_port)
+        self.vm_list_url = self.host.serve(vm_list, PLATFORM_ADDRESS, list_port)
         endpoints = {
             endpoint.id: self._serve(endpoint)
             for endpoint in self.configuration.endpoints_by_id.values()
@@ -78,7 +98,7 @@
         self.store.seed(CONFIGURATION_KEY, StoredValue(value, FIRST_INDEX, FIRST_INDEX))
 
     def _serve(self, endpoint: Endpoint) -> Endpoint:
-        address = str(urlsplit(endpoint.url).hostname)
+        address, port = self._place_of(endpoint.url)
         if endpoint.kind is EndpointKind.ENGINE:
             versions = tuple(sorted(f"{v.model}@{v.version}" for v in endpoint.versions))
             engine = EngineStandIn(
@@ -90,14 +110,20 @@
                 endpoint.checks_fencing,
             )
             self.engines_by_id[endpoint.id] = engine
-            return replace(endpoint, url=self.host.serve(engine.application(), address))
+            return replace(endpoint, url=self.host.serve(engine.application(), address, port))
         service = ServiceStandIn(endpoint.id)
         self.services_by_id[endpoint.id] = service
-        return replace(endpoint, url=self.host.serve(service.application(), address))
+        return replace(endpoint, url=self.host.serve(service.application(), address, port))
+
+    def _place_of(self, url: str) -> tuple[str, int]:
+        parts = urlsplit(url)
+        port = parts.port if self._inventory_ports else None
+        return str(parts.hostname), port or FREE_PORT
 
     def _place(self, vm: Vm) -> Vm:
-        address = str(urlsplit(vm.url).hostname)
-        ports = Ports(free_port(address), free_port(address))
+        address, callers = self._place_of(vm.url)
+        _, peers = self._place_of(vm.peer_url)
+        ports = Ports(callers or free_port(address), peers or free_port(address))
         self.ports_by_vm[vm.id] = ports
         return replace(
             vm,
--- a/src/mangosaddle/standins/_host.py
+++ b/src/mangosaddle/standins/_host.py
@@ -31,6 +31,10 @@
         """Run a coroutine on the host's loop and return its result."""
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(timeout_s)
 
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine on the host's loop until ``stop`` cancels it."""
+        asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+
     def serve(self, application: web.Application, address: str, port: int = 0) -> str:
         """Serve an application and return its base URL; port 0 takes a free port."""
         return self.run(self._serve(application, address, port))
