Let versions wait end at a rollback

An end-to-end test applies a plan for a version that fails at every engine, sees it rolled back under load and lets versions wait report it.

Conclusion: scripts that wait for a rollout learn of a rollback.

--- a/src/mangosaddle/cli/_versions.py
+++ b/src/mangosaddle/cli/_versions.py
@@ -2,13 +2,13 @@
 
 import click
 
+from ..rollouts import RolloutState
 from ._admin_client import AdminClient, Json
 from ._exceptions import NotInTimeError, RollbackError
 from ._options import Pacing, admin_options, timeout_option
 from ._output import print_json, print_table
 
-MOVED = "moved"
-TAKEN_BACK = "taken_back"
+DECIDED = (RolloutState.MOVED.value, RolloutState.TAKEN_BACK.value)
 WAIT_TIMEOUT_S = 86_400.0
 POLL_INTERVAL_S = 5.0
 COLUMNS = ("model", "old", "new", "share", "state", "deadline", "reason")
@@ -40,7 +40,7 @@
     def is_decided() -> bool:
         nonlocal row
         row = next((entry for entry in admin.versions() if entry["model"] == model), {})
-        return row.get("state", TAKEN_BACK) in (MOVED, TAKEN_BACK)
+        return not row or row["state"] in DECIDED
 
     done = Pacing.from_context().wait_for(is_decided, timeout, POLL_INTERVAL_S)
     if not row:
@@ -48,7 +48,7 @@
     _print([row], as_json)
     if not done:
         raise NotInTimeError(f"not decided in {timeout:g} s")
-    if row["state"] == TAKEN_BACK:
+    if row["state"] == RolloutState.TAKEN_BACK.value:
         raise RollbackError(f"rolled back: {row.get('reason')}")
 
 
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -3,7 +3,9 @@
 import json
 import signal
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
 from pathlib import Path
 
 import pytest
@@ -17,6 +19,8 @@
 from mangosaddle.standins import free_port
 
 IN_FORCE_S = 4.0
+ROLLBACK_S = 30.0
+"""Bound of the test's own load: a few failures at 1% to 5% of the requests decide."""
 QUESTION = [{"role": "user", "content": "How far does the tower clock drift?"}]
 
 
@@ -94,6 +98,36 @@
     assert [vm["state"] for vm in status["vms"]] == ["live"] * 6
 
 
+def test_a_bad_version_is_taken_back(processes: EntryProcesses, tmp_path: Path) -> None:
+    """Guards against a rollback that operators and their scripts do not see."""
+    operator = Operator(processes, "gondar-2")
+    for engine in processes.standins.engines_by_id.values():
+        engine.faults.failing_versions = {"advisor@v2"}
+    rules = tmp_path / "rules.toml"
+    plan = operator.save("rules", rules)
+    begun = datetime.now(UTC) - timedelta(minutes=1)
+    end = begun + timedelta(hours=1)
+    kept = plan[: plan.index("[[rollouts]]")]
+    rules.write_text(
+        f'{kept}[[rollouts]]\nmodel = "advisor"\nold = "v1"\nnew = "v2"\n'
+        f"start = {begun.isoformat()}\ndeadline = {end.isoformat()}\n"
+        f"steps = [{{ at = {begun.isoformat()}, share = 0.5 }}, "
+        f"{{ at = {end.isoformat()}, share = 1.0 }}]\n"
+    )
+    operator.expect(ExitCode.OK, "rules", "apply", str(rules))
+    key = processes.standins.key_of("tower-trust")
+    vms = sorted(processes.processes_by_vm)
+
+    def is_taken_back() -> bool:
+        with ThreadPoolExecutor(len(vms)) as pool:
+            list(pool.map(lambda vm: _ask(processes, vm, key), vms * 5))
+        return "taken-back" in operator.expect(ExitCode.OK, "versions", "status")
+
+    wait_for(is_taken_back, "the version is taken back", ROLLBACK_S)
+    output = operator.expect(ExitCode.FINDINGS, "versions", "wait", "advisor")
+    assert "rolled back" in output
+
+
 def _ask(processes: EntryProcesses, vm: str, key: str) -> str:
     with Client([processes.url(vm)], key, deadline_s=5.0) as client:
         return "".join(client.stream_chat(QUESTION, "advisor", {"max_tokens": 3}))
