Accept the first configuration of a fleet, and list open withdrawals

Change: a VM whose store answers that there is no configuration asks its peers for 2 s and then serves operators with an empty one of revision 0, while /readyz stays 503. The status of the VM that took a withdrawal lists it under unconfirmed_withdrawals until every VM has confirmed.

Conclusion: a fleet can be started and a withdrawal followed with the public commands alone.

--- a/src/mangosaddle/daemon/_administration.py
+++ b/src/mangosaddle/daemon/_administration.py
@@ -47,6 +47,8 @@
         self._rollouts = rollouts
         self._status = status
         self._tasks: set[asyncio.Task[object]] = set()
+        self._unconfirmed: set[KeyId] = set()
+        """Keys withdrawn through this VM that some VM has not confirmed."""
 
     def configuration(self) -> Configuration:
         """Return the configuration in force at this VM."""
@@ -91,6 +93,7 @@
             if key_id not in self._current().keys_by_id:
                 return Failure(Problem(404, "unknown-key", f"key {key_id!r} is not known"))
         self._keys.withdraw(key_id)
+        self._unconfirmed.add(key_id)
         task = asyncio.get_running_loop().create_task(self._store_withdrawal(key_id))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -128,5 +131,18 @@
         return self._rollouts.versions()
 
     def status(self) -> dict[str, object]:
-        """Return what this VM believes and how old that is."""
-        return self._status()
+        """Return what this VM believes and how old that is.
+
+        Withdrawals that were given to this VM are listed until all VMs have confirmed them.
+        """
+        return {**self._status(), "unconfirmed_withdrawals": self._unconfirmed_withdrawals()}
+
+    def _unconfirmed_withdrawals(self) -> list[dict[str, object]]:
+        rows: list[dict[str, object]] = []
+        for key_id in sorted(self._unconfirmed):
+            unconfirmed = self._keys.confirmations(key_id).unconfirmed
+            if unconfirmed:
+                rows.append({"key_id": key_id, "unconfirmed": list(unconfirmed)})
+            else:
+                self._unconfirmed.discard(key_id)
+        return rows
--- a/src/mangosaddle/daemon/_configuration_service.py
+++ b/src/mangosaddle/daemon/_configuration_service.py
@@ -39,6 +39,8 @@
 
 CONFIGURATION_KEY = "configuration"
 CONFIGURATION_KIND = FactKind("configuration", HIGHEST_VERSION)
+FIRST_START_S = 2.0
+"""A VM that starts with an empty store asks its peers for so long before it serves operators."""
 PULL_TIMEOUT_S = 5.0
 """Includes the time in which the other VM encodes a configuration of the target scale, 1.1 s."""
 
@@ -123,19 +125,25 @@
         self._tasks.spawn(self._watch.keep_up())
 
     async def loaded(self) -> None:
-        """Wait until a configuration has been applied."""
+        """Wait until a configuration has been applied, or the fleet has none yet."""
         await self._loaded.wait()
 
     async def _load(self) -> None:
-        """Load from the store, or from another VM while the store is down."""
-        pause_s = RETRY_INITIAL_S
+        """Load from the store, or from another VM while the store is down or empty."""
+        loop = asyncio.get_running_loop()
+        pause_s, empty_at_s = RETRY_INITIAL_S, loop.time() + FIRST_START_S
         while not self._holder.is_loaded:
-            self.store_ok = await self.refresh() is not None
-            if not self.store_ok:
-                await self._pull_from_any()
+            size_bytes = await self.refresh()
+            self.store_ok = size_bytes is not None
             if not self._holder.is_loaded:
-                await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
-                pause_s = min(pause_s * 2, RETRY_MAX_S)
+                await self._pull_from_any()
+            if self._holder.is_loaded:
+                return
+            if size_bytes == 0 and loop.time() >= empty_at_s and not self._loaded.is_set():
+                _log.warning("the fleet has no configuration yet; waiting for the first edit")
+                self._loaded.set()
+            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+            pause_s = min(pause_s * 2, RETRY_MAX_S)
 
     async def _take_entry(self, entry: StoreEntry | None) -> None:
         if entry is None or entry.modify_index <= self._holder.current.revision:
--- a/tests/daemon/test_configuration_service.py
+++ b/tests/daemon/test_configuration_service.py
@@ -14,7 +14,11 @@
 import urllib3
 
 from mangosaddle._identifiers import VmId
-from mangosaddle.configuration import decode_configuration, encode_configuration
+from mangosaddle.configuration import (
+    configuration_body,
+    decode_configuration,
+    encode_configuration,
+)
 from mangosaddle.daemon import EntryNode
 from mangosaddle.daemon import _configuration_service as service_module
 from mangosaddle.daemon._configuration_head import HEAD_KEY, ConfigurationHead
@@ -334,3 +338,22 @@
         assert _read(fleet, late) == _read(fleet, "addis-1")
     finally:
         fleet.stop()
+
+
+def test_the_first_configuration_of_a_fleet_is_an_edit() -> None:
+    """Guards against VMs that need a configuration before operators can apply the first one."""
+    fleet = LocalFleet(example_configuration("authority"), seed=5)
+    vms = [VmId("addis-1"), VmId("gondar-1")]
+    try:
+        fleet.standins.start()
+        fleet.standins.store.values_by_key.clear()
+        with ThreadPoolExecutor(len(vms)) as pool:
+            list(pool.map(fleet.start_vm, vms))
+        assert _send(fleet, "GET", "addis-1", "/readyz").status == 503
+        document = configuration_body(fleet.standins.configuration) | {"revision": 0}
+        answer = _put(fleet, "addis-1", document)
+        assert answer.status == 200, answer.data
+        _wait_in_force(fleet, answer.json()["revision"])
+        assert _send(fleet, "GET", "gondar-1", "/readyz").status == 200
+    finally:
+        fleet.stop()
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -171,8 +171,12 @@
         ExitCode.NOT_IN_TIME, "keys", "withdraw", other_id, "--timeout", "1", "--json"
     )
     assert "addis-2" in late
+    status = json.loads(operator.expect(ExitCode.OK, "status", "--json"))
+    assert status["unconfirmed_withdrawals"] == [{"key_id": other_id, "unconfirmed": ["addis-2"]}]
     processes.signal("addis-2", signal.SIGCONT)
     operator.expect(ExitCode.OK, "keys", "withdraw", other_id)
+    status = json.loads(operator.expect(ExitCode.OK, "status", "--json"))
+    assert status["unconfirmed_withdrawals"] == []
     with pytest.raises(RefusedError):
         _ask(processes, "addis-2", other)
 
