--- a/src/mangosaddle/standins/__init__.py
+++ b/src/mangosaddle/standins/__init__.py
@@ -7,6 +7,7 @@
 from ._links import LinkConditions, PeerLinks
 from ._service import ServiceStandIn
 from ._store import StoredValue, StoreFaults, StoreStandIn
+from ._vm_follower import VmFollower
 from ._vm_list import ListedVm, VmListStandIn
 from ._weight_store import WeightStoreStandIn
 
@@ -24,6 +25,7 @@
     "StoreFaults",
     "StoreStandIn",
     "StoredValue",
+    "VmFollower",
     "VmListStandIn",
     "WeightStoreStandIn",
     "free_port",
