Make the fleet property test catch refund, occupancy and takeover faults

Cause: with seeded faults the stateful test caught only a loan granted without deduction; 60 examples of random rules seldom lined up the steps for the others. A taken-over slot that starts full was not caught.

--- a/tests/limits/test_fleet_property.py
+++ b/tests/limits/test_fleet_property.py
@@ -75,6 +75,35 @@
         if destroyed:
             self.fleet.drop_from_list(process)
 
+    @rule(pause_s=st.sampled_from([0.5, 1.0, 2.0]), share=COSTS)
+    def refund_after_refill(self, pause_s: float, share: float) -> None:
+        """Use all tokens, refill, use some, and end everything far below its upper bound."""
+        self.fleet.spend_all()
+        self.fleet.advance(pause_s)
+        for process in self.running():
+            self.fleet.request(process, 50.0)
+        for process in self.running():
+            while process.open:
+                self.fleet.settle(process, share)
+        self.fleet.spend_all()
+
+    @precondition(lambda self: len(self.running()) > 3)
+    @rule(number=st.integers(0, 50), pause_s=st.sampled_from([2.0, 5.0, 8.0]), dies=st.booleans())
+    def lend_then_die(self, number: int, pause_s: float, dies: bool) -> None:
+        """Let one VM borrow, perhaps destroy a holder, and use everything before loans end."""
+        borrower = self.pick(number)
+        self.fleet.advance(3.0)
+        for _ in range(4):
+            self.fleet.request(borrower, 300.0)
+        self.fleet.advance(0.5)
+        if dies:
+            holder = self.pick(number + 1)
+            self.fleet.processes.remove(holder)
+            self.fleet.drop_from_list(holder)
+            self.fleet.publish_list()
+        self.fleet.advance(pause_s)
+        self.fleet.spend_all()
+
     @rule()
     def wake(self) -> None:
         """Wake the process that has been frozen longest."""
