Read the whole configuration at least every 2.5 s while it is small

Cause: with random factors up to 1.5, the fallback reads of all six watchers could in the worst case come 3.5 s after a lost head, close to the target of 4 s.

Change: the factors are 0.5 to 1.25, so that a read of a small configuration comes 3 s later at the most.

--- a/src/mangosaddle/daemon/_configuration_watch.py
+++ b/src/mangosaddle/daemon/_configuration_watch.py
@@ -22,9 +22,11 @@
 UPKEEP_S = 0.5
 RESOLVE_S = 2.0
 FALLBACK_BYTES_PER_S = 1000.0
-"""Mean rate of reads of the whole value, a third of a node's budget at the target scale."""
+"""Rate of reads of the whole value before the spread: a third of a node's budget."""
 FALLBACK_MIN_S = 2.0
-"""Reads come 1 s to 3 s apart, so that a lost head keeps a small configuration within 4 s."""
+"""With the spread 1 s to 2.5 s: a lost head keeps a small configuration within 4 s."""
+FALLBACK_SPREAD = (0.5, 1.25)
+"""Random factors that keep the watchers from reading at the same moment."""
 BASE64_GROWTH = 4 / 3
 
 
@@ -130,7 +132,7 @@
     async def _read_whole(self) -> None:
         size_bytes = await self._port.read_whole()
         self._port.answered(size_bytes is not None)
-        interval_s = fallback_interval_s(size_bytes or 0) * self._rng.uniform(0.5, 1.5)
+        interval_s = fallback_interval_s(size_bytes or 0) * self._rng.uniform(*FALLBACK_SPREAD)
         self._fallback_due_s = asyncio.get_running_loop().time() + interval_s
 
 
