Keep refusals true over several attempts, and claim a forwarded order once

Cause: a refusal spoke of the last attempt only, so a first attempt that may have run followed by an unreached endpoint was refused as not_run; an order that had to run in another region was claimed here and again there. Ruled out: the claim machine (its tests cover one executor). Change: requests remember whether an attempt was sent; an order without an endpoint in its region is forwarded before any claim and never leaves the region after one.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -84,13 +84,13 @@
         self.settings = settings
         self.incarnation = Incarnation(secrets.token_hex(8))
         self._rng = rng or random.Random()
-        self._clock: Callable[[], float] = boot_clock_s
+        self.clock: Callable[[], float] = boot_clock_s
         self._registry = CollectorRegistry()
         self._metrics = GatewayMetrics(self._registry)
         self._platform_metrics = PlatformMetrics.from_registry(self._registry)
         self._store = StoreClient(settings.store_url, self._platform_metrics)
         self._blocking = BlockingCalls(f"blocking-{settings.vm}")
-        self._control = ControlLoop(f"control-{settings.vm}")
+        self.control = ControlLoop(f"control-{settings.vm}")
         self._tasks = BackgroundTasks()
         self._holder = ConfigurationHolder()
         self._exited = threading.Event()
@@ -102,7 +102,7 @@
         self._peers = self._new_peers()
         vm_list = VmListClient(settings.vm_list_url, self._platform_metrics)
         self.fleet = FleetService(
-            settings.vm, self._peers, vm_list, self._blocking, self._tasks, self._rng, self._clock
+            settings.vm, self._peers, vm_list, self._blocking, self._tasks, self._rng, self.clock
         )
         self._configurations = ConfigurationService(
             settings.region,
@@ -123,22 +123,22 @@
             self._blocking,
             self._tasks,
             self._rng,
-            self._clock,
+            self.clock,
         )
-        self._routes = RouteDesk(
-            Router(settings.region, wall_offset_s=time.time() - self._clock()),
+        self.routes = RouteDesk(
+            Router(settings.region, wall_offset_s=time.time() - self.clock()),
             self._rng,
-            self._clock,
+            self.clock,
         )
         self._loads = LoadService(
             settings.vm,
             settings.region,
-            self._routes,
+            self.routes,
             self._peers,
             self._blocking,
             self._tasks,
             self._platform_metrics,
-            self._clock,
+            self.clock,
         )
         self._rollouts = RolloutService(
             RolloutControl(settings.vm), self._peers, self._tasks, self._vetoed
@@ -171,7 +171,7 @@
             current,
             self._keys,
             self._rollouts.control,
-            self._routes,
+            self.routes,
             self.allowances,
             self.fleet,
             self._opener,
@@ -184,7 +184,7 @@
         self._desk = ServiceDesk(
             current,
             self._keys,
-            self._routes,
+            self.routes,
             self.allowances,
             self.fleet,
             EntryOrders(issuer),
@@ -192,7 +192,7 @@
             time.time,
         )
         self._executor = OrderExecutor(self._store, settings.vm, self.incarnation)
-        calls = ServiceHandler(self._control, self._desk, self._executor, ServiceCaller())
+        calls = ServiceHandler(self.control, self._desk, self._executor, ServiceCaller())
         forwards = ForwardedRequests(self.chats, self._desk, calls, self._blocking.run)
         self._peers.on_forward(forwards.handle)
         self._key_service = KeyService(self._keys, self._peers, self.chats.end_withdrawn_streams)
@@ -203,8 +203,8 @@
             current, self._configurations, self._key_service, self._rollouts, self._status
         )
         admin = AdminHandler(operators, settings.operator_token, time.time)
-        application = Application(self._control)
-        chat = ChatHandler(self._control, self.chats, self._opener.url_of)
+        application = Application(self.control)
+        chat = ChatHandler(self.control, self.chats, self._opener.url_of)
         application.add("POST", CHAT_ROUTE, chat.handle)
         application.add_loop("GET", "/v1/models", self._discovery.models)
         application.add_loop("GET", "/v1/entry-vms", self._discovery.entry_vms)
@@ -240,8 +240,8 @@
 
         Raises ``TimeoutError`` when no configuration can be had in time.
         """
-        self._control.start()
-        self._control.run(self._start(), timeout_s)
+        self.control.start()
+        self.control.run(self._start(), timeout_s)
         self._front.start()
         _log.info("serving", extra={"vm": self.settings.vm, "address": self.settings.address})
 
@@ -267,7 +267,7 @@
 
     def terminate(self) -> None:
         """Handle SIGTERM: drain on the first call, cut running answers on the second."""
-        self._control.post(self._terminate)
+        self.control.post(self._terminate)
 
     def _terminate(self) -> None:
         first = not self.fleet.is_leaving
@@ -292,8 +292,8 @@
     def stop(self) -> None:
         """Stop all threads; what still runs is cut."""
         self._front.stop()
-        self._control.run(self._stop(), STOP_TIMEOUT_S)
-        self._control.stop()
+        self.control.run(self._stop(), STOP_TIMEOUT_S)
+        self.control.stop()
         self._blocking.stop()
         self._store.close()
         self._exited.set()
@@ -312,7 +312,7 @@
         return CallerResponse.from_problem(problem, request.request_id)
 
     def _status(self) -> dict[str, object]:
-        now = self._clock()
+        now = self.clock()
         membership = self._peers.membership
         configuration = self._holder.current
         read_at = self.fleet.list_read_at
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -17,13 +17,14 @@
 from ..routing import Chosen, FailureKind, Forward, Refused, RequestClass, RouteRequest
 from ._chat_request import ChatRequest
 from ._endpoint import EndpointStream
-from ._exceptions import EndpointCutError, EndpointError
+from ._exceptions import EndpointCutError, EndpointError, NotSentError
 from ._forwarding import ForwardedSink, ForwardedSource, forward_request
 from ._metrics import GatewayMetrics
 from ._ports import Allowances, Fleet, Shortage
 from ._problems import Problem
 from ._refusals import (
     CUT_ANSWER,
+    after_attempts,
     refuse_draining,
     refuse_failed_attempt,
     refuse_key,
@@ -77,6 +78,8 @@
     """Event loop time in seconds."""
     attempt_at: float
     """Event loop time of the newest attempt, in seconds."""
+    may_have_run: bool = False
+    """Whether some attempt has reached an endpoint."""
     first_token_at: float | None = None
     relay: Relay | None = None
 
@@ -195,6 +198,7 @@
         """Choose another target after a failed attempt, or give the request up."""
         assert isinstance(open_chat.target, Chosen)
         self._attempt_failed(open_chat, error)
+        open_chat.may_have_run |= not isinstance(error, NotSentError)
         decision = await self._routes.next_target(
             open_chat.route, open_chat.target, error, idempotent=True
         )
@@ -204,7 +208,7 @@
                 await asyncio.sleep(CRASH_SPREAD_S)
             if resume_from or (open_chat.relay is not None and open_chat.relay.buffer.tokens):
                 problem = CUT_ANSWER
-            return Failure(problem)
+            return Failure(after_attempts(problem, may_have_run=open_chat.may_have_run))
         open_chat.route, open_chat.target = decision.request, decision.target
         open_chat.attempt_at = asyncio.get_running_loop().time()
         return Success(open_chat)
@@ -342,7 +346,8 @@
             return
         decision = await self._routes.next_region(open_chat.route, open_chat.target)
         if isinstance(decision, Refused):
-            relay.fail(replace(refuse_routing(decision), detail=reason))
+            problem = replace(refuse_routing(decision), detail=reason)
+            relay.fail(after_attempts(problem, may_have_run=open_chat.may_have_run))
             return
         open_chat.route, open_chat.target = decision.request, decision.target
         await self._connect(open_chat, relay)
--- a/src/mangosaddle/gateway/_refusals.py
+++ b/src/mangosaddle/gateway/_refusals.py
@@ -1,6 +1,7 @@
 """The refusals that request handling gives."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from ..configuration import Vm
 from ..keys import KeyRefusal
@@ -95,6 +96,13 @@
     return Problem(502, "endpoint-lost", "the endpoint broke off", Execution.UNKNOWN, 1.0)
 
 
+def after_attempts(problem: Problem, *, may_have_run: bool) -> Problem:
+    """Return a refusal that stays true after earlier attempts: they may have run."""
+    if not may_have_run:
+        return problem
+    return replace(problem, execution=Execution.UNKNOWN)
+
+
 def refuse_withdrawn_stream() -> Problem:
     """End an open stream whose key was withdrawn."""
     return Problem(401, "key-withdrawn", "the key has been withdrawn", Execution.UNKNOWN)
--- a/src/mangosaddle/gateway/_service_handler.py
+++ b/src/mangosaddle/gateway/_service_handler.py
@@ -22,13 +22,13 @@
     SentOutcomeUnknown,
     request_digest,
 )
-from ..routing import Chosen
+from ..routing import Chosen, Forward
 from ._chat_handler import ADMISSION_TIMEOUT_S, LoopCalls
 from ._endpoint import EndpointAnswer, ServiceCaller
 from ._exceptions import EndpointError, EndpointTimeoutError, NotSentError
 from ._messages import Answer, CallerRequest, CallerResponse
 from ._problems import Execution, Finding, Problem
-from ._refusals import refuse_failed_attempt
+from ._refusals import after_attempts, refuse_failed_attempt
 from ._service_desk import OpenCall, ServiceDesk
 from ._service_request import ServiceRequest, parse_service_call
 
@@ -87,6 +87,8 @@
         request = call.request
         if key.startswith(ORDER_ID_PREFIX):
             return self._run_entry_order(call, key, hops)
+        if isinstance(call.target, Forward):
+            return self._forward_order(call)
         order = Order(
             call.organisation, request.service.name, key, request.method, request.path, request.body
         )
@@ -94,6 +96,23 @@
         answer = self._executor.execute(order, sent)
         return self._answer_order(call, answer, sent)
 
+    def _forward_order(self, call: OpenCall) -> CallerResponse:
+        """Let a VM of another region claim and execute the order.
+
+        A claim of this VM would make the other one answer that the outcome is unknown.
+        """
+        while True:
+            try:
+                answer = self._loop.run(self._desk.forward(call))
+            except NotSentError as error:
+                moved = self._loop.run(self._desk.next_target(call, error, idempotent=False))
+                if not moved or not isinstance(call.target, Forward):
+                    return order_response(RefuseNotRun(str(error)), call.request)
+                continue
+            except EndpointError as error:
+                return order_response(AnswerUnknown(str(error)), call.request)
+            return _response(answer, call.request)
+
     def _answer_order(
         self, call: OpenCall, answer: OrderAnswer, sent: "_SendOnce"
     ) -> CallerResponse:
@@ -129,12 +148,15 @@
         return _response(answer, call.request)
 
     def _attempt(self, call: OpenCall, *, idempotent: bool) -> Outcome:
+        may_have_run = False
         while True:
             try:
                 answer = self._send(call)
             except EndpointError as error:
+                may_have_run |= not isinstance(error, NotSentError)
                 if not self._loop.run(self._desk.next_target(call, error, idempotent)):
-                    return refuse_failed_attempt(error)
+                    problem = refuse_failed_attempt(error)
+                    return after_attempts(problem, may_have_run=may_have_run)
                 continue
             self._loop.run(self._desk.finished(call))
             return answer
@@ -156,8 +178,13 @@
         )
 
     def send_order(self, call: OpenCall) -> SendOutcome:
-        """Send an order, again only after attempts that reached nothing."""
+        """Send an order, again only after attempts that reached nothing.
+
+        It stays in this region: a VM of another one would find this VM's claim.
+        """
         while True:
+            if not isinstance(call.target, Chosen):
+                return NotSent("no endpoint of this region was reached")
             try:
                 answer = self._send(call)
             except NotSentError as error:
--- a/tests/daemon/test_configuration_service.py
+++ b/tests/daemon/test_configuration_service.py
@@ -203,7 +203,7 @@
     node = fleet.nodes_by_vm[VmId("gondar-1")]
     _wait_in_force(fleet, _revision(fleet, "addis-1"))
     seen: list[int] = []
-    node._control.run(_listen(node, seen))
+    node.control.run(_listen(node, seen))
     original, answered, release = node._store.read, threading.Event(), threading.Event()
 
     def held(key: str) -> object:
@@ -215,7 +215,7 @@
 
     monkeypatch.setattr(node._store, "read", held)
     with ThreadPoolExecutor(1) as pool:
-        late = pool.submit(node._control.run, node._configurations.refresh())
+        late = pool.submit(node.control.run, node._configurations.refresh())
         assert answered.wait(WAIT_S)
         revision = _edit(fleet, 4301)
         wait_for(lambda: _revision(fleet, "gondar-1") == revision, "the new revision", WAIT_S)
@@ -282,7 +282,7 @@
     _wait_in_force(fleet, _edit(fleet, 4501))
     node = fleet.nodes_by_vm[VmId("addis-1")]
     request = service_module.ConfigurationRequest(0)
-    answer = node._control.run(node._configurations._answer(VmId("addis-2"), request))
+    answer = node.control.run(node._configurations._answer(VmId("addis-2"), request))
     assert answer.encoded
     _wait_in_force(fleet, _write_behind_the_vms(fleet, 4502))
     assert set(threads_by_function) == {
--- a/tests/gateway/test_running_fleet.py
+++ b/tests/gateway/test_running_fleet.py
@@ -177,3 +177,49 @@
     service.refuse_all = False
     assert answer.status == 200
     assert answer.json()["service"] != "orders-1"
+
+
+def test_an_order_without_an_endpoint_in_its_region_runs_once_elsewhere(
+    fleet: LocalFleet,
+) -> None:
+    """Guards against an order claimed here and again elsewhere, whose outcome is then unknown."""
+    nodes = [fleet.nodes_by_vm[VmId(vm)] for vm in ("addis-1", "addis-2")]
+    for node in nodes:
+        node.control.post(node.routes.router.endpoint_leaving, EndpointId("orders-1"))
+    headers = {
+        "Authorization": f"Bearer {fleet.standins.key_of('tower-trust')}",
+        "Idempotency-Key": "elsewhere-1",
+    }
+    answers = [
+        urllib3.request(
+            "POST",
+            fleet.url(vm) + "/v1/services/orders/corrections",
+            headers=headers,
+            json={"clock": 9},
+            retries=False,
+        )
+        for vm in ("addis-1", "addis-2", "mekele-1")
+    ]
+    for node in nodes:
+        node.control.post(node.routes.router.endpoint_live, EndpointId("orders-1"), node.clock())
+    services = fleet.standins.services_by_id
+    assert [answer.status for answer in answers] == [201, 201, 201]
+    assert len({answer.data for answer in answers}) == 1
+    assert sum(service.executions_by_key["elsewhere-1"] for service in services.values()) == 1
+    assert services[EndpointId("orders-1")].executions_by_key["elsewhere-1"] == 0
+
+
+def test_a_refusal_after_a_lost_attempt_does_not_say_not_run(fleet: LocalFleet) -> None:
+    """Guards against a false not_run: the first attempt may have run, the second found nothing."""
+    services = fleet.standins.services_by_id.values()
+    for service in services:
+        service.refuse_all = True
+    url = fleet.url("gondar-1") + "/v1/services/orders/clocks/1"
+    answer = urllib3.request("GET", url, retries=False, timeout=TIMEOUT_S)
+    for service in services:
+        service.refuse_all = False
+    assert answer.status >= 500
+    assert answer.json()["execution"] == "unknown"
+    wait_for(
+        lambda: urllib3.request("GET", url, retries=False).status == 200, "reads again", TIMEOUT_S
+    )
