Run a seeded open-loop load against six entry processes and report the users' measures

The command `mangosaddle measure` had nothing to call. It now starts the stand-ins in one process, six entry processes with the public command and the callers in a third, with 40 ms one way between regions, and prints latency, refusals against an ideal single token bucket, cost, spill, promises, rollout and control overhead. The class of tests/entry_processes.py moves to mangosaddle.demo so that tests and measurement start processes in the same way.

--- a/src/mangosaddle/cli/_processes.py
+++ b/src/mangosaddle/cli/_processes.py
@@ -66,9 +66,12 @@
     help="Deployment whose workload is run.",
 )
 @option("--seed", envvar="SEED", type=int, default=1, show_default=True, help="Seed of the run.")
-def measure(deployment: str, seed: int) -> None:
-    """Run the seeded load and print the measures. Exit code 1 if a target is missed."""
-    _exit(import_module("mangosaddle.measure").run_measure(deployment, seed))
+@click.option(
+    "--bad-version", is_flag=True, help="The version that the rollout plan moves to is faulty."
+)
+def measure(deployment: str, seed: int, bad_version: bool) -> None:
+    """Run the seeded load and print the measures. Exit code 1 if it could not run."""
+    _exit(import_module("mangosaddle.measure").run_measure(deployment, seed, bad_version))
 
 
 def _exit(code: int) -> None:
--- a/src/mangosaddle/demo/__init__.py
+++ b/src/mangosaddle/demo/__init__.py
@@ -5,6 +5,12 @@
 import click
 
 from ..standins import EngineSpeed
+from ._entry_processes import (
+    EXIT_TIMEOUT_S,
+    READY_TIMEOUT_S,
+    EntryProcesses,
+    PlatformAccess,
+)
 from ._local_fleet import (
     OPERATOR_TOKEN,
     PEER_SECRET,
@@ -18,10 +24,14 @@
 DEMO_SPEED = EngineSpeed(token_interval_s=0.002)
 
 __all__ = [
+    "EXIT_TIMEOUT_S",
     "OPERATOR_TOKEN",
     "PEER_SECRET",
+    "READY_TIMEOUT_S",
+    "EntryProcesses",
     "FleetError",
     "LocalFleet",
+    "PlatformAccess",
     "StepResult",
     "example_configuration",
     "run_demo",
