Run an order that was forwarded to its region instead of claiming it twice

An order with a caller-chosen id whose organisation is bound to another region was claimed by the VM that received it and then claimed again by the VM that it was forwarded to. The second claim found the first one, so the order was answered `order-outcome-unknown` and never ran. The receiving VM now runs such an order under the forwarder's claim and reports `not_run` or `unknown` back, so the forwarder records the truth.

The new test failed before the change (409) and passes after it with one execution and equal answers for two sendings.

--- a/src/mangosaddle/gateway/_forwarded_requests.py
+++ b/src/mangosaddle/gateway/_forwarded_requests.py
@@ -8,11 +8,12 @@
 from .._identifiers import VersionId, VmId
 from ..peers import ForwardAnswer, ForwardChunk, ForwardEnd, ForwardHead, ForwardRequest
 from ._chat_service import CHAT_ROUTE, ChatService
+from ._exceptions import EndpointError, NotSentError
 from ._forwarding import parse_forwarded
 from ._messages import CallerRequest, CallerResponse
 from ._problems import Execution
 from ._service_desk import OpenCall, ServiceDesk
-from ._service_handler import ServiceHandler
+from ._service_handler import ORDER_ID_PREFIX, ServiceHandler
 from ._service_request import parse_service_call
 
 FORWARDED_HOPS = 1
@@ -64,7 +65,21 @@
             yield ForwardEnd(False, admitted.failure().execution.value, admitted.failure().code)
             return
         call: OpenCall = admitted.unwrap()
-        response = await self._blocking(lambda: self._calls.run(call, FORWARDED_HOPS))
+        try:
+            response = await self._blocking(lambda: self._run(call))
+        except NotSentError as error:
+            yield ForwardEnd(False, Execution.NOT_RUN.value, str(error))
+            return
+        except EndpointError as error:
+            yield ForwardEnd(False, Execution.UNKNOWN.value, str(error))
+            return
         yield ForwardHead(response.status, response.content_type)
         yield ForwardChunk(response.body)
         yield ForwardEnd(complete=True)
+
+    def _run(self, call: OpenCall) -> CallerResponse:
+        key = call.request.idempotency_key
+        if key is not None and not key.startswith(ORDER_ID_PREFIX):
+            # Only the VM that holds the claim forwards an order with an id of the caller's choice.
+            return self._calls.run_claimed(call)
+        return self._calls.run(call, FORWARDED_HOPS)
--- a/src/mangosaddle/gateway/_service_handler.py
+++ b/src/mangosaddle/gateway/_service_handler.py
@@ -25,7 +25,12 @@
 from ..routing import Chosen
 from ._chat_handler import ADMISSION_TIMEOUT_S, LoopCalls
 from ._endpoint import EndpointAnswer, ServiceCaller
-from ._exceptions import EndpointError, EndpointTimeoutError, NotSentError
+from ._exceptions import (
+    EndpointCutError,
+    EndpointError,
+    EndpointTimeoutError,
+    NotSentError,
+)
 from ._messages import Answer, CallerRequest, CallerResponse
 from ._problems import Execution, Finding, Problem
 from ._refusals import refuse_failed_attempt
@@ -83,6 +88,24 @@
             self._loop.run(self._desk.end(call, outcome))
         return response
 
+    def run_claimed(self, call: OpenCall) -> CallerResponse:
+        """Run an order that the forwarding VM has claimed, and return the endpoint's answer.
+
+        The claim exists, so claiming it again would find it taken and never run the order. Raises
+        ``NotSentError`` when nothing ran and ``EndpointCutError`` when that is unknown.
+        """
+        outcome = "failed"
+        try:
+            sent = self.send_order(call)
+            if isinstance(sent, NotSent):
+                raise NotSentError(sent.reason)
+            if isinstance(sent, SentOutcomeUnknown):
+                raise EndpointCutError(sent.reason)
+            outcome = "complete" if sent.status < 400 else f"status-{sent.status}"
+            return CallerResponse(sent.status, sent.body, sent.content_type)
+        finally:
+            self._loop.run(self._desk.end(call, outcome))
+
     def _run_order(self, call: OpenCall, key: str, hops: int) -> CallerResponse:
         request = call.request
         if key.startswith(ORDER_ID_PREFIX):
--- a/tests/gateway/test_running_fleet.py
+++ b/tests/gateway/test_running_fleet.py
@@ -172,3 +172,27 @@
     service.refuse_all = False
     assert answer.status == 200
     assert answer.json()["service"] != "orders-1"
+
+
+def test_an_order_bound_to_another_region_runs_once(fleet: LocalFleet) -> None:
+    """Guards against a second claim by the VM that an order is forwarded to.
+
+    It would find the first claim and answer ``unknown``, and the order would never run.
+    """
+    key = fleet.standins.key_of("gondar-heritage")
+    headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": "bound-order"}
+    answers = [
+        urllib3.request(
+            "POST",
+            fleet.url(vm) + "/v1/services/orders/corrections",
+            headers=headers,
+            json={"clock": 4},
+            retries=False,
+            timeout=TIMEOUT_S,
+        )
+        for vm in ("addis-1", "mekele-2")
+    ]
+    services = fleet.standins.services_by_id.values()
+    assert [answer.status for answer in answers] == [201, 201]
+    assert answers[0].data == answers[1].data
+    assert sum(service.executions_by_key["bound-order"] for service in services) == 1
