--- a/src/mangosaddle/measure/__init__.py
+++ b/src/mangosaddle/measure/__init__.py
@@ -3,13 +3,27 @@
 import click
 
 from ..demo import FleetError
+from ._ideal_bucket import Demand, ideal_admissions
+from ._load_plan import LoadPlan
 from ._load_report import LoadReport, Measure, OrganisationResult
 from ._load_run import WARM_UP_S, run_load
+from ._window_check import Use, largest_excess_tokens
 
 EXIT_OK = 0
 EXIT_NOT_RUN = 1
 
-__all__ = ["LoadReport", "Measure", "OrganisationResult", "run_load", "run_measure"]
+__all__ = [
+    "Demand",
+    "LoadPlan",
+    "LoadReport",
+    "Measure",
+    "OrganisationResult",
+    "Use",
+    "ideal_admissions",
+    "largest_excess_tokens",
+    "run_load",
+    "run_measure",
+]
 
 
 def run_measure(deployment: str, seed: int, bad_version: bool = False) -> int:
