Start all worker threads of the front end at once

The front end was created with minthreads=8 and maxthreads=64, but cheroot never grows its pool by itself, so a process had eight worker threads. Orders hold one while they wait for the store, so a few slow orders kept chats from starting. The pool now starts with all 64.

--- a/src/mangosaddle/gateway/_front.py
+++ b/src/mangosaddle/gateway/_front.py
@@ -23,6 +23,7 @@
 REQUEST_READ_LIMIT_S = 60.0
 SOCKET_TIMEOUT_S = 10
 WORKER_THREADS = 64
+"""Started at once, because cheroot does not grow its pool by itself."""
 READ_BLOCK_BYTES = 65_536
 
 Handler = Callable[[CallerRequest], Answer]
@@ -167,7 +168,7 @@
         allow larger bodies than ``BODY_LIMIT_BYTES`` to some requests.
         """
         self._server = HTTPServer(
-            (address, port), _FrontGateway, minthreads=8, maxthreads=WORKER_THREADS
+            (address, port), _FrontGateway, minthreads=WORKER_THREADS, maxthreads=WORKER_THREADS
         )
         self._server.handler = handler  # type: ignore[attr-defined]
         self._server.body_limit = body_limit  # type: ignore[attr-defined]
