--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -12,7 +12,7 @@
 import urllib3
 from click.testing import CliRunner, Result
 
-from entry_processes import EntryProcesses
+from entry_processes import AuthorityProcesses
 from mangosaddle.cli import ExitCode, main
 from mangosaddle.client import Client, RefusedError
 from mangosaddle.demo import OPERATOR_TOKEN, PEER_SECRET, wait_for
@@ -28,7 +28,7 @@
 class Operator:
     """Runs commands against one VM."""
 
-    processes: EntryProcesses
+    processes: AuthorityProcesses
     vm: str
 
     def run(self, *words: str) -> Result:
@@ -51,7 +51,7 @@
         return path.read_text()
 
 
-def test_documents_are_edited_at_any_vm(processes: EntryProcesses, tmp_path: Path) -> None:
+def test_documents_are_edited_at_any_vm(processes: AuthorityProcesses, tmp_path: Path) -> None:
     """Guards against a command line and an admin API that understand edits differently."""
     first, second = Operator(processes, "addis-1"), Operator(processes, "mekele-2")
     mine, theirs = tmp_path / "inventory.toml", tmp_path / "theirs.toml"
@@ -98,7 +98,7 @@
     assert [vm["state"] for vm in status["vms"]] == ["live"] * 6
 
 
-def test_a_bad_version_is_taken_back(processes: EntryProcesses, tmp_path: Path) -> None:
+def test_a_bad_version_is_taken_back(processes: AuthorityProcesses, tmp_path: Path) -> None:
     """Guards against a rollback that operators and their scripts do not see."""
     operator = Operator(processes, "gondar-2")
     for engine in processes.standins.engines_by_id.values():
@@ -128,12 +128,12 @@
     assert "rolled back" in output
 
 
-def _ask(processes: EntryProcesses, vm: str, key: str) -> str:
+def _ask(processes: AuthorityProcesses, vm: str, key: str) -> str:
     with Client([processes.url(vm)], key, deadline_s=5.0) as client:
         return "".join(client.stream_chat(QUESTION, "advisor", {"max_tokens": 3}))
 
 
-def _is_accepted(processes: EntryProcesses, vm: str, key: str) -> Callable[[], bool]:
+def _is_accepted(processes: AuthorityProcesses, vm: str, key: str) -> Callable[[], bool]:
     def ask() -> bool:
         try:
             return bool(_ask(processes, vm, key))
@@ -143,7 +143,7 @@
     return ask
 
 
-def test_keys_are_granted_used_and_withdrawn(processes: EntryProcesses, tmp_path: Path) -> None:
+def test_keys_are_granted_used_and_withdrawn(processes: AuthorityProcesses, tmp_path: Path) -> None:
     """Guards against keys that outlive their withdrawal, false exit codes and keys in logs."""
     operator = Operator(processes, "gondar-1")
     operator.expect(ExitCode.FINDINGS, "keys", "grant", "nobody")
@@ -193,7 +193,7 @@
         assert [text for text in (*secrets, OPERATOR_TOKEN, PEER_SECRET) if text in log] == []
 
 
-def _send_malformed_requests(processes: EntryProcesses, keys: tuple[str, ...]) -> None:
+def _send_malformed_requests(processes: AuthorityProcesses, keys: tuple[str, ...]) -> None:
     """Send what fails at every stage, with keys at right and wrong places."""
     url = processes.url("addis-1")
     for key in (*keys, processes.standins.key_of("tower-trust")):
