Order endpoints, keep vetoes in the store and route by reported versions

The running process had no orders to endpoints, kept vetoes only in the fleet's memory and believed the inventory about the versions that engines serve. One VM per model now orders under a store lease with a fencing number, vetoes are created in the store by two VMs of each region, and routing follows the versions that engines report.

--- a/src/mangosaddle/cli/_processes.py
+++ b/src/mangosaddle/cli/_processes.py
@@ -19,6 +19,11 @@
 @option("--fleet", envvar="FLEET", help="Fleet name; links to VMs of other fleets are refused.")
 @option("--store-url", envvar="STORE_URL", help="Base URL of the store.")
 @option("--vm-list-url", envvar="VM_LIST_URL", help="Base URL of the platform's VM list.")
+@option(
+    "--weight-store-url",
+    envvar="WEIGHT_STORE_URL",
+    help="Base URL of the weight store, which limits loads of versions; optional.",
+)
 @option(
     "--peer-secret",
     envvar="PEER_SECRET",
--- a/src/mangosaddle/cli/_versions.py
+++ b/src/mangosaddle/cli/_versions.py
@@ -2,13 +2,14 @@
 
 import click
 
+from ..rollouts import RolloutState
 from ._admin_client import AdminClient, Json
 from ._exceptions import NotInTimeError, RollbackError
 from ._options import Pacing, admin_options, timeout_option
 from ._output import print_json, print_table
 
-MOVED = "moved"
-TAKEN_BACK = "taken_back"
+MOVED = RolloutState.MOVED.value
+TAKEN_BACK = RolloutState.TAKEN_BACK.value
 WAIT_TIMEOUT_S = 86_400.0
 POLL_INTERVAL_S = 5.0
 COLUMNS = ("model", "old", "new", "share", "state", "deadline", "reason")
--- /dev/null
+++ b/src/mangosaddle/daemon/_endpoint_orders_service.py
@@ -0,0 +1,117 @@
+"""Orders to endpoints: which VM gives those of a model, and when there is anything to order."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from .._identifiers import ModelName, VmId
+from ..configuration import Configuration, Endpoint, EndpointKind, RolloutPlan
+from ..membership import rendezvous
+from ..peers import PeerNode
+from ..platform import StoreClient, WeightStoreClient
+from ..rollouts import RolloutControl
+from ._blocking import BlockingCalls
+from ._load_service import LoadService
+from ._model_orders import ModelOrders, OrderPorts
+from ._order_lease import OrderLease
+from ._order_plan import OrderPace, is_done
+from ._tasks import BackgroundTasks
+
+AHEAD_S = 86_400.0
+"""Time before the start of a plan from which its loads are considered."""
+
+
+class EndpointOrdersService:
+    """Gives the orders of the models for which this VM is the candidate; loop thread only."""
+
+    def __init__(
+        self,
+        own: VmId,
+        control: RolloutControl,
+        loads: LoadService,
+        peers: PeerNode,
+        store: StoreClient,
+        weights: WeightStoreClient | None,
+        blocking: BlockingCalls,
+        tasks: BackgroundTasks,
+        clock: Callable[[], float],
+        pace: OrderPace,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Create the service; ``clock`` also runs while the VM is suspended."""
+        self._own = own
+        self._peers = peers
+        self._store = store
+        self._tasks = tasks
+        self._pace = pace
+        self._ports = OrderPorts(loads, control, blocking, weights, clock, wall_clock)
+        self._orders_by_model: dict[ModelName, ModelOrders] = {}
+        self._configuration = Configuration(revision=-1)
+        self._is_stopping = False
+
+    def start(self) -> None:
+        """Begin to look for orders to give."""
+        self._tasks.every(self._pace.round_s, self._round)
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take over the plans and endpoints of a configuration."""
+        self._configuration = configuration
+
+    def is_candidate(self, model: ModelName) -> bool:
+        """Return whether this VM is the one that asks for the lease of the model."""
+        live = self._peers.membership.live_vms()
+        return bool(live) and rendezvous(f"orders {model}", live)[0] == self._own
+
+    def holds(self, model: ModelName) -> bool:
+        """Return whether this VM may order the engines of the model now."""
+        orders = self._orders_by_model.get(model)
+        return orders is not None and orders.lease.is_held
+
+    async def release_all(self) -> None:
+        """Give all leases up and ask for none any more."""
+        self._is_stopping = True
+        for orders in self._orders_by_model.values():
+            await orders.lease.release()
+
+    async def _round(self) -> None:
+        plans = {} if self._is_stopping else self._configuration.rollouts_by_model
+        for model in self._orders_by_model.keys() - plans.keys():
+            await self._orders_by_model.pop(model).lease.release()
+        await asyncio.gather(*(self._turn(plan) for plan in plans.values()))
+
+    async def _turn(self, plan: RolloutPlan) -> None:
+        orders = self._orders_by_model.get(plan.model)
+        engines = self._engines(plan.model)
+        if not self.is_candidate(plan.model) or not self._has_work(plan, engines):
+            if orders is not None:
+                await orders.lease.release()
+            return
+        if orders is None or orders.plan != plan:
+            lease = self._new_lease(plan.model) if orders is None else orders.lease
+            orders = ModelOrders(plan, lease, self._ports, self._pace)
+            self._orders_by_model[plan.model] = orders
+        if await orders.lease.hold():
+            await orders.turn(engines)
+
+    def _new_lease(self, model: ModelName) -> OrderLease:
+        ports = self._ports
+        return OrderLease(
+            model, self._own, self._store, ports.blocking, ports.clock, self._pace.lease_ttl_s
+        )
+
+    def _engines(self, model: ModelName) -> tuple[Endpoint, ...]:
+        """Return the engines that the inventory assigns to the model."""
+        return tuple(
+            endpoint
+            for endpoint in self._configuration.endpoints_by_id.values()
+            if endpoint.kind is EndpointKind.ENGINE
+            and any(version.model == model for version in endpoint.versions)
+        )
+
+    def _has_work(self, plan: RolloutPlan, engines: tuple[Endpoint, ...]) -> bool:
+        if self._ports.wall_clock() < plan.start_s - AHEAD_S:
+            return False
+        wanted = (plan.model, plan.new)
+        vetoed = any((v.model, v.version) == wanted for v in self._ports.control.vetoes())
+        served = [self._ports.loads.versions_of(e) for e in engines if not e.leaving]
+        return not is_done(plan, served, vetoed=vetoed)
--- a/src/mangosaddle/daemon/_load_service.py
+++ b/src/mangosaddle/daemon/_load_service.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from .._identifiers import EndpointId, RegionName, VmId
-from ..configuration import Configuration, Endpoint, EndpointKind
+from ..configuration import Configuration, Endpoint, EndpointKind, ModelVersion
 from ..gateway import RouteDesk
 from ..membership import HIGHEST_VERSION, PER_ORIGIN, Fact, FactKind, rendezvous
 from ..peers import PeerNode
@@ -21,12 +21,15 @@
 )
 from ..routing import CrashReport, RegionLoad
 from ._blocking import BlockingCalls
+from ._reported_versions import ReportedVersions, parse_versions
 from ._tasks import BackgroundTasks
 
 ENDPOINT_LOAD_KIND = FactKind("endpoint-load", HIGHEST_VERSION, lifetime_s=30.0)
 REGION_LOAD_KIND = FactKind("region-load", PER_ORIGIN, lifetime_s=30.0)
 CRASH_KIND = FactKind("crash", PER_ORIGIN, lifetime_s=600.0)
 POLL_S = 1.0
+VERSIONS_S = 3.0
+"""Time between two reads of the versions of one engine, which change far less than its load."""
 REGION_LOAD_S = 2.0
 REGION_REPORTERS = 2
 RELEASE_S = 0.1
@@ -62,6 +65,11 @@
         self._clients_by_endpoint: dict[EndpointId, EngineClient] = {}
         self._urls_by_endpoint: dict[EndpointId, str] = {}
         self._engines: tuple[Endpoint, ...] = ()
+        self._versions = ReportedVersions()
+        self._versions_due_s: dict[EndpointId, float] = {}
+        self._configuration = Configuration(revision=-1)
+        self.on_versions: Callable[[Configuration], None] | None = None
+        """Called with the inventory as reported when it has changed."""
         self._published_crashes: frozenset[CrashReport] = frozenset()
         self._version = 0
         self._listed_leaving: set[str] = set()
@@ -78,7 +86,9 @@
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Take over the endpoints of a configuration."""
-        self._routes.router.apply_configuration(configuration, self._clock())
+        self._configuration = configuration
+        self._versions.apply_configuration(configuration)
+        self._apply_versions()
         self._engines = tuple(
             e for e in configuration.endpoints_by_id.values() if e.kind is EndpointKind.ENGINE
         )
@@ -87,6 +97,23 @@
             if urls.get(endpoint) != self._urls_by_endpoint[endpoint]:
                 del self._clients_by_endpoint[endpoint]
 
+    def _apply_versions(self) -> None:
+        """Give the router the inventory with the versions that engines really serve."""
+        reported = self._versions.as_reported(self._configuration)
+        self._routes.router.apply_configuration(reported, self._clock())
+        if self.on_versions is not None:
+            self.on_versions(reported)
+
+    def versions_of(self, endpoint: Endpoint) -> frozenset[ModelVersion]:
+        """Return the versions that an engine serves: as reported, or as in the inventory."""
+        return self._versions.of(endpoint)
+
+    def versions_read(self, endpoint: EndpointId, versions: frozenset[ModelVersion]) -> None:
+        """Take the versions that an engine has just stated."""
+        if self._versions.take(endpoint, versions):
+            self._apply_versions()
+            self._routes.release()
+
     def list_read(self, rows: tuple[ListedVmRow, ...], _requested_s: float, now: float) -> None:
         """Give no new work to endpoints whose VMs the platform's list shows as leaving."""
         leaving = {str(row.id) for row in rows if row.state is ListedVmState.LEAVING}
@@ -125,12 +152,26 @@
             return
         load = result.unwrap()
         self._take_load(endpoint.id, load, ASSUMED_REPORT_LAG_S)
-        payload = json.dumps([load.running, load.waiting, load.capacity, time.time()]).encode()
+        await self._read_versions(endpoint)
+        row = [load.running, load.waiting, load.capacity, time.time()]
+        payload = json.dumps([*row, self._versions.names(endpoint.id)]).encode()
         version_ms = int(time.time() * 1000)
         self._peers.publish(
             self._peers.new_fact(ENDPOINT_LOAD_KIND.name, endpoint.id, version_ms, payload)
         )
 
+    async def _read_versions(self, endpoint: Endpoint) -> None:
+        now = self._clock()
+        if now < self._versions_due_s.get(endpoint.id, now):
+            return
+        self._versions_due_s[endpoint.id] = now + VERSIONS_S
+        result = await self._blocking.run(self.client_of(endpoint).versions)
+        if isinstance(result, Success):
+            served = result.unwrap().versions
+            self.versions_read(
+                endpoint.id, frozenset(ModelVersion(v.model, v.version) for v in served)
+            )
+
     def _take_load(self, endpoint: EndpointId, load: EngineLoad, age_s: float) -> None:
         self._routes.router.load_reported(
             endpoint, load.running, load.waiting, load.capacity, age_s, self._clock()
@@ -141,13 +182,16 @@
         if fact.origin == self._own:
             return
         try:
-            running, waiting, capacity, sampled_at = json.loads(fact.payload)
+            running, waiting, capacity, sampled_at, *rest = json.loads(fact.payload)
             load = EngineLoad(int(running), int(waiting), int(capacity), float(sampled_at))
+            versions = parse_versions(rest[0] if rest else None)
         except (ValueError, TypeError):
             _log.warning("load report cannot be read", extra={"vm": fact.origin})
             return
         age_s = max(0.0, time.time() - load.sampled_at) + ASSUMED_REPORT_LAG_S
         self._take_load(EndpointId(fact.key), load, age_s)
+        if versions is not None:
+            self.versions_read(EndpointId(fact.key), versions)
 
     def _publish_region_load(self) -> None:
         live = self._peers.membership.live_vms(self._region) | {self._own}
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -10,7 +10,7 @@
 
 from prometheus_client import CollectorRegistry, generate_latest
 
-from .._identifiers import Incarnation
+from .._identifiers import Incarnation, ModelName, VersionId
 from ..configuration import Configuration, Vm
 from ..gateway import (
     ADMIN_PREFIX,
@@ -36,7 +36,7 @@
 from ..membership import VmIdentity
 from ..orders import EntryOrders, OrderExecutor, OrderIdIssuer
 from ..peers import PeerNode, PeerSettings
-from ..platform import PlatformMetrics, StoreClient, VmListClient
+from ..platform import PlatformMetrics, StoreClient, VmListClient, WeightStoreClient
 from ..rollouts import RolloutControl, Veto
 from ..routing import Router
 from ._administration import OperatorDesk
@@ -45,10 +45,12 @@
 from ._configuration_holder import ConfigurationHolder
 from ._configuration_service import CONFIGURATION_KIND, ConfigurationService
 from ._control_loop import ControlLoop
+from ._endpoint_orders_service import EndpointOrdersService
 from ._fleet_service import DRAIN_INTERVAL_S, FleetService
 from ._key_service import KEY_WITHDRAWAL_KIND, KeyService
 from ._load_service import CRASH_KIND, ENDPOINT_LOAD_KIND, REGION_LOAD_KIND, LoadService
 from ._opener import StreamOpener
+from ._order_plan import OrderPace
 from ._rollout_service import EVIDENCE_KIND, VETO_KIND, RolloutService
 from ._settings import EntrySettings
 from ._tasks import BackgroundTasks
@@ -79,8 +81,14 @@
 class EntryNode:
     """An entry process; its public methods may be called from any thread."""
 
-    def __init__(self, settings: EntrySettings, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        rng: random.Random | None = None,
+        order_pace: OrderPace | None = None,
+    ) -> None:
         """Create the process's parts; nothing runs before ``start``."""
+        self._order_pace = order_pace or OrderPace()
         self.settings = settings
         self.incarnation = Incarnation(secrets.token_hex(8))
         self._rng = rng or random.Random()
@@ -140,12 +148,37 @@
             self._platform_metrics,
             self._clock,
         )
-        self._rollouts = RolloutService(
-            RolloutControl(settings.vm), self._peers, self._tasks, self._vetoed
-        )
+        self._build_rollouts()
         self._build_requests()
         self._holder.listen(self._apply)
 
+    def _build_rollouts(self) -> None:
+        settings, url = self.settings, self.settings.weight_store_url
+        self._rollouts = RolloutService(
+            settings.vm,
+            settings.region,
+            RolloutControl(settings.vm),
+            self._peers,
+            self._store,
+            self._blocking,
+            self._tasks,
+            self._rng,
+            self._vetoed,
+        )
+        self.orders = EndpointOrdersService(
+            settings.vm,
+            self._rollouts.control,
+            self._loads,
+            self._peers,
+            self._store,
+            WeightStoreClient(url, self._platform_metrics) if url else None,
+            self._blocking,
+            self._tasks,
+            self._clock,
+            self._order_pace,
+        )
+        self._loads.on_versions = self._rollouts.endpoints_reported
+
     def _new_peers(self) -> PeerNode:
         settings = self.settings
         identity = VmIdentity(settings.vm, self.incarnation, int(self._started_at_s * 1000))
@@ -229,11 +262,14 @@
         self.fleet.apply_configuration(configuration)
         self._key_service.apply_configuration(configuration)
         self.allowances.apply_configuration(configuration)
-        self._loads.apply_configuration(configuration)
         self._rollouts.apply_configuration(configuration)
+        self._loads.apply_configuration(configuration)
+        self.orders.apply_configuration(configuration)
 
     def _vetoed(self, veto: Veto) -> None:
-        """Keep a veto of this VM beyond the life of the fleet's memory."""
+        """Take the version from requests that still wait for an endpoint."""
+        self._routes.router.version_vetoed(ModelName(veto.model), VersionId(veto.version))
+        self._routes.release()
 
     def start(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Start all threads, wait for a configuration and serve callers.
@@ -251,6 +287,7 @@
         self.allowances.start()
         self._loads.start()
         self._rollouts.start()
+        self.orders.start()
         self.fleet.on_list(self.allowances.list_read)
         self.fleet.on_list(self._loads.list_read)
         self.fleet.start()
@@ -278,6 +315,7 @@
     async def _drain(self) -> None:
         while not self.fleet.drain_tick(self._active()):
             await asyncio.sleep(DRAIN_INTERVAL_S)
+        await self.orders.release_all()
         await self.allowances.release_all(SLOT_RELEASE_WITHIN_S)
         _log.info("drained", extra={"vm": self.settings.vm})
         self._exited.set()
--- /dev/null
+++ b/src/mangosaddle/daemon/_order_lease.py
@@ -0,0 +1,101 @@
+"""The store lease under which one VM orders the endpoints of a model."""
+
+import logging
+from collections.abc import Callable
+
+from returns.result import Success
+
+from .._identifiers import ModelName, VmId
+from ..platform import Lease, LeaseLost, StoreClient
+from ..rollouts import HolderState, OrderHolder
+from ._blocking import BlockingCalls
+
+KEY_PREFIX = "orders/"
+RENEWALS_PER_TTL = 3
+END_MARGIN_S = 1.0
+"""Time before the end of the lease from which no order is sent any more."""
+
+_log = logging.getLogger(__name__)
+
+
+class OrderLease:
+    """Acquires, renews and releases the lease of one model; loop thread only."""
+
+    def __init__(
+        self,
+        model: ModelName,
+        own: VmId,
+        store: StoreClient,
+        blocking: BlockingCalls,
+        clock: Callable[[], float],
+        ttl_s: float,
+    ) -> None:
+        """Create without a lease; ``clock`` also runs while the VM is suspended."""
+        self.holder = OrderHolder()
+        self._model = model
+        self._own = own
+        self._store = store
+        self._blocking = blocking
+        self._clock = clock
+        self._ttl_s = ttl_s
+        self._lease: Lease | None = None
+        self._renew_at = 0.0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether orders may be given now."""
+        return self._lease is not None and self.holder.state(self._clock()) is HolderState.HOLDING
+
+    def ends_at(self) -> float:
+        """Return the moment from which no order may be sent."""
+        return 0.0 if self._lease is None else self._lease.expires_at - END_MARGIN_S
+
+    async def hold(self) -> bool:
+        """Renew or acquire the lease if need be and return whether it is held."""
+        if not self.is_held:
+            await self._acquire()
+        elif self._clock() >= self._renew_at:
+            await self._renew()
+        return self.is_held
+
+    async def _acquire(self) -> None:
+        asked_at = self._clock()
+        key = KEY_PREFIX + self._model
+        result = await self._blocking.run(
+            self._store.acquire_lease, key, self._own.encode(), self._ttl_s
+        )
+        self._lease = result.value_or(None)
+        if self._lease is None:
+            return
+        now = self._clock()
+        self._renew_at = asked_at + self._ttl_s / RENEWALS_PER_TTL
+        # The former holder may believe in its lease for a whole TTL after its last renewal.
+        if self.holder.lease_acquired(self._lease.fencing, asked_at, now, self._ttl_s, self._ttl_s):
+            _log.info(
+                "orders endpoints", extra={"model": self._model, "fencing": self._lease.fencing}
+            )
+
+    async def _renew(self) -> None:
+        if self._lease is None:
+            return
+        asked_at = self._clock()
+        result = await self._blocking.run(self._store.renew, self._lease)
+        if isinstance(result, Success):
+            self._lease = result.unwrap()
+            self._renew_at = asked_at + self._ttl_s / RENEWALS_PER_TTL
+            self.holder.lease_renewed(asked_at, self._clock(), self._ttl_s)
+        elif isinstance(result.failure(), LeaseLost):
+            self.lost()
+
+    def lost(self) -> None:
+        """Stop: the store or an endpoint says that a later holder orders."""
+        _log.warning("lease on orders lost", extra={"model": self._model})
+        self._lease = None
+        self.holder.lease_lost()
+
+    async def release(self) -> None:
+        """Give the lease up, so that another VM can take it at once."""
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            self.holder.lease_lost()
+            await self._blocking.run(self._store.release, lease)
--- a/src/mangosaddle/daemon/_rollout_service.py
+++ b/src/mangosaddle/daemon/_rollout_service.py
@@ -1,16 +1,21 @@
-"""Spreads evidence and vetoes of rollouts between VMs."""
+"""Spreads evidence and vetoes of rollouts between VMs and keeps vetoes in the store."""
 
 import json
 import logging
+import random
 import time
 from collections.abc import Callable
 
-from .._identifiers import ModelName, VersionId
+from .._identifiers import ModelName, RegionName, VersionId, VmId
 from ..configuration import Configuration, ModelVersion
 from ..membership import GROW_ONLY, PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
+from ..platform import StoreClient
 from ..rollouts import EvidenceError, RolloutControl, Veto
+from ._blocking import BlockingCalls
+from ._reported_versions import loaded_capacity
 from ._tasks import BackgroundTasks
+from ._veto_store import VetoStore
 
 EVIDENCE_KIND = FactKind("evidence", PER_ORIGIN, lifetime_s=120.0)
 VETO_KIND = FactKind("veto", GROW_ONLY)
@@ -24,18 +29,29 @@
 
     def __init__(
         self,
+        own: VmId,
+        region: RegionName,
         control: RolloutControl,
         peers: PeerNode,
+        store: StoreClient,
+        blocking: BlockingCalls,
         tasks: BackgroundTasks,
+        rng: random.Random,
         on_veto: Callable[[Veto], None],
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
-        """Create the service; ``on_veto`` is called once for each new veto of this VM."""
+        """Create the service; ``on_veto`` is called for each version that gets vetoed."""
         self.control = control
+        self._own = own
+        self._region = region
         self._peers = peers
         self._tasks = tasks
         self._on_veto = on_veto
         self._wall_clock = wall_clock
+        self._veto_store = VetoStore(
+            store, blocking, rng, self._is_keeper, control.vetoes, self._veto_found
+        )
+        self._known_vetoes: set[str] = set()
         self._version = 0
         self._published = b""
         self._configuration = Configuration(revision=-1)
@@ -45,6 +61,22 @@
         self._peers.on_fact(EVIDENCE_KIND.name, self._evidence_received)
         self._peers.on_fact(VETO_KIND.name, self._veto_received)
         self._tasks.every(JUDGE_S, self._judge)
+        self._tasks.spawn(self._veto_store.run())
+
+    def _is_keeper(self) -> bool:
+        """Return whether this VM keeps the vetoes in the store, as one of two of its region."""
+        return self._own in self._peers.membership.config_watchers(self._region)
+
+    def endpoints_reported(self, configuration: Configuration) -> None:
+        """Take the inventory with the versions that endpoints really serve."""
+        for model, plan in configuration.rollouts_by_model.items():
+            new_capacity, old_capacity = loaded_capacity(
+                configuration.endpoints_by_id.values(),
+                self._region,
+                ModelVersion(model, plan.new),
+                ModelVersion(model, plan.old),
+            )
+            self.control.loaded(model, new_capacity, old_capacity)
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Take over the plans of a configuration."""
@@ -64,13 +96,25 @@
                 "version vetoed",
                 extra={"model": veto.model, "version": veto.version, "reason": veto.reason},
             )
-            self._peers.publish(
-                self._peers.new_fact(
-                    VETO_KIND.name, f"{veto.model}@{veto.version}", 1, _veto_payload(veto)
-                )
-            )
+            self._publish(veto)
+
+    def _publish(self, veto: Veto) -> None:
+        key = f"{veto.model}@{veto.version}"
+        self._peers.publish(self._peers.new_fact(VETO_KIND.name, key, 1, _veto_payload(veto)))
+        self._noted(veto)
+
+    def _noted(self, veto: Veto) -> None:
+        key = f"{veto.model}@{veto.version}"
+        if key not in self._known_vetoes:
+            self._known_vetoes.add(key)
             self._on_veto(veto)
 
+    def _veto_found(self, veto: Veto) -> None:
+        """Take a veto from the store, and spread it if the fleet has lost it."""
+        self.control.include_vetoes([veto])
+        if f"{veto.model}@{veto.version}" not in self._known_vetoes:
+            self._publish(veto)
+
     def _evidence_received(self, fact: Fact) -> None:
         try:
             self.control.include_evidence(fact.origin, fact.incarnation, fact.payload)
@@ -78,7 +122,7 @@
             _log.warning("evidence cannot be read", extra={"vm": fact.origin})
 
     def _veto_received(self, fact: Fact) -> None:
-        model, _, version = fact.key.partition("@")
+        model, _, version = fact.key.rpartition("@")
         try:
             document = json.loads(fact.payload)
             reason, at_s = str(document["reason"]), float(document["at_s"])
@@ -87,6 +131,7 @@
             reason, at_s = "reason not readable", self._wall_clock()
         veto = Veto(ModelName(model), VersionId(version), reason, fact.origin, at_s)
         self.control.include_vetoes([veto])
+        self._noted(veto)
 
     def vetoed(self) -> frozenset[ModelVersion]:
         """Return the versions that have been taken back."""
--- a/src/mangosaddle/daemon/_settings.py
+++ b/src/mangosaddle/daemon/_settings.py
@@ -55,6 +55,7 @@
     vm_list_url: HttpUrl
     peer_secret: Secret
     operator_token: Secret
+    weight_store_url: HttpUrl | None = None
     peers: tuple[PeerAddress, ...] = ()
     log_level: str = Field(default="INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$")
 
@@ -86,6 +87,8 @@
     vm_list_url: str
     peer_secret: str = field(repr=False)
     operator_token: str = field(repr=False)
+    weight_store_url: str | None = None
+    """``None``: loads of versions are ordered without asking the weight store."""
     peer_urls_by_vm: dict[VmId, str] = field(default_factory=dict)
     """Peers to ask for the configuration while the store is down."""
     log_level: str = "INFO"
@@ -128,6 +131,7 @@
             vm_list_url=document.vm_list_url,
             peer_secret=document.peer_secret,
             operator_token=document.operator_token,
+            weight_store_url=document.weight_store_url,
             peer_urls_by_vm={VmId(name): url for name, url in pairs},
             log_level=document.log_level,
         )
--- /dev/null
+++ b/src/mangosaddle/daemon/_veto_store.py
@@ -0,0 +1,121 @@
+"""Vetoes in the store, where they outlive the memory of the fleet."""
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+from returns.result import Success
+
+from .._identifiers import ModelName, VersionId
+from ..platform import Conflict, StoreClient, StoreEntry
+from ..rollouts import Veto
+from ._blocking import BlockingCalls
+
+PREFIX = "vetoes/"
+READ_S = 30.0
+"""Mean time between two reads of all vetoes by one of the region's two keepers: 70 of them at the
+target scale make 2.3 of the 2,000 reads/s that the store answers."""
+RETRY_INITIAL_S = 0.5
+RETRY_MAX_S = 15.0
+LOOK_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class VetoStore:
+    """Writes the known vetoes once each and reads those of others; loop thread only."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        blocking: BlockingCalls,
+        rng: random.Random,
+        is_keeper: Callable[[], bool],
+        known: Callable[[], Iterable[Veto]],
+        found: Callable[[Veto], None],
+    ) -> None:
+        """Create the keeper; ``found`` learns of each veto that the store holds."""
+        self._store = store
+        self._blocking = blocking
+        self._rng = rng
+        self._is_keeper = is_keeper
+        self._known = known
+        self._found = found
+        self._stored: set[str] = set()
+
+    async def run(self) -> None:
+        """Read all vetoes once, then keep the store and this VM in step until cancelled.
+
+        Every VM knows every veto by a fact, so that the region's keepers write those of all VMs,
+        also of one that has gone since. A store that is down is asked again with growing pauses.
+        """
+        await self._until_done(self._read)
+        loop = asyncio.get_running_loop()
+        read_due = loop.time() + READ_S * self._rng.uniform(0.5, 1.5)
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if not self._is_keeper():
+                continue
+            if self._missing():
+                await self._until_done(self._write_missing)
+            if loop.time() >= read_due:
+                read_due = loop.time() + READ_S * self._rng.uniform(0.5, 1.5)
+                await self._read()
+
+    async def _until_done(self, action: Callable[[], Awaitable[bool]]) -> None:
+        pause_s = RETRY_INITIAL_S
+        while not await action():
+            await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+            pause_s = min(2 * pause_s, RETRY_MAX_S)
+
+    def _missing(self) -> list[Veto]:
+        return [veto for veto in self._known() if _key(veto) not in self._stored]
+
+    async def _read(self) -> bool:
+        result = await self._blocking.run(self._store.read_prefix, PREFIX)
+        if not isinstance(result, Success):
+            return False
+        for entry in result.unwrap():
+            self._take(entry)
+        return True
+
+    def _take(self, entry: StoreEntry) -> None:
+        self._stored.add(entry.key)
+        self._found(_veto_from(entry))
+
+    async def _write_missing(self) -> bool:
+        outcomes = [await self._write(veto) for veto in self._missing()]
+        return all(outcomes)
+
+    async def _write(self, veto: Veto) -> bool:
+        """Create the key; an unclear outcome is settled by the next attempt, which conflicts."""
+        value = json.dumps({"reason": veto.reason, "vm": veto.vm, "at_s": veto.at_s}).encode()
+        result = await self._blocking.run(self._store.compare_and_swap, _key(veto), value, 0)
+        if isinstance(result, Success):
+            self._stored.add(_key(veto))
+            _log.info("veto stored", extra={"model": veto.model, "version": veto.version})
+            return True
+        failure = result.failure()
+        if isinstance(failure, Conflict) and failure.entry is not None:
+            self._take(failure.entry)
+            return True
+        return False
+
+
+def _key(veto: Veto) -> str:
+    return f"{PREFIX}{veto.model}@{veto.version}"
+
+
+def _veto_from(entry: StoreEntry) -> Veto:
+    """Return the veto of an entry; its key alone says which version is bad."""
+    model, _, version = entry.key.removeprefix(PREFIX).rpartition("@")
+    reason, vm, at_s = "reason not readable", "", 0.0
+    try:
+        document = json.loads(entry.value)
+        reason, vm = str(document["reason"]), str(document["vm"])
+        at_s = float(document["at_s"])
+    except (ValueError, KeyError, TypeError):
+        _log.warning("veto in the store cannot be read", extra={"key": entry.key})
+    return Veto(ModelName(model), VersionId(version), reason, vm, at_s)
--- a/src/mangosaddle/platform/_engine.py
+++ b/src/mangosaddle/platform/_engine.py
@@ -63,6 +63,8 @@
     versions: frozenset[EngineVersion]
     fencing: int | None = None
     """``None`` when the answer does not state it."""
+    loading: frozenset[EngineVersion] | None = None
+    """Versions that the engine is loading; ``None`` when the answer does not state them."""
 
 
 class EngineClient:
@@ -145,12 +147,20 @@
 
 
 def _decode_versions(document: object) -> Result[EngineVersions, QueryFailure]:
-    names = document.get("versions") if isinstance(document, dict) else None
-    if not isinstance(document, dict) or not isinstance(names, list):
+    if not isinstance(document, dict) or not isinstance(document.get("versions"), list):
         return Failure(MalformedAnswer("no list of versions"))
-    parts = [name.partition(VERSION_SEPARATOR) for name in names if isinstance(name, str)]
-    if len(parts) != len(names) or not all(model and version for model, _, version in parts):
+    versions = _decode_names(document["versions"])
+    loading = _decode_names(document["loading"]) if "loading" in document else None
+    if versions is None or ("loading" in document and loading is None):
         return Failure(MalformedAnswer("malformed version name"))
     fencing = document.get("fencing")
-    versions = frozenset(EngineVersion(ModelName(m), VersionId(v)) for m, _, v in parts)
-    return Success(EngineVersions(versions, fencing if type(fencing) is int else None))
+    return Success(EngineVersions(versions, fencing if type(fencing) is int else None, loading))
+
+
+def _decode_names(names: object) -> frozenset[EngineVersion] | None:
+    if not isinstance(names, list):
+        return None
+    parts = [name.partition(VERSION_SEPARATOR) for name in names if isinstance(name, str)]
+    if len(parts) != len(names) or not all(model and version for model, _, version in parts):
+        return None
+    return frozenset(EngineVersion(ModelName(m), VersionId(v)) for m, _, v in parts)
--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -94,6 +94,16 @@
         limit = min(self._sample_limit(plan), self._loaded_share.get(model, 1.0))
         return min(share(plan, wall_time), limit)
 
+    def sample_limit(self, model: ModelName) -> float:
+        """Return the share that the evidence allows, whatever is planned or loaded.
+
+        0 after a veto, 1 without a plan.
+        """
+        plan = self._configuration.rollouts_by_model.get(model)
+        if plan is None:
+            return 1.0
+        return 0.0 if self._is_vetoed(model, plan.new) else self._sample_limit(plan)
+
     def version_for(
         self, model: ModelName, chosen_by: bytes | random.Random, wall_time: float
     ) -> VersionId | None:
--- a/src/mangosaddle/standins/_engine.py
+++ b/src/mangosaddle/standins/_engine.py
@@ -33,6 +33,12 @@
     """Versions that answer every request with status 500."""
     slowdown_by_version: dict[str, float] = field(default_factory=dict)
     """Factor on the token interval and the prefill time."""
+    fail_after_requests: dict[str, int] = field(default_factory=dict)
+    """Requests of a version that an engine answers before it fails all later ones."""
+    fail_above_running: dict[str, int] = field(default_factory=dict)
+    """Requests of a version beside which a further one fails."""
+    failing_priorities: dict[str, str] = field(default_factory=dict)
+    """Value of ``X-Priority`` with which requests of a version fail."""
     cut_after_tokens: int | None = None
     """The next stream is cut after so many tokens."""
     crash_marker: str | None = None
@@ -68,6 +74,18 @@
         self.cached_tokens = 0
         self.fencing = 0
         self.orders: list[dict[str, object]] = []
+        """Accepted orders."""
+        self.refused_orders = 0
+        """Orders refused for their fencing number."""
+        self.load_s = 0.0
+        """Time that a load takes; the versions loaded before stay in service."""
+        self.loading: list[str] = []
+        self.failures_at: list[float] = []
+        """Monotonic times of the failures that a fault caused."""
+        self.served: list[tuple[float, str]] = []
+        """Monotonic time and version of each request that reached a version of this engine."""
+        self._running_by_version: Counter[str] = Counter()
+        self._loads: set[asyncio.Task[None]] = set()
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._cache_blocks = cache_blocks
         self._slots = asyncio.Semaphore(capacity)
@@ -125,8 +143,30 @@
             self._check_alive(request)
         if version not in self.versions:
             return web.json_response({"error": {"message": "unknown model"}}, status=404)
-        if version in self.faults.failing_versions:
+        self.served.append((time.monotonic(), version))
+        if self._fails(version, request.headers.get("X-Priority", "")):
+            self.failures_at.append(time.monotonic())
             return web.json_response({"error": {"message": "internal error"}}, status=500)
+        self._running_by_version[version] += 1
+        try:
+            return await self._answer(request, body, version, prompt)
+        finally:
+            self._running_by_version[version] -= 1
+
+    def _fails(self, version: str, priority: str) -> bool:
+        faults = self.faults
+        answered = faults.fail_after_requests.get(version)
+        beside = faults.fail_above_running.get(version)
+        return (
+            version in faults.failing_versions
+            or (answered is not None and self.requests_by_version[version] > answered)
+            or (beside is not None and self._running_by_version[version] > beside)
+            or faults.failing_priorities.get(version) == priority
+        )
+
+    async def _answer(
+        self, request: web.Request, body: dict[str, object], version: str, prompt: str
+    ) -> web.StreamResponse:
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
         # The gateway closes the connection when its caller is gone.
@@ -223,18 +263,36 @@
         self._check_alive(request)
         order = json.loads(await request.read())
         if self.checks_fencing and int(order["fencing"]) < self.fencing:
+            self.refused_orders += 1
             return web.json_response({"error": {"message": "old fencing number"}}, status=409)
         self.fencing = max(self.fencing, int(order["fencing"]))
         self.orders.append(order)
-        if order["kind"] == "load" and order["version"] not in self.versions:
-            self.versions.append(order["version"])
+        if order["kind"] == "load" and order["version"] not in self.versions + self.loading:
+            self._begin_load(order["version"])
         if order["kind"] == "unload" and order["version"] in self.versions:
             self.versions.remove(order["version"])
-        return web.json_response({"versions": self.versions})
+        return web.json_response(self._state())
+
+    def _begin_load(self, version: str) -> None:
+        if not self.load_s:
+            self.versions.append(version)
+            return
+        self.loading.append(version)
+        task = asyncio.get_running_loop().create_task(self._finish_load(version))
+        self._loads.add(task)
+        task.add_done_callback(self._loads.discard)
+
+    async def _finish_load(self, version: str) -> None:
+        await asyncio.sleep(self.load_s)
+        self.loading.remove(version)
+        self.versions.append(version)
+
+    def _state(self) -> dict[str, object]:
+        return {"versions": self.versions, "loading": self.loading, "fencing": self.fencing}
 
     async def _list_versions(self, request: web.Request) -> web.Response:
         self._check_alive(request)
-        return web.json_response({"versions": self.versions, "fencing": self.fencing})
+        return web.json_response(self._state())
 
 
 def _event(payload: dict[str, object]) -> bytes:
