Let the VM that runs a forwarded order claim it

Cause: a VM without a service endpoint in its region claimed an order in the store and forwarded it; the receiver then met that claim as one of another VM and answered 'unknown', so the order never ran. An entry-issued id forwarded by its issuer got 'unknown' too. The store was ruled out: it answered, and the claim it held was the forwarding VM's own.

Change: an order for another region is forwarded without a claim, and the receiver claims it. The issuer of an entry-issued id refuses it 'not_run' when its region has no endpoint; the id stays usable. An idempotent call says 'not_run' only if that holds for all its attempts, and the queue knows calls by an id of their own, because callers may send equal request ids.

--- a/src/mangosaddle/gateway/_chat_request.py
+++ b/src/mangosaddle/gateway/_chat_request.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import math
+import secrets
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,6 +21,7 @@
 MESSAGE_OVERHEAD_TOKENS = 4
 PREFIX_BLOCK_BYTES = 512
 PREFIX_BLOCKS = 8
+RUN_ID_BYTES = 8
 
 
 CALLER_CLASSES = (RequestClass.INTERACTIVE, RequestClass.PATIENT)
@@ -52,6 +54,9 @@
     """A valid chat request."""
 
     request_id: RequestId
+    run_id: RequestId
+    """Names this request to endpoints, queue and key ring. Callers choose the request id, so two
+    requests may share one; a cancel or a withdrawal must not reach the other."""
     model: ModelName
     request_class: RequestClass
     wants_stream: bool
@@ -102,6 +107,7 @@
     text = "\x1e".join(f"{m.role}\x1f{m.content}" for m in document.messages).encode()
     return ChatRequest(
         request_id=request_id,
+        run_id=new_run_id(request_id),
         model=ModelName(document.model),
         request_class=request_class,
         wants_stream=document.stream,
@@ -115,6 +121,11 @@
     )
 
 
+def new_run_id(request_id: RequestId) -> RequestId:
+    """Return an id that no other request has, and that begins with the caller's."""
+    return RequestId(f"{request_id}.{secrets.token_hex(RUN_ID_BYTES)}")
+
+
 def _version_of(name: str | None) -> VersionId | None:
     """Return the version in a name such as ``advisor@v1``, as answers show it."""
     return VersionId(name.rpartition("@")[2]) if name else None
--- a/src/mangosaddle/gateway/_service_desk.py
+++ b/src/mangosaddle/gateway/_service_desk.py
@@ -19,6 +19,7 @@
 )
 from ..peers import NotSentError as PeerNotSentError
 from ..routing import Chosen, Forward, Refused, RequestClass, RouteRequest
+from ._chat_request import new_run_id
 from ._endpoint import EndpointAnswer
 from ._exceptions import EndpointCutError, EndpointError, NotSentError
 from ._metrics import GatewayMetrics
@@ -109,7 +110,7 @@
         self, request: ServiceRequest, organisation: OrganisationId | None, *, forwarded: bool
     ) -> Result[OpenCall, Problem]:
         route = RouteRequest(
-            request_id=request.request_id,
+            request_id=new_run_id(request.request_id),
             organisation=organisation,
             request_class=RequestClass.SERVICE,
             service=request.service.name,
--- a/src/mangosaddle/gateway/_service_handler.py
+++ b/src/mangosaddle/gateway/_service_handler.py
@@ -1,5 +1,6 @@
 """Runs calls of plain services in worker threads; orders at most once."""
 
+from dataclasses import replace
 from functools import singledispatch
 
 from returns.result import Success
@@ -22,7 +23,7 @@
     SentOutcomeUnknown,
     request_digest,
 )
-from ..routing import Chosen
+from ..routing import Chosen, Forward
 from ._chat_handler import ADMISSION_TIMEOUT_S, LoopCalls
 from ._endpoint import EndpointAnswer, ServiceCaller
 from ._exceptions import EndpointError, EndpointTimeoutError, NotSentError
@@ -90,10 +91,32 @@
         order = Order(
             call.organisation, request.service.name, key, request.method, request.path, request.body
         )
+        if isinstance(call.target, Forward):
+            forwarded = self._forward_order(call)
+            if forwarded is not None:
+                return forwarded
         sent = _SendOnce(self, call)
         answer = self._executor.execute(order, sent)
         return self._answer_order(call, answer, sent)
 
+    def _forward_order(self, call: OpenCall) -> CallerResponse | None:
+        """Let a VM of another region claim and run an order; ``None`` if none was reached.
+
+        The VM that sends to the endpoint makes the claim: it would take a claim made here for
+        an attempt of another VM and answer ``unknown``.
+        """
+        while isinstance(call.target, Forward):
+            try:
+                answer = self._loop.run(self._desk.forward(call))
+            except NotSentError as error:
+                if not self._loop.run(self._desk.next_target(call, error, idempotent=False)):
+                    return None
+                continue
+            except EndpointError as error:
+                return order_response(AnswerUnknown(str(error)), call.request)
+            return _response(answer, call.request)
+        return None
+
     def _answer_order(
         self, call: OpenCall, answer: OrderAnswer, sent: "_SendOnce"
     ) -> CallerResponse:
@@ -129,12 +152,17 @@
         return _response(answer, call.request)
 
     def _attempt(self, call: OpenCall, *, idempotent: bool) -> Outcome:
+        may_have_run = False
         while True:
             try:
                 answer = self._send(call)
             except EndpointError as error:
+                may_have_run |= not isinstance(error, NotSentError)
                 if not self._loop.run(self._desk.next_target(call, error, idempotent)):
-                    return refuse_failed_attempt(error)
+                    problem = refuse_failed_attempt(error)
+                    return (
+                        replace(problem, execution=Execution.UNKNOWN) if may_have_run else problem
+                    )
                 continue
             self._loop.run(self._desk.finished(call))
             return answer
@@ -156,8 +184,11 @@
         )
 
     def send_order(self, call: OpenCall) -> SendOutcome:
-        """Send an order, again only after attempts that reached nothing."""
-        while True:
+        """Send an order to endpoints of the own region, again only after what reached nothing.
+
+        A VM of another region would refuse it: the claim or the id belongs to this VM.
+        """
+        while isinstance(call.target, Chosen):
             try:
                 answer = self._send(call)
             except NotSentError as error:
@@ -171,6 +202,7 @@
                 )
             self._loop.run(self._desk.finished(call))
             return EndpointResponse(answer.status, answer.content_type, answer.body)
+        return NotSent("no endpoint of this region can run the order now")
 
 
 class _SendOnce:
--- /dev/null
+++ b/tests/faults/test_running_orders.py
@@ -0,0 +1,140 @@
+"""P11 and P10 on running VMs: orders under races, lost answers, outages and restarts."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+import urllib3
+from fault_callers import TIMEOUT_S
+
+from mangosaddle._identifiers import EndpointId, VmId
+from mangosaddle.demo import LocalFleet, wait_for
+
+pytest_plugins = ("fault_fleet",)
+
+ORDER = {"clock": 7, "seconds": 2}
+
+
+def _order(
+    fleet: LocalFleet, vm: str, order_id: str, body: dict[str, int] | None = None
+) -> urllib3.BaseHTTPResponse:
+    return urllib3.request(
+        "POST",
+        fleet.url(vm) + "/v1/services/orders/corrections",
+        headers={
+            "Authorization": f"Bearer {fleet.standins.key_of('tower-trust')}",
+            "Idempotency-Key": order_id,
+        },
+        json=body or ORDER,
+        retries=False,
+        timeout=TIMEOUT_S,
+    )
+
+
+def _executions(fleet: LocalFleet, order_id: str) -> int:
+    services = fleet.standins.services_by_id.values()
+    return sum(service.executions_by_key[order_id] for service in services)
+
+
+def _issued_id(fleet: LocalFleet, vm: str) -> str:
+    answer = urllib3.request(
+        "GET",
+        fleet.url(vm) + "/v1/entry-vms?order_ids=1",
+        headers={"Authorization": f"Bearer {fleet.standins.key_of('tower-trust')}"},
+        retries=False,
+    )
+    return str(answer.json()["order_ids"][0])
+
+
+def _check_truth(fleet: LocalFleet, order_id: str, answers: list[urllib3.BaseHTTPResponse]) -> None:
+    """Check that the order ran at most once and that what callers were told fits."""
+    executions = _executions(fleet, order_id)
+    assert executions <= 1
+    delivered = {answer.data for answer in answers if answer.status == 201}
+    assert len(delivered) <= 1
+    if delivered:
+        assert executions == 1
+    if all(a.status != 201 and a.json()["execution"] == "not_run" for a in answers):
+        assert executions == 0
+
+
+@pytest.fixture(params=range(5))
+def seed(request: pytest.FixtureRequest) -> int:
+    """Number of a round: each uses order ids of its own."""
+    return int(request.param)
+
+
+@pytest.mark.parametrize(
+    "fault", ["none", "lost store answers", "slow store", "store down", "lost service answer"]
+)
+def test_an_order_at_all_vms_at_once_runs_at_most_once(
+    fleet: LocalFleet, fault: str, seed: int
+) -> None:
+    """Guards against a second execution when VMs race for an order while parts fail."""
+    faults = fleet.standins.store.faults
+    faults.lose_write_answers = 3 if fault == "lost store answers" else 0
+    faults.delay_s = 0.1 if fault == "slow store" else 0.0
+    if fault == "lost service answer":
+        for service in fleet.standins.services_by_id.values():
+            service.lose_answers = 1
+    order_id = f"race-{fault}-{seed}"
+    vms = [vm for vm in fleet.nodes_by_vm for _ in range(2)]
+    with ThreadPoolExecutor(len(vms)) as pool:
+        calls = [pool.submit(_order, fleet, vm, order_id) for vm in vms]
+        if fault == "store down":
+            wait_for(lambda: any(call.running() for call in calls), "begun", TIMEOUT_S)
+            faults.down = True
+        answers = [call.result(2 * TIMEOUT_S) for call in calls]
+    faults.down = False
+    _check_truth(fleet, order_id, answers)
+    if fault in ("none", "slow store"):
+        assert _executions(fleet, order_id) == 1
+
+
+def test_a_lost_service_answer_stays_unknown(fleet: LocalFleet) -> None:
+    """Guards against a repeat that runs an order whose first answer was lost."""
+    for service in fleet.standins.services_by_id.values():
+        service.lose_answers = 1
+    answers = [_order(fleet, vm, "lost-1") for vm in ("addis-1", "addis-1", "gondar-1")]
+    assert [a.json()["execution"] for a in answers] == ["unknown"] * 3
+    assert _executions(fleet, "lost-1") == 1
+
+
+@pytest.mark.parametrize("issued", [False, True], ids=["caller-chosen", "entry-issued"])
+def test_an_order_runs_in_another_region_when_its_own_has_no_service(
+    fleet: LocalFleet, issued: bool
+) -> None:
+    """Guards against a forwarded order that meets its own claim and never runs."""
+    node = fleet.nodes_by_vm[VmId("addis-1")]
+    order_id = _issued_id(fleet, "addis-1") if issued else "elsewhere-1"
+    router = node._routes.router
+    router.endpoint_leaving(EndpointId("orders-1"))
+    answer = _order(fleet, "addis-1", order_id)
+    router.endpoint_live(EndpointId("orders-1"), 0.0)
+    _check_truth(fleet, order_id, [answer])
+    # Only its issuer may run an entry-issued id, so there the refusal has to be truthful.
+    assert answer.status == (503 if issued else 201), answer.data
+    assert _order(fleet, "addis-1", order_id).status == 201
+    assert _executions(fleet, order_id) == 1
+
+
+def test_an_entry_issued_id_runs_once_wherever_it_is_sent(fleet: LocalFleet) -> None:
+    """Guards against a second execution of an entry-issued id at another VM."""
+    order_id = _issued_id(fleet, "addis-1")
+    with ThreadPoolExecutor(6) as pool:
+        calls = [pool.submit(_order, fleet, vm, order_id) for vm in fleet.nodes_by_vm]
+        answers = [call.result(TIMEOUT_S) for call in calls]
+    _check_truth(fleet, order_id, answers)
+    assert _executions(fleet, order_id) == 1
+
+
+def test_an_entry_issued_id_survives_no_restart(fleet: LocalFleet) -> None:
+    """Guards against a second execution by a new incarnation that has forgotten the first."""
+    order_id = _issued_id(fleet, "mekele-2")
+    first = _order(fleet, "mekele-2", order_id)
+    assert first.status == 201
+    fleet.nodes_by_vm[VmId("mekele-2")].stop()
+    fleet.start_vm(VmId("mekele-2"))
+    wait_for(lambda: _order(fleet, "mekele-2", order_id).status == 409, "unknown", TIMEOUT_S)
+    answers = [_order(fleet, vm, order_id) for vm in ("mekele-2", "gondar-1")]
+    assert [a.json()["execution"] for a in answers] == ["unknown"] * 2
+    assert _executions(fleet, order_id) == 1
