Keep equal request ids apart and notice the loss of a forward's link

The loss of a link raised in the task that reads a forward and nobody handled it: the caller waited for the stall limit, 10 s in the middle of an answer and 60 s before it. The error of that cut answer said 'not_run', because only the last attempt was judged. An origin VM gave up a forward at the same limit at which the executing VM resumes it. The engine stand-in was ruled out: it cancels what it is told to cancel.

Change: each request has a run id of its own; a lost link ends the forward at once; 'not_run' becomes 'unknown' when an earlier attempt may have run; a forward to a VM that is believed alive may stall 15 s longer; an attempt that starts after its caller left is given back.

The engine stand-in can now hang in the middle of answers.

--- a/src/mangosaddle/daemon/_fleet_service.py
+++ b/src/mangosaddle/daemon/_fleet_service.py
@@ -8,7 +8,7 @@
 
 from .._identifiers import RegionName, VmId
 from ..configuration import Configuration, Vm
-from ..membership import Drain, DrainAction, ListedRow
+from ..membership import Drain, DrainAction, ListedRow, VmState
 from ..peers import ForwardAnswer, ForwardRequest, PeerNode
 from ..platform import ListedVmRow, ListedVmState, VmListClient
 from ._blocking import BlockingCalls
@@ -88,6 +88,10 @@
         """Return the VMs that callers should use now, best first."""
         return self.peers.membership.discovery(preferred)
 
+    def is_live(self, vm: VmId) -> bool:
+        """Return whether a VM is believed alive; a leaving one still finishes its answers."""
+        return self.peers.membership.state_of(vm) in (VmState.LIVE, VmState.LEAVING)
+
     def vm_in(self, region: RegionName) -> VmId | None:
         """Return a live VM of a region, one of those with an open link if there are any."""
         live = self.peers.membership.live_vms(region) - {self._own}
--- a/src/mangosaddle/daemon/_opener.py
+++ b/src/mangosaddle/daemon/_opener.py
@@ -39,7 +39,7 @@
             open_stream,
             self.url_of(target),
             engine_payload(chat, str(target.version), resume_from),
-            chat.request_id,
+            chat.run_id,
             target.priority,
         )
 
@@ -51,6 +51,6 @@
 
             async def _cancel() -> None:
                 # The engine also notices the closed connection, so a failure costs nothing.
-                await self._blocking.run(client.cancel, chat.request_id)
+                await self._blocking.run(client.cancel, chat.run_id)
 
             self._tasks.spawn(_cancel())
--- a/src/mangosaddle/gateway/_chat_handler.py
+++ b/src/mangosaddle/gateway/_chat_handler.py
@@ -66,7 +66,7 @@
     def _open_stream(self, open_chat: OpenChat, target: Chosen) -> EndpointStream:
         chat = open_chat.chat
         payload = engine_payload(chat, str(target.version), chat.resume_from)
-        return open_stream(self._url_of(target), payload, chat.request_id, target.priority)
+        return open_stream(self._url_of(target), payload, chat.run_id, target.priority)
 
     def _hand_over(self, open_chat: OpenChat, stream: EndpointStream | None) -> Handover:
         def take(caller: socket.socket) -> None:
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -9,7 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-from .._identifiers import EndpointId, OrganisationId, VersionId
+from .._identifiers import EndpointId, OrganisationId, VersionId, VmId
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
 from ..peers import ForwardAnswer, ForwardEnd
@@ -17,11 +17,11 @@
 from ..routing import Chosen, FailureKind, Forward, Refused, RequestClass, RouteRequest
 from ._chat_request import ChatRequest
 from ._endpoint import EndpointStream
-from ._exceptions import EndpointCutError, EndpointError
+from ._exceptions import EndpointCutError, EndpointError, NotSentError
 from ._forwarding import ForwardedSink, ForwardedSource, forward_request
 from ._metrics import GatewayMetrics
 from ._ports import Allowances, Fleet, Shortage
-from ._problems import Problem
+from ._problems import Execution, Problem
 from ._refusals import (
     CUT_ANSWER,
     refuse_draining,
@@ -39,6 +39,9 @@
 
 FIRST_TOKEN_LIMIT_S = 60.0
 STALL_LIMIT_S = 10.0
+FORWARD_RESUME_S = 15.0
+"""The other VM gives a stalled endpoint up after the same limit; this time is for the attempt at
+another endpoint (1 s to connect, 10 s to the response head) and a check each second."""
 CRASH_SPREAD_S = 0.3
 """A request that may have crashed its endpoints is refused only after the other VMs have learnt
 of it: the caller may send it again at once, to any of them."""
@@ -79,6 +82,16 @@
     """Event loop time of the newest attempt, in seconds."""
     first_token_at: float | None = None
     relay: Relay | None = None
+    forwarded_to: VmId | None = None
+    """VM of the newest forward."""
+    may_have_run: bool = False
+    """Whether an earlier attempt may have reached an endpoint."""
+
+    def truthful(self, problem: Problem) -> Problem:
+        """Return the problem; "not run" must hold for all attempts, not only for the last."""
+        if self.may_have_run and problem.execution is Execution.NOT_RUN:
+            return replace(problem, execution=Execution.UNKNOWN)
+        return problem
 
 
 class ChatService:
@@ -157,7 +170,7 @@
         versions: tuple[VersionId, ...],
     ) -> Result[OpenChat, Problem]:
         request = RouteRequest(
-            request_id=chat.request_id,
+            request_id=chat.run_id,
             organisation=organisation,
             request_class=chat.request_class,
             model=chat.model,
@@ -195,6 +208,7 @@
         """Choose another target after a failed attempt, or give the request up."""
         assert isinstance(open_chat.target, Chosen)
         self._attempt_failed(open_chat, error)
+        open_chat.may_have_run |= not isinstance(error, NotSentError)
         decision = await self._routes.next_target(
             open_chat.route, open_chat.target, error, idempotent=True
         )
@@ -204,7 +218,12 @@
                 await asyncio.sleep(CRASH_SPREAD_S)
             if resume_from or (open_chat.relay is not None and open_chat.relay.buffer.tokens):
                 problem = CUT_ANSWER
-            return Failure(problem)
+            return Failure(open_chat.truthful(problem))
+        if open_chat.relay is not None and open_chat.relay.closed:
+            # The caller left while the request waited, so nothing else would end this attempt.
+            if isinstance(decision.target, Chosen):
+                self._routes.cancelled(decision.request, decision.target)
+            return Failure(CUT_ANSWER)
         open_chat.route, open_chat.target = decision.request, decision.target
         open_chat.attempt_at = asyncio.get_running_loop().time()
         return Success(open_chat)
@@ -266,7 +285,7 @@
         self._metrics.open_streams.inc()
         caller = open_chat.caller
         if caller is not None and not self._keys.register_stream(
-            caller.key_id, open_chat.chat.request_id
+            caller.key_id, open_chat.chat.run_id
         ):
             if stream is not None:
                 stream.socket.close()
@@ -296,7 +315,7 @@
             now = asyncio.get_running_loop().time()
             relay.last_data_at = open_chat.attempt_at = now
             if isinstance(decision, Refused):
-                relay.fail(refuse_routing(decision))
+                relay.fail(open_chat.truthful(refuse_routing(decision)))
                 return
             open_chat.target = decision
             if relay.closed and isinstance(decision, Chosen):
@@ -328,6 +347,7 @@
             self._spawn(self.forward_refused(relay, "no entry VM of the region is reachable"))
             return
         self._metrics.forwards.inc()
+        open_chat.forwarded_to = vm
         request = forward_request(
             open_chat.chat, open_chat.organisation, open_chat.route, relay.buffer.tokens
         )
@@ -342,7 +362,8 @@
             return
         decision = await self._routes.next_region(open_chat.route, open_chat.target)
         if isinstance(decision, Refused):
-            relay.fail(replace(refuse_routing(decision), detail=reason))
+            problem = replace(refuse_routing(decision), detail=reason)
+            relay.fail(open_chat.truthful(problem))
             return
         open_chat.route, open_chat.target = decision.request, decision.target
         await self._connect(open_chat, relay)
@@ -388,7 +409,7 @@
         if isinstance(open_chat.target, Waiting):
             self._routes.abandon(open_chat.target)
         if open_chat.caller is not None:
-            self._keys.unregister_stream(open_chat.caller.key_id, open_chat.chat.request_id)
+            self._keys.unregister_stream(open_chat.caller.key_id, open_chat.chat.run_id)
         complete = relay.buffer.is_complete
         self._settle(open_chat.reservation, _cost_tokens(open_chat, relay))
         if isinstance(open_chat.target, Chosen):
@@ -431,7 +452,7 @@
     def end_withdrawn_streams(self) -> int:
         """End the open answers of withdrawn keys; return how many there were."""
         ended = {r for streams in self._keys.streams_to_end().values() for r in streams}
-        relays = [relay for relay in self._open_by_relay if relay.request_id in ended]
+        relays = [relay for relay, one in self._open_by_relay.items() if one.chat.run_id in ended]
         for relay in relays:
             relay.fail(refuse_withdrawn_stream())
         return len(relays)
@@ -443,11 +464,20 @@
                 relay.abandon()
                 continue
             limit_s = STALL_LIMIT_S if relay.buffer.tokens else FIRST_TOKEN_LIMIT_S
-            is_waiting = isinstance(self._open_by_relay[relay].target, Waiting)
+            target = self._open_by_relay[relay].target
+            is_waiting = isinstance(target, Waiting)
+            if isinstance(target, Forward):
+                limit_s = self._forward_limit_s(self._open_by_relay[relay], limit_s)
             if not is_waiting and not relay.is_paused and now - relay.last_data_at > limit_s:
                 relay.last_data_at = now
                 relay.cut_source()
 
+    def _forward_limit_s(self, open_chat: OpenChat, limit_s: float) -> float:
+        vm = open_chat.forwarded_to
+        if vm is not None and not self._fleet.is_live(vm):
+            return STALL_LIMIT_S
+        return limit_s + FORWARD_RESUME_S
+
     def _settle(self, reservation: int | None, used_tokens: float) -> None:
         if reservation is not None:
             self._allowances.settle(reservation, used_tokens)
--- a/src/mangosaddle/gateway/_forwarding.py
+++ b/src/mangosaddle/gateway/_forwarding.py
@@ -13,8 +13,10 @@
     ForwardEnd,
     ForwardHead,
     ForwardRequest,
+    PeerError,
     TrafficMetadata,
 )
+from ..peers import NotSentError as PeerNotSentError
 from ..routing import RouteRequest
 from ._chat_request import ChatRequest, parse_chat, payload_bytes
 from ._messages import CallerRequest
@@ -101,6 +103,10 @@
                 elif isinstance(answer, ForwardEnd):
                     end = answer
                     break
+        except PeerNotSentError as error:
+            end = ForwardEnd(False, Execution.NOT_RUN.value, str(error))
+        except (TimeoutError, PeerError) as error:
+            end = ForwardEnd(complete=False, reason=str(error))
         finally:
             close = getattr(self._answers, "aclose", None)
             if close is not None:
--- a/src/mangosaddle/gateway/_ports.py
+++ b/src/mangosaddle/gateway/_ports.py
@@ -44,6 +44,10 @@
         """Return the VMs that callers should use now, best first."""
         ...
 
+    def is_live(self, vm: VmId) -> bool:
+        """Return whether a VM is believed alive."""
+        ...
+
     def vm_in(self, region: RegionName) -> VmId | None:
         """Return a live VM of a region to forward to."""
         ...
--- a/src/mangosaddle/standins/_engine.py
+++ b/src/mangosaddle/standins/_engine.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 PREFIX_BLOCK_TOKENS = 16
+HANG_STEP_S = 0.02
 ANSWER_WORDS = ("the", "clock", "drifts", "by", "less", "than", "a", "second", "each", "day")
 
 
@@ -35,6 +36,8 @@
     """Factor on the token interval and the prefill time."""
     cut_after_tokens: int | None = None
     """The next stream is cut after so many tokens."""
+    hang_after_tokens: int | None = None
+    """Streams send so many tokens at most and then stay open without sending."""
     crash_marker: str | None = None
     """A prompt that contains this text stops the engine for good."""
     refuse_all: bool = False
@@ -85,6 +88,11 @@
         application.router.add_get("/v1/versions", self._list_versions)
         return application
 
+    @property
+    def running(self) -> int:
+        """Number of answers that are being generated."""
+        return self._running
+
     def _check_alive(self, request: web.Request) -> None:
         if self.crashed or self.faults.refuse_all:
             if request.transport is not None:
@@ -179,6 +187,7 @@
             self._check_alive(request)
             if request_id in self.cancelled:
                 return
+            await self._hang(request, position)
             if (
                 self.faults.cut_after_tokens is not None
                 and position >= self.faults.cut_after_tokens
@@ -197,6 +206,16 @@
         )
         await response.write(b"data: [DONE]\n\n")
 
+    async def _hang(self, request: web.Request, position: int) -> None:
+        """Stay silent while the fault lasts and the other end is there."""
+        while (
+            self.faults.hang_after_tokens is not None
+            and position >= self.faults.hang_after_tokens
+            and request.transport is not None
+        ):
+            self._check_alive(request)
+            await asyncio.sleep(HANG_STEP_S)
+
     async def _cancel(self, request: web.Request) -> web.Response:
         self._check_alive(request)
         self.cancelled.add(request.match_info["request_id"])
