--- a/src/mangosaddle/gateway/_service_handler.py
+++ b/src/mangosaddle/gateway/_service_handler.py
@@ -87,31 +87,34 @@
         request = call.request
         if key.startswith(ORDER_ID_PREFIX):
             return self._run_entry_order(call, key, hops)
-        if isinstance(call.target, Forward):
-            return self._forward_order(call)
         order = Order(
             call.organisation, request.service.name, key, request.method, request.path, request.body
         )
+        if isinstance(call.target, Forward):
+            forwarded = self._forward_order(call)
+            if forwarded is not None:
+                return forwarded
         sent = _SendOnce(self, call)
         answer = self._executor.execute(order, sent)
         return self._answer_order(call, answer, sent)
 
-    def _forward_order(self, call: OpenCall) -> CallerResponse:
-        """Let a VM of another region claim and execute the order.
+    def _forward_order(self, call: OpenCall) -> CallerResponse | None:
+        """Let a VM of another region claim and run an order; ``None`` if none was reached.
 
-        A claim of this VM would make the other one answer that the outcome is unknown.
+        The VM that sends to the endpoint makes the claim: it would take a claim made here for
+        an attempt of another VM and answer ``unknown``.
         """
-        while True:
+        while isinstance(call.target, Forward):
             try:
                 answer = self._loop.run(self._desk.forward(call))
             except NotSentError as error:
-                moved = self._loop.run(self._desk.next_target(call, error, idempotent=False))
-                if not moved or not isinstance(call.target, Forward):
-                    return order_response(RefuseNotRun(str(error)), call.request)
+                if not self._loop.run(self._desk.next_target(call, error, idempotent=False)):
+                    return None
                 continue
             except EndpointError as error:
                 return order_response(AnswerUnknown(str(error)), call.request)
             return _response(answer, call.request)
+        return None
 
     def _answer_order(
         self, call: OpenCall, answer: OrderAnswer, sent: "_SendOnce"
@@ -178,13 +181,11 @@
         )
 
     def send_order(self, call: OpenCall) -> SendOutcome:
-        """Send an order, again only after attempts that reached nothing.
+        """Send an order to endpoints of the own region, again only after what reached nothing.
 
-        It stays in this region: a VM of another one would find this VM's claim.
+        A VM of another region would refuse it: the claim or the id belongs to this VM.
         """
-        while True:
-            if not isinstance(call.target, Chosen):
-                return NotSent("no endpoint of this region was reached")
+        while isinstance(call.target, Chosen):
             try:
                 answer = self._send(call)
             except NotSentError as error:
@@ -198,6 +199,7 @@
                 )
             self._loop.run(self._desk.finished(call))
             return EndpointResponse(answer.status, answer.content_type, answer.body)
+        return NotSent("no endpoint of this region can run the order now")
 
 
 class _SendOnce:
