Let a request fall back to the old version after two failures of the new one

A request chosen for a faulty new version was retried with that version at every endpoint of its region and then, pinned to it, in another region, until it was refused as `answer-cut`, although the old version could have answered it. After the second failed attempt the route desk now drops the failed version from the request if another one is acceptable; the first failure may still be the endpoint's, and two attempts keep the evidence quick.

--- a/src/mangosaddle/gateway/_route_desk.py
+++ b/src/mangosaddle/gateway/_route_desk.py
@@ -112,7 +112,7 @@
         sent = not isinstance(error, NotSentError)
         if not self.router.take_retry(sent=sent, idempotent=idempotent):
             return None
-        return await self._choose_next(with_tried(request, failed.endpoint))
+        return await self._choose_next(with_tried(_fall_back(request, failed), failed.endpoint))
 
     async def next_region(self, request: RouteRequest, failed: Forward) -> NextTarget | Refused:
         """Return another target after a forward that ran nothing."""
@@ -146,3 +146,13 @@
         now = self._clock()
         self.router.failed(request.request_id, target.endpoint, FailureKind.CANCELLED, now)
         self.release()
+
+
+def _fall_back(request: RouteRequest, failed: Chosen) -> RouteRequest:
+    """Return the request without the failed version after its second failed attempt.
+
+    One failure may be the endpoint's. After two the version is suspected: a faulty new version
+    would otherwise fail the request at all endpoints, although the old version can answer it.
+    """
+    others = tuple(version for version in request.versions if version != failed.version)
+    return replace(request, versions=others) if request.tried and others else request
--- /dev/null
+++ b/tests/gateway/test_route_desk.py
@@ -0,0 +1,64 @@
+"""Which versions an attempt after a failure may use."""
+
+import asyncio
+import random
+from dataclasses import replace
+
+import pytest
+
+from mangosaddle._identifiers import ModelName, OrganisationId, RequestId, VersionId, VmId
+from mangosaddle.configuration import Configuration, EndpointKind, ModelVersion
+from mangosaddle.demo import example_configuration
+from mangosaddle.gateway import EndpointRefusedError, RouteDesk
+from mangosaddle.gateway._route_desk import NextTarget
+from mangosaddle.routing import Chosen, RequestClass, Router, RouteRequest
+
+MODEL, OLD, NEW = ModelName("advisor"), VersionId("v1"), VersionId("v2")
+
+
+def _both_versions_everywhere() -> Configuration:
+    configuration = example_configuration("authority")
+    both = frozenset({ModelVersion(MODEL, OLD), ModelVersion(MODEL, NEW)})
+    endpoints = {
+        endpoint.id: replace(endpoint, versions=both)
+        for endpoint in configuration.endpoints_by_id.values()
+        if endpoint.kind is EndpointKind.ENGINE
+    }
+    return replace(configuration, endpoints_by_id=endpoints)
+
+
+@pytest.mark.parametrize(
+    ("versions", "after_one", "after_two"),
+    [((NEW, OLD), (NEW, OLD), (OLD,)), ((OLD,), (OLD,), (OLD,)), ((NEW,), (NEW,), (NEW,))],
+)
+def test_the_second_failure_of_a_version_leads_to_the_other(
+    versions: tuple[VersionId, ...],
+    after_one: tuple[VersionId, ...],
+    after_two: tuple[VersionId, ...],
+) -> None:
+    """Guards against a faulty new version that fails a request at every endpoint.
+
+    A request that accepts one version only must keep it, and one failure proves nothing yet.
+    """
+    router = Router.from_configuration(VmId("addis-1"), _both_versions_everywhere())
+    desk = RouteDesk(router, random.Random(1), lambda: 1000.0)
+    request = RouteRequest(
+        request_id=RequestId("r"),
+        organisation=OrganisationId("tower-trust"),
+        request_class=RequestClass.INTERACTIVE,
+        model=MODEL,
+        versions=versions,
+    )
+
+    async def _versions_of_attempts() -> list[tuple[VersionId, ...]]:
+        found: list[tuple[VersionId, ...]] = []
+        current, target = request, await desk.choose(request)
+        while isinstance(target, Chosen):
+            error = EndpointRefusedError(500, "internal error")
+            following = await desk.next_target(current, target, error, idempotent=True)
+            assert isinstance(following, NextTarget)
+            current, target = following.request, following.target
+            found.append(current.versions)
+        return found
+
+    assert asyncio.run(_versions_of_attempts()) == [after_one, after_two]
