Report the slowest organisation's first token beside the worst-served one

The share of answers hid that one organisation waits far longer than the others. The report now names the organisation with the highest p95 of the first token and shows the figure for each.

--- a/src/mangosaddle/measure/__init__.py
+++ b/src/mangosaddle/measure/__init__.py
@@ -53,11 +53,11 @@
 def _print_organisations(rows: list[OrganisationResult]) -> None:
     click.echo(
         f"\n{'organisation':<20} {'chats':>6} {'ideal':>6} {'answered':>8} {'wrongly refused':>15}"
-        f" {'served':>7} {'p95 s':>6} {'window excess':>13}"
+        f" {'served':>7} {'p95 s':>6} {'first p95 ms':>12} {'window excess':>13}"
     )
     for row in rows:
         click.echo(
             f"{row.organisation:<20} {row.sent:>6} {row.ideal:>6} {row.answered:>8}"
             f" {row.wrongly_refused:>15} {row.served_part:>7.1%} {row.p95_s:>6.2f}"
-            f" {row.excess_tokens:>13.0f}"
+            f" {1000 * row.first_token_p95_s:>12.0f} {row.excess_tokens:>13.0f}"
         )
--- a/src/mangosaddle/measure/_load_report.py
+++ b/src/mangosaddle/measure/_load_report.py
@@ -39,6 +39,8 @@
     answered_of_ideal: int
     p95_s: float
     """Time to the end of an answer."""
+    first_token_p95_s: float
+    """Time to the first token of streamed chats."""
     excess_tokens: float
     """Largest excess of any window over burst + rate * time; negative when all hold."""
 
@@ -87,6 +89,7 @@
             len(wrongly),
             served,
             quantile([o.ended_s - o.sent_s for _, o in answered], 0.95),
+            quantile([o.token_times_s[0] - o.sent_s for _, o in answered if o.token_times_s], 0.95),
             largest_excess_tokens(uses, organisation.rate_tokens_per_s, organisation.burst_tokens),
         )
 
@@ -120,9 +123,13 @@
             yield Measure(f"{kind.value}, p50 / p95", _quantiles_ms(times, 0.5, 0.95))
 
     def _worst_served(self) -> Iterator[Measure]:
-        worst = min(self.organisations(), key=lambda row: row.served_part)
+        rows = self.organisations()
+        worst = min(rows, key=lambda row: row.served_part)
         value = f"{worst.organisation}: {worst.served_part:.1%}, p95 {worst.p95_s:.2f} s"
         yield Measure("worst-served organisation, answered of ideal", value)
+        slowest = max(rows, key=lambda row: row.first_token_p95_s)
+        value = f"{slowest.organisation}: {1000 * slowest.first_token_p95_s:.0f} ms"
+        yield Measure("worst-served organisation, first token p95", value, "420 ms")
 
     def _wrongful_refusals(self) -> Iterator[Measure]:
         rows = self.organisations()
