Prove rollouts on a running fleet and order only what has been read back

A trial with the running fleet unloaded the old version while other VMs still sent requests to it: 3 of 1,519 requests failed.

--- a/src/mangosaddle/daemon/_endpoint_orders_service.py
+++ b/src/mangosaddle/daemon/_endpoint_orders_service.py
@@ -17,6 +17,8 @@
 from ._order_plan import OrderPace, is_done
 from ._tasks import BackgroundTasks
 
+RELEASE_AFTER_S = 6.0
+"""Time without work after which the lease is released: reports of engines may be older."""
 AHEAD_S = 86_400.0
 """Time before the start of a plan from which its loads are considered."""
 
@@ -47,6 +49,7 @@
         self._ports = OrderPorts(loads, control, blocking, weights, clock, wall_clock)
         self._orders_by_model: dict[ModelName, ModelOrders] = {}
         self._configuration = Configuration(revision=-1)
+        self._worked_at: dict[ModelName, float] = {}
         self._is_stopping = False
 
     def start(self) -> None:
@@ -82,7 +85,11 @@
     async def _turn(self, plan: RolloutPlan) -> None:
         orders = self._orders_by_model.get(plan.model)
         engines = self._engines(plan.model)
-        if not self.is_candidate(plan.model) or not self._has_work(plan, engines):
+        now = self._ports.clock()
+        if self._has_work(plan, engines):
+            self._worked_at[plan.model] = now
+        idle_s = now - self._worked_at.get(plan.model, float("-inf"))
+        if not self.is_candidate(plan.model) or idle_s > RELEASE_AFTER_S:
             if orders is not None:
                 await orders.lease.release()
             return
--- a/src/mangosaddle/daemon/_order_plan.py
+++ b/src/mangosaddle/daemon/_order_plan.py
@@ -26,7 +26,10 @@
     start_s: float = 30.0
     """Assumed rest of a load until one has been observed."""
     keep_old_s: float = 600.0
-    """Time for which the old version stays loaded after the move, for a veto that comes late."""
+    """Time for which the old version stays loaded after the move, for a veto that comes late.
+
+    At least some seconds: the other VMs learn only then that all engines serve the new version.
+    """
     keep_bad_s: float = 60.0
     """Time for which a vetoed version stays loaded, so that its running answers end."""
 
--- a/src/mangosaddle/daemon/_rollout_service.py
+++ b/src/mangosaddle/daemon/_rollout_service.py
@@ -5,13 +5,14 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from .._identifiers import ModelName, RegionName, VersionId, VmId
 from ..configuration import Configuration, ModelVersion
 from ..membership import GROW_ONLY, PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
 from ..platform import StoreClient
-from ..rollouts import EvidenceError, RolloutControl, Veto
+from ..rollouts import EvidenceError, RolloutControl, RolloutState, RolloutStatus, Veto
 from ._blocking import BlockingCalls
 from ._reported_versions import loaded_capacity
 from ._tasks import BackgroundTasks
@@ -52,6 +53,7 @@
             store, blocking, rng, self._is_keeper, control.vetoes, self._veto_found
         )
         self._known_vetoes: set[str] = set()
+        self._waiting_regions: dict[ModelName, list[RegionName]] = {}
         self._version = 0
         self._published = b""
         self._configuration = Configuration(revision=-1)
@@ -69,14 +71,16 @@
 
     def endpoints_reported(self, configuration: Configuration) -> None:
         """Take the inventory with the versions that endpoints really serve."""
+        endpoints = configuration.endpoints_by_id.values()
         for model, plan in configuration.rollouts_by_model.items():
-            new_capacity, old_capacity = loaded_capacity(
-                configuration.endpoints_by_id.values(),
-                self._region,
-                ModelVersion(model, plan.new),
-                ModelVersion(model, plan.old),
-            )
-            self.control.loaded(model, new_capacity, old_capacity)
+            new, old = ModelVersion(model, plan.new), ModelVersion(model, plan.old)
+            self.control.loaded(model, *loaded_capacity(endpoints, self._region, new, old))
+            with_old_only = {
+                e.region
+                for e in endpoints
+                if not e.leaving and old in e.versions and new not in e.versions
+            }
+            self._waiting_regions[model] = sorted(with_old_only)
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Take over the plans of a configuration."""
@@ -139,6 +143,16 @@
             ModelVersion(ModelName(v.model), VersionId(v.version)) for v in self.control.vetoes()
         )
 
+    def _of_all_regions(self, status: RolloutStatus, deadline_s: float) -> RolloutStatus:
+        """Return the status without ``moved`` while a region still has to load the version."""
+        waiting = self._waiting_regions.get(status.model)
+        if status.state is not RolloutState.MOVED or not waiting:
+            return status
+        late = self._wall_clock() >= deadline_s
+        state = RolloutState.LATE if late else RolloutState.MOVING
+        reason = f"not yet loaded on all engines in {', '.join(waiting)}"
+        return replace(status, state=state, reason=reason)
+
     def versions(self) -> list[dict[str, object]]:
         """Return the state of each rollout for operators."""
         rows: list[dict[str, object]] = []
@@ -146,6 +160,7 @@
             status = self.control.status(model, self._wall_clock())
             if status is None:
                 continue
+            status = self._of_all_regions(status, plan.deadline_s)
             rows.append(
                 {
                     "model": model,
