--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -162,7 +162,8 @@
             self._store,
             self._blocking,
             self._tasks,
-            self._rng,
+            # Its draws must not shift those of the other parts in a seeded run.
+            random.Random(f"vetoes/{settings.vm}"),
             self._vetoed,
         )
         self.orders = EndpointOrdersService(
