--- a/src/mangosaddle/standins/_service.py
+++ b/src/mangosaddle/standins/_service.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+HOLD_STEP_S = 0.02
+
 
 class ServiceStandIn:
     """Answers every path; a POST is an execution that must happen at most once per key."""
@@ -19,6 +21,9 @@
         self.lose_answers = 0
         """This many of the next executions take effect and their answers are lost."""
 
+        self.hold_answers = False
+        """Executions take effect and their answers wait while this is set."""
+
         self.refuse_all = False
         """Every connection is cut without an answer."""
 
@@ -43,6 +48,8 @@
         self.seen_headers.append(dict(request.headers))
         key = request.headers.get("Idempotency-Key", "")
         self.executions_by_key[key] += 1
+        while self.hold_answers:
+            await asyncio.sleep(HOLD_STEP_S)
         if self.lose_answers > 0:
             self.lose_answers -= 1
             if request.transport is not None:
--- a/tests/faults/test_running_orders.py
+++ b/tests/faults/test_running_orders.py
@@ -1,11 +1,13 @@
 """P11 and P10 on running VMs: orders under races, lost answers, outages and restarts."""
 
+import signal
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import urllib3
 from fault_callers import TIMEOUT_S
 
+from entry_processes import EntryProcesses
 from mangosaddle._identifiers import EndpointId, VmId
 from mangosaddle.demo import LocalFleet, wait_for
 
@@ -138,3 +140,45 @@
     answers = [_order(fleet, vm, order_id) for vm in ("mekele-2", "gondar-1")]
     assert [a.json()["execution"] for a in answers] == ["unknown"] * 2
     assert _executions(fleet, order_id) == 1
+
+
+def test_a_vm_killed_between_claim_and_answer_leaves_one_execution(
+    processes: EntryProcesses,
+) -> None:
+    """Guards against another VM that runs an order whose VM was killed in the middle of it."""
+    standins = processes.standins
+    services = standins.services_by_id.values()
+    headers = {
+        "Authorization": f"Bearer {standins.key_of('tower-trust')}",
+        "Idempotency-Key": "killed-1",
+    }
+
+    def order(vm: str) -> urllib3.BaseHTTPResponse | None:
+        url = processes.url(vm) + "/v1/services/orders/corrections"
+        try:
+            return urllib3.request(
+                "POST", url, headers=headers, json=ORDER, retries=False, timeout=TIMEOUT_S
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    for service in services:
+        service.hold_answers = True
+    with ThreadPoolExecutor(1) as pool:
+        first = pool.submit(order, "addis-1")
+        wait_for(
+            lambda: sum(s.executions_by_key["killed-1"] for s in services) == 1,
+            "the order runs",
+            TIMEOUT_S,
+        )
+        processes.signal("addis-1", signal.SIGKILL)
+        assert first.result(TIMEOUT_S) is None
+    for service in services:
+        service.hold_answers = False
+    processes.processes_by_vm["addis-1"].wait(TIMEOUT_S)
+    processes.start_vm("addis-1")
+    wait_for(lambda: processes.get("addis-1", "/readyz") is not None, "restarted", TIMEOUT_S)
+    repeats = [order(vm) for vm in processes.processes_by_vm]
+    executions = [a.json()["execution"] for a in repeats if a is not None]
+    assert executions == ["unknown"] * len(processes.processes_by_vm)
+    assert sum(service.executions_by_key["killed-1"] for service in services) == 1
