Recall lent shares of a slot that is to be released

A released slot waits until the lent shares fit into the other slots, and a borrower could renew them for ever, so the slot would never move. The holder now answers no renewal while a release is pending, and recalls the shares at its next tick.

--- a/src/mangosaddle/limits/_allowance.py
+++ b/src/mangosaddle/limits/_allowance.py
@@ -214,9 +214,9 @@
         return [Outgoing(pending.lender, answer)]
 
     def renew_lent(self, renewal: ShareRenewal, now: float) -> ShareRenewed | None:
-        """Hold a lent share for longer, or return ``None`` if it has ended."""
+        """Hold a lent share for longer, or return ``None`` if it has ended or its slot goes."""
         self.advance(now)
-        if not self.lent.renew(renewal.share_id, now):
+        if self.releasing or not self.lent.renew(renewal.share_id, now):
             return None
         return ShareRenewed(renewal.share_id, renewal.organisation, renewal.serial)
 
@@ -270,12 +270,16 @@
         return messages
 
     def recall(self, policy: BorrowPolicy, now: float) -> list[Outgoing]:
-        """Ask for lent shares back while own demand lacks what the own slots would cover."""
+        """Ask for lent shares back while own demand lacks what the own slots would cover.
+
+        A slot that is to be released needs its lent shares back as well.
+        """
         own_rate, own_capacity = self.own_limits()
         rate, capacity = self.targets(policy, now)
         part = policy.recall_part
         enough_rate = self.bucket.rate >= part * min(rate, own_rate)
-        if enough_rate and self.bucket.capacity_tokens >= part * min(capacity, own_capacity):
+        enough = enough_rate and self.bucket.capacity_tokens >= part * min(capacity, own_capacity)
+        if enough and not self.releasing:
             return []
         messages = []
         for share in self.lent.by_id.values():
--- a/src/mangosaddle/limits/_ledger.py
+++ b/src/mangosaddle/limits/_ledger.py
@@ -333,10 +333,10 @@
         allowance.advance(now)
         allowance.borrowed.forget_unanswered(now)
         messages = self._confirm_releases(allowance, now) if allowance.releasing else []
+        messages += allowance.recall(self._policy, now)
         if self._draining or self._suspended:
             return messages
         messages += allowance.renew_or_return(self._policy, now)
-        messages += allowance.recall(self._policy, now)
         messages += self._asker.ask_ahead(allowance, now)
         return messages + self._asker.fetch_ahead(allowance, now)
 
--- a/tests/limits/test_transfers.py
+++ b/tests/limits/test_transfers.py
@@ -1,4 +1,4 @@
-"""Capacity and time of transfers, which the fleet's property test cannot tell apart."""
+"""Capacity and time of transfers and releases, which the property test cannot tell apart."""
 
 import pytest
 
@@ -7,10 +7,14 @@
     AllowanceLedger,
     HeldSlot,
     ShareGrant,
+    ShareRecall,
+    ShareRenewal,
     ShareRequest,
     ShareReturn,
     Short,
     SlotId,
+    SlotRelease,
+    SlotReleased,
 )
 
 from .simulated_fleet import ORGANISATION, configuration
@@ -59,3 +63,17 @@
     before = ledger.available_tokens(ORGANISATION, now)
     ledger.handle_share_grant(outgoing.destination, grant, now)
     assert ledger.available_tokens(ORGANISATION, now) - before == pytest.approx(taken)
+
+
+def test_release_recalls_lent_shares() -> None:
+    """Guards against a slot that never moves because its shares are renewed for ever."""
+    ledger, other = ledger_with_slot(), VmId("vm-0-1")
+    request = ShareRequest("id", ORGANISATION, 50.0, 100.0, 0.0, urgent=False, transfer=False)
+    ledger.handle_share_request(other, request, 10.0)
+    release = SlotRelease(ORGANISATION, 0, "nonce", Incarnation("a"))
+    assert ledger.handle_slot_release(other, release, 11.0) == []
+    renewal = ShareRenewal("id", ORGANISATION, 1)
+    assert ledger.handle_share_renewal(other, renewal, 11.0) == []
+    assert [o.message for o in ledger.tick(11.0)] == [ShareRecall("id", ORGANISATION)]
+    answers = ledger.handle_share_return(other, ShareReturn("id", ORGANISATION, 0.0), 11.1)
+    assert [o.message for o in answers] == [SlotReleased(ORGANISATION, 0, "nonce")]
