--- /dev/null
+++ b/src/mangosaddle/daemon/_claim_sweep.py
@@ -0,0 +1,80 @@
+"""Deletes expired claims of orders from the store."""
+
+from collections.abc import Callable
+
+from returns.result import Success
+
+from .._identifiers import VmId
+from ..configuration import Configuration
+from ..orders import SweepPlanner, claims_prefix, plan_sweep
+from ..peers import PeerNode
+from ..platform import BadAnswer, StoreClient
+from ._blocking import BlockingCalls
+from ._tasks import BackgroundTasks
+
+ASSIGN_S = 300.0
+"""Changes of organisations or VMs may wait this long: claims are kept for a day."""
+STEP_S = 5.0
+
+
+class ClaimSweep:
+    """Reads one prefix at a time and deletes what has expired; loop thread only."""
+
+    def __init__(
+        self,
+        own: VmId,
+        current: Callable[[], Configuration],
+        peers: PeerNode,
+        store: StoreClient,
+        blocking: BlockingCalls,
+        tasks: BackgroundTasks,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Create the sweep; ``start`` begins it."""
+        self._planner = SweepPlanner(own)
+        self._current = current
+        self._peers = peers
+        self._store = store
+        self._blocking = blocking
+        self._tasks = tasks
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self.deleted = 0
+        """Claims deleted by this VM."""
+
+    def start(self) -> None:
+        """Begin to assign prefixes and to sweep."""
+        self._tasks.every(ASSIGN_S, self.assign)
+        self._tasks.every(STEP_S, self.step)
+
+    def assign(self) -> None:
+        """Share the prefixes of all organisations and services out over the live VMs."""
+        configuration = self._current()
+        prefixes = [
+            claims_prefix(organisation, service)
+            for organisation in configuration.organisations_by_id
+            for service in configuration.services_by_name
+        ]
+        self._planner.assign(prefixes, self._peers.membership.live_vms(), self._clock())
+
+    async def step(self) -> None:
+        """Sweep the next prefix that is due."""
+        now = self._clock()
+        prefix = self._planner.next_prefix(now)
+        if prefix is None:
+            return
+        found = await self._blocking.run(self._store.read_prefix, prefix)
+        if not isinstance(found, Success):
+            if isinstance(found.failure(), BadAnswer):
+                self._planner.split(prefix, now)
+            else:
+                self._planner.repeat_soon(prefix, now)
+            return
+        plan = plan_sweep(found.unwrap(), self._wall_clock())
+        for claim in plan.expired:
+            # A conflict means that the claim was taken again, so it stays.
+            deleted = await self._blocking.run(self._store.delete, claim.key, claim.modify_index)
+            self.deleted += isinstance(deleted, Success)
+        if not plan.complete:
+            self._planner.repeat_soon(prefix, now)
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -42,6 +42,7 @@
 from ._administration import OperatorDesk
 from ._allowance_service import VACATED_KIND, AllowanceService
 from ._blocking import BlockingCalls
+from ._claim_sweep import ClaimSweep
 from ._configuration_holder import ConfigurationHolder
 from ._configuration_service import CONFIGURATION_KIND, ConfigurationService
 from ._control_loop import ControlLoop
@@ -158,6 +159,16 @@
             self.clock,
         )
         self._build_rollouts()
+        self._sweep = ClaimSweep(
+            settings.vm,
+            self._current,
+            self._peers,
+            self._store,
+            self._blocking,
+            self._tasks,
+            self.clock,
+            time.time,
+        )
         self._build_requests()
         self._holder.listen(self._apply)
 
@@ -303,6 +314,7 @@
         self.fleet.start()
         self._tasks.every(STALL_CHECK_S, self._check_stalled)
         self._tasks.every(PENDING_ORDERS_S, self._release_pending_orders)
+        self._sweep.start()
         await self._configurations.loaded()
 
     def _check_stalled(self) -> None:
