--- a/tests/daemon/test_configuration_service.py
+++ b/tests/daemon/test_configuration_service.py
@@ -194,6 +194,8 @@
         assert [_rate(merged, organisation) for _, organisation, _ in edits] == [
             rate for _, _, rate in edits
         ]
+        # The next turn reads at another VM and must not start from an older revision there.
+        _wait_in_force(fleet, merged["revision"])
 
 
 def test_an_old_answer_that_arrives_late_changes_nothing(
