Charge costs above their reservation, and estimate prompts rather too high

Cause: a prompt was estimated at a quarter of its bytes, and a cost above the reservation was not charged at all; text in Ethiopic script costs up to a token a byte, so an organisation could use more than its allowance. Ruled out: the refund rule (its tests cover costs below the reservation). Change: ASCII counts a token for three bytes, other bytes one each; an excess becomes a debt that later tokens pay first. An excess still falls into the window in which the engine counted it.

--- a/src/mangosaddle/gateway/_chat_request.py
+++ b/src/mangosaddle/gateway/_chat_request.py
@@ -17,7 +17,7 @@
 
 DEFAULT_OUTPUT_TOKENS = 256
 MAX_OUTPUT_TOKENS = 32_768
-BYTES_PER_TOKEN = 4
+ASCII_BYTES_PER_TOKEN = 3
 MESSAGE_OVERHEAD_TOKENS = 4
 PREFIX_BLOCK_BYTES = 512
 PREFIX_BLOCKS = 8
@@ -132,12 +132,19 @@
 
 
 def _estimate_tokens(messages: list[MessageDocument]) -> int:
-    # A tokenizer makes about one token of four bytes and at least one of each word.
-    return sum(
-        MESSAGE_OVERHEAD_TOKENS
-        + max(len(m.content.split()), math.ceil(len(m.content.encode()) / BYTES_PER_TOKEN))
-        for m in messages
-    )
+    return sum(MESSAGE_OVERHEAD_TOKENS + _estimate_text(m.content) for m in messages)
+
+
+def _estimate_text(text: str) -> int:
+    """Estimate a text's tokens rather too high: the rest is refunded when the engine has counted.
+
+    Tokenizers make one token of about four ASCII bytes. Scripts such as Ethiopic may take a token
+    for each of a character's bytes.
+    """
+    size_bytes = len(text.encode())
+    ascii_bytes = sum(character < "\x80" for character in text)
+    estimate = math.ceil(ascii_bytes / ASCII_BYTES_PER_TOKEN) + size_bytes - ascii_bytes
+    return max(len(text.split()), estimate)
 
 
 def _prefix_digests(text: bytes) -> tuple[bytes, ...]:
--- a/src/mangosaddle/limits/_allowance.py
+++ b/src/mangosaddle/limits/_allowance.py
@@ -42,6 +42,7 @@
     __slots__ = (
         "borrowed",
         "bucket",
+        "debt_tokens",
         "demand",
         "lenders",
         "lent",
@@ -68,6 +69,8 @@
         self.demand = Demand(now)
         self.open_reservations = 0
         self.open_tokens = 0.0
+        self.debt_tokens = 0.0
+        """Costs above their reservations, which later tokens pay before any request."""
 
     def is_idle(self, now: float, idle_s: float) -> bool:
         """Return whether there is nothing to do for this organisation until the next message."""
@@ -81,7 +84,7 @@
 
     def is_empty(self) -> bool:
         """Return whether nothing is lost when the state of an idle organisation is dropped."""
-        return not self.slots and not self.open_reservations
+        return not self.slots and not self.open_reservations and not self.debt_tokens
 
     def set_organisation(
         self, organisation: Organisation, revision: int, now: float
@@ -141,6 +144,7 @@
     def reserve(self, tokens: float, now: float, suspended: bool) -> OpenReservation | None:
         """Take the upper bound of a request's cost, or nothing if short."""
         self.advance(now)
+        self._pay_debt(now)
         group = None if suspended else self.bucket.reserve(tokens, now)
         if group is None:
             return None
@@ -149,11 +153,21 @@
         return OpenReservation(tokens, group)
 
     def settle(self, reservation: OpenReservation, used: float, now: float) -> None:
-        """End a reservation at its final cost."""
+        """End a reservation at its final cost.
+
+        A cost above the reservation comes from an estimate of the prompt that was too low; what the
+        bucket cannot pay at once stays as a debt.
+        """
         self.advance(now)
         self.open_reservations -= 1
         self.open_tokens = self.open_tokens - reservation.tokens if self.open_reservations else 0.0
         self.bucket.refund(reservation.group, max(0.0, reservation.tokens - used), now)
+        self.debt_tokens += max(0.0, used - reservation.tokens)
+        self._pay_debt(now)
+
+    def _pay_debt(self, now: float) -> None:
+        if self.debt_tokens:
+            self.debt_tokens -= self.bucket.spend(self.debt_tokens, now)
 
     def lend(
         self,
--- a/src/mangosaddle/limits/_bucket.py
+++ b/src/mangosaddle/limits/_bucket.py
@@ -59,6 +59,13 @@
         self.level_tokens = max(0.0, self.level_tokens - tokens)
         return self._open_group()
 
+    def spend(self, tokens: float, now: float) -> float:
+        """Take up to ``tokens`` without a reservation and return what there was."""
+        self.refill(now)
+        taken = min(tokens, self.level_tokens)
+        self.level_tokens -= taken
+        return taken
+
     def refund(self, group: HeadroomGroup, unused_tokens: float, now: float) -> float:
         """Close a reservation and return the tokens given back to the level."""
         self.refill(now)
--- a/tests/gateway/test_chat_request.py
+++ b/tests/gateway/test_chat_request.py
@@ -60,3 +60,13 @@
     """Guards against a body that makes the parser fail instead of refusing it."""
     raw = body if isinstance(body, bytes) else json.dumps(body).encode()
     parse_chat(_request(raw))
+
+
+@pytest.mark.parametrize(
+    ("text", "least"),
+    [("a b c d", 4), ("x" * 300, 100), ("\u12a0\u12f2\u1235", 9), ("", 0)],
+)
+def test_the_prompt_is_not_estimated_too_low(text: str, least: int) -> None:
+    """Guards against an upper bound below the cost: three Ethiopic characters may be 9 tokens."""
+    body = json.dumps({**GOOD, "messages": [{"role": "user", "content": text}]}).encode()
+    assert parse_chat(_request(body)).unwrap().prompt_tokens >= least
--- a/tests/limits/test_bucket.py
+++ b/tests/limits/test_bucket.py
@@ -3,7 +3,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mangosaddle.limits import HeadroomGroup, TokenBucket
+from mangosaddle._identifiers import OrganisationId
+from mangosaddle.configuration import Organisation
+from mangosaddle.limits import HeadroomGroup, HeldSlot, SlotId, TokenBucket
+from mangosaddle.limits._allowance import Allowance
 
 RATE = 10.0
 CAPACITY = 100.0
@@ -62,3 +65,18 @@
         assert (bucket.reserve(tokens, now) is not None) == allowed
         if allowed:
             exact.charge(tokens, now)
+
+
+def test_a_cost_above_its_reservation_is_paid_before_the_next_request() -> None:
+    """Guards against an organisation that gets tokens for nothing by prompts estimated too low."""
+    organisation = Organisation(OrganisationId("o"), RATE, CAPACITY)
+    allowance = Allowance(organisation, 0.0)
+    allowance.set_slots(frozenset({HeldSlot(SlotId(organisation.id, 0), 1, "n")}), 0.0)
+    now = CAPACITY / RATE
+    reservation = allowance.reserve(20.0, now, suspended=False)
+    assert reservation is not None
+    allowance.settle(reservation, 150.0, now)
+    assert allowance.available_tokens(now, suspended=False) == 0.0
+    owed_s = (150.0 - CAPACITY) / RATE
+    assert allowance.reserve(1.0, now + owed_s, suspended=False) is None
+    assert allowance.reserve(1.0, now + owed_s + 1.0, suspended=False) is not None
