--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -28,6 +28,7 @@
     refuse_draining,
     refuse_failed_attempt,
     refuse_key,
+    refuse_overload,
     refuse_routing,
     refuse_shortage,
     refuse_unknown_model,
@@ -49,6 +50,8 @@
 CHAT_ROUTE = "/v1/chat/completions"
 
 SLOW_CALLER_LIMIT_S = 60.0
+MAX_OPEN_CHATS = 4_096
+"""Admitted requests of one process, each of which holds up to two sockets."""
 
 Target = Chosen | Forward
 
@@ -134,6 +137,8 @@
         """Admit a caller's request: key, model, allowance and route."""
         if not self._fleet.accepts_work():
             return self._refuse(chat, "", refuse_draining(self._fleet.discovery(())))
+        if self._admitted >= MAX_OPEN_CHATS:
+            return self._refuse(chat, "", refuse_overload(self._fleet.discovery(())))
         verified = self._keys.verify(authorization)
         if not isinstance(verified, Success):
             return self._refuse(chat, "", refuse_key(verified.failure()))
--- a/src/mangosaddle/gateway/_refusals.py
+++ b/src/mangosaddle/gateway/_refusals.py
@@ -56,6 +56,17 @@
     )
 
 
+def refuse_overload(others: Iterable[Vm]) -> Problem:
+    """Refuse new work while this VM has as many open requests as it can hold."""
+    return Problem(
+        503,
+        "too-many-requests-open",
+        "this entry VM has too many open requests",
+        retry_after_s=1.0,
+        entry_vms=tuple(vm.url for vm in others),
+    )
+
+
 def refuse_shortage(shortage: Shortage) -> Problem:
     """Refuse a request above the organisation's allowance."""
     if shortage.retry_after_s is None:
--- a/tests/gateway/test_running_fleet.py
+++ b/tests/gateway/test_running_fleet.py
@@ -247,3 +247,14 @@
     assert [answer.status for answer in answers] == [201, 201]
     assert answers[0].data == answers[1].data
     assert sum(service.executions_by_key["bound-order"] for service in services) == 1
+
+
+def test_a_full_vm_refuses_and_names_others(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that takes streams until it has no sockets left."""
+    monkeypatch.setattr("mangosaddle.gateway._chat_service.MAX_OPEN_CHATS", 0)
+    answer = _ask(fleet)
+    assert (answer.status, answer.json()["execution"]) == (503, "not_run")
+    assert answer.headers["Retry-After"] == "1"
+    assert len(answer.json()["entry_vms"]) == 6
