Join answers with engines by the caller's id in the load report

Cause: engines now see the caller's id with a suffix, so the report found no engine for any answer (0 of 0 in another region, 1,257 attempts per answer). Change: the suffix is cut off.

--- a/src/mangosaddle/measure/_remote_stand_ins.py
+++ b/src/mangosaddle/measure/_remote_stand_ins.py
@@ -147,7 +147,9 @@
     for engine in engines:
         for headers in list(engine.seen_headers):
             names = {name.lower(): value for name, value in headers.items()}
-            engines_by_request.setdefault(names.get("x-request-id", ""), []).append(engine.name)
+            # The gateway adds a suffix of its own, because callers may choose equal ids.
+            request_id = names.get("x-request-id", "").rpartition(".")[0]
+            engines_by_request.setdefault(request_id, []).append(engine.name)
     return PlatformCounts(
         store_calls_by_kind=dict(standins.store.calls_by_kind),
         prefill_tokens=sum(engine.prefill_tokens for engine in engines),
