Drop the half event of a broken run, and count attempts across a forward

Endpoints faster than expected are no longer preferred: others were never tried. Adds stand-ins of the platform and contract tests with runners.

--- a/src/mangosaddle/daemon/_allowance_service.py
+++ b/src/mangosaddle/daemon/_allowance_service.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from .._identifiers import Incarnation, OrganisationId, VmId
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration
 from ..gateway import Shortage
 from ..limits import (
@@ -35,7 +36,6 @@
 from ..peers import PeerNode, register
 from ..providers import ListedVmRow, ListedVmState, StoreClient
 from ._blocking import BlockingCalls
-from .._tasks import BackgroundTasks
 
 TICK_S = 0.05
 PLAN_S = 1.0
--- a/src/mangosaddle/daemon/_claim_sweep.py
+++ b/src/mangosaddle/daemon/_claim_sweep.py
@@ -5,12 +5,12 @@
 from returns.result import Success
 
 from .._identifiers import VmId
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration
 from ..orders import SweepPlanner, claims_prefix, plan_sweep
 from ..peers import PeerNode
 from ..providers import BadAnswer, StoreClient
 from ._blocking import BlockingCalls
-from .._tasks import BackgroundTasks
 
 ASSIGN_S = 300.0
 """Changes of organisations or VMs may wait this long: claims are kept for a day."""
--- a/src/mangosaddle/daemon/_configuration_service.py
+++ b/src/mangosaddle/daemon/_configuration_service.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from .._identifiers import RegionName, VmId
+from .._tasks import BackgroundTasks
 from ..configuration import (
     Configuration,
     ConfigurationError,
@@ -35,7 +36,6 @@
     ConfigurationWatch,
     WatchPort,
 )
-from .._tasks import BackgroundTasks
 
 CONFIGURATION_KEY = "configuration"
 CONFIGURATION_KIND = FactKind("configuration", HIGHEST_VERSION)
--- a/src/mangosaddle/daemon/_endpoint_orders_service.py
+++ b/src/mangosaddle/daemon/_endpoint_orders_service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from .._identifiers import ModelName, VmId
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Endpoint, EndpointKind, RolloutPlan
 from ..membership import rendezvous
 from ..peers import PeerNode
@@ -15,7 +16,6 @@
 from ._model_orders import ModelOrders, OrderPorts
 from ._order_lease import OrderLease
 from ._order_plan import OrderPace, is_done
-from .._tasks import BackgroundTasks
 
 RELEASE_AFTER_S = 6.0
 """Time without work after which the lease is released: reports of engines may be older."""
--- a/src/mangosaddle/daemon/_fleet_service.py
+++ b/src/mangosaddle/daemon/_fleet_service.py
@@ -8,12 +8,12 @@
 from returns.result import Success
 
 from .._identifiers import RegionName, VmId
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Vm
 from ..membership import Drain, DrainAction, ListedRow, VmState
 from ..peers import ForwardAnswer, ForwardRequest, PeerNode
 from ..providers import ListedVmRow, ListedVmState, VmListClient
 from ._blocking import BlockingCalls
-from .._tasks import BackgroundTasks
 
 LIST_INTERVAL_S = 2.0
 LIST_ROWS_PER_S = 40.0
--- a/src/mangosaddle/daemon/_load_service.py
+++ b/src/mangosaddle/daemon/_load_service.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from .._identifiers import EndpointId, RegionName, VmId
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Endpoint, EndpointKind, ModelVersion
 from ..gateway import RouteDesk
 from ..membership import HIGHEST_VERSION, PER_ORIGIN, Fact, FactKind, rendezvous
@@ -24,7 +25,6 @@
 from ..routing import CrashReport, RegionLoad
 from ._blocking import BlockingCalls
 from ._reported_versions import ReportedVersions, parse_versions
-from .._tasks import BackgroundTasks
 
 ENDPOINT_LOAD_KIND = FactKind(
     "endpoint-load", PER_ORIGIN, lifetime_s=60.0, regional=True, reconciled=False
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -11,6 +11,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from .._identifiers import Incarnation, ModelName, VersionId
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Vm
 from ..gateway import (
     ADMIN_PREFIX,
@@ -60,7 +61,6 @@
 from ._order_plan import OrderPace
 from ._rollout_service import EVIDENCE_KIND, REGION_EVIDENCE_KIND, VETO_KIND, RolloutService
 from ._settings import EntrySettings
-from .._tasks import BackgroundTasks
 
 STALL_CHECK_S = 1.0
 PENDING_ORDERS_S = 2.0
--- a/src/mangosaddle/daemon/_opener.py
+++ b/src/mangosaddle/daemon/_opener.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration
 from ..gateway import ChatRequest, EndpointStream, NotSentError, engine_payload, open_stream
 from ..routing import Chosen
 from ._blocking import BlockingCalls
 from ._load_service import LoadService
-from .._tasks import BackgroundTasks
 
 
 class StreamOpener:
--- a/src/mangosaddle/daemon/_rollout_service.py
+++ b/src/mangosaddle/daemon/_rollout_service.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from .._identifiers import ModelName, RegionName, VersionId, VmId
+from .._tasks import BackgroundTasks
 from ..configuration import Configuration, ModelVersion
 from ..membership import (
     GROW_ONLY,
@@ -22,7 +23,6 @@
 from ..rollouts import EvidenceError, RolloutControl, RolloutState, RolloutStatus, Veto
 from ._blocking import BlockingCalls
 from ._reported_versions import loaded_capacity
-from .._tasks import BackgroundTasks
 from ._veto_store import VetoStore
 
 EVIDENCE_KIND = FactKind("evidence", PER_ORIGIN, lifetime_s=300.0, regional=True, reconciled=False)
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -157,6 +157,7 @@
         sink: AnswerSink,
     ) -> AttemptResult:
         clock = asyncio.get_running_loop().time
+        progress.splitter.restart()
         while (data := await connection.body()) is not None:
             view.load.answering(request.id, clock())
             events = progress.splitter.feed(data)
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -68,11 +68,11 @@
         request: RoutedRequest,
         opaque: OpaqueRequest,
         region: RegionName,
-        resume_after: int | None,
         sink: AnswerSink,
         progress: StreamProgress,
     ) -> RunResult:
         """Let a VM of the region run the request."""
+        resume_after = progress.splitter.last_id if progress.resumes else None
         vms = self._vms_by_region().get(region, [])
         if not vms:
             return RunResult(Ending.NOT_RUN, f"no VM of {region} can be reached")
@@ -102,6 +102,7 @@
 ) -> RunResult:
     """Pass an answer on; one that is not a stream is held until it is whole."""
     is_stream = request.route.kind is RequestKind.STREAM
+    progress.splitter.restart()
     head: ForwardHead | None = None
     parts: list[bytes] = []
     async for answer in answers:
@@ -223,9 +224,7 @@
                 },
             )
             retry_ms = int((result.retry_after_s or 0.0) * MS_PER_S)
-            end = ForwardEnd(
-                complete, result.ending.value, result.cause, retry_after_ms=retry_ms
-            )
+            end = ForwardEnd(complete, result.ending.value, result.cause, retry_after_ms=retry_ms)
             await sink.end(end)
 
     def _decode(
--- a/src/mangosaddle/entry/_front_desk.py
+++ b/src/mangosaddle/entry/_front_desk.py
@@ -126,7 +126,7 @@
     @staticmethod
     def _organisation(
         catalogue: Catalogue, route: Route, opaque: OpaqueRequest
-    ) -> Organisation | None | Problem:
+    ) -> Organisation | Problem | None:
         if not catalogue.has_keys:
             return None
         organisation = catalogue.organisations_by_key.get(opaque.key) if opaque.key else None
--- a/src/mangosaddle/entry/_reports.py
+++ b/src/mangosaddle/entry/_reports.py
@@ -91,7 +91,7 @@
         now = self._clock()
         for view in self._endpoints.views():
             entry = loads.get(view.id) if loads is not None else None
-            running, unread, memory = entry if _is_triple(entry) else (0, 0, 0)
+            running, unread, memory = _triple(entry)
             view.load.reported(fact.origin, ReportedLoad(running, unread, memory, now))
 
     def _report_received(self, fact: Fact) -> None:
@@ -123,5 +123,8 @@
     return content if isinstance(content, kind) else None
 
 
-def _is_triple(entry: object) -> bool:
-    return isinstance(entry, list) and len(entry) == 3 and all(isinstance(n, int) for n in entry)
+def _triple(entry: object) -> tuple[int, int, int]:
+    """Return the numbers of a load entry; an endpoint without a valid entry has no load."""
+    if isinstance(entry, list) and len(entry) == 3 and all(isinstance(n, int) for n in entry):
+        return entry[0], entry[1], entry[2]
+    return 0, 0, 0
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -4,6 +4,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Collection
+from dataclasses import replace
 from typing import Protocol
 
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
@@ -44,11 +45,10 @@
         request: RoutedRequest,
         opaque: OpaqueRequest,
         region: RegionName,
-        resume_after: int | None,
         sink: AnswerSink,
         progress: StreamProgress,
     ) -> RunResult:
-        """Let a VM of the region run the request."""
+        """Let a VM of the region run the request, on as many endpoints as its route says."""
         ...
 
 
@@ -108,10 +108,14 @@
         return self._budget(request.service).take(sent=sent, idempotent=repeatable)
 
     def decide(
-        self, request: RoutedRequest, tried: Collection[EndpointId]
+        self,
+        request: RoutedRequest,
+        tried: Collection[EndpointId],
+        tried_regions: Collection[RegionName],
     ) -> Place | Elsewhere | NoPlace:
         """Return where a request should run now."""
-        regions = self.forwarder.regions() if self.forwarder is not None else ()
+        reachable = self.forwarder.regions() if self.forwarder is not None else ()
+        regions = [region for region in reachable if region not in tried_regions]
         now = asyncio.get_running_loop().time()
         return self._placement.decide(request, self._region_vms(), regions, tried, now)
 
@@ -180,6 +184,7 @@
         self._opaque = opaque
         self._sink = sink
         self._tried: set[EndpointId] = set()
+        self._tried_regions: set[RegionName] = set()
         self._tries = 0
         self._may_have_run = 0
         """Attempts of which the endpoint may have run the request."""
@@ -189,13 +194,16 @@
 
     async def to_end(self) -> RunResult:
         while True:
-            decision = self._runner.decide(self._request, self._tried)
+            decision = self._runner.decide(self._request, self._tried, self._tried_regions)
             self._log_decision(decision)
             if isinstance(decision, NoPlace):
                 return await self._given_up(decision.cause.value, decision.retry_after_s)
             self._tries += 1
             if isinstance(decision, Elsewhere):
-                return await self._forward(decision)
+                ended = await self._forward(decision)
+                if ended is not None:
+                    return ended
+                continue
             result = await self._runner.attempt(
                 self._request, self._opaque, decision, self._progress, self._sink
             )
@@ -236,16 +244,23 @@
         )
         return allowed
 
-    async def _forward(self, decision: Elsewhere) -> RunResult:
+    async def _forward(self, decision: Elsewhere) -> RunResult | None:
+        """Let another region run the request; ``None`` if it may still run somewhere else."""
         forwarder = self._runner.forwarder
         assert forwarder is not None
-        resume_after = self._progress.splitter.last_id if self._progress.resumes else None
+        # The endpoints that may have run the request count towards the route's attempts there too.
+        attempts_left = self._request.route.attempts - self._may_have_run
+        route = replace(self._request.route, attempts=attempts_left)
+        request = replace(self._request, route=route)
         result = await forwarder.run(
-            self._request, self._opaque, decision.region, resume_after, self._sink, self._progress
+            request, self._opaque, decision.region, self._sink, self._progress
         )
-        if result.ending is Ending.NOT_RUN and (self._may_have_run or self._sink.started):
-            return await self._given_up(result.cause, result.retry_after_s)
-        return result
+        if result.ending is not Ending.NOT_RUN:
+            return result
+        self._tried_regions.add(decision.region)
+        if result.retry_after_s is None and self._tries < MAX_TRIES:
+            return None
+        return await self._given_up(result.cause, result.retry_after_s)
 
     async def _given_up(self, cause: str, retry_after_s: float | None) -> RunResult:
         """End the request with what is known: an endpoint's failure goes to the caller as it is."""
@@ -289,4 +304,3 @@
             fields |= {"refused": decision.cause.value}
         fields["left_ms"] = round(request.left_s(asyncio.get_running_loop().time()) * 1000)
         logger.info("placed", extra=fields)
-
--- a/src/mangosaddle/gateway/__init__.py
+++ b/src/mangosaddle/gateway/__init__.py
@@ -1,5 +1,6 @@
 """HTTP front end towards callers and operators."""
 
+from .._problems import Execution, Finding, Problem
 from ._admin_handler import (
     ADMIN_PREFIX,
     AdminHandler,
@@ -26,7 +27,6 @@
 from ._messages import Answer, CallerRequest, CallerResponse, Handover
 from ._metrics import GatewayMetrics
 from ._ports import Allowances, Fleet, Shortage
-from .._problems import Execution, Finding, Problem
 from ._relay import CollectSink, Relay, StreamSink, attach_caller, attach_endpoint
 from ._route_desk import RouteDesk
 from ._service_desk import ServiceDesk
--- a/src/mangosaddle/gateway/_admin_handler.py
+++ b/src/mangosaddle/gateway/_admin_handler.py
@@ -9,6 +9,7 @@
 from returns.result import Result, Success
 
 from .._identifiers import KeyId, OrganisationId
+from .._problems import Finding, Problem
 from ..configuration import (
     Configuration,
     ModelVersion,
@@ -19,7 +20,6 @@
     revision_of_etag,
 )
 from ._messages import CallerRequest, CallerResponse
-from .._problems import Finding, Problem
 
 ADMIN_PREFIX = "/admin/v1/"
 KEYS_PREFIX = "/admin/v1/keys/"
--- a/src/mangosaddle/gateway/_application.py
+++ b/src/mangosaddle/gateway/_application.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from .._problems import Finding, Problem
 from ._chat_handler import LoopCalls
 from ._messages import Answer, CallerRequest, CallerResponse
-from .._problems import Finding, Problem
 
 LOOP_CALL_TIMEOUT_S = 30.0
 
--- a/src/mangosaddle/gateway/_chat_request.py
+++ b/src/mangosaddle/gateway/_chat_request.py
@@ -11,9 +11,9 @@
 from returns.result import Failure, Result, Success
 
 from .._identifiers import ModelName, RequestId, VersionId
+from .._problems import Finding, Problem
 from ..routing import RequestClass
 from ._messages import CallerRequest
-from .._problems import Finding, Problem
 
 DEFAULT_OUTPUT_TOKENS = 256
 MAX_OUTPUT_TOKENS = 32_768
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from .._identifiers import EndpointId, OrganisationId, VersionId, VmId
+from .._problems import Problem
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
 from ..peers import ForwardAnswer, ForwardEnd
@@ -21,7 +22,6 @@
 from ._forwarding import ForwardedSink, ForwardedSource, forward_request
 from ._metrics import GatewayMetrics
 from ._ports import Allowances, Fleet, Shortage
-from .._problems import Problem
 from ._refusals import (
     CUT_ANSWER,
     after_attempts,
--- a/src/mangosaddle/gateway/_discovery_handler.py
+++ b/src/mangosaddle/gateway/_discovery_handler.py
@@ -6,12 +6,12 @@
 from returns.result import Success
 
 from .._identifiers import OrganisationId
+from .._problems import Finding, Problem
 from ..configuration import Configuration
 from ..keys import KeyRing
 from ..orders import OrderIdIssuer
 from ._messages import CallerRequest, CallerResponse
 from ._ports import Allowances, Fleet
-from .._problems import Finding, Problem
 from ._refusals import refuse_key
 
 DISCOVERY_VALID_S = 10
--- a/src/mangosaddle/gateway/_forwarded_requests.py
+++ b/src/mangosaddle/gateway/_forwarded_requests.py
@@ -6,11 +6,11 @@
 from returns.result import Success
 
 from .._identifiers import VersionId, VmId
+from .._problems import Execution
 from ..peers import ForwardAnswer, ForwardChunk, ForwardEnd, ForwardHead, ForwardRequest
 from ._chat_service import CHAT_ROUTE, ChatService
 from ._forwarding import parse_forwarded
 from ._messages import CallerRequest, CallerResponse
-from .._problems import Execution
 from ._service_desk import OpenCall, ServiceDesk
 from ._service_handler import ServiceHandler
 from ._service_request import parse_service_call
--- a/src/mangosaddle/gateway/_forwarding.py
+++ b/src/mangosaddle/gateway/_forwarding.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 
 from .._identifiers import OrganisationId
+from .._problems import Execution, Problem
 from ..peers import (
     ForwardAnswer,
     ForwardChunk,
@@ -20,7 +21,6 @@
 from ..routing import RouteRequest
 from ._chat_request import ChatRequest, parse_chat, payload_bytes
 from ._messages import CallerRequest
-from .._problems import Execution, Problem
 from ._relay import Relay
 
 CHAT_PATH = "/v1/chat/completions"
--- a/src/mangosaddle/gateway/_front.py
+++ b/src/mangosaddle/gateway/_front.py
@@ -15,8 +15,8 @@
 from cheroot.server import Gateway, HTTPServer
 
 from .._identifiers import RequestId
-from ._messages import Answer, CallerRequest, CallerResponse, Handover
 from .._problems import Finding, Problem
+from ._messages import Answer, CallerRequest, CallerResponse, Handover
 
 BODY_LIMIT_BYTES = 1_048_576
 HEADER_LIMIT_BYTES = 16_384
--- a/src/mangosaddle/gateway/_refusals.py
+++ b/src/mangosaddle/gateway/_refusals.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from .._problems import Execution, Finding, Problem
 from ..configuration import Vm
 from ..keys import KeyRefusal
 from ..routing import RefusalReason, Refused
 from ._exceptions import EndpointError, EndpointRefusedError, EndpointTimeoutError, NotSentError
 from ._ports import Shortage
-from .._problems import Execution, Finding, Problem
 
 KEY_DETAILS = {
     KeyRefusal.MISSING: "the request has no key",
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -11,9 +11,9 @@
 from typing import Protocol
 
 from .._identifiers import RequestId
+from .._problems import Problem
 from ._endpoint import EndpointStream
 from ._events import EventBuffer, parse_events
-from .._problems import Problem
 
 CALLER_BUFFER_BYTES = 65_536
 STREAM_HEAD = (
--- a/src/mangosaddle/gateway/_service_desk.py
+++ b/src/mangosaddle/gateway/_service_desk.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from .._identifiers import EndpointId, OrganisationId, VmId
+from .._problems import Execution, Problem
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
 from ..orders import EntryOrderDecision, EntryOrders, OrderAnswer, SendOutcome
@@ -24,7 +25,6 @@
 from ._exceptions import EndpointCutError, EndpointError, NotSentError
 from ._metrics import GatewayMetrics
 from ._ports import Allowances, Fleet, Shortage
-from .._problems import Execution, Problem
 from ._refusals import refuse_draining, refuse_key, refuse_routing, refuse_shortage
 from ._route_desk import NextTarget, RouteDesk
 from ._service_request import SERVICES_PREFIX, ServiceRequest
--- a/src/mangosaddle/gateway/_service_handler.py
+++ b/src/mangosaddle/gateway/_service_handler.py
@@ -4,6 +4,7 @@
 
 from returns.result import Success
 
+from .._problems import Execution, Finding, Problem
 from ..orders import (
     AnswerUnknown,
     Deliver,
@@ -27,7 +28,6 @@
 from ._endpoint import EndpointAnswer, ServiceCaller
 from ._exceptions import EndpointError, EndpointTimeoutError, NotSentError
 from ._messages import Answer, CallerRequest, CallerResponse
-from .._problems import Execution, Finding, Problem
 from ._refusals import after_attempts, refuse_failed_attempt
 from ._service_desk import OpenCall, ServiceDesk
 from ._service_request import ServiceRequest, parse_service_call
--- a/src/mangosaddle/gateway/_service_request.py
+++ b/src/mangosaddle/gateway/_service_request.py
@@ -6,9 +6,9 @@
 from returns.result import Failure, Result, Success
 
 from .._identifiers import RequestId, ServiceName
+from .._problems import Finding, Problem
 from ..configuration import Configuration, Service
 from ._messages import CallerRequest
-from .._problems import Finding, Problem
 
 SERVICES_PREFIX = "/v1/services/"
 IDEMPOTENCY_KEY_LIMIT_CHARACTERS = 255
--- a/src/mangosaddle/http11/_pool.py
+++ b/src/mangosaddle/http11/_pool.py
@@ -23,9 +23,7 @@
         self._clock = clock
         self._idle_by_address: dict[Address, list[UpstreamConnection]] = {}
 
-    def take(
-        self, address: Address, max_idle_s: float | None = None
-    ) -> UpstreamConnection | None:
+    def take(self, address: Address, max_idle_s: float | None = None) -> UpstreamConnection | None:
         """Return an idle connection, or ``None``; stale ones are closed."""
         now = self._clock()
         idle = self._idle_by_address.get(address, [])
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -321,11 +321,13 @@
             logger.error("request handler failed", exc_info=error)
 
     async def _watch(self, task: "asyncio.Future[None]") -> None:
+        """Wait for the handler; cancel it when the client leaves or sends far too much."""
         ahead_bytes = 0
         while not task.done():
             reading = asyncio.ensure_future(self._reader.read(READ_BYTES))
+            waited: set[asyncio.Future[Any]] = {task, reading}
             try:
-                await asyncio.wait({task, reading}, return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
             finally:
                 if not reading.done():
                     reading.cancel()
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -29,7 +29,7 @@
 )
 
 CALL_TIMEOUT_S = 1.5
-"""Longest wait for an answer: the store answers in milliseconds, and in hundreds when it is slow."""
+"""Longest wait for an answer; the store answers in milliseconds, and in hundreds when slow."""
 CONNECT_TIMEOUT_S = 1.0
 WATCH_MARGIN_S = 2.0
 """Time beyond the wait of a watch after which it counts as lost."""
--- a/src/mangosaddle/traffic/_catalogue.py
+++ b/src/mangosaddle/traffic/_catalogue.py
@@ -169,7 +169,9 @@
         return next((route for route in routes if path.startswith(route.prefix)), None)
 
 
-def allowed_regions(route: Route, organisation: Organisation | None) -> frozenset[RegionName] | None:
+def allowed_regions(
+    route: Route, organisation: Organisation | None
+) -> frozenset[RegionName] | None:
     """Return the regions where a request may run, or ``None`` for all; both sides bind."""
     homes = [route.home_regions] if route.home_regions else []
     if organisation is not None and organisation.home_regions:
--- a/src/mangosaddle/traffic/_events.py
+++ b/src/mangosaddle/traffic/_events.py
@@ -48,6 +48,10 @@
         self.last_id = number
         return True
 
+    def restart(self) -> None:
+        """Forget the part of an event that a broken run left; another run follows."""
+        self._tail = b""
+
     def take_tail(self) -> bytes:
         """Return the bytes after the last whole event, and forget them."""
         tail, self._tail = self._tail, b""
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -119,7 +119,8 @@
         full_s = max(0.0, self._full_until_s - now)
         if self.memory_tokens is None:
             queued = max(0, running + 1 - self.slots)
-            return full_s + self.slowness * FIRST_STEP_S * (1 + queued / self.slots)
+            # One that is faster than expected has no more room than others, so it is not preferred.
+            return full_s + max(1.0, self.slowness) * FIRST_STEP_S * (1 + queued / self.slots)
         waiting = self.unread_tokens(now)
         read_s = (waiting + work.unread_tokens) / READ_TOKENS_PER_S
         wait_s = full_s + self._memory_wait_s(work, running, now)
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -159,8 +159,8 @@
         spec = self._endpoints.spec(request.service)
         rate_per_s = spec.cold_requests_per_s if spec is not None else 0.0
         usual = self._endpoints.usual_failure_rate(request.service)
-        sound: list[tuple[float, Place]] = []
-        faulty: list[tuple[float, Place]] = []
+        sound: list[Place] = []
+        faulty: list[Place] = []
         views = self._endpoints.usable(request.service)
         named = _named_by_hash(request, views)
         for view in views:
@@ -170,11 +170,15 @@
                 continue
             work = work_of(request, view)
             forecast_s = view.load.forecast_s(work, now)
-            cost_s = forecast_s - (AFFINITY_BONUS_S if view is named else 0.0)
             is_faulty = view.health.is_faulty(usual, now)
-            (faulty if is_faulty else sound).append((cost_s, Place(view, work, forecast_s)))
-        best = min(sound or faulty, key=lambda pair: pair[0], default=None)
-        return best[1] if best is not None else None
+            (faulty if is_faulty else sound).append(Place(view, work, forecast_s))
+
+        def _cost(place: Place) -> tuple[float, float]:
+            bonus_s = AFFINITY_BONUS_S if place.endpoint is named else 0.0
+            # Of equal endpoints the one that has waited longest is next.
+            return place.forecast_s - bonus_s, place.endpoint.health.tried_at_s
+
+        return min(sound or faulty, key=_cost, default=None)
 
     def _remote(
         self, request: RoutedRequest, reachable: Iterable[RegionName], now: float
--- a/tests/daemon/test_claim_sweep.py
+++ b/tests/daemon/test_claim_sweep.py
@@ -7,10 +7,10 @@
 from prometheus_client import CollectorRegistry
 
 from mangosaddle._identifiers import Incarnation, OrganisationId, ServiceName, VmId
+from mangosaddle._tasks import BackgroundTasks
 from mangosaddle.configuration import Configuration, Organisation, Service
 from mangosaddle.daemon._blocking import BlockingCalls
 from mangosaddle.daemon._claim_sweep import ClaimSweep
-from mangosaddle._tasks import BackgroundTasks
 from mangosaddle.membership import VmIdentity
 from mangosaddle.orders import Claim, ClaimState, claim_key, encode_claim
 from mangosaddle.peers import PeerNode, PeerSettings
--- /dev/null
+++ b/tests/platform_standins/_fleet.py
@@ -0,0 +1,183 @@
+"""Entry processes of a small fleet in one event loop, with the stand-ins around them."""
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from mangosaddle._identifiers import RegionName, VmId, ZoneName
+from mangosaddle.entry import EntryProcess, EntryProcessSettings, FleetBounds
+from mangosaddle.http11 import HeaderList, ResponseHead, UpstreamConnection, UpstreamRequest
+from mangosaddle.platform import PlatformStore, adapter_parts
+
+from ._operator import HOST
+from ._runner import RunnerStandIn
+from ._store import StoreStandIn
+
+WAIT_S = 10.0
+"""Longest wait for a state that has to come; a test that runs into it has failed."""
+REGIONS_BY_ZONE = {
+    ZoneName("east-a"): RegionName("east"),
+    ZoneName("west-a"): RegionName("west"),
+}
+_networks = itertools.count(1)
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller got."""
+
+    head: ResponseHead
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        """Return the status."""
+        return self.head.status
+
+    def header(self, name: str) -> str:
+        """Return a header, or an empty text."""
+        return (self.head.view.first(name.lower().encode()) or b"").decode()
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The running fleet of one test."""
+
+    store: StoreStandIn
+    store_address: tuple[str, int]
+    network: int = field(default_factory=lambda: next(_networks))
+    vms: dict[str, EntryProcess] = field(default_factory=dict)
+    runners: dict[str, RunnerStandIn] = field(default_factory=dict)
+    _ids: Any = field(default_factory=lambda: itertools.count(1))
+
+    def settings(self, name: str, zone: str, **bounds: float) -> EntryProcessSettings:
+        """Return the settings of a VM on a loopback address of its own."""
+        host = f"127.77.{self.network}.{len(self.vms) + 1}"
+        defaults = {
+            "drain_s": 4.0,
+            "grace_s": 8.0,
+            "configuration_s": 4.0,
+            "contact_s": 6.0,
+            "retry_ratio": 0.2,
+            "extra_retries": 52.0,
+            "allowance_slack": 0.0,
+            "discovery_ttl_s": 5.0,
+            "rollback_s": 5.0,
+        }
+        return EntryProcessSettings(
+            vm=VmId(name),
+            region=REGIONS_BY_ZONE[ZoneName(zone)],
+            zone=ZoneName(zone),
+            host=host,
+            front=(host, 8221),
+            ready=(host, 8224),
+            discovery=(host, 8220),
+            peer_port=7600,
+            metrics_port=7601,
+            store=self.store_address,
+            first_start=True,
+            regions_by_zone=REGIONS_BY_ZONE,
+            bounds=FleetBounds(**(defaults | bounds)),
+            max_value_bytes=1_048_576,
+        )
+
+    async def add_vm(self, name: str, zone: str = "east-a", **bounds: float) -> EntryProcess:
+        """Start an entry process."""
+        settings = self.settings(name, zone, **bounds)
+        process = EntryProcess(settings, PlatformStore(self.store_address), adapter_parts())
+        self.vms[name] = process
+        await process.start()
+        return process
+
+    async def add_runner(self, runner: RunnerStandIn, **entry: object) -> RunnerStandIn:
+        """Start a runner and register it."""
+        self.runners[runner.id] = runner
+        await runner.start()
+        await self.store.put(runner.key, runner.entry(**entry))
+        return runner
+
+    async def ready(self) -> None:
+        """Wait until all VMs take requests and are linked to each other."""
+        others = len(self.vms) - 1
+        for process in self.vms.values():
+            await until(process.is_ready)
+            node = process.fleet
+            await until(lambda node=node: node.node is not None)
+            await until(lambda node=node: len(node.node.linked_vms()) >= others)
+
+    async def knows(self, vm: EntryProcess, *endpoints: str) -> None:
+        """Wait until a VM knows these endpoints."""
+        await until(
+            lambda: set(endpoints) <= set(vm.endpoints.registry.registrations_by_id())
+        )
+
+    async def call(
+        self,
+        vm: EntryProcess,
+        path: str,
+        key: str | None = "key-1",
+        method: str = "GET",
+        body: bytes = b"",
+        timeout_s: float = WAIT_S,
+        **headers: str,
+    ) -> Answer:
+        """Send one request on a connection of its own."""
+        connection = await UpstreamConnection.open(*vm.settings.front, 1.0)
+        request = self.request(path, key, method, body, **headers)
+        try:
+            head, answer = await connection.call(request, timeout_s, 1 << 24)
+            return Answer(head, answer)
+        finally:
+            connection.abort()
+
+    def request(
+        self,
+        path: str,
+        key: str | None = "key-1",
+        method: str = "GET",
+        body: bytes = b"",
+        **headers: str,
+    ) -> UpstreamRequest:
+        """Return a request of a caller."""
+        fields = {"request_id": f"request-{next(self._ids)}", "deadline_milliseconds": "4000"}
+        if key is not None:
+            fields["api_key"] = key
+        encoded: HeaderList = [(b"Host", HOST.encode())]
+        for name, value in (fields | headers).items():
+            encoded.append((name.replace("_", "-").title().encode(), value.encode()))
+        return UpstreamRequest(method.encode(), path.encode(), encoded, body)
+
+    async def get(self, address: tuple[str, int], target: str) -> Answer:
+        """Ask one of the platform's interfaces."""
+        connection = await UpstreamConnection.open(*address, 1.0)
+        request = UpstreamRequest(b"GET", target.encode(), [(b"Host", b"vm")], b"")
+        try:
+            head, body = await connection.call(request, WAIT_S, 1 << 20)
+            return Answer(head, body)
+        finally:
+            connection.abort()
+
+
+async def until(condition: Any) -> None:  # noqa: ANN401
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running_fleet() -> AsyncIterator[Fleet]:
+    """Start a store; everything that the test adds is stopped at its end."""
+    store = StoreStandIn()
+    fleet = Fleet(store, await store.start())
+    try:
+        yield fleet
+    finally:
+        for process in fleet.vms.values():
+            await process.stop()
+        for runner in fleet.runners.values():
+            await runner.stop()
+        await store.stop()
--- /dev/null
+++ b/tests/platform_standins/_runner.py
@@ -0,0 +1,281 @@
+"""A runner: answers as told, and counts what it runs."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import h11
+
+
+class Behaviour(StrEnum):
+    """How a runner treats a request."""
+
+    OK = "ok"
+    """Runs it and answers with ``body``."""
+    STREAM = "stream"
+    """Runs it and streams ``events`` events after ``Last-Event-Id``."""
+    CUT_STREAM = "cut_stream"
+    """Streams and breaks off in the middle of the event after ``cut_after``."""
+    HOLD_STREAM = "hold_stream"
+    """Streams ``cut_after`` events and goes on when ``release`` is set."""
+    FAIL = "fail"
+    """Runs it and answers 500 with its signature."""
+    FULL = "full"
+    """Answers 503 and states that it has not run."""
+    RESET = "reset"
+    """Runs it and breaks the connection off without an answer."""
+    UNSIGNED = "unsigned"
+    """Runs it and answers 200 without a signature."""
+    ENCODED = "encoded"
+    """Runs it and answers 200 with an encoded body."""
+    NO_LENGTH = "no_length"
+    """Runs it and answers with a body that ends with the connection."""
+    NO_LENGTH_RESET = "no_length_reset"
+    """As before, but the connection is reset instead of closed."""
+    GARBAGE = "garbage"
+    """Runs it and answers with bytes that are not HTTP."""
+    EXTRA = "extra"
+    """Runs it, answers, and sends a second answer after it."""
+    LATE = "late"
+    """Runs it and sends an answer to another request before its own."""
+    SHORT = "short"
+    """Runs it and closes the connection before its body is whole."""
+    SILENT = "silent"
+    """Runs it and says nothing."""
+
+
+SIGNATURE = b"3e1b.07.signature"
+
+
+@dataclass(slots=True)
+class Seen:
+    """A request as a runner got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class RunnerStandIn:
+    """One runner on the loopback address."""
+
+    id: str
+    service: str
+    zone: str
+    behaviour: Behaviour | Callable[[Seen], Behaviour] = Behaviour.OK
+    body: bytes = b"the whole answer"
+    events: int = 4
+    cut_after: int = 2
+    cold_ms: int = 0
+    healthy: bool = True
+    release: asyncio.Event = field(default_factory=asyncio.Event)
+    seen: list[Seen] = field(default_factory=list)
+    runs: Counter[str] = field(default_factory=Counter)
+    checks: int = 0
+    cancelled: int = 0
+    connections: int = 0
+    running: asyncio.Event = field(default_factory=asyncio.Event)
+    port: int = 0
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self, port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Crash: reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    @property
+    def key(self) -> str:
+        """Return the key of its entry in the store."""
+        return f"servers/{self.id}"
+
+    def entry(self, **changes: object) -> dict[str, object]:
+        """Return its entry in the store."""
+        row: dict[str, object] = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+        }
+        return row | changes
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.CancelledError:
+            self.cancelled += 1
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        parser = h11.Connection(h11.SERVER)
+        head: h11.Request | None = None
+        body = b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65536)
+                if not data:
+                    return False
+                parser.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            else:
+                break
+        assert head is not None
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        seen = Seen(head.method.decode(), head.target.decode(), headers, body)
+        if seen.target == "/health":
+            return await self._health(writer)
+        self.seen.append(seen)
+        if headers.get("expect-instance", self.id) != self.id:
+            writer.write(b"HTTP/1.1 421 Misdirected\r\nInstance-Id: " + self.id.encode())
+            writer.write(b"\r\nContent-Length: 0\r\n\r\n")
+            return True
+        chosen = self.behaviour if isinstance(self.behaviour, Behaviour) else self.behaviour(seen)
+        return await self._answer(chosen, seen, reader, writer)
+
+    async def _health(self, writer: asyncio.StreamWriter) -> bool:
+        self.checks += 1
+        status = b"200 OK" if self.healthy else b"503 Unavailable"
+        cold = f"Cold-Milliseconds: {self.cold_ms}\r\n".encode() if self.cold_ms else b""
+        writer.write(b"HTTP/1.1 " + status + b"\r\nInstance-Id: " + self.id.encode())
+        writer.write(b"\r\n" + cold + b"Content-Length: 0\r\n\r\n")
+        return True
+
+    async def _answer(
+        self,
+        behaviour: Behaviour,
+        seen: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        request_id = seen.headers.get("request-id", "")
+        if behaviour is Behaviour.FULL:
+            writer.write(_head(503, request_id, 0, b"Not-Run: 1\r\n", signed=False))
+            return True
+        self.runs[request_id] += 1
+        self.running.set()
+        if behaviour in (Behaviour.STREAM, Behaviour.CUT_STREAM, Behaviour.HOLD_STREAM):
+            return await self._stream(behaviour, seen, reader, writer)
+        size = len(self.body)
+        own = _head(200, request_id, size) + self.body
+        match behaviour:
+            case Behaviour.OK:
+                writer.write(own)
+            case Behaviour.FAIL:
+                writer.write(_head(500, request_id, 6) + b"failed")
+            case Behaviour.RESET:
+                writer.transport.abort()
+                return False
+            case Behaviour.UNSIGNED:
+                writer.write(_head(200, request_id, size, signed=False) + self.body)
+            case Behaviour.ENCODED:
+                writer.write(_head(200, request_id, size, b"Content-Encoding: gzip\r\n"))
+                writer.write(self.body)
+            case Behaviour.NO_LENGTH | Behaviour.NO_LENGTH_RESET:
+                writer.write(_head(200, request_id, None) + self.body)
+                await writer.drain()
+                if behaviour is Behaviour.NO_LENGTH_RESET:
+                    await asyncio.sleep(0)
+                    _reset(writer)
+                return False
+            case Behaviour.GARBAGE:
+                writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+            case Behaviour.EXTRA:
+                writer.write(own + _head(200, request_id, 5) + b"extra")
+            case Behaviour.LATE:
+                writer.write(_head(200, "an-earlier-request", 4) + b"late" + own)
+            case Behaviour.SHORT:
+                writer.write(_head(200, request_id, size) + self.body[:-3])
+                return False
+            case _:
+                await reader.read(1)
+                self.cancelled += 1
+                return False
+        return True
+
+    async def _stream(
+        self,
+        behaviour: Behaviour,
+        seen: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        after = int(seen.headers.get("last-event-id", "0") or 0)
+        extra = b"Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
+        writer.write(_head(200, seen.headers.get("request-id", ""), None, extra))
+        for number in range(after + 1, self.events + 1):
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if behaviour is Behaviour.CUT_STREAM and number > self.cut_after:
+                writer.write(_chunk(event[:7]))
+                await writer.drain()
+                return False
+            if behaviour is Behaviour.HOLD_STREAM and number > self.cut_after:
+                if await self._released_or_left(reader):
+                    return False
+            writer.write(_chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def _released_or_left(self, reader: asyncio.StreamReader) -> bool:
+        """Wait for ``release``; returns whether the other side left before."""
+        left = asyncio.ensure_future(reader.read(1))
+        released = asyncio.ensure_future(self.release.wait())
+        waited: set[asyncio.Future[object]] = {left, released}  # type: ignore[arg-type]
+        await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+        gone = left.done()
+        for task in (left, released):
+            task.cancel()
+        self.cancelled += gone
+        return gone
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def _head(
+    status: int, request_id: str, size: int | None, extra: bytes = b"", *, signed: bool = True
+) -> bytes:
+    lines = [f"HTTP/1.1 {status} X".encode(), b"Request-Id: " + request_id.encode()]
+    if signed:
+        lines.append(b"Response-Stamp: " + SIGNATURE)
+    if size is not None:
+        lines.append(f"Content-Length: {size}".encode())
+    return b"\r\n".join(lines) + b"\r\n" + extra + b"\r\n"
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection: closing it with a linger time of zero sends no end."""
+    import socket
+    import struct
+
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/tests/platform_standins/_store.py
@@ -0,0 +1,217 @@
+"""The platform's metadata store: keys, leases, watches and faults."""
+
+import asyncio
+import base64
+import json
+from enum import StrEnum
+from typing import Any
+from urllib.parse import parse_qs
+
+from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
+
+PAGE_ITEMS = 3
+"""Items of a page: few, so that paging is tested by small fixtures."""
+
+
+class StoreFault(StrEnum):
+    """What the store does with calls."""
+
+    NONE = "none"
+    BUSY = "busy"
+    """Answers 503 and does nothing."""
+    MANY = "many"
+    """Answers 429 and does nothing."""
+    RESET = "reset"
+    """Breaks the connection off without doing anything."""
+    ANSWER_LOST = "answer_lost"
+    """Carries the call out and breaks the connection off."""
+    NOT_JSON = "not_json"
+    """Carries the call out and answers with other bytes."""
+
+
+class StoreStandIn:
+    """Implements the calls of the platform's store over HTTP."""
+
+    def __init__(self) -> None:
+        self.fault = StoreFault.NONE
+        self.calls: list[str] = []
+        self.revision = 1
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._oldest = 1
+        self._leases: dict[int, set[str]] = {}
+        self._next_lease = 100
+        self._changed = asyncio.Condition()
+        self._server = HttpServer(self._handle, ServerLimits)
+
+    async def start(self) -> tuple[str, int]:
+        """Listen on a free port of the loopback address."""
+        return await self._server.start("127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        await self._server.stop()
+
+    # Direct access for tests
+
+    async def put(self, key: str, value: object, lease: int = 0) -> int:
+        """Write a value as the operator or a runner does; bytes are taken as they are."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        async with self._changed:
+            self._put(key, base64.b64encode(raw).decode(), lease)
+            self._changed.notify_all()
+        return self.revision
+
+    async def remove(self, key: str) -> None:
+        """Remove a key."""
+        async with self._changed:
+            self._remove(key)
+            self._changed.notify_all()
+
+    def value(self, key: str) -> bytes | None:
+        """Return a value, or ``None``."""
+        item = self._items.get(key)
+        return base64.b64decode(item["value"]) if item is not None else None
+
+    def keys(self, prefix: str = "") -> list[str]:
+        """Return the keys below a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    async def drop_history(self) -> None:
+        """Forget all changes; waiting watches are told."""
+        async with self._changed:
+            self._history.clear()
+            self._oldest = self.revision + 1
+            self._changed.notify_all()
+
+    async def end_leases(self) -> None:
+        """End all leases and remove their keys."""
+        async with self._changed:
+            for keys in self._leases.values():
+                for key in list(keys):
+                    self._remove(key)
+            self._leases.clear()
+            self._changed.notify_all()
+
+    async def wait_for(self, key: str) -> bytes:
+        """Wait until a key exists and return its value."""
+        async with self._changed:
+            await self._changed.wait_for(lambda: key in self._items)
+        value = self.value(key)
+        assert value is not None
+        return value
+
+    # Calls
+
+    async def _handle(self, exchange: ServerExchange) -> None:
+        path, _, query = exchange.target.decode().partition("?")
+        self.calls.append(f"{exchange.method.decode()} {path}")
+        if self.fault in (StoreFault.BUSY, StoreFault.MANY):
+            await exchange.respond(503 if self.fault is StoreFault.BUSY else 429, [])
+            return
+        if self.fault is StoreFault.RESET:
+            exchange.abort()
+            return
+        fields = {name: values[0] for name, values in parse_qs(query).items()}
+        body = json.loads(exchange.body) if exchange.body else {}
+        status, answer = await self._carry_out(exchange.method.decode(), path, fields, body)
+        if self.fault is StoreFault.ANSWER_LOST:
+            exchange.abort()
+        elif self.fault is StoreFault.NOT_JSON:
+            await exchange.respond(status, [], b"<html>")
+        else:
+            await exchange.respond(status, [], json.dumps(answer).encode())
+
+    async def _carry_out(
+        self, method: str, path: str, fields: dict[str, str], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        if path == "/api/kv-key":
+            item = self._items.get(fields["key"])
+            return (404, {}) if item is None else (200, item | {"store_revision": self.revision})
+        if path == "/api/kv-range":
+            return self._range(fields)
+        if path == "/api/kv-watch":
+            return await self._watch(fields)
+        async with self._changed:
+            outcome = self._change(method, path, body)
+            self._changed.notify_all()
+        return outcome
+
+    def _range(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = fields.get("after", "")
+        keys = [key for key in self.keys(fields["prefix"]) if key > after]
+        page = [self._items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return 200, {"items": page, "more_pages": more, "store_revision": self.revision}
+
+    async def _watch(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after, prefix = int(fields["after"]), fields["prefix"]
+        wait_s = min(30_000, int(fields["wait_ms"])) / 1000
+
+        def _events() -> list[dict[str, Any]]:
+            return [
+                event
+                for event in self._history
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait_for(lambda: bool(_events()) or after < self._oldest - 1)
+            except TimeoutError:
+                pass
+            if after < self._oldest - 1:
+                return 410, {}
+            return 200, {"events": _events(), "store_revision": self.revision}
+
+    def _change(self, method: str, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        if path == "/api/kv-lease":
+            self._next_lease += 1
+            self._leases[self._next_lease] = set()
+            return 200, {"lease": self._next_lease, "ttl_ms": body["ttl_ms"]}
+        if path == "/api/kv-txn":
+            return self._transact(body)
+        lease = int(path.rsplit("/", 1)[1])
+        if lease not in self._leases:
+            return 404, {}
+        if method == "DELETE":
+            for key in self._leases.pop(lease):
+                self._remove(key)
+        return 200, {"ttl_ms": 1000}
+
+    def _transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        for row in body["expected"]:
+            item = self._items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return 412, {"items": []}
+        if any(row["lease"] and row["lease"] not in self._leases for row in body["set_keys"]):
+            return 404, {}
+        for row in body["set_keys"]:
+            if row["key"].startswith(("op/", "servers/")):
+                return 403, {}
+            self._put(row["key"], row["value"], row["lease"])
+        for key in body["remove"]:
+            self._remove(key)
+        return 200, {"revision": self.revision}
+
+    def _put(self, key: str, value: str, lease: int) -> None:
+        self.revision += 1
+        created = self._items[key]["created"] if key in self._items else self.revision
+        item = {
+            "key": key,
+            "value": value,
+            "revision": self.revision,
+            "created": created,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._history.append(item)
+        if lease:
+            self._leases[lease].add(key)
+
+    def _remove(self, key: str) -> None:
+        if self._items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._history.append({"key": key, "revision": self.revision, "removed": True})
