Place requests by the burden that they put on running answers

Change: no more requests in flight than slots, the last quarter for the most urgent; a request is refused when its first event would come after 1.5 times its target or its answer after its deadline at the observed pace; the choice of an engine counts the generation of the own answer and the delay of the running ones.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -162,6 +162,8 @@
             view.load.answering(request.id, clock())
             events = progress.splitter.feed(data)
             if events:
+                tokens = progress.splitter.take_count() * view.tokens_per_event
+                view.load.generated(request.id, tokens, clock())
                 await _start(sink, answer.status, answer.headers)
                 progress.resumes = True
                 await sink.write(events)
--- a/src/mangosaddle/entry/_reports.py
+++ b/src/mangosaddle/entry/_reports.py
@@ -10,7 +10,15 @@
 from ..limits import DemandShares
 from ..membership import PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
-from ..traffic import Endpoints, RegionReport, RegionReports, ReportedLoad, Work
+from ..traffic import (
+    FULL_SHARE_OTHERS,
+    Endpoints,
+    EndpointView,
+    RegionReport,
+    RegionReports,
+    ReportedLoad,
+    Work,
+)
 
 LIFETIME_S = 60.0
 """Life of a report by the wall clock: much longer than its use, so that a clock that jumps does
@@ -19,6 +27,10 @@
     "endpoint_load", PER_ORIGIN, lifetime_s=LIFETIME_S, regional=True, reconciled=False
 )
 VM_REPORT = FactKind("vm_report", PER_ORIGIN, lifetime_s=LIFETIME_S, reconciled=False)
+US_PER_S = 1_000_000
+FULL_WAIT_S = 3.0
+"""Wait that is reported for an engine that takes no more requests: longer than any target, so that
+other regions look elsewhere."""
 LOAD_INTERVAL_S = 0.2
 """Interval of load reports in a region: a fraction of the time in which an engine reads a prompt
 and shows it."""
@@ -59,10 +71,12 @@
     def publish_loads(self) -> None:
         """Tell the VMs of the region about own work at its endpoints."""
         loads = {}
+        now = self._clock()
         for view in self._endpoints.views():
             own = view.load.own()
             if own[0]:
-                loads[view.id] = own
+                pace_s = view.load.own_pace_s(now)
+                loads[view.id] = (*own, 0 if pace_s is None else round(pace_s * US_PER_S))
         self._publish(ENDPOINT_LOAD.name, cbor2.dumps(loads))
 
     def publish_report(self) -> None:
@@ -72,8 +86,7 @@
         for service in self._services():
             views = self._endpoints.usable(service)
             if views:
-                wait_s = min(view.load.forecast_s(Work(0, 0), now) for view in views)
-                waits[service] = (round(wait_s, 3), len(views))
+                waits[service] = _region_report(views, now)
         demand = {id: round(rate) for id, rate in self._allowances.demand(now).items()}
         self._publish(VM_REPORT.name, cbor2.dumps([demand, waits]), always=True)
 
@@ -91,8 +104,10 @@
         now = self._clock()
         for view in self._endpoints.views():
             entry = loads.get(view.id) if loads is not None else None
-            running, unread, memory = _triple(entry)
-            view.load.reported(fact.origin, ReportedLoad(running, unread, memory, now))
+            running, unread, memory, pace_us = _numbers(entry)
+            pace_s = pace_us / US_PER_S if pace_us else None
+            load = ReportedLoad(running, unread, memory, pace_s, now)
+            view.load.reported(fact.origin, load)
 
     def _report_received(self, fact: Fact) -> None:
         if fact.origin == self._own:
@@ -108,11 +123,28 @@
         if region is None or region == self._endpoints.own_region:
             return
         now = self._clock()
-        for service, (wait_s, endpoints) in waits.items():
-            report = RegionReport(float(wait_s), int(endpoints), now)
+        for service, (wait_s, endpoints, pace_us, running) in waits.items():
+            pace_s = pace_us / US_PER_S
+            report = RegionReport(float(wait_s), int(endpoints), pace_s, int(running), now)
             self._regions.received(ServiceName(service), region, report)
 
 
+def _region_report(views: list[EndpointView], now: float) -> tuple[float, int, int, int]:
+    """Return wait, number of endpoints, pace in microseconds and running requests.
+
+    They describe the endpoint that another region's request would get.
+    """
+    best = min(views, key=lambda view: (_wait_s(view, now), view.load.running(now)))
+    pace_us = round(best.load.pace_s(now) * US_PER_S)
+    return round(_wait_s(best, now), 3), len(views), pace_us, best.load.running(now)
+
+
+def _wait_s(view: EndpointView, now: float) -> float:
+    """Return the wait that other regions should count with at an endpoint."""
+    full_s = FULL_WAIT_S if view.load.room(now) <= FULL_SHARE_OTHERS else 0.0
+    return view.load.forecast_s(Work(0, 0), now) + full_s
+
+
 def _decode(fact: Fact, kind: type[Any]) -> Any:  # noqa: ANN401
     """Return the content of a report, or ``None`` if another version of the program wrote it."""
     try:
@@ -123,8 +155,8 @@
     return content if isinstance(content, kind) else None
 
 
-def _triple(entry: object) -> tuple[int, int, int]:
+def _numbers(entry: object) -> tuple[int, int, int, int]:
     """Return the numbers of a load entry; an endpoint without a valid entry has no load."""
-    if isinstance(entry, list) and len(entry) == 3 and all(isinstance(n, int) for n in entry):
-        return entry[0], entry[1], entry[2]
-    return 0, 0, 0
+    if isinstance(entry, list) and len(entry) == 4 and all(isinstance(n, int) for n in entry):
+        return entry[0], entry[1], entry[2], entry[3]
+    return 0, 0, 0, 0
--- a/src/mangosaddle/platform/_configuration.py
+++ b/src/mangosaddle/platform/_configuration.py
@@ -64,6 +64,8 @@
 class _Engine(_Model):
     slots: int = Field(gt=0)
     kv_capacity_tokens: int = Field(gt=0)
+    stride: int = Field(default=1, ge=1)
+    """Tokens of one event."""
 
 
 class _Service(_Model):
@@ -158,7 +160,7 @@
 def _service(row: _Service) -> ServiceSpec:
     engine = None
     if row.engine is not None:
-        engine = EngineLimits(row.engine.slots, row.engine.kv_capacity_tokens)
+        engine = EngineLimits(row.engine.slots, row.engine.kv_capacity_tokens, row.engine.stride)
     return ServiceSpec(
         name=ServiceName(row.name),
         health_path=row.health_path,
--- a/src/mangosaddle/traffic/__init__.py
+++ b/src/mangosaddle/traffic/__init__.py
@@ -17,6 +17,7 @@
 from ._load import ReportedLoad, Work
 from ._opaque import EndpointAnswer, OpaqueRequest
 from ._placement import (
+    FULL_SHARE_OTHERS,
     Elsewhere,
     NoPlace,
     Place,
@@ -29,6 +30,7 @@
 from ._requests import Prompt, PromptPart, RoutedRequest
 
 __all__ = [
+    "FULL_SHARE_OTHERS",
     "CallerLimits",
     "Catalogue",
     "Elsewhere",
--- a/src/mangosaddle/traffic/_catalogue.py
+++ b/src/mangosaddle/traffic/_catalogue.py
@@ -68,6 +68,8 @@
 
     slots: int
     memory_tokens: int
+    tokens_per_event: int = 1
+    """Tokens that one event of a stream usually holds."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -22,6 +22,7 @@
         self.load = EndpointLoad(
             registration.slots, engine.memory_tokens if engine is not None else None
         )
+        self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
         self.cold = ColdGate(registration.id)
         self.prefixes = PrefixBelief(engine.memory_tokens if engine is not None else 0)
 
--- a/src/mangosaddle/traffic/_events.py
+++ b/src/mangosaddle/traffic/_events.py
@@ -19,6 +19,7 @@
         """Create a splitter; ``last_id`` is the last event that the caller has."""
         self.last_id = last_id
         self._tail = b""
+        self._events = 0
 
     def feed(self, data: bytes) -> bytes:
         """Return the whole events; those that the caller has already are left out.
@@ -33,6 +34,7 @@
             start = end.end()
             if self._is_new(event):
                 whole.append(event)
+                self._events += 1
         self._tail = data[start:]
         if len(self._tail) > MAX_EVENT_BYTES:
             raise EventTooLargeError(f"event exceeds {MAX_EVENT_BYTES} B")
@@ -48,6 +50,11 @@
         self.last_id = number
         return True
 
+    def take_count(self) -> int:
+        """Return the number of new events since the last call."""
+        count, self._events = self._events, 0
+        return count
+
     def restart(self) -> None:
         """Forget the part of an event that a broken run left; another run follows."""
         self._tail = b""
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -1,5 +1,6 @@
 """Load of one endpoint: own work in flight, work that other VMs report, and observed speed."""
 
+import math
 from dataclasses import dataclass
 
 from .._identifiers import VmId
@@ -18,6 +19,14 @@
 """Bounds of the observed factor; an endpoint beyond the upper one is avoided in any case."""
 
 
+USUAL_PACE_S = 0.008
+"""Time per generated token before any has been observed: a third of a full batch."""
+PACE_VALID_S = 1.5
+"""Age after which the pace is no longer believed: a batch changes within a second."""
+PACE_MEMORY_S = 0.6
+"""Time constant of the running mean of the pace: some events of a stream."""
+
+
 @dataclass(frozen=True, slots=True)
 class Work:
     """What one request asks of an endpoint."""
@@ -25,7 +34,7 @@
     unread_tokens: int
     """Prompt tokens that the endpoint does not have in its cache."""
     memory_tokens: int
-    """Prompt and expected answer together."""
+    """Memory that no other request shares: the own part of the prompt and the answer."""
 
 
 @dataclass(slots=True)
@@ -34,6 +43,9 @@
     sent_s: float
     forecast_s: float
     answering: bool = False
+    event_at_s: float = 0.0
+    tokens: int = 0
+    """Tokens that have been generated."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +55,8 @@
     running: int
     unread_tokens: int
     memory_tokens: int
+    pace_s: float | None
+    """Time per generated token that the VM sees; ``None`` if it sees no stream."""
     at_s: float
     """Monotonic time of arrival."""
 
@@ -59,6 +73,8 @@
         self._in_flight_by_id: dict[str, _InFlight] = {}
         self._reports_by_vm: dict[VmId, ReportedLoad] = {}
         self._full_until_s = 0.0
+        self._pace_s = USUAL_PACE_S
+        self._paced_at_s = 0.0
 
     def hold_back(self, until_s: float) -> None:
         """Note that the endpoint has rejected a request as full."""
@@ -77,6 +93,33 @@
         if entry.forecast_s > 0:
             self._observe((now - entry.sent_s) / entry.forecast_s)
 
+    def generated(self, request_id: str, tokens: int, now: float) -> None:
+        """Note an event of a stream with so many tokens."""
+        entry = self._in_flight_by_id.get(request_id)
+        if entry is None:
+            return
+        if entry.tokens and tokens:
+            elapsed_s = now - max(self._paced_at_s, entry.event_at_s)
+            weight = 1.0 - math.exp(-max(elapsed_s, 0.001) / PACE_MEMORY_S)
+            self._pace_s += weight * ((now - entry.event_at_s) / tokens - self._pace_s)
+            self._paced_at_s = now
+        entry.event_at_s = now
+        entry.tokens += tokens
+
+    def own_pace_s(self, now: float) -> float | None:
+        """Return the time per token of own streams, ``None`` if there were none lately."""
+        return self._pace_s if now - self._paced_at_s <= PACE_VALID_S else None
+
+    def pace_s(self, now: float) -> float:
+        """Return the expected time per generated token of one stream."""
+        seen = [self.own_pace_s(now), *(r.pace_s for r in self._reports(now))]
+        known = [pace for pace in seen if pace is not None]
+        return sum(known) / len(known) if known else USUAL_PACE_S
+
+    def room(self, now: float) -> float:
+        """Return the free part of the slots; below 0 requests wait for one."""
+        return 1.0 - self.running(now) / self.slots
+
     def ended(self, request_id: str) -> None:
         """Stop counting a request."""
         self._in_flight_by_id.pop(request_id, None)
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
@@ -23,8 +23,24 @@
 AFFINITY_BONUS_S = 0.02
 """Advantage of the endpoint that the hash of a prompt's parts names, so that VMs that have not
 seen the prompt before agree about its place."""
-STEP_S = 0.012
-"""Time per generated token of a busy engine, for the forecast of an answer's end."""
+FULL_SHARE_URGENT = 0.0
+FULL_SHARE_OTHERS = 0.25
+"""Free part of an engine's slots below which it gets no more requests, of the most urgent rank and
+of others. Each request in a batch slows all answers; when more wait than run, all end late, and
+their work is in vain."""
+ANSWER_WEIGHT = 0.15
+"""Worth of a second of generating an answer, against a second before its first event."""
+DELAY_WEIGHT = 0.1
+"""Worth of a second of delay of a running answer, against a second before a first event."""
+LATE_FACTOR = 1.5
+"""Multiple of the time within which a first event is on time, up to which a request is let wait.
+A longer queue would make all that follow late as well."""
+MIN_WAIT_S = 1.0
+"""Wait that is always allowed, so that short targets do not refuse for a single prompt."""
+MIN_RETRY_S = 0.3
+"""Shortest wait that a caller is asked for: a queue does not change much in less."""
+FULL_RETRY_S = 0.5
+"""Time in which some answers of a full engine usually end."""
 
 
 class RefusalCause(StrEnum):
@@ -43,6 +59,11 @@
     endpoint: EndpointView
     work: Work
     forecast_s: float
+    """Expected time to the first byte of the answer."""
+    cost_s: float
+    """Forecast and burden, in seconds."""
+    pace_s: float
+    """Expected time per generated token."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +72,8 @@
 
     region: RegionName
     forecast_s: float
+    cost_s: float
+    pace_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +91,10 @@
     wait_s: float
     """Time that a request without a prompt would wait for its first byte."""
     endpoints: int
+    pace_s: float
+    """Time per generated token at the endpoint that a request would get."""
+    running: int
+    """Requests that run there."""
     at_s: float
     """Monotonic time of arrival."""
 
@@ -90,12 +117,13 @@
         key = (service, region)
         self._sent_s[key] = self._sent_s.get(key, 0.0) + work_s
 
-    def wait_s(self, service: ServiceName, region: RegionName, now: float) -> float | None:
-        """Return the expected wait in a region; ``None`` if nothing is known or it has none."""
+    def find(self, service: ServiceName, region: RegionName, now: float) -> RegionReport | None:
+        """Return what is expected in a region; ``None`` if nothing is known or it has none."""
         report = self._reports.get((service, region))
         if report is None or now - report.at_s > REPORT_VALID_S or not report.endpoints:
             return None
-        return report.wait_s + self._sent_s.get((service, region), 0.0) / report.endpoints
+        sent_s = self._sent_s.get((service, region), 0.0) / report.endpoints
+        return replace(report, wait_s=report.wait_s + sent_s)
 
 
 def work_of(request: RoutedRequest, view: EndpointView) -> Work:
@@ -105,7 +133,8 @@
         return Work(0, 0)
     cached = view.prefixes.cached_tokens(prompt.model, prompt.parts)
     unread = max(0, prompt.prompt_tokens - cached)
-    return Work(unread, prompt.prompt_tokens + prompt.expected_tokens)
+    own_tokens = prompt.parts[-1].tokens if prompt.parts else prompt.prompt_tokens
+    return Work(unread, own_tokens + prompt.expected_tokens)
 
 
 class Placement:
@@ -129,10 +158,10 @@
         local = self._local(request, region_vms, tried, now)
         remote = self._remote(request, reachable_regions, now)
         if local is None and remote is None:
+            if request.prompt is not None and self._has_full(request, tried):
+                return NoPlace(RefusalCause.OVERLOADED, FULL_RETRY_S)
             return NoPlace(RefusalCause.NO_ENDPOINT, 1.0)
-        if local is None or (
-            remote is not None and remote.forecast_s + SPILL_GAIN_S < local.forecast_s
-        ):
+        if local is None or (remote is not None and remote.cost_s + SPILL_GAIN_S < local.cost_s):
             assert remote is not None
             return self._if_in_time(request, remote, now)
         return self._if_in_time(request, local, now)
@@ -141,11 +170,21 @@
         self, request: RoutedRequest, place: Place | Elsewhere, now: float
     ) -> Place | Elsewhere | NoPlace:
         """Refuse a request whose answer would come too late to be of use."""
-        answer_s = request.prompt.expected_tokens * STEP_S if request.prompt is not None else 0.0
-        late_s = place.forecast_s + answer_s - request.left_s(now)
+        late_s = place.forecast_s - request.left_s(now)
+        prompt = request.prompt
+        if prompt is not None:
+            late_s += prompt.expected_tokens * place.pace_s
+            waited_s = now - request.began_s
+            bound_s = max(MIN_WAIT_S, request.route.target_latency_s * LATE_FACTOR)
+            late_s = max(late_s, place.forecast_s + waited_s - bound_s)
         if late_s <= 0:
             return place
-        return NoPlace(RefusalCause.OVERLOADED, max(0.3, late_s))
+        return NoPlace(RefusalCause.OVERLOADED, max(MIN_RETRY_S, late_s))
+
+    def _has_full(self, request: RoutedRequest, tried: Collection[EndpointId]) -> bool:
+        """Return whether engines of the region are left out only because they are full."""
+        views = self._endpoints.usable(request.service)
+        return any(view.id not in tried for view in views)
 
     def _local(
         self,
@@ -168,17 +207,23 @@
                 continue
             if not view.cold.may_send(self._own, region_vms, rate_per_s, now):
                 continue
+            if request.prompt is not None and view.load.room(now) <= _full_share(request):
+                continue
             work = work_of(request, view)
             forecast_s = view.load.forecast_s(work, now)
-            is_faulty = view.health.is_faulty(usual, now)
-            (faulty if is_faulty else sound).append(Place(view, work, forecast_s))
-
-        def _cost(place: Place) -> tuple[float, float]:
-            bonus_s = AFFINITY_BONUS_S if place.endpoint is named else 0.0
-            # Of equal endpoints the one that has waited longest is next.
-            return place.forecast_s - bonus_s, place.endpoint.health.tried_at_s
-
-        return min(sound or faulty, key=_cost, default=None)
+            pace_s = view.load.pace_s(now)
+            reading_s = work.unread_tokens / READ_TOKENS_PER_S
+            cost_s = forecast_s + _burden_s(request, pace_s, reading_s, view.load.running(now))
+            if view is named:
+                cost_s -= AFFINITY_BONUS_S
+            place = Place(view, work, forecast_s, cost_s, pace_s)
+            (faulty if view.health.is_faulty(usual, now) else sound).append(place)
+        # Of equal endpoints the one that has waited longest is next.
+        return min(
+            sound or faulty,
+            key=lambda place: (place.cost_s, place.endpoint.health.tried_at_s),
+            default=None,
+        )
 
     def _remote(
         self, request: RoutedRequest, reachable: Iterable[RegionName], now: float
@@ -190,15 +235,33 @@
         for region in reachable:
             if region not in serving or not request.allows(region):
                 continue
-            wait_s = self._regions.wait_s(request.service, region, now)
-            if wait_s is None:
+            report = self._regions.find(request.service, region, now)
+            if report is None:
                 continue
-            forecast_s = wait_s + REGION_ROUND_TRIP_S + _reading_s(request)
-            if best is None or forecast_s < best.forecast_s:
-                best = Elsewhere(region, forecast_s)
+            reading_s = _reading_s(request)
+            forecast_s = report.wait_s + REGION_ROUND_TRIP_S + reading_s
+            burden_s = _burden_s(request, report.pace_s, reading_s, report.running)
+            place = Elsewhere(region, forecast_s, forecast_s + burden_s, report.pace_s)
+            if best is None or place.cost_s < best.cost_s:
+                best = place
         return best
 
 
+def _full_share(request: RoutedRequest) -> float:
+    return FULL_SHARE_URGENT if request.priority <= 0 else FULL_SHARE_OTHERS
+
+
+def _burden_s(request: RoutedRequest, pace_s: float, reading_s: float, running: int) -> float:
+    """Return what slow generation costs this request, and its reading the running ones.
+
+    So long answers gather where little is read, and long prompts where few answers are generated.
+    """
+    if request.prompt is None:
+        return 0.0
+    answer_s = request.prompt.expected_tokens * pace_s
+    return answer_s * ANSWER_WEIGHT + reading_s * running * DELAY_WEIGHT
+
+
 def _reading_s(request: RoutedRequest) -> float:
     """Return the time to read the part of a prompt that no other request shares."""
     if request.prompt is None:
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -1,14 +1,9 @@
 """Contract with runners: what a caller gets for each way in which a runner may answer."""
 
-from collections.abc import Callable, Coroutine
-from typing import Any
-
 import pytest
 
 from mangosaddle.http11 import HttpError
-from platform_standins import Behaviour, Fleet, until
-
-Scenario = Callable[[Callable[[Fleet], Coroutine[Any, Any, None]]], None]
+from platform_standins import Behaviour, Fleet, run_scenario, until
 
 # Behaviour of all runners, status for an idempotent request and for one that runs once, and runs.
 WHOLE_ANSWERS = [
@@ -39,7 +34,7 @@
 
 @pytest.mark.parametrize(("behaviour", "status", "runs", "_once"), WHOLE_ANSWERS)
 def test_an_idempotent_request_is_tried_at_a_second_runner(
-    scenario: Scenario, behaviour: Behaviour, status: int, runs: int, _once: int
+    behaviour: Behaviour, status: int, runs: int, _once: int
 ) -> None:
     """Guards against answers that are not the runner's, and against too many runs."""
 
@@ -52,12 +47,12 @@
             assert answer.body == b"the whole answer"
             assert answer.header("Response-Stamp")
 
-    scenario(_body)
+    run_scenario(_body)
 
 
 @pytest.mark.parametrize(("behaviour", "_status", "_runs_", "once"), WHOLE_ANSWERS)
 def test_a_request_that_runs_once_is_never_repeated(
-    scenario: Scenario, behaviour: Behaviour, _status: int, _runs_: int, once: int
+    behaviour: Behaviour, _status: int, _runs_: int, once: int
 ) -> None:
     """Guards against a second run, and against a refusal that says it has not run."""
 
@@ -69,10 +64,10 @@
         if answer.status == 503:
             assert _runs(fleet) == 0
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_a_second_answer_is_not_taken_for_the_next_request(scenario: Scenario) -> None:
+def test_a_second_answer_is_not_taken_for_the_next_request() -> None:
     """Guards against an answer that belongs to another request."""
 
     async def _body(fleet: Fleet) -> None:
@@ -85,12 +80,10 @@
                 )
                 assert (answer.status, answer.body) == (200, b"the whole answer")
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_a_runner_that_is_down_is_passed_over_and_checked_before_it_gets_work(
-    scenario: Scenario,
-) -> None:
+def test_a_runner_that_is_down_is_passed_over_and_checked_before_it_gets_work() -> None:
     """Guards against requests lost at a runner that is gone, also those that run once."""
 
     async def _body(fleet: Fleet) -> None:
@@ -105,12 +98,10 @@
         await first.start(port)
         await until(lambda: first.checks > 0)
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_an_address_that_belongs_to_another_runner_by_now_gets_no_request(
-    scenario: Scenario,
-) -> None:
+def test_an_address_that_belongs_to_another_runner_by_now_gets_no_request() -> None:
     """Guards against a request that runs at a runner of another service."""
 
     async def _body(fleet: Fleet) -> None:
@@ -122,14 +113,14 @@
         assert answer.status == 503
         assert _runs(fleet) == 0
 
-    scenario(_body)
+    run_scenario(_body)
 
 
 def _events(first: int, last: int) -> bytes:
     return b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in range(first, last + 1))
 
 
-def test_a_stream_arrives_whole(scenario: Scenario) -> None:
+def test_a_stream_arrives_whole() -> None:
     """Guards against pieces that are missing or come twice."""
 
     async def _body(fleet: Fleet) -> None:
@@ -139,16 +130,18 @@
         )
         assert answer.body == _events(1, 4)
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_a_resumable_stream_goes_on_at_another_runner(scenario: Scenario) -> None:
+def test_a_resumable_stream_goes_on_at_another_runner() -> None:
     """Guards against a joint: the half event of the first run must not reach the caller."""
 
     async def _body(fleet: Fleet) -> None:
         _set(
             fleet,
-            lambda seen: Behaviour.STREAM if "last-event-id" in seen.headers else Behaviour.CUT_STREAM,  # type: ignore[arg-type]
+            lambda seen: (
+                Behaviour.STREAM if "last-event-id" in seen.headers else Behaviour.CUT_STREAM
+            ),  # type: ignore[arg-type]
         )
         answer = await fleet.call(
             fleet.vms["vm-1"], "/review/x", method="POST", body=b"p", token_counts="100,28"
@@ -156,12 +149,10 @@
         assert answer.body == _events(1, 4)
         assert _runs(fleet) == 2
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_a_stream_that_may_not_be_resumed_does_not_look_complete_when_it_breaks(
-    scenario: Scenario,
-) -> None:
+def test_a_stream_that_may_not_be_resumed_does_not_look_complete_when_it_breaks() -> None:
     """Guards against a part of an answer that looks like the whole one."""
 
     async def _body(fleet: Fleet) -> None:
@@ -172,10 +163,10 @@
             )
         assert _runs(fleet) == 1
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_a_caller_that_leaves_ends_the_work_of_the_runner(scenario: Scenario) -> None:
+def test_a_caller_that_leaves_ends_the_work_of_the_runner() -> None:
     """Guards against runners that work for nobody."""
 
     async def _body(fleet: Fleet) -> None:
@@ -191,10 +182,10 @@
             )
         await until(lambda: sum(runner.cancelled for runner in fleet.runners.values()) == 1)
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_the_time_of_a_route_ends_a_request_with_a_truthful_answer(scenario: Scenario) -> None:
+def test_the_time_of_a_route_ends_a_request_with_a_truthful_answer() -> None:
     """Guards against callers that wait beyond the route's time-out."""
 
     async def _body(fleet: Fleet) -> None:
@@ -204,10 +195,10 @@
         )
         assert answer.status == 504
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_what_a_runner_sees_of_a_request(scenario: Scenario) -> None:
+def test_what_a_runner_sees_of_a_request() -> None:
     """Guards against keys, forged headers and a changed request at a runner."""
 
     async def _body(fleet: Fleet) -> None:
@@ -234,10 +225,10 @@
         unwanted = {"api-key", "hold", "pin-milliseconds", "kv-backup", "kv-from"}
         assert not unwanted & seen.headers.keys()
 
-    scenario(_body)
+    run_scenario(_body)
 
 
-def test_a_runner_that_fails_while_healthy_gets_fewer_requests(scenario: Scenario) -> None:
+def test_a_runner_that_fails_while_healthy_gets_fewer_requests() -> None:
     """Guards against a runner that fails fast and so attracts all requests."""
 
     async def _body(fleet: Fleet) -> None:
@@ -248,5 +239,4 @@
             statuses.append(answer.status)
         assert statuses[10:].count(200) >= 28
 
-    scenario(_body)
-
+    run_scenario(_body)
--- a/tests/platform_standins/_fleet.py
+++ b/tests/platform_standins/_fleet.py
@@ -110,9 +110,7 @@
 
     async def knows(self, vm: EntryProcess, *endpoints: str) -> None:
         """Wait until a VM knows these endpoints."""
-        await until(
-            lambda: set(endpoints) <= set(vm.endpoints.registry.registrations_by_id())
-        )
+        await until(lambda: set(endpoints) <= set(vm.endpoints.registry.registrations_by_id()))
 
     async def call(
         self,
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -235,9 +235,9 @@
                 writer.write(_chunk(event[:7]))
                 await writer.drain()
                 return False
-            if behaviour is Behaviour.HOLD_STREAM and number > self.cut_after:
-                if await self._released_or_left(reader):
-                    return False
+            held = behaviour is Behaviour.HOLD_STREAM and number > self.cut_after
+            if held and await self._released_or_left(reader):
+                return False
             writer.write(_chunk(event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -158,7 +158,9 @@
         async with self._changed:
             try:
                 async with asyncio.timeout(wait_s):
-                    await self._changed.wait_for(lambda: bool(_events()) or after < self._oldest - 1)
+                    await self._changed.wait_for(
+                        lambda: bool(_events()) or after < self._oldest - 1
+                    )
             except TimeoutError:
                 pass
             if after < self._oldest - 1:
--- /dev/null
+++ b/tests/traffic/test_placement.py
@@ -0,0 +1,236 @@
+"""Choice of an endpoint, each test under the load that it answers."""
+
+import pytest
+
+from mangosaddle._identifiers import EndpointId, RegionName, ServiceName, VmId, ZoneName
+from mangosaddle.traffic import (
+    CallerLimits,
+    Catalogue,
+    Elsewhere,
+    EndpointPhase,
+    Endpoints,
+    EngineLimits,
+    NoPlace,
+    Place,
+    Placement,
+    Prompt,
+    PromptPart,
+    RefusalCause,
+    RegionReport,
+    RegionReports,
+    Registration,
+    ReportedLoad,
+    RequestKind,
+    Route,
+    RoutedRequest,
+    ServiceShare,
+    ServiceSpec,
+)
+
+ENGINE = ServiceName("engine")
+EAST, WEST = RegionName("east"), RegionName("west")
+OWN = VmId("vm-1")
+NOW = 100.0
+LIMITS = CallerLimits(16384, 1 << 20, 3.0, 15.0)
+SPEC = ServiceSpec(ENGINE, "/health", 100, 3.0, 2.0, EngineLimits(8, 100_000, 7))
+
+
+def _registration(name: str, region: RegionName = EAST, cold_s: float = 0.0) -> Registration:
+    return Registration(
+        id=EndpointId(name),
+        service=ENGINE,
+        host="127.0.0.1",
+        port=1000,
+        zone=ZoneName(f"{region}-a"),
+        region=region,
+        version="v1",
+        slots=8,
+        phase=EndpointPhase.READY,
+        cold_s=cold_s,
+        born_ms=None,
+    )
+
+
+@pytest.fixture
+def endpoints() -> Endpoints:
+    """Two engines of the own region."""
+    known = Endpoints(EAST)
+    known.set_catalogue(Catalogue.from_parts(1, (), (SPEC,), (), LIMITS))
+    for name in ("a", "b"):
+        known.registered(_registration(name), NOW)
+    return known
+
+
+@pytest.fixture
+def regions() -> RegionReports:
+    """Reports of other regions; none has arrived."""
+    return RegionReports()
+
+
+def _request(
+    prompt_tokens: int = 500,
+    answer_tokens: int = 50,
+    parts: tuple[PromptPart, ...] = (),
+    priority: int = 0,
+    regions: frozenset[RegionName] | None = None,
+    forwarded: bool = False,
+) -> RoutedRequest:
+    route = Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=RequestKind.STREAM,
+        shares=(ServiceShare(ENGINE, 1.0),),
+        timeout_s=10.0,
+        target_latency_s=1.0,
+        gap_target_s=0.5,
+        priority=priority,
+        attempts=2,
+        is_open=False,
+        has_prompt=True,
+        resumable=True,
+        home_regions=frozenset(),
+    )
+    return RoutedRequest(
+        id="q",
+        route=route,
+        service=ENGINE,
+        organisation=None,
+        priority=priority,
+        regions=regions,
+        prompt=Prompt("m", prompt_tokens, answer_tokens, answer_tokens, parts),
+        began_s=NOW,
+        deadline_s=NOW + 10.0,
+        forwarded=forwarded,
+    )
+
+
+def _decide(
+    endpoints: Endpoints,
+    regions: RegionReports,
+    request: RoutedRequest,
+    tried: tuple[str, ...] = (),
+) -> Place | Elsewhere | NoPlace:
+    placement = Placement(OWN, endpoints, regions)
+    names = [EndpointId(name) for name in tried]
+    return placement.decide(request, [OWN], [WEST], names, NOW)
+
+
+def _chosen(decision: Place | Elsewhere | NoPlace) -> str:
+    assert isinstance(decision, Place)
+    return decision.endpoint.id
+
+
+def _load(endpoints: Endpoints, name: str, running: int, unread: int, pace_s: float | None) -> None:
+    view = endpoints.view(EndpointId(name))
+    assert view is not None
+    view.load.reported(VmId("vm-2"), ReportedLoad(running, unread, 1000, pace_s, NOW))
+
+
+def test_a_prompt_goes_where_its_parts_are_cached(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Answers long shared prompts: reading them again costs the most."""
+    parts = (PromptPart("p", 5000), PromptPart("own", 100))
+    view = endpoints.view(EndpointId("b"))
+    assert view is not None
+    view.prefixes.remember("m", parts[:1])
+    assert _chosen(_decide(endpoints, regions, _request(5100, parts=parts))) == "b"
+
+
+def test_a_queue_outweighs_a_cached_prefix(endpoints: Endpoints, regions: RegionReports) -> None:
+    """Answers a popular prompt: its engine must not become the only one that works."""
+    parts = (PromptPart("p", 5000), PromptPart("own", 100))
+    view = endpoints.view(EndpointId("b"))
+    assert view is not None
+    view.prefixes.remember("m", parts[:1])
+    _load(endpoints, "b", 3, 20_000, None)
+    assert _chosen(_decide(endpoints, regions, _request(5100, parts=parts))) == "a"
+
+
+def test_long_answers_go_where_tokens_are_generated_faster(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Answers a mix of long prompts and long answers: reading delays each generated token."""
+    _load(endpoints, "a", 2, 0, 0.030)
+    _load(endpoints, "b", 4, 0, 0.007)
+    assert _chosen(_decide(endpoints, regions, _request(200, answer_tokens=300))) == "b"
+
+
+def test_long_prompts_go_where_fewer_answers_are_generated(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """The counterpart: reading a long prompt delays all answers that run beside it."""
+    _load(endpoints, "a", 2, 0, 0.010)
+    _load(endpoints, "b", 6, 0, 0.010)
+    assert _chosen(_decide(endpoints, regions, _request(9000, answer_tokens=20))) == "a"
+
+
+def test_full_engines_refuse_at_once(endpoints: Endpoints, regions: RegionReports) -> None:
+    """Answers more requests than slots: what queues behind them ends late, in vain."""
+    for name in ("a", "b"):
+        _load(endpoints, name, 8, 0, 0.010)
+    decision = _decide(endpoints, regions, _request())
+    assert isinstance(decision, NoPlace)
+    assert decision.cause is RefusalCause.OVERLOADED
+    assert decision.retry_after_s > 0
+
+
+def test_the_last_slots_are_kept_for_the_most_urgent(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Answers an overload with two ranks: the urgent one is served first."""
+    for name in ("a", "b"):
+        _load(endpoints, name, 7, 0, 0.010)
+    assert isinstance(_decide(endpoints, regions, _request(priority=0)), Place)
+    assert isinstance(_decide(endpoints, regions, _request(priority=1)), NoPlace)
+
+
+def test_an_answer_that_cannot_end_in_time_is_refused_at_once(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Answers very long answers at slow engines: they would hold slots and end in vain."""
+    for name in ("a", "b"):
+        _load(endpoints, name, 4, 0, 0.020)
+    assert isinstance(_decide(endpoints, regions, _request(answer_tokens=1000)), NoPlace)
+    assert isinstance(_decide(endpoints, regions, _request(answer_tokens=200)), Place)
+
+
+def test_a_peak_spills_to_a_region_with_room(endpoints: Endpoints, regions: RegionReports) -> None:
+    """Answers peaks that differ between regions."""
+    endpoints.registered(_registration("c", WEST), NOW)
+    regions.received(ENGINE, WEST, RegionReport(0.03, 1, 0.008, 0, NOW))
+    assert isinstance(_decide(endpoints, regions, _request()), Place)
+    for name in ("a", "b"):
+        _load(endpoints, name, 4, 20_000, 0.020)
+    decision = _decide(endpoints, regions, _request())
+    assert isinstance(decision, Elsewhere)
+    assert decision.region == WEST
+
+
+@pytest.mark.parametrize("changes", [{"regions": frozenset({EAST})}, {"forwarded": True}])
+def test_a_request_stays_where_its_home_is_and_is_forwarded_once(
+    endpoints: Endpoints, regions: RegionReports, changes: dict[str, object]
+) -> None:
+    """Guards against requests outside their homes and against loops between regions."""
+    endpoints.registered(_registration("c", WEST), NOW)
+    regions.received(ENGINE, WEST, RegionReport(0.0, 1, 0.005, 0, NOW))
+    for name in ("a", "b"):
+        _load(endpoints, name, 7, 20_000, 0.020)
+    decision = _decide(endpoints, regions, _request(**changes))  # type: ignore[arg-type]
+    assert not isinstance(decision, Elsewhere)
+
+
+def test_a_cold_endpoint_gets_few_requests(endpoints: Endpoints, regions: RegionReports) -> None:
+    """Guards against a crash of an endpoint that has just started."""
+    endpoints.removed(EndpointId("b"))
+    endpoints.registered(_registration("a", cold_s=3.0), NOW)
+    first = _decide(endpoints, regions, _request())
+    assert isinstance(first, Place)
+    first.endpoint.cold.sent()
+    assert isinstance(_decide(endpoints, regions, _request()), NoPlace)
+
+
+def test_tried_endpoints_are_left_out(endpoints: Endpoints, regions: RegionReports) -> None:
+    """Guards against a second attempt at the endpoint that failed the first."""
+    assert _chosen(_decide(endpoints, regions, _request(), tried=("a",))) == "b"
