Relay what one VM reads from the store to VMs that it turns away

Each item that a VM reads is now published over the links, one flood per change, and handed to the listeners of VMs that have not read it. The test failed before. It replaces the relay of the configuration alone.

The contract table of the store also showed that an answer that is not JSON was reported as an unknown outcome for reads.

--- a/src/mangosaddle/entry/_front_desk.py
+++ b/src/mangosaddle/entry/_front_desk.py
@@ -209,7 +209,6 @@
     async def _refuse(
         self, exchange: ServerExchange, request_id: str, problem: Problem, organisation: str
     ) -> None:
-        catalogue = self._catalogue.current
         logger.info(
             "refused",
             extra={
@@ -219,7 +218,7 @@
                 "detail": problem.detail,
                 "execution": problem.execution.value,
                 "retry_after_s": problem.retry_after_s,
-                "configuration": catalogue.version if catalogue is not None else None,
+                "configuration": self._catalogue.version,
                 "configuration_age_s": round(self._catalogue.age_s(), 2),
                 "organisation": organisation,
             },
@@ -233,7 +232,6 @@
         organisation = request.organisation or ""
         self._requests.labels(organisation, ending).inc()
         self._latency.labels(organisation).observe(now - request.began_s)
-        catalogue = self._catalogue.current
         logger.info(
             "request ended",
             extra={
@@ -244,7 +242,7 @@
                 "status": result.status,
                 "cause": result.cause,
                 "ms": round((now - request.began_s) * 1000),
-                "configuration": catalogue.version if catalogue is not None else None,
+                "configuration": self._catalogue.version,
             },
         )
 
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -5,7 +5,6 @@
 import os
 import random
 import time
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -24,7 +23,7 @@
 )
 from ..http11 import ConnectionPool, HttpServer, ServerExchange, ServerLimits
 from ..limits import AllowanceLimits, DemandShares
-from ..membership import HIGHEST_VERSION, Fact, FactKind, VmIdentity
+from ..membership import VmIdentity
 from ..peers import PeerNode, PeerSettings, PeerTimings
 from ..routing import Quarantine, RetryBudget
 from ..traffic import Catalogue, Endpoints, Placement, RegionReports
@@ -35,6 +34,7 @@
 from ._front_desk import FrontDesk
 from ._ports import AdapterParts
 from ._prober import CHECK_INTERVAL_S, Prober
+from ._relay import STORE_ITEM, StoreRelay
 from ._reports import ENDPOINT_LOAD, LOAD_INTERVAL_S, REPORT_INTERVAL_S, VM_REPORT, LoadReports
 from ._runner import RequestRunner
 from ._settings import EntryProcessSettings
@@ -48,10 +48,6 @@
 SECRET_BYTES = 32
 PEER_TIMINGS = PeerTimings(heartbeat_s=1.0, dial_timeout_s=2.0, backoff_max_s=2.0, idle_s=20.0)
 """A VM that is silent for 3 s is avoided: half of the time after which it must not be named."""
-CONFIGURATION = FactKind("configuration", HIGHEST_VERSION)
-"""The newest configuration as it was written, for VMs that the store turns away."""
-RELAY_DELAY_S = 0.3
-"""Longest pause before a configuration is relayed: usually another VM has done it by then."""
 ALLOWANCE_SLACK_SHARE = 0.5
 """Part of the tolerated excess of an allowance that is handed out as burst; the rest covers the
 age of the reports and requests larger than a VM's part."""
@@ -153,7 +149,6 @@
             self.endpoints,
             self._clock,
         )
-        self._operator.on_publication(self._relay_later)
         self._registrations = EndpointSource(
             parts.decode_registration,
             parts.endpoint_of_key,
@@ -162,9 +157,13 @@
             self._clock,
         )
         self._vms = VmSource(VM_PREFIX, self._vms_changed, self._clock)
+        self._relay = StoreRelay(self._rng)
         followed = (
-            (parts.operator_prefix, self._operator),
-            (parts.registration_prefix, self._registrations),
+            (parts.operator_prefix, self._relay.relayed(parts.operator_prefix, self._operator)),
+            (
+                parts.registration_prefix,
+                self._relay.relayed(parts.registration_prefix, self._registrations),
+            ),
             (VM_PREFIX, self._vms),
         )
         self._followers = [
@@ -208,7 +207,7 @@
         _gauge(
             "mangosaddle_configuration_version",
             "Version of the configuration in force",
-            lambda: self.catalogue.current.version if self.catalogue.current else 0,
+            lambda: self.catalogue.version or 0,
         )
         _gauge(
             "mangosaddle_store_contact_age_seconds",
@@ -245,7 +244,7 @@
         node = PeerNode(
             peer_settings,
             self.fleet.inventory(),
-            (CONFIGURATION, ENDPOINT_LOAD, VM_REPORT),
+            (STORE_ITEM, ENDPOINT_LOAD, VM_REPORT),
             self.registry,
             self._rng,
         )
@@ -256,7 +255,7 @@
             self._rng,
         )
         node.on_forward(ForwardedRequests(self._parts.wire, self.runner).handle)
-        node.on_fact(CONFIGURATION.name, self._configuration_relayed)
+        self._relay.connect(node)
         reports = LoadReports(
             self.settings.vm,
             node,
@@ -370,33 +369,6 @@
         catalogue = self.catalogue.current
         return list(catalogue.services_by_name) if catalogue is not None else []
 
-    def _relay_later(self, value: bytes, version: int) -> None:
-        """Publish a configuration to the other VMs unless one of them has done it."""
-        delay_s = self._rng.uniform(0.0, RELAY_DELAY_S)
-        asyncio.get_running_loop().call_later(delay_s, self._relay, value, version)
-
-    def _relay(self, value: bytes, version: int) -> None:
-        if self._node is None:
-            return
-        known = self._node.facts.find(CONFIGURATION.name, FLEET)
-        if known is not None and known.version >= version:
-            return
-        payload = zlib.compress(value)
-        self._node.publish(self._node.new_fact(CONFIGURATION.name, FLEET, version, payload))
-
-    def _configuration_relayed(self, fact: Fact) -> None:
-        if fact.origin == self.settings.vm:
-            return
-        try:
-            value = zlib.decompress(fact.payload)
-        except zlib.error as error:
-            logger.warning(
-                "relayed configuration cannot be read",
-                extra={"vm": fact.origin, "cause": str(error)},
-            )
-            return
-        self._operator.publish(value, f"VM {fact.origin}")
-
     def _housekeeping(self) -> None:
         now = self._clock()
         self.is_ready()
--- a/src/mangosaddle/entry/_sources.py
+++ b/src/mangosaddle/entry/_sources.py
@@ -44,11 +44,6 @@
         self._endpoints = endpoints
         self._clock = clock
         self._evacuated: set[ZoneName] = set()
-        self._published: Callable[[bytes, int], None] | None = None
-
-    def on_publication(self, listener: Callable[[bytes, int], None]) -> None:
-        """Call the listener with each new configuration as it was written, and its version."""
-        self._published = listener
 
     def snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
         """Take all items."""
@@ -59,7 +54,7 @@
             if zone is not None:
                 zones.add(zone)
             elif item.key == self._configuration_key:
-                self.publish(item.value, "store")
+                self._publish(item)
         self._evacuate(zones)
 
     def changed(self, event: Item | Removal) -> None:
@@ -72,18 +67,16 @@
                 zones.add(zone)
             self._evacuate(zones)
         elif event.key == self._configuration_key and isinstance(event, Item):
-            self.publish(event.value, "store")
+            self._publish(event)
 
-    def publish(self, value: bytes, source: str) -> None:
+    def _publish(self, item: Item) -> None:
         """Bring an encoded configuration into force if it is newer."""
-        decoded = self._decode(value)
+        decoded = self._decode(item.value)
         if isinstance(decoded, Failure):
             findings = [f"{f.place}: {f.message}" for f in decoded.failure()]
             logger.error("configuration is refused", extra={"findings": findings})
             return
-        catalogue = decoded.unwrap()
-        if self._catalogue.apply(catalogue, source) and self._published is not None:
-            self._published(value, catalogue.version)
+        self._catalogue.apply(decoded.unwrap(), item.revision)
 
     def _evacuate(self, zones: set[ZoneName]) -> None:
         if zones == self._evacuated:
--- a/src/mangosaddle/entry/_state.py
+++ b/src/mangosaddle/entry/_state.py
@@ -23,8 +23,11 @@
         """Call the listener with each version that comes into force."""
         self._listeners.append(listener)
 
-    def apply(self, catalogue: Catalogue, source: str) -> bool:
-        """Bring a version into force unless it is older or the same; returns whether it was."""
+    def apply(self, catalogue: Catalogue, revision: int) -> bool:
+        """Bring a version into force unless it is older or the same; returns whether it was.
+
+        ``revision`` is that of the store at which the version was written.
+        """
         current = self.current
         if current is not None and catalogue.version <= current.version:
             return False
@@ -37,11 +40,16 @@
             extra={
                 "version": catalogue.version,
                 "replaced": current.version if current is not None else None,
-                "source": source,
+                "revision": revision,
             },
         )
         return True
 
+    @property
+    def version(self) -> int | None:
+        """Return the version in force, or ``None`` before the first one."""
+        return self.current.version if self.current is not None else None
+
     def age_s(self) -> float:
         """Return the time since the current version came into force."""
         return self._clock() - self.applied_at_s
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -136,6 +136,11 @@
             if not connection.reading and not connection.busy:
                 connection.writer.close()
 
+    def break_connections(self) -> None:
+        """Reset all connections, whatever they carry."""
+        for connection in list(self._connections):
+            connection.writer.transport.abort()
+
     async def stop(self) -> None:
         """Close everything at once."""
         self.stop_accepting()
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -153,7 +153,12 @@
                 raise StoreUnavailableError(f"{method} {target}: {error}") from error
             raise OutcomeUnknownError(f"{method} {target}: {error}") from error
         self._pool.give_back(self._address, connection)
-        return head.status, _decoded(head.status, answer)
+        decoded = _decoded(answer)
+        if decoded is None and head.status == 200:
+            if method == "GET":
+                raise StoreUnavailableError(f"{method} {target}: answer is not JSON")
+            raise OutcomeUnknownError(f"{method} {target}: answer is not JSON")
+        return head.status, decoded or {}
 
     async def _connection(self) -> UpstreamConnection:
         connection = self._pool.take(self._address)
@@ -165,14 +170,12 @@
             raise StoreUnavailableError(str(error)) from error
 
 
-def _decoded(status: int, body: bytes) -> dict[str, Any]:
+def _decoded(body: bytes) -> dict[str, Any] | None:
     try:
-        answer = json.loads(body) if body else {}
-    except ValueError as error:
-        if status == 200:
-            raise OutcomeUnknownError("answer is not JSON") from error
-        return {}
-    return answer if isinstance(answer, dict) else {}
+        answer = json.loads(body)
+    except ValueError:
+        return None
+    return answer if isinstance(answer, dict) else None
 
 
 def _check(status: int, answer: dict[str, Any]) -> None:
--- /dev/null
+++ b/tests/platform/test_store_faults.py
@@ -0,0 +1,277 @@
+"""Contract with the store: what a fleet does when the store misbehaves."""
+
+import asyncio
+import json
+
+import pytest
+
+from mangosaddle._identifiers import EndpointId
+from mangosaddle.coordination import (
+    HistoryLostError,
+    LeaseEndedError,
+    OutcomeUnknownError,
+    Put,
+    Removal,
+    RevisionConflictError,
+    StoreUnavailableError,
+)
+from mangosaddle.platform import PlatformStore
+from platform_standins import (
+    Behaviour,
+    Fleet,
+    RunnerStandIn,
+    StoreFault,
+    StoreStandIn,
+    run_fleet,
+    run_scenario,
+    until,
+    usual_configuration,
+)
+
+
+def _with_store(body) -> None:  # type: ignore[no-untyped-def]  # noqa: ANN001
+    async def _main() -> None:
+        store = StoreStandIn()
+        client = PlatformStore(await store.start())
+        try:
+            await body(store, client)
+        finally:
+            client.close()
+            await store.stop()
+
+    asyncio.run(_main())
+
+
+@pytest.mark.parametrize(
+    ("fault", "read_error", "write_error", "written"),
+    [
+        (StoreFault.BUSY, StoreUnavailableError, StoreUnavailableError, False),
+        (StoreFault.MANY, StoreUnavailableError, StoreUnavailableError, False),
+        (StoreFault.RESET, StoreUnavailableError, OutcomeUnknownError, False),
+        (StoreFault.ANSWER_LOST, StoreUnavailableError, OutcomeUnknownError, True),
+        (StoreFault.NOT_JSON, StoreUnavailableError, OutcomeUnknownError, True),
+    ],
+)
+def test_a_failed_call_says_whether_it_may_have_been_carried_out(
+    fault: StoreFault, read_error: type[Exception], write_error: type[Exception], written: bool
+) -> None:
+    """Guards against a write that is taken as not done although it was, or the reverse."""
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        await store.put("own/other", {"n": 1})
+        await store.set_fault(fault)
+        with pytest.raises(read_error):
+            await client.find("own/other")
+        with pytest.raises(write_error):
+            await client.write([Put("own/key", b"value")])
+        assert (store.value("own/key") == b"value") is written
+
+    _with_store(_body)
+
+
+def test_reading_goes_through_all_pages() -> None:
+    """Guards against entries beyond the first page that are taken as gone."""
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        for number in range(8):
+            await store.put(f"servers/{number}", {"n": number})
+        snapshot = await client.read("servers/")
+        assert [item.key for item in snapshot.items] == [f"servers/{n}" for n in range(8)]
+
+    _with_store(_body)
+
+
+def test_a_watch_tells_changes_and_removals_in_order() -> None:
+    """Guards against missed or reordered changes."""
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        revision = await store.put("op/config", {"version": 1})
+        await store.put("op/config", {"version": 2})
+        await store.remove("op/config")
+        changes = await client.watch("op/", revision, 5.0)
+        assert [type(event).__name__ for event in changes.events] == ["Item", "Removal"]
+        assert isinstance(changes.events[1], Removal)
+
+    _with_store(_body)
+
+
+def test_lost_history_is_told_apart_from_an_outage() -> None:
+    """Guards against a watch that goes on although changes are missing."""
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        revision = await store.put("op/config", {"version": 1})
+        await store.put("op/config", {"version": 2})
+        await store.drop_history()
+        with pytest.raises(HistoryLostError):
+            await client.watch("op/", revision, 5.0)
+
+    _with_store(_body)
+
+
+def test_conditions_and_leases_are_kept_apart() -> None:
+    """Guards against a lost race that is taken for an ended lease."""
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        await client.write([Put("own/a", b"1")], expected=[("own/a", 0)])
+        with pytest.raises(RevisionConflictError):
+            await client.write([Put("own/a", b"2")], expected=[("own/a", 0)])
+        lease = await client.open_lease(5.0)
+        await client.write([Put("own/b", b"1", lease)])
+        await store.end_leases()
+        with pytest.raises(LeaseEndedError):
+            await client.keep_lease(lease)
+        with pytest.raises(LeaseEndedError):
+            await client.write([Put("own/b", b"1", lease)])
+        assert await client.find("own/b") is None
+
+    _with_store(_body)
+
+
+def test_a_value_of_another_writer_that_is_not_base64_does_not_hide_the_others() -> None:
+    """Guards against one unreadable entry that blocks all others."""
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        await store.put("servers/good", {"n": 1})
+        await store.put("servers/odd", b"")
+        store._items["servers/odd"]["value"] = "*not base64*"
+        items = {item.key: item.value for item in (await client.read("servers/")).items}
+        assert items == {"servers/good": b'{"n": 1}', "servers/odd": b""}
+
+    _with_store(_body)
+
+
+@pytest.mark.parametrize("fault", [StoreFault.BUSY, StoreFault.RESET, StoreFault.ANSWER_LOST])
+def test_a_fleet_serves_while_the_store_is_away_and_catches_up(fault: StoreFault) -> None:
+    """Guards against requests that depend on the store, and against a change that is missed."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.store.set_fault(fault)
+        assert (await fleet.call(vm, "/read/x")).status == 200
+        await fleet.store.put("op/config", usual_configuration(2, routes=[]))
+        await fleet.store.set_fault(StoreFault.NONE)
+        await until(lambda: vm.catalogue.version == 2)
+        assert (await fleet.call(vm, "/read/x")).status == 404
+
+    run_scenario(_body)
+
+
+def test_changes_are_found_again_after_the_history_is_dropped() -> None:
+    """Guards against a configuration that is missed while the store forgets its history."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.store.put("op/config", usual_configuration(2))
+        await fleet.store.drop_history()
+        await until(lambda: vm.catalogue.version == 2)
+
+    run_scenario(_body)
+
+
+def test_an_older_configuration_never_comes_back() -> None:
+    """Guards against a configuration that reverts."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.store.put("op/config", usual_configuration(7))
+        await until(lambda: vm.catalogue.version == 7)
+        await fleet.store.put("op/config", usual_configuration(3, routes=[]))
+        await fleet.store.put("op/evacuate/east-a", {})
+        await until(lambda: vm.endpoints.registry.evacuated_zones)
+        assert vm.catalogue.version == 7
+
+    run_scenario(_body)
+
+
+def test_a_configuration_with_faults_is_refused_and_the_last_one_holds() -> None:
+    """Guards against a process that stops at an operator's mistake."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.store.put("op/config", b"not json")
+        await fleet.store.put("op/config", {"version": 5, "routes": [{"host": 1}]})
+        await fleet.store.put("op/config", usual_configuration(6))
+        await until(lambda: vm.catalogue.version == 6)
+        assert (await fleet.call(vm, "/read/x")).status == 200
+
+    run_scenario(_body)
+
+
+def test_entries_that_lapse_in_an_outage_hold_until_they_had_time_to_come_back() -> None:
+    """Guards against endpoints that are given up because the store was away."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.store.set_fault(StoreFault.BUSY)
+        await until(lambda: all(follower.failing for follower in vm._followers))
+        await asyncio.sleep(0.8)
+        for name in ("desk-1", "desk-2"):
+            await fleet.store.remove(f"servers/{name}")
+        await fleet.store.set_fault(StoreFault.NONE)
+        await until(lambda: not any(follower.failing for follower in vm._followers))
+        assert (await fleet.call(vm, "/read/x")).status == 200
+        await fleet.store.put("servers/desk-1", fleet.runners["desk-1"].entry())
+        await until(lambda: vm.endpoints.registry.find(EndpointId("desk-2")) is None)
+        assert vm.endpoints.registry.find(EndpointId("desk-1")) is not None
+
+    run_scenario(_body)
+
+
+def test_an_unreadable_entry_names_no_endpoint_and_the_others_hold() -> None:
+    """Guards against requests to an address that nobody has vouched for."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        runner = fleet.runners["desk-1"]
+        await fleet.store.put("servers/desk-1", b"\xff\x00")
+        for number, change in enumerate(
+            ({"slots": "8"}, {"state": "unknown"}, {"address": "x"}, {"zone": 4}, {"service": None})
+        ):
+            await fleet.store.put(f"servers/odd-{number}", runner.entry(**change))
+        await until(lambda: vm.endpoints.registry.find(EndpointId("desk-1")) is None)
+        assert (await fleet.call(vm, "/read/x")).status == 200
+        assert sum(fleet.runners["desk-1"].runs.values()) == 0
+        assert len(vm.endpoints.registry.registrations_by_id()) == 3
+
+    run_scenario(_body)
+
+
+def test_a_vm_that_the_store_turns_away_learns_changes_from_the_others() -> None:
+    """Guards against a VM that sends full load to an endpoint that has come back cold."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", usual_configuration())
+        runner = await fleet.add_runner(RunnerStandIn("engine-1", "engine", "east-a"))
+        runner.behaviour = Behaviour.STREAM
+        await fleet.add_vm("vm-1")
+        cut_off = await fleet.add_vm("vm-2", store=await fleet.store.start())
+        await fleet.ready()
+        await fleet.store.set_fault(StoreFault.RESET, port=1)
+        await until(lambda: all(follower.failing for follower in cut_off._followers))
+        await fleet.store.put(
+            runner.key, runner.entry(cold_remaining_ms=3000, born=1_800_000_000_000)
+        )
+        await fleet.store.put("op/config", usual_configuration(2))
+        await fleet.store.put("op/evacuate/west-a", {})
+        await until(lambda: cut_off.catalogue.version == 2)
+        await until(lambda: "west-a" in cut_off.endpoints.registry.evacuated_zones)
+
+        def _is_cold() -> bool:
+            view = cut_off.endpoints.view(EndpointId("engine-1"))
+            return view is not None and view.cold.is_cold(cut_off._clock())
+
+        await until(_is_cold)
+
+    run_fleet(_body)
+
+
+def test_an_own_entry_that_has_lapsed_is_written_again() -> None:
+    """Guards against a VM that nobody finds any more."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.end_leases()
+        assert fleet.store.keys("mangosaddle/vms/") == []
+        value = await asyncio.wait_for(fleet.store.wait_for("mangosaddle/vms/vm-1"), 10)
+        assert json.loads(value)["vm"] == "vm-1"
+
+    run_scenario(_body)
--- a/tests/platform_standins/_fleet.py
+++ b/tests/platform_standins/_fleet.py
@@ -84,10 +84,17 @@
             max_value_bytes=1_048_576,
         )
 
-    async def add_vm(self, name: str, zone: str = "east-a", **bounds: float) -> EntryProcess:
-        """Start an entry process."""
+    async def add_vm(
+        self,
+        name: str,
+        zone: str = "east-a",
+        store: tuple[str, int] | None = None,
+        **bounds: float,
+    ) -> EntryProcess:
+        """Start an entry process; ``store`` is another address of the store."""
         settings = self.settings(name, zone, **bounds)
-        process = EntryProcess(settings, PlatformStore(self.store_address), adapter_parts())
+        client = PlatformStore(store or self.store_address)
+        process = EntryProcess(settings, client, adapter_parts())
         self.vms[name] = process
         await process.start()
         return process
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -33,8 +33,8 @@
     """Implements the calls of the platform's store over HTTP."""
 
     def __init__(self) -> None:
-        self.fault = StoreFault.NONE
         self.calls: list[str] = []
+        self._faults: dict[int, StoreFault] = {}
         self.revision = 1
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -42,15 +42,33 @@
         self._leases: dict[int, set[str]] = {}
         self._next_lease = 100
         self._changed = asyncio.Condition()
-        self._server = HttpServer(self._handle, ServerLimits)
+        self._servers: list[HttpServer] = []
 
     async def start(self) -> tuple[str, int]:
-        """Listen on a free port of the loopback address."""
-        return await self._server.start("127.0.0.1", 0)
+        """Listen on another free port of the loopback address, with a fault of its own."""
+        number = len(self._servers)
+
+        async def _handle(exchange: ServerExchange) -> None:
+            await self._handle(exchange, self._faults.get(number, StoreFault.NONE))
+
+        server = HttpServer(_handle, ServerLimits)
+        self._servers.append(server)
+        return await server.start("127.0.0.1", 0)
 
     async def stop(self) -> None:
         """Close all connections."""
-        await self._server.stop()
+        for server in self._servers:
+            await server.stop()
+
+    async def set_fault(self, fault: StoreFault, port: int | None = None) -> None:
+        """Treat calls on a port, counted from 0, or on all ports in this way from now on."""
+        ports = range(len(self._servers)) if port is None else (port,)
+        for number in ports:
+            self._faults[number] = fault
+        # Waiting watches end, so that the fault meets them as well.
+        if fault is not StoreFault.NONE:
+            for number in ports:
+                self._servers[number].break_connections()
 
     # Direct access for tests
 
@@ -103,21 +121,21 @@
 
     # Calls
 
-    async def _handle(self, exchange: ServerExchange) -> None:
+    async def _handle(self, exchange: ServerExchange, fault: StoreFault) -> None:
         path, _, query = exchange.target.decode().partition("?")
         self.calls.append(f"{exchange.method.decode()} {path}")
-        if self.fault in (StoreFault.BUSY, StoreFault.MANY):
-            await exchange.respond(503 if self.fault is StoreFault.BUSY else 429, [])
+        if fault in (StoreFault.BUSY, StoreFault.MANY):
+            await exchange.respond(503 if fault is StoreFault.BUSY else 429, [])
             return
-        if self.fault is StoreFault.RESET:
+        if fault is StoreFault.RESET:
             exchange.abort()
             return
         fields = {name: values[0] for name, values in parse_qs(query).items()}
         body = json.loads(exchange.body) if exchange.body else {}
         status, answer = await self._carry_out(exchange.method.decode(), path, fields, body)
-        if self.fault is StoreFault.ANSWER_LOST:
+        if fault is StoreFault.ANSWER_LOST:
             exchange.abort()
-        elif self.fault is StoreFault.NOT_JSON:
+        elif fault is StoreFault.NOT_JSON:
             await exchange.respond(status, [], b"<html>")
         else:
             await exchange.respond(status, [], json.dumps(answer).encode())
