--- a/src/mangosaddle/entry/_reports.py
+++ b/src/mangosaddle/entry/_reports.py
@@ -87,7 +87,7 @@
             views = self._endpoints.usable(service)
             if views:
                 waits[service] = _region_report(views, now)
-        demand = {id: round(rate) for id, rate in self._allowances.demand(now).items()}
+        demand = {id: round(rate) for id, rate in self._allowances.announce(now).items()}
         self._publish(VM_REPORT.name, cbor2.dumps([demand, waits]), always=True)
 
     def _publish(self, kind: str, payload: bytes, *, always: bool = False) -> None:
--- a/src/mangosaddle/limits/_demand_shares.py
+++ b/src/mangosaddle/limits/_demand_shares.py
@@ -87,6 +87,7 @@
         self._reported: dict[VmId, dict[OrganisationId, float]] = {}
         self._vms: frozenset[VmId] = frozenset({own})
         self._isolated = False
+        self._announced: tuple[dict[OrganisationId, float], dict[OrganisationId, float]] = ({}, {})
 
     def set_limits(
         self, limits_by_id: Mapping[OrganisationId, AllowanceLimits], now: float
@@ -116,10 +117,21 @@
         """Take another VM's demand per second."""
         self._reported[vm] = dict(demand_by_id)
 
-    def demand(self, now: float) -> dict[OrganisationId, float]:
-        """Return this VM's demand per second, to be reported."""
+    def announce(self, now: float) -> dict[OrganisationId, float]:
+        """Return this VM's demand per second, which is now being reported to all others.
+
+        The own part grows only with the report after it: by then the others have heard of it and
+        use less. Otherwise two VMs whose demand begins at once would both take the whole rate.
+        """
         rates = {id: demand.at(now) for id, demand in self._demand_by_id.items()}
-        return {id: rate for id, rate in rates.items() if rate >= 1.0}
+        announced = {id: rate for id, rate in rates.items() if rate >= 1.0}
+        self._announced = (self._announced[1], announced)
+        return announced
+
+    def _own_demand(self, organisation: OrganisationId, now: float) -> float:
+        """Return the demand that the others know of, or the present one if that is lower."""
+        known = min(announced.get(organisation, 0.0) for announced in self._announced)
+        return min(known, self._demand_by_id.get(organisation, _Demand()).at(now))
 
     def rebalance(self, now: float) -> None:
         """Compute the parts anew from the newest reports."""
@@ -138,7 +150,7 @@
 
     def _share(self, organisation: OrganisationId, limits: AllowanceLimits, now: float) -> float:
         floor = limits.rate_per_s * FLOOR_SHARE
-        mine = self._demand_by_id.get(organisation, _Demand()).at(now) + floor
+        mine = self._own_demand(organisation, now) + floor
         total = mine
         for vm in self._vms - {self._own}:
             report = self._reported.get(vm)
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,289 @@
+"""Contract with callers: what a VM admits, refuses and says."""
+
+import asyncio
+import json
+
+import pytest
+
+from mangosaddle.http11 import UpstreamConnection
+from platform_standins import (
+    Behaviour,
+    Fleet,
+    RunnerStandIn,
+    run_fleet,
+    run_scenario,
+    tenant,
+    until,
+    usual_configuration,
+)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "changes", "status"),
+    [
+        ("/read/x", "key-1", {}, 200),
+        ("/read/x", "key-2", {}, 200),
+        ("/read/x", None, {}, 401),
+        ("/read/x", "key-3", {}, 401),
+        ("/read/x", "", {}, 401),
+        ("/open/x", None, {}, 200),
+        ("/open/x", "key-3", {}, 200),
+        ("/read", "key-1", {}, 404),
+        ("/elsewhere/x", "key-1", {}, 404),
+        ("/west/x", "key-1", {}, 503),
+        ("/read/x", "key-1", {"request_id": ""}, 400),
+        ("/read/x", "key-1", {"deadline_milliseconds": "soon"}, 400),
+        ("/read/x", "key-1", {"token_counts": "1,2,3"}, 400),
+        ("/read/x", "key-1", {"token_counts": "1,2", "prompt_prefix": "a"}, 400),
+        ("/read/x", "key-1", {"last_event_id": "x"}, 400),
+    ],
+)
+def test_what_is_admitted(path: str, key: str | None, changes: dict[str, str], status: int) -> None:
+    """Guards against requests that run without a right, and against wrongful refusals."""
+
+    async def _body(fleet: Fleet) -> None:
+        answer = await fleet.call(fleet.vms["vm-1"], path, key, **changes)
+        assert answer.status == status
+        runs = sum(sum(runner.runs.values()) for runner in fleet.runners.values())
+        assert runs == (1 if status == 200 else 0)
+
+    run_scenario(_body)
+
+
+def test_all_faults_of_a_request_are_told_at_once() -> None:
+    """Guards against callers that learn of one fault per try."""
+
+    async def _body(fleet: Fleet) -> None:
+        answer = await fleet.call(
+            fleet.vms["vm-1"], "/read/x", request_id="", token_counts="x", last_event_id="y"
+        )
+        document = json.loads(answer.body)
+        places = [finding["place"] for finding in document["findings"]]
+        assert places == ["header request-id", "header last-event-id", "header token-counts"]
+        assert document["execution"] == "not_run"
+
+    run_scenario(_body)
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (
+            b"GET /read/x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (b"GET /read/x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", 400),
+        (b"GET /read/x HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000 + b"\r\n\r\n", 431),
+        (b"POST /read/x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n", 413),
+        (b"\x16\x03\x01 garbage\r\n\r\n", 400),
+        (b"POST /read/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    ],
+)
+def test_requests_that_cannot_be_read_are_refused_and_the_process_lives(
+    raw: bytes, status: int
+) -> None:
+    """Guards against smuggled and oversized requests."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        reader, writer = await asyncio.open_connection(*vm.settings.front)
+        writer.write(raw)
+        line = await asyncio.wait_for(reader.readline(), 10)
+        writer.close()
+        assert line.split()[1] == str(status).encode()
+        assert (await fleet.call(vm, "/read/x")).status == 200
+        assert sum(sum(runner.runs.values()) for runner in fleet.runners.values()) == 1
+
+    run_scenario(_body)
+
+
+def test_a_withdrawn_key_and_a_removed_route_end_with_the_version_that_drops_them() -> None:
+    """Guards against a key or route that stays in force."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        changed = usual_configuration(2, tenants=[tenant("acme", "key-9")])
+        changed["routes"] = [row for row in changed["routes"] if row["prefix"] != "/order/"]
+        await fleet.store.put("op/config", changed)
+        await until(lambda: vm.catalogue.version == 2)
+        assert (await fleet.call(vm, "/read/x", "key-1")).status == 401
+        assert (await fleet.call(vm, "/read/x", "key-9")).status == 200
+        assert (await fleet.call(vm, "/order/x", "key-9")).status == 404
+
+    run_scenario(_body)
+
+
+def test_an_allowance_refuses_what_lies_beyond_it_and_says_when_to_come_back() -> None:
+    """Guards against an organisation above its rate, and against charging what has not run."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        statuses = []
+        for _ in range(12):
+            answer = await fleet.call(vm, "/read/x", "key-2")
+            statuses.append(answer.status)
+        assert statuses.count(200) in range(5, 8)
+        assert set(statuses) == {200, 429}
+        assert float(answer.header("Retry-After")) > 0
+        assert (await fleet.call(vm, "/read/x", "key-1")).status == 200
+
+    run_scenario(_body)
+
+
+def test_a_request_that_has_not_run_is_not_charged() -> None:
+    """Guards against an allowance used up by refusals."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.FULL
+        for _ in range(12):
+            assert (await fleet.call(vm, "/order/x", "key-2")).status == 503
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.OK
+        assert (await fleet.call(vm, "/order/x", "key-2")).status == 200
+
+    run_scenario(_body)
+
+
+def test_a_zone_that_is_evacuated_gets_nothing_until_it_is_taken_back() -> None:
+    """Guards against requests to an evacuated zone, and to endpoints that came back cold."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.store.put("op/evacuate/east-a", {})
+        await until(lambda: vm.endpoints.registry.evacuated_zones)
+        assert (await fleet.call(vm, "/read/x")).status == 503
+        for runner in fleet.runners.values():
+            runner.cold_ms = 3000
+        await fleet.store.remove("op/evacuate/east-a")
+        await until(lambda: not vm.endpoints.registry.evacuated_zones)
+        await until(lambda: all(runner.checks for runner in fleet.runners.values()))
+        await until(lambda: all(view.cold.is_cold(vm._clock()) for view in vm.endpoints.views()))
+
+    run_scenario(_body)
+
+
+def test_a_leaving_endpoint_gets_no_new_request() -> None:
+    """Guards against work for an endpoint that has said that it leaves."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        leaving = fleet.runners["desk-1"]
+        await fleet.store.put(leaving.key, leaving.entry(state="draining"))
+        await until(
+            lambda: len(list(vm.endpoints.registry.serving("desk", "east"))) == 1  # type: ignore[arg-type]
+        )
+        for _ in range(4):
+            assert (await fleet.call(vm, "/read/x")).status == 200
+        assert sum(leaving.runs.values()) == 0
+
+    run_scenario(_body)
+
+
+def test_readiness_and_directory_follow_the_state_of_the_vm() -> None:
+    """Guards against callers that are sent to a VM that cannot serve."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = await fleet.add_vm("vm-1")
+        ready, discovery = vm.settings.ready, vm.settings.discovery
+        assert ready is not None
+        assert discovery is not None
+        target = "/api/resolve?name=example.test&region=east&zone=east-a"
+        assert (await fleet.get(ready, "/api/readiness")).status == 503
+        assert (await fleet.get(discovery, target)).status == 503
+        assert (await fleet.call(vm, "/read/x")).status == 503
+        await fleet.store.put("op/config", usual_configuration())
+        await fleet.ready()
+        assert (await fleet.get(ready, "/api/readiness")).status == 200
+        answer = await fleet.get(discovery, target)
+        document = json.loads(answer.body)
+        assert document["addresses"] == [f"{vm.settings.host}:8221"]
+        assert 0 < document["ttl_s"] <= 5
+        assert (await fleet.get(ready, "/elsewhere")).status == 404
+
+    run_fleet(_body)
+
+
+def test_a_planned_stop_cuts_no_request() -> None:
+    """Guards against answers that are lost when a VM is stopped."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        engines = [runner for runner in fleet.runners.values() if runner.service == "engine"]
+        for runner in engines:
+            runner.behaviour = Behaviour.HOLD_STREAM
+        running = asyncio.create_task(
+            fleet.call(vm, "/chat/x", method="POST", body=b"p", token_counts="10,28")
+        )
+        await until(lambda: any(runner.runs for runner in engines))
+        draining = asyncio.create_task(vm.drain())
+        await until(lambda: vm._leaving)
+        ready = vm.settings.ready
+        assert ready is not None
+        assert (await fleet.get(ready, "/api/readiness")).status == 503
+        late = await fleet.call(vm, "/open/x", None)
+        assert late.status == 200
+        assert late.header("Connection") == "close"
+        for runner in engines:
+            runner.release.set()
+        answer = await running
+        assert answer.body.count(b"data:") == 4
+        await draining
+        assert fleet.store.keys("mangosaddle/vms/") == []
+
+    run_scenario(_body)
+
+
+def test_connections_are_kept_for_further_requests() -> None:
+    """Guards against a new connection for each request, on both sides."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.store.remove("servers/desk-2")
+        await until(lambda: len(vm.endpoints.registry.registrations_by_id()) == 3)
+        connection = await UpstreamConnection.open(*vm.settings.front, 1.0)
+        for _ in range(5):
+            head, body = await connection.call(fleet.request("/read/x"), 10.0, 1 << 20)
+            assert (head.status, body) == (200, b"the whole answer")
+        connection.abort()
+        assert fleet.runners["desk-1"].connections == 1
+
+    run_scenario(_body)
+
+
+def test_a_request_that_crashes_its_runners_is_not_tried_again() -> None:
+    """Guards against one request that stops runner after runner."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        for number in range(3, 6):
+            await fleet.add_runner(RunnerStandIn(f"desk-{number}", "desk", "east-a"))
+        await fleet.knows(vm, "desk-3", "desk-4", "desk-5")
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.RESET
+        statuses = [
+            (await fleet.call(vm, "/read/deadly", method="POST", body=b"deadly")).status
+            for _ in range(4)
+        ]
+        assert statuses[0] == 502
+        assert statuses[-1] == 503
+        assert sum(sum(runner.runs.values()) for runner in fleet.runners.values()) <= 3
+
+    run_scenario(_body)
+
+
+def test_metrics_tell_requests_by_organisation() -> None:
+    """Guards against a VM whose load cannot be seen."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        await fleet.call(vm, "/read/x")
+        page = await fleet.get((vm.settings.host, vm.settings.metrics_port), "/metrics")
+        assert (
+            b'mangosaddle_requests_total{ending="delivered",organisation="acme"} 1.0' in page.body
+        )
+        assert b"mangosaddle_request_seconds_bucket" in page.body
+
+    run_scenario(_body)
--- /dev/null
+++ b/tests/platform/test_links.py
@@ -0,0 +1,123 @@
+"""Contract between VMs: requests that run in another region."""
+
+import asyncio
+
+import pytest
+
+from mangosaddle.http11 import HttpError
+from platform_standins import (
+    Behaviour,
+    Fleet,
+    RunnerStandIn,
+    run_fleet,
+    until,
+    usual_configuration,
+)
+
+
+async def _two_regions(fleet: Fleet) -> None:
+    await fleet.store.put("op/config", usual_configuration())
+    await fleet.add_runner(RunnerStandIn("desk-west", "desk", "west-a"))
+    await fleet.add_runner(RunnerStandIn("engine-west", "engine", "west-a"))
+    await fleet.add_vm("vm-east", "east-a")
+    await fleet.add_vm("vm-west", "west-a")
+    await fleet.ready()
+    east = fleet.vms["vm-east"]
+    await fleet.knows(east, "desk-west", "engine-west")
+    # A region is used once it has reported its wait.
+    await until(
+        lambda: all(
+            east.regions.find(service, "west", asyncio.get_running_loop().time())  # type: ignore[arg-type]
+            for service in ("desk", "engine")
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "path", "status"),
+    [
+        (Behaviour.OK, "/west/x", 200),
+        (Behaviour.OK, "/order/x", 200),
+        (Behaviour.FAIL, "/order/x", 500),
+        (Behaviour.FULL, "/order/x", 503),
+        (Behaviour.RESET, "/order/x", 502),
+        (Behaviour.RESET, "/read/x", 502),
+    ],
+)
+def test_what_a_caller_gets_of_a_request_that_runs_in_another_region(
+    behaviour: Behaviour, path: str, status: int
+) -> None:
+    """Guards against refusals that are not true and answers that change on their way."""
+
+    async def _body(fleet: Fleet) -> None:
+        await _two_regions(fleet)
+        runner = fleet.runners["desk-west"]
+        runner.behaviour = behaviour
+        answer = await fleet.call(fleet.vms["vm-east"], path, method="POST", body=b"b" * 40_000)
+        assert answer.status == status
+        assert sum(runner.runs.values()) == (0 if status == 503 else 1)
+        if status == 200:
+            assert answer.body == b"the whole answer"
+            assert answer.header("Response-Stamp")
+            (seen,) = runner.seen
+            assert seen.body == b"b" * 40_000
+            assert seen.headers["tenant"] == "acme"
+            assert "api-key" not in seen.headers
+
+    run_fleet(_body)
+
+
+def test_a_stream_crosses_regions_whole_and_ends_with_its_caller() -> None:
+    """Guards against pieces that are lost on the link, and against work for nobody."""
+
+    async def _body(fleet: Fleet) -> None:
+        await _two_regions(fleet)
+        runner, vm = fleet.runners["engine-west"], fleet.vms["vm-east"]
+        runner.behaviour = Behaviour.STREAM
+        answer = await fleet.call(vm, "/chat/x", method="POST", body=b"p", token_counts="10,28")
+        assert answer.body.count(b"data:") == 4
+        runner.behaviour = Behaviour.HOLD_STREAM
+        with pytest.raises(HttpError):
+            await fleet.call(
+                vm, "/chat/x", method="POST", body=b"p", token_counts="10,28", timeout_s=0.4
+            )
+        await until(lambda: runner.cancelled == 1)
+
+    run_fleet(_body)
+
+
+def test_attempts_in_another_region_count_with_those_before() -> None:
+    """Guards against a request that runs on more endpoints than its route allows."""
+
+    async def _body(fleet: Fleet) -> None:
+        await _two_regions(fleet)
+        await fleet.add_runner(RunnerStandIn("desk-west-2", "desk", "west-a"))
+        await fleet.add_runner(RunnerStandIn("desk-east", "desk", "east-a"))
+        for vm in fleet.vms.values():
+            await fleet.knows(vm, "desk-west-2", "desk-east")
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.FAIL
+        answer = await fleet.call(fleet.vms["vm-east"], "/read/x")
+        assert answer.status == 500
+        assert sum(sum(runner.runs.values()) for runner in fleet.runners.values()) == 2
+
+    run_fleet(_body)
+
+
+def test_a_lost_link_leaves_the_outcome_open_and_no_refusal_is_untrue() -> None:
+    """Guards against 'not run' for a request that runs in a region that was cut off."""
+
+    async def _body(fleet: Fleet) -> None:
+        await _two_regions(fleet)
+        runner = fleet.runners["desk-west"]
+        runner.behaviour = Behaviour.SILENT
+        call = asyncio.create_task(
+            fleet.call(fleet.vms["vm-east"], "/order/x", method="POST", body=b"one")
+        )
+        await runner.running.wait()
+        node = fleet.vms["vm-west"].fleet.node
+        assert node is not None
+        await node.stop()
+        assert (await call).status == 502
+
+    run_fleet(_body)
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -224,9 +224,14 @@
         vm = fleet.vms["vm-1"]
         runner = fleet.runners["desk-1"]
         await fleet.store.put("servers/desk-1", b"\xff\x00")
-        for number, change in enumerate(
-            ({"slots": "8"}, {"state": "unknown"}, {"address": "x"}, {"zone": 4}, {"service": None})
-        ):
+        changes: list[dict[str, object]] = [
+            {"slots": "8"},
+            {"state": "unknown"},
+            {"address": "x"},
+            {"zone": 4},
+            {"service": None},
+        ]
+        for number, change in enumerate(changes):
             await fleet.store.put(f"servers/odd-{number}", runner.entry(**change))
         await until(lambda: vm.endpoints.registry.find(EndpointId("desk-1")) is None)
         assert (await fleet.call(vm, "/read/x")).status == 200
