Move the entities and findings out of the configuration package

The entry process for opaque traffic does not read inventory documents; their models took a third of its start.

--- a/src/mangosaddle/configuration/_entities.py
+++ b/src/mangosaddle/_entities.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from .._identifiers import (
+from ._identifiers import (
     EndpointId,
     KeyId,
     ModelName,
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from ._documents import InventoryDocument, RulesDocument
+    from .configuration._documents import InventoryDocument, RulesDocument
 
 
 class EndpointKind(StrEnum):
@@ -160,7 +160,7 @@
         keys_by_id: Mapping[KeyId, Key] | None = None,
     ) -> "Configuration":
         """Return the configuration that two checked documents describe."""
-        from ._build import build_configuration
+        from .configuration._build import build_configuration
 
         return build_configuration(revision, inventory, rules, keys_by_id or {})
 
--- a/src/mangosaddle/configuration/__init__.py
+++ b/src/mangosaddle/configuration/__init__.py
@@ -1,5 +1,18 @@
 """Inventory and rules: documents at the border, frozen data classes inside."""
 
+from .._entities import (
+    Configuration,
+    Endpoint,
+    EndpointKind,
+    Key,
+    ModelVersion,
+    Organisation,
+    RolloutPlan,
+    RolloutStep,
+    Service,
+    Vm,
+)
+from .._finding import DocumentFile, Finding, Severity, has_errors
 from ._admin import (
     COMPRESSED,
     ParsedEdit,
@@ -21,18 +34,6 @@
     encode_configuration,
     newer,
 )
-from ._entities import (
-    Configuration,
-    Endpoint,
-    EndpointKind,
-    Key,
-    ModelVersion,
-    Organisation,
-    RolloutPlan,
-    RolloutStep,
-    Service,
-    Vm,
-)
 from ._exceptions import (
     BaseMismatchError,
     ConfigurationError,
@@ -44,7 +45,6 @@
     UnknownKeyError,
     UnknownOrganisationError,
 )
-from ._finding import DocumentFile, Finding, Severity, has_errors
 from ._key_edits import with_key_granted, with_key_withdrawn
 from ._loading import (
     CheckedDocuments,
--- a/src/mangosaddle/configuration/_admin.py
+++ b/src/mangosaddle/configuration/_admin.py
@@ -4,14 +4,14 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from .._entities import Configuration, ModelVersion
+from .._finding import Finding, has_errors
 from ._build import inventory_of, keys_of, rules_of
 from ._content import canonical_parts, decompress
 from ._delta import Delta
 from ._edit_checks import check_edit
 from ._encoding import MAX_DECODED_BYTES
-from ._entities import Configuration, ModelVersion
 from ._exceptions import DecodeError
-from ._finding import Finding, has_errors
 from ._loading import check_documents
 
 REQUEST = "request"
--- a/src/mangosaddle/configuration/_build.py
+++ b/src/mangosaddle/configuration/_build.py
@@ -4,6 +4,17 @@
 from datetime import UTC, datetime
 from typing import Any
 
+from .._entities import (
+    Configuration,
+    Endpoint,
+    Key,
+    ModelVersion,
+    Organisation,
+    RolloutPlan,
+    RolloutStep,
+    Service,
+    Vm,
+)
 from .._identifiers import (
     EndpointId,
     KeyId,
@@ -23,17 +34,6 @@
     RulesDocument,
     VmItem,
 )
-from ._entities import (
-    Configuration,
-    Endpoint,
-    Key,
-    ModelVersion,
-    Organisation,
-    RolloutPlan,
-    RolloutStep,
-    Service,
-    Vm,
-)
 
 
 def build_configuration(
--- a/src/mangosaddle/configuration/_content.py
+++ b/src/mangosaddle/configuration/_content.py
@@ -9,6 +9,15 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from .._entities import (
+    Configuration,
+    Endpoint,
+    Key,
+    Organisation,
+    RolloutPlan,
+    Service,
+    Vm,
+)
 from .._identifiers import (
     EndpointId,
     KeyId,
@@ -20,15 +29,6 @@
     VmId,
     ZoneName,
 )
-from ._entities import (
-    Configuration,
-    Endpoint,
-    Key,
-    Organisation,
-    RolloutPlan,
-    Service,
-    Vm,
-)
 from ._exceptions import DecodeError, SchemaVersionError, TooLargeError
 
 SCHEMA_VERSION = 1
--- a/src/mangosaddle/configuration/_cross_checks.py
+++ b/src/mangosaddle/configuration/_cross_checks.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+from .._entities import EndpointKind
+from .._finding import DocumentFile, Finding, Severity
 from ._documents import (
     AllowanceItem,
     EndpointItem,
@@ -16,8 +18,6 @@
     ServiceItem,
     VmItem,
 )
-from ._entities import EndpointKind
-from ._finding import DocumentFile, Finding, Severity
 from ._parse import ParsedDocument
 
 MIN_BURST_TOKENS = 2048
--- a/src/mangosaddle/configuration/_delta.py
+++ b/src/mangosaddle/configuration/_delta.py
@@ -5,6 +5,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from .._entities import Configuration
 from ._content import (
     COLLECTIONS,
     DIGEST_BYTES,
@@ -23,7 +24,6 @@
     to_json,
 )
 from ._encoding import MAX_DECODED_BYTES, MAX_ENCODED_BYTES
-from ._entities import Configuration
 from ._exceptions import BaseMismatchError, DecodeError, DigestError
 
 _COLLECTIONS_BY_NAME = {collection.name: collection for collection in COLLECTIONS}
--- a/src/mangosaddle/configuration/_documents.py
+++ b/src/mangosaddle/configuration/_documents.py
@@ -5,7 +5,7 @@
 
 from pydantic import AfterValidator, AwareDatetime, BaseModel, BeforeValidator, ConfigDict, Field
 
-from ._entities import EndpointKind
+from .._entities import EndpointKind
 
 MAX_CAPACITY_REQUESTS = 1_000_000
 """Upper bound of an endpoint's capacity; it catches slips of the hand."""
--- a/src/mangosaddle/configuration/_edit_checks.py
+++ b/src/mangosaddle/configuration/_edit_checks.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator
 
+from .._entities import Configuration, Endpoint, EndpointKind, ModelVersion, Organisation
+from .._finding import DocumentFile, Finding, Severity
 from .._identifiers import ModelName, VersionId
-from ._entities import Configuration, Endpoint, EndpointKind, ModelVersion, Organisation
-from ._finding import DocumentFile, Finding, Severity
 
 _INVENTORY = DocumentFile.INVENTORY
 _RULES = DocumentFile.RULES
--- a/src/mangosaddle/configuration/_encoding.py
+++ b/src/mangosaddle/configuration/_encoding.py
@@ -5,6 +5,7 @@
 
 from pydantic import Field, ValidationError
 
+from .._entities import Configuration
 from ._content import (
     COLLECTIONS,
     DIGEST_BYTES,
@@ -17,7 +18,6 @@
     items_of,
     to_json,
 )
-from ._entities import Configuration
 
 MAX_ENCODED_BYTES = 1_000_000
 """Largest value of the store."""
--- a/src/mangosaddle/configuration/_key_edits.py
+++ b/src/mangosaddle/configuration/_key_edits.py
@@ -2,9 +2,9 @@
 
 from dataclasses import replace
 
+from .._entities import Configuration, Key
 from .._identifiers import KeyId
 from ._delta import Delta
-from ._entities import Configuration, Key
 from ._exceptions import KeyExistsError, UnknownKeyError, UnknownOrganisationError
 
 WITHDRAWN_KEPT_S = 86_400
--- a/src/mangosaddle/configuration/_loading.py
+++ b/src/mangosaddle/configuration/_loading.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from .._entities import Configuration, Key
+from .._finding import DocumentFile, Finding, has_errors
 from .._identifiers import KeyId
 from ._build import build_configuration
 from ._cross_checks import CrossChecks
 from ._documents import InventoryDocument, RulesDocument
-from ._entities import Configuration, Key
-from ._finding import DocumentFile, Finding, has_errors
 from ._parse import INVENTORY_COLLECTIONS, RULES_COLLECTIONS, parse_document
 from ._source import TomlSource
 
--- a/src/mangosaddle/configuration/_parse.py
+++ b/src/mangosaddle/configuration/_parse.py
@@ -8,6 +8,7 @@
 from pydantic import ValidationError
 from pydantic_core import ErrorDetails
 
+from .._finding import Finding
 from ._documents import (
     AllowanceItem,
     DocumentItem,
@@ -20,7 +21,6 @@
     ServiceItem,
     VmItem,
 )
-from ._finding import Finding
 
 ItemT = TypeVar("ItemT", bound=DocumentItem)
 
--- a/src/mangosaddle/configuration/_source.py
+++ b/src/mangosaddle/configuration/_source.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from ._finding import Finding
+from .._finding import Finding
 
 _PART = re.compile(r"([A-Za-z0-9_-]+)(?:\[(\d+)\])?")
 _HEADER = re.compile(r"\s*\[\[?\s*([A-Za-z0-9_.-]+)\s*\]\]?")
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
+from .._entities import Vm
 from .._identifiers import RegionName, VmId
-from ..configuration import Vm
 from ..coordination import VmRecord
 from ..membership import VmState
 from ..peers import PeerNode
--- a/src/mangosaddle/entry/_sources.py
+++ b/src/mangosaddle/entry/_sources.py
@@ -5,8 +5,8 @@
 
 from returns.result import Failure, Result
 
+from .._finding import Finding
 from .._identifiers import EndpointId, RegionName, VmId, ZoneName
-from ..configuration import Finding
 from ..coordination import LEASE_S, Item, Removal, Snapshot, VmRecord
 from ..traffic import Catalogue, Endpoints, Registration
 from ._state import CatalogueHolder
--- a/src/mangosaddle/limits/_allowance.py
+++ b/src/mangosaddle/limits/_allowance.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from .._entities import Organisation
 from .._identifiers import VmId
-from ..configuration import Organisation
 from ._bucket import HeadroomGroup, TokenBucket
 from ._constants import ROUNDING_TOKENS, TRANSFER_HOLD_S
 from ._demand import Demand
--- a/src/mangosaddle/limits/_asking.py
+++ b/src/mangosaddle/limits/_asking.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from .._entities import Configuration
 from .._identifiers import Incarnation, VmId
-from ..configuration import Configuration
 from ._allowance import Allowance
 from ._constants import ROUNDING_TOKENS
 from ._messages import Outgoing, ShareRequest
--- a/src/mangosaddle/limits/_directory.py
+++ b/src/mangosaddle/limits/_directory.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
+from .._entities import Configuration, Organisation
 from .._identifiers import Incarnation, OrganisationId, VmId
-from ..configuration import Configuration, Organisation
 from ._documents import (
     EMPTY_DOCUMENT,
     OrganisationSlots,
--- a/src/mangosaddle/limits/_interest.py
+++ b/src/mangosaddle/limits/_interest.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Collection
 
+from .._entities import Configuration, Organisation
 from .._identifiers import OrganisationId, RegionName, VmId
-from ..configuration import Configuration, Organisation
 from ._documents import shard_of
 from ._placement import Placement
 
--- a/src/mangosaddle/limits/_ledger.py
+++ b/src/mangosaddle/limits/_ledger.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from .._entities import Configuration, Organisation
 from .._identifiers import Incarnation, OrganisationId, VmId
-from ..configuration import Configuration, Organisation
 from ._allowance import Allowance, OpenReservation
 from ._asking import ShareAsker, Short
 from ._messages import (
--- a/src/mangosaddle/limits/_placement.py
+++ b/src/mangosaddle/limits/_placement.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
+from .._entities import Configuration, Organisation
 from .._identifiers import OrganisationId, RegionName, VmId
-from ..configuration import Configuration, Organisation
 
 MINIMUM_SLOTS = 6
 
--- a/src/mangosaddle/membership/_table.py
+++ b/src/mangosaddle/membership/_table.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
+from .._entities import Vm
 from .._identifiers import Incarnation, RegionName, VmId
-from ..configuration import Vm
 from ._hashing import stable_hash
 from ._platform_list import ListedRow, PlatformList
 from ._rules import Fact
--- a/src/mangosaddle/membership/_topology.py
+++ b/src/mangosaddle/membership/_topology.py
@@ -4,8 +4,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from functools import cached_property
 
+from .._entities import Vm
 from .._identifiers import RegionName, VmId, ZoneName
-from ..configuration import Vm
 from ._hashing import stable_hash
 
 LINKS_PER_PAIR = 2
--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -12,8 +12,8 @@
 from websockets.exceptions import NegotiationError, WebSocketException
 from websockets.typing import Subprotocol
 
+from .._entities import Vm
 from .._identifiers import VmId
-from ..configuration import Vm
 from ..membership import VmIdentity
 from ._authentication import (
     SUBPROTOCOL,
--- a/src/mangosaddle/peers/_neighbourhood.py
+++ b/src/mangosaddle/peers/_neighbourhood.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable, Collection, Mapping
 
+from .._entities import Vm
 from .._identifiers import VmId
-from ..configuration import Vm
 from ..membership import MISSED_HEARTBEATS, MembershipTable, PeerTopology, rendezvous
 from ._connector import Connector
 from ._link import Link
--- a/src/mangosaddle/peers/_node.py
+++ b/src/mangosaddle/peers/_node.py
@@ -12,8 +12,8 @@
 
 from prometheus_client import CollectorRegistry
 
+from .._entities import Vm
 from .._identifiers import VmId
-from ..configuration import Vm
 from ..membership import (
     MAX_COUNTER,
     VM_STATE_KIND,
--- a/src/mangosaddle/platform/_configuration.py
+++ b/src/mangosaddle/platform/_configuration.py
@@ -6,8 +6,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
+from .._finding import Finding
 from .._identifiers import OrganisationId, RegionName, ServiceName, ZoneName
-from ..configuration import Finding
 from ..traffic import (
     CallerLimits,
     Catalogue,
--- a/src/mangosaddle/platform/_settings.py
+++ b/src/mangosaddle/platform/_settings.py
@@ -8,8 +8,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
+from .._finding import Finding
 from .._identifiers import RegionName, VmId, ZoneName
-from ..configuration import Finding
 from ..entry import Address, EntryProcessSettings, FleetBounds
 
 SETTINGS_VARIABLE = "MANGOSADDLE_CONFIG"
--- a/src/mangosaddle/routing/_endpoint_state.py
+++ b/src/mangosaddle/routing/_endpoint_state.py
@@ -3,7 +3,7 @@
 import math
 from collections import deque
 
-from ..configuration import Endpoint
+from .._entities import Endpoint
 from ._affinity import hash64
 
 REPORT_VALID_S = 10.0
--- a/src/mangosaddle/routing/_fleet.py
+++ b/src/mangosaddle/routing/_fleet.py
@@ -1,7 +1,7 @@
 """What the configuration allows: targets, versions and residency."""
 
+from .._entities import Configuration, Endpoint, EndpointKind
 from .._identifiers import EndpointId, ModelName, OrganisationId, RegionName, VersionId
-from ..configuration import Configuration, Endpoint, EndpointKind
 from ._requests import RouteRequest
 
 
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from .._entities import Configuration
 from .._identifiers import EndpointId, ModelName, OrganisationId, RegionName, VersionId, VmId
-from ..configuration import Configuration
 from ._endpoint_state import EndpointState
 from ._fair_queue import FairQueue, organisation_name
 from ._fleet import Fleet
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front_contract.py
@@ -42,7 +42,7 @@
     """Guards against requests that run without a right, and against wrongful refusals."""
 
     async def _body(fleet: Fleet) -> None:
-        answer = await fleet.call(fleet.vms["vm-1"], path, key, **changes)
+        answer = await fleet.call(fleet.vms["vm-1"], path, key, extra=changes)
         assert answer.status == status
         runs = sum(sum(runner.runs.values()) for runner in fleet.runners.values())
         assert runs == (1 if status == 200 else 0)
--- a/tests/platform_standins/_fleet.py
+++ b/tests/platform_standins/_fleet.py
@@ -127,11 +127,12 @@
         method: str = "GET",
         body: bytes = b"",
         timeout_s: float = WAIT_S,
+        extra: dict[str, str] | None = None,
         **headers: str,
     ) -> Answer:
         """Send one request on a connection of its own."""
         connection = await UpstreamConnection.open(*vm.settings.front, 1.0)
-        request = self.request(path, key, method, body, **headers)
+        request = self.request(path, key, method, body, **(headers | (extra or {})))
         try:
             head, answer = await connection.call(request, timeout_s, 1 << 24)
             return Answer(head, answer)
