Forecast long answers with a pace that reverts, and tell why a request is refused

Also only a tenth of the slots is kept for the most urgent rank (tenants' ranks go before the routes', so most requests are of a lower one).

--- a/src/mangosaddle/entry/_front_desk.py
+++ b/src/mangosaddle/entry/_front_desk.py
@@ -32,6 +32,8 @@
 """A VM that has just started usually knows its configuration after this time."""
 UNAVAILABLE_RETRY_S = 1.0
 """When a caller should come back if nothing is known about the end of a shortage."""
+MIN_ALLOWANCE_RETRY_S = 0.2
+"""Shortest wait for an allowance: in less, the caller would meet those that came meanwhile."""
 RETRY_SHARE_OF_LEFT = 0.3
 """Largest part of a caller's time that it is asked to wait: later it would not come back at all."""
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
@@ -180,8 +182,9 @@
         refusal = self._allowances.admit(organisation.id, cost, now)
         if refusal is None:
             return Admitted(request, organisation, cost)
-        detail = "the organisation's allowance is used up"
-        return Problem(429, "allowance", detail, retry_after_s=refusal.retry_after_s)
+        detail = f"the allowance of {organisation.id} is used up"
+        retry_after_s = max(MIN_ALLOWANCE_RETRY_S, refusal.retry_after_s)
+        return Problem(429, "allowance", detail, retry_after_s=retry_after_s)
 
     # Answering
 
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -107,6 +107,10 @@
         """Return whether a request may be sent once more, and charge the budget of its service."""
         return self._budget(request.service).take(sent=sent, idempotent=repeatable)
 
+    def usable_endpoints(self, request: RoutedRequest) -> int:
+        """Return the number of endpoints of the own region that take work, for the log."""
+        return len(self._endpoints.usable(request.service))
+
     def decide(
         self,
         request: RoutedRequest,
@@ -294,6 +298,8 @@
                 "unread_tokens": decision.work.unread_tokens,
                 "in_flight": view.load.running(now),
                 "slowness": round(view.load.slowness, 2),
+                "pace_ms": round(decision.pace_s * 1000, 1),
+                "failure_rate": round(view.health.failure_rate, 2),
             }
         elif isinstance(decision, Elsewhere):
             fields |= {
@@ -301,6 +307,11 @@
                 "forecast_ms": round(decision.forecast_s * 1000),
             }
         else:
-            fields |= {"refused": decision.cause.value}
+            fields |= {
+                "refused": decision.cause.value,
+                "usable_endpoints": self._runner.usable_endpoints(request),
+                "forecast_ms": round(decision.forecast_s * 1000),
+                "pace_ms": round(decision.pace_s * 1000, 1),
+            }
         fields["left_ms"] = round(request.left_s(asyncio.get_running_loop().time()) * 1000)
         logger.info("placed", extra=fields)
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -4,6 +4,7 @@
 saves reading them again, but a queue there may cost more than the reading.
 """
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, replace
 from enum import StrEnum
@@ -11,7 +12,7 @@
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
 from ..routing import hash64, mix
 from ._endpoints import Endpoints, EndpointView
-from ._load import READ_TOKENS_PER_S, Work
+from ._load import READ_TOKENS_PER_S, USUAL_PACE_S, Work
 from ._requests import RoutedRequest
 
 REGION_ROUND_TRIP_S = 0.2
@@ -24,7 +25,7 @@
 """Advantage of the endpoint that the hash of a prompt's parts names, so that VMs that have not
 seen the prompt before agree about its place."""
 FULL_SHARE_URGENT = 0.0
-FULL_SHARE_OTHERS = 0.25
+FULL_SHARE_OTHERS = 0.1
 """Free part of an engine's slots below which it gets no more requests, of the most urgent rank and
 of others. Each request in a batch slows all answers; when more wait than run, all end late, and
 their work is in vain."""
@@ -32,6 +33,9 @@
 """Worth of a second of generating an answer, against a second before its first event."""
 DELAY_WEIGHT = 0.1
 """Worth of a second of delay of a running answer, against a second before a first event."""
+PACE_REVERSION = 0.4
+"""Part of the way from the observed to the usual pace that an answer is expected to see: peaks are
+shorter than long answers."""
 LATE_FACTOR = 1.5
 """Multiple of the time within which a first event is on time, up to which a request is let wait.
 A longer queue would make all that follow late as well."""
@@ -48,7 +52,11 @@
 
     NO_ENDPOINT = "no_endpoint"
     """No endpoint that may run the request is known or reachable."""
-    OVERLOADED = "overloaded"
+    FULL = "full"
+    """No engine has a free slot for a request of its rank."""
+    LATE_START = "late_start"
+    """The first byte would come far too late."""
+    LATE_END = "late_end"
     """The answer could not be complete in time."""
 
 
@@ -82,6 +90,10 @@
 
     cause: RefusalCause
     retry_after_s: float
+    forecast_s: float = 0.0
+    """Expected time to the first byte at the best place, if there was one."""
+    pace_s: float = 0.0
+    """Expected time per generated token there."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,7 +171,7 @@
         remote = self._remote(request, reachable_regions, now)
         if local is None and remote is None:
             if request.prompt is not None and self._has_full(request, tried):
-                return NoPlace(RefusalCause.OVERLOADED, FULL_RETRY_S)
+                return NoPlace(RefusalCause.FULL, FULL_RETRY_S)
             return NoPlace(RefusalCause.NO_ENDPOINT, 1.0)
         if local is None or (remote is not None and remote.cost_s + SPILL_GAIN_S < local.cost_s):
             assert remote is not None
@@ -170,16 +182,20 @@
         self, request: RoutedRequest, place: Place | Elsewhere, now: float
     ) -> Place | Elsewhere | NoPlace:
         """Refuse a request whose answer would come too late to be of use."""
-        late_s = place.forecast_s - request.left_s(now)
+        end_late_s = place.forecast_s - request.left_s(now)
+        start_late_s = -math.inf
         prompt = request.prompt
         if prompt is not None:
-            late_s += prompt.expected_tokens * place.pace_s
+            pace_s = place.pace_s + PACE_REVERSION * (USUAL_PACE_S - place.pace_s)
+            end_late_s += prompt.expected_tokens * pace_s
             waited_s = now - request.began_s
             bound_s = max(MIN_WAIT_S, request.route.target_latency_s * LATE_FACTOR)
-            late_s = max(late_s, place.forecast_s + waited_s - bound_s)
+            start_late_s = place.forecast_s + waited_s - bound_s
+        late_s = max(end_late_s, start_late_s)
         if late_s <= 0:
             return place
-        return NoPlace(RefusalCause.OVERLOADED, max(MIN_RETRY_S, late_s))
+        cause = RefusalCause.LATE_END if end_late_s > start_late_s else RefusalCause.LATE_START
+        return NoPlace(cause, max(MIN_RETRY_S, late_s), place.forecast_s, place.pace_s)
 
     def _has_full(self, request: RoutedRequest, tried: Collection[EndpointId]) -> bool:
         """Return whether engines of the region are left out only because they are full."""
