Keep heartbeats on links that carry requests

The link of another VM still carried a quiet stream; one side heard of the change last, missed the heartbeats and closed the link as dead 3 s later, under a VM that was draining. Ruled out: the drain itself, both VMs stopped with nothing running.

--- a/src/mangosaddle/peers/_neighbourhood.py
+++ b/src/mangosaddle/peers/_neighbourhood.py
@@ -78,6 +78,18 @@
         links = self._connector.links_by_vm.values()
         return [link for link in links if self.is_neighbour(link)]
 
+    def heartbeat_links(self) -> list[Link]:
+        """Return the open links that are watched: those to neighbours and those with requests.
+
+        A link whose topology has given it up keeps its heartbeats while requests run on it, so
+        that a quiet request is not taken for a dead VM, and a dead VM is noticed.
+        """
+        links = self._connector.links_by_vm.values()
+        return [link for link in links if self._is_watched(link)]
+
+    def _is_watched(self, link: Link) -> bool:
+        return self.is_neighbour(link) or self._is_busy(link)
+
     def confirmation_links(self) -> list[Link]:
         """Return the links on which confirmations travel: in the own zone only to its relays.
 
@@ -106,7 +118,7 @@
         """Return whether heartbeats are missing on a link that should carry them."""
         silent_s = now - link.received_at_s
         is_spare = link in self._connector.spares
-        expected = not is_spare and self.is_neighbour(link)
+        expected = not is_spare and self._is_watched(link)
         return expected and silent_s >= MISSED_HEARTBEATS * self._timings.heartbeat_s
 
     def _is_idle(self, link: Link, now: float) -> bool:
--- a/src/mangosaddle/peers/_node.py
+++ b/src/mangosaddle/peers/_node.py
@@ -356,7 +356,7 @@
         self._maintain_now.clear()
 
     def _beat(self) -> None:
-        for link in self._neighbourhood.links():
+        for link in self._neighbourhood.heartbeat_links():
             self._send_heartbeat(link)
         for fact in self.membership.tick(self._clock(), self._neighbourhood.wanted):
             self._publish_state(fact)
