Check endpoints that fall silent and repeat what may be repeated elsewhere

Change: an endpoint with requests in flight that has said nothing for 1.2 s (a plain service 0.5 s) gets a health check and no new work before it is answered; when the check fails, attempts that may be repeated go elsewhere, others are left alone. Idempotent requests wait 8 times the forecast at most. A check that is rejected because the endpoint is full counts as an answer.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from .._identifiers import EndpointId
 from ..http11 import (
     BadResponseError,
     ConnectFailedError,
@@ -30,6 +31,10 @@
 ONCE_IDLE_S = 1.0
 """Idle time up to which a kept connection is used for a request that must not be repeated: an
 endpoint that closes it at the same moment would leave the outcome unknown."""
+STALL_FACTOR = 8.0
+"""Multiple of the expected time from which an idempotent request is tried elsewhere."""
+STALL_MIN_S = 0.6
+"""Wait that is always allowed: several times the work of a slow request."""
 MAX_WHOLE_BYTES = 8 * 1024 * 1024
 """Largest answer that is held before it is passed on."""
 
@@ -75,6 +80,7 @@
         self._wire = wire
         self._pool = pool
         self.connections_opened = 0
+        self._repeatable_by_endpoint: dict[EndpointId, set[UpstreamConnection]] = {}
 
     async def run(
         self,
@@ -106,22 +112,41 @@
             left_s,
             resume_after,
         )
+        if request.route.repeatable:
+            self._repeatable_by_endpoint.setdefault(view.id, set()).add(connection)
         try:
             connection.send(encoded)
+            async with asyncio.timeout(_stall_s(request, place, left_s)):
+                await connection.wait_for_data()
             result = await self._receive(request, connection, view, progress, sink)
         except ResponseBrokenError as error:
             return AttemptResult(AttemptEnd.BROKEN, str(error))
+        except TimeoutError:
+            connection.abort()
+            return AttemptResult(AttemptEnd.BROKEN, "no answer for far longer than usual")
         except (BadResponseError, EventTooLargeError) as error:
             return AttemptResult(AttemptEnd.BROKEN, f"bad answer: {error}")
         except BaseException:
             connection.abort()
             raise
+        finally:
+            self._repeatable_by_endpoint.get(view.id, set()).discard(connection)
         if result.end is AttemptEnd.BROKEN:
             connection.abort()
         else:
             self._pool.give_back(address, connection)
         return result
 
+    def give_up(self, endpoint: EndpointId) -> int:
+        """End the attempts at a lost endpoint that may go on elsewhere; returns their number.
+
+        Others are left alone: silence does not tell that an endpoint does not work on them.
+        """
+        connections = self._repeatable_by_endpoint.pop(endpoint, set())
+        for connection in connections:
+            connection.abort()
+        return len(connections)
+
     async def _receive(
         self,
         request: RoutedRequest,
@@ -131,6 +156,7 @@
         sink: AnswerSink,
     ) -> AttemptResult:
         head = await connection.head()
+        view.health.heard_at_s = asyncio.get_running_loop().time()
         answer = self._wire.decode_answer(head)
         if request.route.kind is not RequestKind.STREAM:
             view.load.answering(request.id, asyncio.get_running_loop().time())
@@ -159,6 +185,7 @@
         clock = asyncio.get_running_loop().time
         progress.splitter.restart()
         while (data := await connection.body()) is not None:
+            view.health.heard_at_s = clock()
             view.load.answering(request.id, clock())
             events = progress.splitter.feed(data)
             if events:
@@ -180,6 +207,16 @@
         await sink.start(status, headers)
 
 
+def _stall_s(request: RoutedRequest, place: Place, left_s: float) -> float | None:
+    """Return how long an idempotent request waits for its answer; ``None`` for all its time.
+
+    Half of the time is kept for another endpoint.
+    """
+    if request.route.kind is not RequestKind.IDEMPOTENT:
+        return None
+    return min(left_s / 2, max(STALL_MIN_S, STALL_FACTOR * place.forecast_s))
+
+
 def urgency_of(request: RoutedRequest) -> int:
     """Return the rank at engines; 0 is the most urgent."""
     return max(0, request.priority)
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -137,7 +137,9 @@
             self._rng,
             time.time,
         )
-        self._prober = Prober(self._parts.wire, self.endpoints, self._tasks, self._clock)
+        self._prober = Prober(
+            self._parts.wire, self.endpoints, self._caller, self._tasks, self._clock
+        )
 
     def _assemble_sources(self) -> None:
         parts, settings = self._parts, self.settings
--- a/src/mangosaddle/entry/_prober.py
+++ b/src/mangosaddle/entry/_prober.py
@@ -6,7 +6,7 @@
 from .._tasks import BackgroundTasks
 from ..http11 import ConnectFailedError, HttpError, UpstreamConnection
 from ..traffic import Endpoints, EndpointView
-from ._attempt import CONNECT_TIMEOUT_S
+from ._attempt import CONNECT_TIMEOUT_S, EndpointCaller
 from ._wire import WireFormat
 
 PROBE_TIMEOUT_S = 1.0
@@ -25,10 +25,12 @@
         self,
         wire: WireFormat,
         endpoints: Endpoints,
+        caller: EndpointCaller,
         tasks: BackgroundTasks,
         clock: Callable[[], float],
     ) -> None:
         """Create the prober."""
+        self._caller = caller
         self.sent = 0
         self._wire = wire
         self._endpoints = endpoints
@@ -40,6 +42,8 @@
         """Start the health checks that are due."""
         now = self._clock()
         for view in self._endpoints.views():
+            if view.is_silent(now) and view.health.unreachable(now, silent=True):
+                logger.warning("endpoint is silent", extra={"endpoint": view.id})
             takes_work = self._endpoints.registry.takes_work(view.registration)
             if takes_work and view.health.probe_due(now) and view.id not in self._running:
                 view.health.probing(now)
@@ -49,17 +53,21 @@
     async def _probe(self, view: EndpointView) -> None:
         self.sent += 1
         try:
-            healthy, cold_s, cause = await self._ask(view)
+            answered, cold_s, cause = await self._ask(view)
         finally:
             self._running.discard(view.id)
-        if not healthy:
-            logger.debug("health check failed", extra={"endpoint": view.id, "cause": cause})
+        if not answered:
+            given_up = self._caller.give_up(view.id)
+            logger.info(
+                "health check failed",
+                extra={"endpoint": view.id, "cause": cause, "attempts_given_up": given_up},
+            )
             return
-        # It may have started anew since its last registration: then it is cold and has no cache.
-        view.prefixes.clear()
+        if view.health.may_have_restarted:
+            view.prefixes.clear()
         if cold_s > 0:
             view.cold.set_cold(cold_s, self._clock())
-        view.health.probed(healthy=True)
+        view.health.probed(self._clock())
         logger.info("endpoint reached again", extra={"endpoint": view.id, "cold_s": cold_s})
 
     async def _ask(self, view: EndpointView) -> tuple[bool, float, str]:
@@ -78,5 +86,5 @@
             return False, 0.0, str(error)
         finally:
             connection.abort()
-        healthy, cold_s = self._wire.health_of(head, registration)
-        return healthy, cold_s, f"status {head.status}"
+        answered, cold_s = self._wire.health_of(head, registration)
+        return answered, cold_s, f"status {head.status}"
--- a/src/mangosaddle/entry/_wire.py
+++ b/src/mangosaddle/entry/_wire.py
@@ -47,7 +47,7 @@
         ...
 
     def health_of(self, head: ResponseHead, registration: Registration) -> tuple[bool, float]:
-        """Return whether the endpoint is healthy, and how long it is cold in seconds."""
+        """Return whether it was the endpoint that answered, and how long it is cold in seconds."""
         ...
 
     def encode_refusal_headers(self, request_id: str, retry_after_s: float | None) -> HeaderList:
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -150,6 +150,12 @@
         parts.append(self._parser.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
+    async def wait_for_data(self) -> None:
+        """Wait until bytes of the response have arrived or the connection has ended."""
+        while not self._received and not self._ended:
+            self._wake.clear()
+            await self._wake.wait()
+
     async def head(self) -> ResponseHead:
         """Return the head of the response; a late response to an earlier request is skipped.
 
--- a/src/mangosaddle/platform/_requests.py
+++ b/src/mangosaddle/platform/_requests.py
@@ -230,10 +230,14 @@
 
 
 def health_of(head: ResponseHead, registration: Registration) -> tuple[bool, float]:
-    """Return whether a health check found the right, healthy runner, and how long it is cold."""
+    """Return whether a health check found the runner, and how long it is cold.
+
+    A runner that is full rejects the check with 503 as it rejects requests; its state of leaving
+    stands in its registration.
+    """
     instance = _text(head.view.first(b"instance-id"))
     right = instance in ("", registration.id)
-    return head.status == 200 and right, _cold_s(head.view) or 0.0
+    return head.status in (200, 503) and right, _cold_s(head.view) or 0.0
 
 
 def encode_refusal_headers(
--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -26,6 +26,13 @@
         self.cold = ColdGate(registration.id)
         self.prefixes = PrefixBelief(engine.memory_tokens if engine is not None else 0)
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether requests wait for the endpoint and it says nothing."""
+        since_s = self.load.waiting_since_s()
+        if since_s is None:
+            return False
+        return self.health.is_silent(since_s, self.load.memory_tokens is not None, now)
+
     @property
     def id(self) -> EndpointId:
         """Return the id of the endpoint."""
--- a/src/mangosaddle/traffic/_health.py
+++ b/src/mangosaddle/traffic/_health.py
@@ -12,6 +12,12 @@
 PROBE_INTERVAL_S = 0.5
 """Pause between health checks of an endpoint that could not be reached."""
 
+ENGINE_SILENCE_S = 1.2
+"""Silence of an engine with requests in flight from which it is checked: longer than its steps with
+a full batch and a long prompt."""
+SERVICE_SILENCE_S = 0.5
+"""The same for a plain service: many times its usual work."""
+
 
 class Reach(StrEnum):
     """Whether an endpoint answers on its connections."""
@@ -29,7 +35,11 @@
     failure_rate: float = 0.0
     probe_at_s: float = 0.0
     tried_at_s: float = 0.0
-    """Time of the last request sent while the endpoint was faulty."""
+    """Time at which the last request was sent."""
+    heard_at_s: float = 0.0
+    """Time of the last bytes of an answer."""
+    may_have_restarted: bool = False
+    """Whether a connection has failed since the last health check."""
 
     def answered(self, *, failed: bool) -> None:
         """Count an answer."""
@@ -40,10 +50,16 @@
         """Count a broken answer: the endpoint may have crashed."""
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate)
 
-    def unreachable(self, now: float) -> bool:
-        """Note a failed connection; returns whether this is news."""
+    def is_silent(self, waiting_since_s: float, engine: bool, now: float) -> bool:
+        """Return whether the endpoint has said nothing for too long while requests wait for it."""
+        bound_s = ENGINE_SILENCE_S if engine else SERVICE_SILENCE_S
+        return now - max(self.heard_at_s, waiting_since_s) > bound_s
+
+    def unreachable(self, now: float, *, silent: bool = False) -> bool:
+        """Note a failed connection or a silence; returns whether this is news."""
         news = self.reach is Reach.OK
         self.reach = Reach.UNREACHABLE
+        self.may_have_restarted = self.may_have_restarted or not silent
         if news:
             self.probe_at_s = now
         return news
@@ -56,10 +72,11 @@
         """Note that a health check is being sent."""
         self.probe_at_s = now + PROBE_INTERVAL_S
 
-    def probed(self, *, healthy: bool) -> None:
-        """Take the result of a health check."""
-        if healthy:
-            self.reach = Reach.OK
+    def probed(self, now: float) -> None:
+        """Note that a health check was answered."""
+        self.reach = Reach.OK
+        self.may_have_restarted = False
+        self.heard_at_s = now
 
     def is_faulty(self, usual_rate: float, now: float) -> bool:
         """Return whether the endpoint fails clearly more often than its peers.
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -124,6 +124,11 @@
         """Stop counting a request."""
         self._in_flight_by_id.pop(request_id, None)
 
+    def waiting_since_s(self) -> float | None:
+        """Return when the oldest request in flight was sent; ``None`` if there is none."""
+        sent = (entry.sent_s for entry in self._in_flight_by_id.values())
+        return min(sent, default=None)
+
     def overdue(self, now: float) -> None:
         """Let requests that wait far beyond their forecast show in the slowness."""
         for entry in self._in_flight_by_id.values():
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -175,19 +175,27 @@
             return NoPlace(RefusalCause.NO_ENDPOINT, 1.0)
         if local is None or (remote is not None and remote.cost_s + SPILL_GAIN_S < local.cost_s):
             assert remote is not None
-            return self._if_in_time(request, remote, now)
-        return self._if_in_time(request, local, now)
+            return self._if_in_time(request, remote, tried, now)
+        return self._if_in_time(request, local, tried, now)
 
     def _if_in_time(
-        self, request: RoutedRequest, place: Place | Elsewhere, now: float
+        self,
+        request: RoutedRequest,
+        place: Place | Elsewhere,
+        tried: Collection[EndpointId],
+        now: float,
     ) -> Place | Elsewhere | NoPlace:
-        """Refuse a request whose answer would come too late to be of use."""
+        """Refuse a request whose answer would come too late to be of use.
+
+        One that has been tried already is late in any case: it only has to end in time.
+        """
         end_late_s = place.forecast_s - request.left_s(now)
         start_late_s = -math.inf
         prompt = request.prompt
         if prompt is not None:
             pace_s = place.pace_s + PACE_REVERSION * (USUAL_PACE_S - place.pace_s)
             end_late_s += prompt.expected_tokens * pace_s
+        if prompt is not None and not tried:
             waited_s = now - request.began_s
             bound_s = max(MIN_WAIT_S, request.route.target_latency_s * LATE_FACTOR)
             start_late_s = place.forecast_s + waited_s - bound_s
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from mangosaddle.http11 import HttpError
-from platform_standins import Behaviour, Fleet, run_scenario, until
+from platform_standins import Behaviour, Fleet, Seen, run_scenario, until
 
 # Behaviour of all runners, status for an idempotent request and for one that runs once, and runs.
 WHOLE_ANSWERS = [
@@ -198,6 +198,50 @@
     run_scenario(_body)
 
 
+@pytest.mark.parametrize("path", ["/read/x", "/review/x"])
+def test_a_runner_that_loses_power_is_noticed_and_what_may_be_repeated_goes_elsewhere(
+    path: str,
+) -> None:
+    """Guards against callers that wait for a runner that will never answer."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+
+        def _goes_dark(seen: Seen) -> Behaviour:
+            runner = fleet.runners[seen.headers["expect-instance"]]
+            if not any(other.dark for other in fleet.runners.values()):
+                runner.dark = True
+                return Behaviour.SILENT if path == "/read/x" else Behaviour.STREAM
+            return Behaviour.OK if path == "/read/x" else Behaviour.STREAM
+
+        for runner in fleet.runners.values():
+            runner.behaviour = _goes_dark
+        answer = await fleet.call(vm, path, method="POST", body=b"p", token_counts="100,28")
+        assert answer.status == 200
+        (dark,) = [runner for runner in fleet.runners.values() if runner.dark]
+        before = len(dark.seen)
+        for _ in range(3):
+            await fleet.call(vm, path, method="POST", body=b"p", token_counts="100,28")
+        assert len(dark.seen) == before
+
+    run_scenario(_body)
+
+
+def test_a_request_that_runs_once_is_not_ended_by_silence() -> None:
+    """Guards against an answer that is given up although its runner may still work on it."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.SILENT
+        answer = await fleet.call(vm, "/order/x", method="POST", deadline_milliseconds="2500")
+        assert answer.status == 504
+        assert _runs(fleet) == 1
+        await until(lambda: sum(runner.cancelled for runner in fleet.runners.values()) == 1)
+
+    run_scenario(_body)
+
+
 def test_what_a_runner_sees_of_a_request() -> None:
     """Guards against keys, forged headers and a changed request at a runner."""
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -72,6 +72,8 @@
     cut_after: int = 2
     cold_ms: int = 0
     healthy: bool = True
+    dark: bool = False
+    """Whether it has lost power: connections stay open and nothing is said on them."""
     release: asyncio.Event = field(default_factory=asyncio.Event)
     seen: list[Seen] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
@@ -149,6 +151,13 @@
         assert head is not None
         headers = {name.decode(): value.decode() for name, value in head.headers}
         seen = Seen(head.method.decode(), head.target.decode(), headers, body)
+        if self.dark:
+            await reader.read(1)
+            return False
+        if seen.target == "/api/report":
+            self.checks += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            return True
         if seen.target == "/health":
             return await self._health(writer)
         self.seen.append(seen)
@@ -231,6 +240,9 @@
         writer.write(_head(200, seen.headers.get("request-id", ""), None, extra))
         for number in range(after + 1, self.events + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.dark:
+                await reader.read(1)
+                return False
             if behaviour is Behaviour.CUT_STREAM and number > self.cut_after:
                 writer.write(_chunk(event[:7]))
                 await writer.drain()
