Load less code at the start of an entry process

Allowances by demand belong to the decisions on opaque traffic; quarantine, retry budget and hashing are shared modules of the package.

--- a/src/mangosaddle/routing/_affinity.py
+++ b/src/mangosaddle/_affinity.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from .._identifiers import EndpointId
+from ._identifiers import EndpointId
 
 _MASK = (1 << 64) - 1
 _UNIT = 1.0 / (1 << 53)
--- a/src/mangosaddle/routing/_quarantine.py
+++ b/src/mangosaddle/_quarantine.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .._identifiers import EndpointId
+from ._identifiers import EndpointId
 
 QUARANTINE_ENDPOINTS = 2
 """Different endpoints that a fingerprint has to crash."""
--- a/src/mangosaddle/entry/_front_desk.py
+++ b/src/mangosaddle/entry/_front_desk.py
@@ -11,11 +11,11 @@
 
 from .._identifiers import ServiceName
 from .._problems import Execution, Finding, Problem
+from .._quarantine import Quarantine, fingerprint
 from ..http11 import ServerExchange
-from ..limits import DemandShares
-from ..routing import Quarantine, fingerprint
 from ..traffic import (
     Catalogue,
+    DemandShares,
     OpaqueRequest,
     Organisation,
     Route,
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -11,6 +11,8 @@
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
 from .._identifiers import Incarnation, ServiceName
+from .._quarantine import Quarantine
+from .._retry_budget import RetryBudget
 from .._tasks import BackgroundTasks
 from ..coordination import (
     CoordinationError,
@@ -22,11 +24,16 @@
     VmRecord,
 )
 from ..http11 import ConnectionPool, HttpServer, ServerExchange, ServerLimits
-from ..limits import AllowanceLimits, DemandShares
 from ..membership import VmIdentity
 from ..peers import PeerNode, PeerSettings, PeerTimings
-from ..routing import Quarantine, RetryBudget
-from ..traffic import Catalogue, Endpoints, Placement, RegionReports
+from ..traffic import (
+    AllowanceLimits,
+    Catalogue,
+    DemandShares,
+    Endpoints,
+    Placement,
+    RegionReports,
+)
 from ._attempt import EndpointCaller
 from ._discovery import Discovery
 from ._fleet_view import FleetView
--- a/src/mangosaddle/entry/_reports.py
+++ b/src/mangosaddle/entry/_reports.py
@@ -7,11 +7,11 @@
 import cbor2
 
 from .._identifiers import OrganisationId, RegionName, ServiceName, VmId
-from ..limits import DemandShares
 from ..membership import PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
 from ..traffic import (
     FULL_SHARE_OTHERS,
+    DemandShares,
     Endpoints,
     EndpointView,
     RegionReport,
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -8,7 +8,8 @@
 from typing import Protocol
 
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
-from ..routing import Quarantine, RetryBudget
+from .._quarantine import Quarantine
+from .._retry_budget import RetryBudget
 from ..traffic import (
     Elsewhere,
     Endpoints,
--- a/src/mangosaddle/limits/__init__.py
+++ b/src/mangosaddle/limits/__init__.py
@@ -9,7 +9,6 @@
     SHARE_VALIDITY_S,
     TAKEOVER_WAIT_S,
 )
-from ._demand_shares import AllowanceLimits, DemandShares, Refusal
 from ._directory import DocumentWrite, SlotDirectory, SlotPlan
 from ._documents import (
     OrganisationSlots,
@@ -46,9 +45,7 @@
     "SHARE_VALIDITY_S",
     "TAKEOVER_WAIT_S",
     "AllowanceLedger",
-    "AllowanceLimits",
     "BorrowPolicy",
-    "DemandShares",
     "DocumentWrite",
     "HeadroomGroup",
     "HeldSlot",
@@ -57,7 +54,6 @@
     "OrganisationSlots",
     "Outgoing",
     "Placement",
-    "Refusal",
     "Registration",
     "Reserved",
     "ShardDocument",
--- a/src/mangosaddle/measure/_partition_table.py
+++ b/src/mangosaddle/measure/_partition_table.py
@@ -14,9 +14,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .._affinity import hash64, rendezvous_score
 from .._identifiers import EndpointId, RegionName, ZoneName
 from ..configuration import Endpoint, EndpointKind
-from ..routing._affinity import hash64, rendezvous_score
 from ..routing._endpoint_state import EndpointState
 from ..routing._pool import Pool
 
--- a/src/mangosaddle/measure/_policies.py
+++ b/src/mangosaddle/measure/_policies.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from .._affinity import hash64, rendezvous_score
 from .._identifiers import (
     EndpointId,
     ModelName,
@@ -31,7 +32,6 @@
     Router,
     RouteRequest,
 )
-from ..routing._affinity import hash64, rendezvous_score
 from ._engine_model import SHARED_BLOCKS, SLOTS, Job
 
 MODEL, VERSION = ModelName("m"), VersionId("v1")
--- a/src/mangosaddle/routing/__init__.py
+++ b/src/mangosaddle/routing/__init__.py
@@ -1,7 +1,6 @@
 """Choice of an endpoint: residency, prefix affinity, fairness, retries and quarantine."""
 
-from ._affinity import hash64, mix, rendezvous_score
-from ._quarantine import CrashReport, Quarantine, fingerprint
+from .._quarantine import CrashReport, fingerprint
 from ._requests import (
     PRIORITY_BY_CLASS,
     Chosen,
@@ -16,7 +15,6 @@
     RequestClass,
     RouteRequest,
 )
-from ._retry_budget import RetryBudget
 from ._router import Router, with_tried
 
 __all__ = [
@@ -26,19 +24,14 @@
     "Decision",
     "FailureKind",
     "Forward",
-    "Quarantine",
     "Queue",
     "RefusalReason",
     "Refused",
     "RegionLoad",
     "Released",
     "RequestClass",
-    "RetryBudget",
     "RouteRequest",
     "Router",
     "fingerprint",
-    "hash64",
-    "mix",
-    "rendezvous_score",
     "with_tried",
 ]
--- a/src/mangosaddle/routing/_endpoint_state.py
+++ b/src/mangosaddle/routing/_endpoint_state.py
@@ -3,8 +3,8 @@
 import math
 from collections import deque
 
+from .._affinity import hash64
 from .._entities import Endpoint
-from ._affinity import hash64
 
 REPORT_VALID_S = 10.0
 """Age after which a load report is no longer believed."""
--- a/src/mangosaddle/routing/_own_region.py
+++ b/src/mangosaddle/routing/_own_region.py
@@ -2,8 +2,8 @@
 
 import random
 
+from .._affinity import PrefixMemory
 from .._identifiers import EndpointId, VersionId
-from ._affinity import PrefixMemory
 from ._endpoint_state import EndpointState
 from ._fleet import Fleet
 from ._placement import place_by_load, place_by_prefix
--- a/src/mangosaddle/routing/_placement.py
+++ b/src/mangosaddle/routing/_placement.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from ._affinity import PrefixMemory, hash64, rendezvous_score
+from .._affinity import PrefixMemory, hash64, rendezvous_score
 from ._endpoint_state import EndpointState
 from ._pool import Pool, PoolView
 
--- a/src/mangosaddle/routing/_pool.py
+++ b/src/mangosaddle/routing/_pool.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from .._affinity import hash64, rendezvous_score
 from .._identifiers import EndpointId
-from ._affinity import hash64, rendezvous_score
 from ._endpoint_state import EndpointState
 
 REFRESH_S = 0.05
--- a/src/mangosaddle/routing/_regions.py
+++ b/src/mangosaddle/routing/_regions.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from .._affinity import hash64, rendezvous_score
 from .._identifiers import RegionName
-from ._affinity import hash64, rendezvous_score
 from ._requests import RegionLoad, RouteRequest
 
 SPILL_ABOVE = 0.9
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -6,11 +6,12 @@
 
 from .._entities import Configuration
 from .._identifiers import EndpointId, ModelName, OrganisationId, RegionName, VersionId, VmId
+from .._quarantine import CrashReport, Quarantine
+from .._retry_budget import RetryBudget
 from ._endpoint_state import EndpointState
 from ._fair_queue import FairQueue, organisation_name
 from ._fleet import Fleet
 from ._own_region import OwnRegion
-from ._quarantine import CrashReport, Quarantine
 from ._regions import RETURN_BELOW, SPILL_ABOVE, Regions, Spill, choose_region, spills
 from ._requests import (
     PRIORITY_BY_CLASS,
@@ -25,7 +26,6 @@
     Released,
     RouteRequest,
 )
-from ._retry_budget import RetryBudget
 
 RETRY_AFTER_S = 1.0
 """Advice to a caller when capacity is missing."""
--- a/src/mangosaddle/traffic/__init__.py
+++ b/src/mangosaddle/traffic/__init__.py
@@ -11,6 +11,7 @@
     ServiceSpec,
     allowed_regions,
 )
+from ._demand_shares import AllowanceLimits, DemandShares, Refusal
 from ._endpoints import Endpoints, EndpointView
 from ._events import EventSplitter, EventTooLargeError
 from ._health import Reach
@@ -31,8 +32,10 @@
 
 __all__ = [
     "FULL_SHARE_OTHERS",
+    "AllowanceLimits",
     "CallerLimits",
     "Catalogue",
+    "DemandShares",
     "Elsewhere",
     "EndpointAnswer",
     "EndpointPhase",
@@ -50,6 +53,7 @@
     "Prompt",
     "PromptPart",
     "Reach",
+    "Refusal",
     "RefusalCause",
     "RegionReport",
     "RegionReports",
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
+from .._affinity import hash64, mix
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
-from ..routing import hash64, mix
 from ._endpoints import Endpoints, EndpointView
 from ._load import READ_TOKENS_PER_S, USUAL_PACE_S, Work
 from ._requests import RoutedRequest
--- a/tests/routing/test_routing_overload.py
+++ b/tests/routing/test_routing_overload.py
@@ -9,6 +9,8 @@
 from routing_fleet import engine, organisation, request, rng, router
 
 from mangosaddle._identifiers import EndpointId
+from mangosaddle._quarantine import QUARANTINE_S, Quarantine
+from mangosaddle._retry_budget import RESERVE_RETRIES, RetryBudget
 from mangosaddle.routing import (
     Chosen,
     CrashReport,
@@ -21,8 +23,6 @@
     fingerprint,
 )
 from mangosaddle.routing._fair_queue import MAX_LENGTH_PER_ORGANISATION, FairQueue
-from mangosaddle.routing._quarantine import QUARANTINE_S, Quarantine
-from mangosaddle.routing._retry_budget import RESERVE_RETRIES, RetryBudget
 
 N1, N2 = EndpointId("n1"), EndpointId("n2")
 
--- a/tests/routing/test_routing_properties.py
+++ b/tests/routing/test_routing_properties.py
@@ -21,9 +21,9 @@
     router,
 )
 
+from mangosaddle._affinity import hash64, rendezvous_score
 from mangosaddle._identifiers import EndpointId, RegionName, VersionId
 from mangosaddle.routing import Chosen, FailureKind, Forward, RegionLoad, Router, RouteRequest
-from mangosaddle.routing._affinity import hash64, rendezvous_score
 from mangosaddle.routing._endpoint_state import REPORT_VALID_S, EndpointState
 from mangosaddle.routing._pool import Pool
 from mangosaddle.routing._regions import RETURN_BELOW, RETURN_S, SPILL_ABOVE, Spill
--- a/tests/limits/test_demand_shares.py
+++ b/tests/traffic/test_demand_shares.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from mangosaddle._identifiers import OrganisationId, VmId
-from mangosaddle.limits import AllowanceLimits, DemandShares
+from mangosaddle.traffic import AllowanceLimits, DemandShares
 
 ACME = OrganisationId("acme")
 RATE, BURST, SLACK = 30_000.0, 30_000.0, 110_000.0
