Share the watches of the store in large fleets

From 12 VMs on, two VMs of a region watch and the others learn changes over the links; a VM watches again when it hears of fewer than two watching VMs for 2 s.

--- a/src/mangosaddle/coordination/_follower.py
+++ b/src/mangosaddle/coordination/_follower.py
@@ -57,6 +57,23 @@
         self._revision: int | None = None
         self._failing_since_s: float | None = None
         self._pause_s = PAUSE_MIN_S
+        self._wanted = asyncio.Event()
+        self._wanted.set()
+
+    @property
+    def following(self) -> bool:
+        """Return whether the prefix is watched and the store answers."""
+        return self._wanted.is_set() and self._revision is not None
+
+    def set_wanted(self, wanted: bool) -> None:
+        """Go on or pause; a watch that waits runs to its end, and its changes still count."""
+        if wanted == self._wanted.is_set():
+            return
+        logger.info("watch changed", extra={"prefix": self.prefix, "wanted": wanted})
+        if wanted:
+            self._wanted.set()
+        else:
+            self._wanted.clear()
 
     @property
     def failing(self) -> bool:
@@ -66,6 +83,11 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if not self._wanted.is_set():
+                # Changes will have been missed by then: the prefix is read again.
+                self._revision = None
+                self._failing_since_s = None
+                await self._wanted.wait()
             try:
                 await self._step()
             except HistoryLostError:
--- a/src/mangosaddle/coordination/_presence.py
+++ b/src/mangosaddle/coordination/_presence.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import random
+import time
 from dataclasses import asdict, dataclass, replace
 
 from .._identifiers import Incarnation, RegionName, VmId, ZoneName
@@ -66,6 +67,8 @@
         """Set once the entry has been written for the first time."""
         self.revision = 0
         """Revision of the first write; it orders the incarnations of a VM."""
+        self.contact_at_s = 0.0
+        """Monotonic time of the last renewal."""
         self._store = store
         self._key = key
         self._rng = rng
@@ -105,6 +108,7 @@
             self._lease = await self._store.open_lease(LEASE_S)
         if self._written != self.record:
             await self._write(self.record)
+        self.contact_at_s = time.monotonic()
 
     async def _write(self, record: VmRecord) -> None:
         try:
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -47,6 +47,7 @@
 from ._settings import EntryProcessSettings
 from ._sources import EndpointSource, OperatorSource, VmSource
 from ._state import CatalogueHolder
+from ._watch_duty import WatchDuty
 
 FLEET = "mangosaddle"
 OWN_PREFIX = "mangosaddle/"
@@ -119,6 +120,7 @@
             settings.bounds.allowance_slack * ALLOWANCE_SLACK_SHARE,
             first_start=settings.first_start,
         )
+        self.watch_duty = WatchDuty(settings.vm, settings.region)
         self.catalogue.on_change(self._catalogue_changed)
 
     def _assemble_traffic(self) -> None:
@@ -173,7 +175,7 @@
                 parts.registration_prefix,
                 self._relay.relayed(parts.registration_prefix, self._registrations),
             ),
-            (VM_PREFIX, self._vms),
+            (VM_PREFIX, self._relay.relayed(VM_PREFIX, self._vms)),
         )
         self._followers = [
             Follower(self._store, prefix, listener, self._rng) for prefix, listener in followed
@@ -273,6 +275,8 @@
             self.regions,
             self.fleet.region_of,
             self._service_names,
+            lambda: all(follower.following for follower in self._followers),
+            lambda vm, watching: self.watch_duty.heard(vm, watching=watching, now=self._clock()),
             self._clock,
         )
         await node.start()
@@ -386,12 +390,21 @@
         self._pool.sweep()
         for view in self.endpoints.views():
             view.load.overdue(now)
-        if not all(follower.failing for follower in self._followers):
+        self._share_watches(now)
+        if any(follower.following for follower in self._followers):
             self._contact_s = now
+        self._contact_s = max(self._contact_s, self._presence.contact_at_s)
         is_isolated = now - self._contact_s > ISOLATED_AFTER_S and self.fleet.is_alone()
         self.allowances.set_isolated(is_isolated, now)
         self.allowances.rebalance(now)
 
+    def _share_watches(self, now: float) -> None:
+        """Watch the store, or leave that to others and rely on what they relay."""
+        region_vms = self.fleet.region_vms(self.settings.region)
+        wanted = self.watch_duty.watches(len(self.fleet.all_vms()), region_vms, now)
+        for follower in self._followers:
+            follower.set_wanted(wanted)
+
     # Servers
 
     def _front_limits(self) -> ServerLimits:
--- a/src/mangosaddle/entry/_reports.py
+++ b/src/mangosaddle/entry/_reports.py
@@ -52,6 +52,8 @@
         regions: RegionReports,
         region_of: Callable[[VmId], RegionName | None],
         services: Callable[[], Collection[ServiceName]],
+        is_watching: Callable[[], bool],
+        on_watching: Callable[[VmId, bool], None],
         clock: Callable[[], float],
     ) -> None:
         """Create the reports of a VM and listen to those of others."""
@@ -62,6 +64,8 @@
         self._regions = regions
         self._region_of = region_of
         self._services = services
+        self._is_watching = is_watching
+        self._on_watching = on_watching
         self._clock = clock
         self._numbers_by_kind: dict[str, int] = {}
         self._last_payload_by_kind: dict[str, bytes] = {}
@@ -88,7 +92,8 @@
             if views:
                 waits[service] = _region_report(views, now)
         demand = {id: round(rate) for id, rate in self._allowances.announce(now).items()}
-        self._publish(VM_REPORT.name, cbor2.dumps([demand, waits]), always=True)
+        payload = cbor2.dumps([demand, waits, self._is_watching()])
+        self._publish(VM_REPORT.name, payload, always=True)
 
     def _publish(self, kind: str, payload: bytes, *, always: bool = False) -> None:
         if not always and self._last_payload_by_kind.get(kind) == payload and len(payload) == 1:
@@ -113,9 +118,10 @@
         if fact.origin == self._own:
             return
         parts = _decode(fact, list)
-        if parts is None or len(parts) != 2:
+        if parts is None or len(parts) != 3:
             return
-        demand, waits = parts
+        demand, waits, watching = parts
+        self._on_watching(fact.origin, bool(watching))
         self._allowances.reported(
             fact.origin, {OrganisationId(id): float(rate) for id, rate in demand.items()}
         )
--- a/src/mangosaddle/membership/__init__.py
+++ b/src/mangosaddle/membership/__init__.py
@@ -21,7 +21,12 @@
     MergeRule,
 )
 from ._status import MAX_COUNTER, VM_STATE_KIND, VM_STATE_LIFETIME_S, VmIdentity, VmState, VmStatus
-from ._table import HEARTBEAT_INTERVAL_S, MISSED_HEARTBEATS, MembershipTable
+from ._table import (
+    HEARTBEAT_INTERVAL_S,
+    MISSED_HEARTBEATS,
+    WATCHERS_PER_REGION,
+    MembershipTable,
+)
 from ._topology import PeerTopology, rendezvous
 
 __all__ = [
@@ -35,6 +40,7 @@
     "PER_ORIGIN",
     "VM_STATE_KIND",
     "VM_STATE_LIFETIME_S",
+    "WATCHERS_PER_REGION",
     "Drain",
     "DrainAction",
     "DrainPhase",
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -33,7 +33,7 @@
 """Worth of a second of generating an answer, against a second before its first event."""
 DELAY_WEIGHT = 0.1
 """Worth of a second of delay of a running answer, against a second before a first event."""
-PACE_REVERSION = 0.4
+PACE_REVERSION = 0.5
 """Part of the way from the observed to the usual pace that an answer is expected to see: peaks are
 shorter than long answers."""
 LATE_FACTOR = 1.5
--- /dev/null
+++ b/tests/entry/test_watch_duty.py
@@ -0,0 +1,72 @@
+"""Shared watches: few VMs of a large fleet read the store, and all of them learn changes."""
+
+import pytest
+
+from mangosaddle._identifiers import RegionName, VmId
+from mangosaddle.entry._watch_duty import HEARD_VALID_S, MIN_FLEET, WatchDuty
+from platform_standins import Fleet, RunnerStandIn, run_fleet, until, usual_configuration
+
+EAST = RegionName("east")
+REGION_VMS = [VmId(f"vm-{number}") for number in range(8)]
+
+
+def _duties() -> dict[VmId, WatchDuty]:
+    duties = {vm: WatchDuty(vm, EAST) for vm in REGION_VMS}
+    for duty in duties.values():
+        for vm in REGION_VMS[:3]:
+            duty.heard(vm, watching=True, now=0.0)
+    return duties
+
+
+def test_all_vms_of_a_small_fleet_watch() -> None:
+    """Guards against a delay where watches are cheap."""
+    duties = _duties()
+    assert all(duty.watches(MIN_FLEET - 1, REGION_VMS, 0.0) for duty in duties.values())
+
+
+def test_two_vms_of_a_region_watch_in_a_large_fleet() -> None:
+    """Guards against calls that grow with the square of the fleet."""
+    watching = [d.watches(MIN_FLEET, REGION_VMS, 0.0) for d in _duties().values()]
+    assert watching.count(True) == 2
+
+
+@pytest.mark.parametrize("lost", ["silent", "turned away"])
+def test_all_watch_when_no_watching_vm_is_heard_of(lost: str) -> None:
+    """Guards against a fleet that relies on VMs that the store turns away."""
+    duty = _duties()[REGION_VMS[0]]
+    now = HEARD_VALID_S + 0.1 if lost == "silent" else 0.0
+    if lost == "turned away":
+        for vm in REGION_VMS[:3]:
+            duty.heard(vm, watching=False, now=now)
+    assert duty.watches(MIN_FLEET, REGION_VMS, now)
+
+
+def test_a_vm_that_does_not_watch_learns_changes_and_watches_again_when_it_must() -> None:
+    """Guards against changes that only the watching VMs know."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", usual_configuration())
+        for number in range(4):
+            vm = await fleet.add_vm(f"vm-{number}")
+            vm.watch_duty = WatchDuty(vm.settings.vm, EAST, min_fleet=1)
+        await fleet.ready()
+        vms = fleet.vms.values()
+
+        def _watching() -> list[str]:
+            return [vm.settings.vm for vm in vms if vm._followers[0]._wanted.is_set()]
+
+        await until(lambda: len(_watching()) == 2)
+        await fleet.add_runner(RunnerStandIn("desk-1", "desk", "east-a"))
+        await fleet.store.put("op/config", usual_configuration(2))
+        await until(lambda: all(vm.catalogue.version == 2 for vm in vms))
+        for vm in vms:
+            await fleet.knows(vm, "desk-1")
+        await fleet.store.remove("servers/desk-1")
+        await until(lambda: not any(vm.endpoints.registry.registrations_by_id() for vm in vms))
+        for name in _watching():
+            await fleet.vms.pop(name).stop()
+        await until(lambda: len(_watching()) == 2)
+        await fleet.store.put("op/config", usual_configuration(3))
+        await until(lambda: all(vm.catalogue.version == 3 for vm in vms))
+
+    run_fleet(_body)
