Give up stalled attempts only on routes that are known to be answered faster

It now follows the usual time of the route, and streams that may be resumed get one too, for the first event and between events. Tests: a lost answer of a runner that lives, and a slow service.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -23,6 +23,7 @@
     RequestKind,
     RoutedRequest,
 )
+from ._patience import Patience
 from ._results import AnswerSink
 from ._wire import WireFormat
 
@@ -31,10 +32,6 @@
 ONCE_IDLE_S = 1.0
 """Idle time up to which a kept connection is used for a request that must not be repeated: an
 endpoint that closes it at the same moment would leave the outcome unknown."""
-STALL_FACTOR = 8.0
-"""Multiple of the expected time from which an idempotent request is tried elsewhere."""
-STALL_MIN_S = 0.6
-"""Wait that is always allowed: several times the work of a slow request."""
 MAX_WHOLE_BYTES = 8 * 1024 * 1024
 """Largest answer that is held before it is passed on."""
 
@@ -80,6 +77,7 @@
         self._wire = wire
         self._pool = pool
         self.connections_opened = 0
+        self._patience = Patience()
         self._repeatable_by_endpoint: dict[EndpointId, set[UpstreamConnection]] = {}
 
     async def run(
@@ -116,8 +114,10 @@
             self._repeatable_by_endpoint.setdefault(view.id, set()).add(connection)
         try:
             connection.send(encoded)
-            async with asyncio.timeout(_stall_s(request, place, left_s)):
+            sent_s = clock()
+            async with asyncio.timeout(self._patience.first_byte_s(request, left_s)):
                 await connection.wait_for_data()
+            waited_s = clock() - sent_s
             result = await self._receive(request, connection, view, progress, sink)
         except ResponseBrokenError as error:
             return AttemptResult(AttemptEnd.BROKEN, str(error))
@@ -131,6 +131,8 @@
             raise
         finally:
             self._repeatable_by_endpoint.get(view.id, set()).discard(connection)
+        if result.end is AttemptEnd.DELIVERED:
+            self._patience.answered(request, waited_s)
         if result.end is AttemptEnd.BROKEN:
             connection.abort()
         else:
@@ -184,7 +186,11 @@
     ) -> AttemptResult:
         clock = asyncio.get_running_loop().time
         progress.splitter.restart()
-        while (data := await connection.body()) is not None:
+        while True:
+            async with asyncio.timeout(self._patience.next_byte_s(request)):
+                data = await connection.body()
+            if data is None:
+                break
             view.health.heard_at_s = clock()
             view.load.answering(request.id, clock())
             events = progress.splitter.feed(data)
@@ -207,16 +213,6 @@
         await sink.start(status, headers)
 
 
-def _stall_s(request: RoutedRequest, place: Place, left_s: float) -> float | None:
-    """Return how long an idempotent request waits for its answer; ``None`` for all its time.
-
-    Half of the time is kept for another endpoint.
-    """
-    if request.route.kind is not RequestKind.IDEMPOTENT:
-        return None
-    return min(left_s / 2, max(STALL_MIN_S, STALL_FACTOR * place.forecast_s))
-
-
 def urgency_of(request: RoutedRequest) -> int:
     """Return the rank at engines; 0 is the most urgent."""
     return max(0, request.priority)
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -1,5 +1,7 @@
 """Contract with runners: what a caller gets for each way in which a runner may answer."""
 
+import asyncio
+
 import pytest
 
 from mangosaddle.http11 import HttpError
@@ -227,6 +229,54 @@
     run_scenario(_body)
 
 
+@pytest.mark.parametrize("path", ["/read/x", "/review/x"])
+def test_a_lost_answer_of_a_runner_that_lives_is_asked_for_elsewhere(path: str) -> None:
+    """Guards against callers that wait for an answer that got lost, beside others that arrive."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        lost: list[str] = []
+
+        def _usual(_seen: Seen) -> Behaviour:
+            return Behaviour.OK if path == "/read/x" else Behaviour.STREAM
+
+        def _loses_one(seen: Seen) -> Behaviour:
+            if lost:
+                return _usual(seen)
+            lost.append(seen.headers["request-id"])
+            return Behaviour.SILENT if path == "/read/x" else Behaviour.HOLD_STREAM
+
+        for behaviour in (_usual, _loses_one):
+            for runner in fleet.runners.values():
+                runner.behaviour = behaviour
+            answer = await fleet.call(vm, path, method="POST", body=b"p", token_counts="100,28")
+            assert answer.status == 200
+        assert lost
+        assert path == "/read/x" or answer.body == _events(1, 4)
+
+    run_scenario(_body)
+
+
+def test_a_slow_service_is_waited_for() -> None:
+    """Guards against a slow service that is asked twice instead of answered once."""
+
+    async def _body(fleet: Fleet) -> None:
+        async def _release() -> None:
+            await asyncio.sleep(1.5)
+            for runner in fleet.runners.values():
+                runner.release.set()
+
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.SLOW
+        releasing = asyncio.create_task(_release())
+        answer = await fleet.call(fleet.vms["vm-1"], "/read/x")
+        await releasing
+        assert answer.status == 200
+        assert _runs(fleet) == 1
+
+    run_scenario(_body)
+
+
 def test_a_request_that_runs_once_is_not_ended_by_silence() -> None:
     """Guards against an answer that is given up although its runner may still work on it."""
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -42,6 +42,8 @@
     """Runs it and sends an answer to another request before its own."""
     SHORT = "short"
     """Runs it and closes the connection before its body is whole."""
+    SLOW = "slow"
+    """Runs it and answers when ``release`` is set."""
     SILENT = "silent"
     """Runs it and says nothing."""
 
@@ -194,6 +196,9 @@
         size = len(self.body)
         own = _head(200, request_id, size) + self.body
         match behaviour:
+            case Behaviour.SLOW:
+                await self.release.wait()
+                writer.write(own)
             case Behaviour.OK:
                 writer.write(own)
             case Behaviour.FAIL:
