Let VMs of a large fleet save up for a retry

The new test of the shared budget failed with 61 VMs: a VM's part of the reserve was below one retry, so nothing was ever retried there.

--- a/src/mangosaddle/_retry_budget.py
+++ b/src/mangosaddle/_retry_budget.py
@@ -20,7 +20,8 @@
     ) -> None:
         """Create a budget with its reserve; ``share`` is what each request earns."""
         self._share = share
-        self._reserve_retries = reserve_retries
+        # A VM whose part of the reserve is below one retry can still save up for one.
+        self._capacity = max(1.0, reserve_retries)
         self._tokens = reserve_retries
 
     @classmethod
@@ -34,7 +35,7 @@
 
     def earned(self) -> None:
         """Count a first attempt."""
-        self._tokens = min(self._reserve_retries, self._tokens + self._share)
+        self._tokens = min(self._capacity, self._tokens + self._share)
 
     def take(self, *, sent: bool, idempotent: bool) -> bool:
         """Return whether a retry may run, and charge it.
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -1,6 +1,6 @@
 """Which VMs live, as one VM sees it."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from .._entities import Vm
@@ -25,12 +25,11 @@
 class FleetView:
     """Entries of the store, corrected by what the links tell."""
 
-    def __init__(self, own: VmId) -> None:
+    def __init__(self, own: VmId, is_own_ready: Callable[[], bool]) -> None:
         """Create with no other VM; ``node`` is set once the links exist."""
         self.node: PeerNode | None = None
-        self.own_ready = False
-        """Whether this VM takes requests."""
         self._own = own
+        self._is_own_ready = is_own_ready
         self._records_by_vm: Mapping[VmId, VmRecord] = {}
 
     def set_records(self, records_by_vm: Mapping[VmId, VmRecord]) -> None:
@@ -60,7 +59,7 @@
     def is_usable(self, record: VmRecord) -> bool:
         """Return whether a VM takes requests, by its entry and its links."""
         if record.vm == self._own:
-            return self.own_ready
+            return self._is_own_ready()
         if record.leaving:
             return False
         return self.node is None or self.node.membership.state_of(record.vm) not in UNUSABLE
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -112,7 +112,7 @@
         settings = self.settings
         self.catalogue = CatalogueHolder(self._clock)
         self.endpoints = Endpoints(settings.region)
-        self.fleet = FleetView(settings.vm)
+        self.fleet = FleetView(settings.vm, self.is_ready)
         self.regions = RegionReports()
         self.quarantine = Quarantine()
         self.allowances = DemandShares(
@@ -205,27 +205,28 @@
         )
 
     def _assemble_metrics(self) -> None:
-        def _gauge(name: str, text: str, value: Callable[[], float]) -> None:
-            Gauge(name, text, registry=self.registry).set_function(value)
-
-        _gauge("mangosaddle_busy", "Requests in progress", lambda: self._servers.front.busy)
-        _gauge(
+        self.add_gauge("mangosaddle_busy", "Requests in progress", lambda: self._servers.front.busy)
+        self.add_gauge(
             "mangosaddle_endpoint_connections",
             "Connections opened to endpoints",
             lambda: self._caller.connections_opened,
         )
-        _gauge("mangosaddle_health_checks", "Health checks sent", lambda: self._prober.sent)
-        _gauge(
+        self.add_gauge("mangosaddle_health_checks", "Health checks sent", lambda: self._prober.sent)
+        self.add_gauge(
             "mangosaddle_configuration_version",
             "Version of the configuration in force",
             lambda: self.catalogue.version or 0,
         )
-        _gauge(
+        self.add_gauge(
             "mangosaddle_store_contact_age_seconds",
             "Time since the store answered last",
             lambda: self._clock() - self._contact_s,
         )
 
+    def add_gauge(self, name: str, text: str, value: Callable[[], float]) -> None:
+        """Show a value on the metrics page."""
+        Gauge(name, text, registry=self.registry).set_function(value)
+
     # Life cycle
 
     async def start(self) -> None:
@@ -306,15 +307,13 @@
     def is_ready(self) -> bool:
         """Return whether this VM takes requests."""
         knows_all = self.catalogue.current is not None and self._registrations.read_once
-        self.fleet.own_ready = knows_all and not self._leaving and not self.desk.refuses_new
-        return self.fleet.own_ready
+        return knows_all and not self._leaving and not self.desk.refuses_new
 
     async def drain(self) -> None:
         """Let callers leave, end what runs, and return when the process may end."""
         began_s = self._clock()
         grace_s = self.settings.bounds.grace_s - EXIT_MARGIN_S
         self._leaving = True
-        self.is_ready()
         self._servers.front.closing = True
         self._presence.leave()
         if self._node is not None:
@@ -384,7 +383,6 @@
 
     def _housekeeping(self) -> None:
         now = self._clock()
-        self.is_ready()
         self._registrations.remove_due()
         self._vms.remove_due()
         self._pool.sweep()
--- a/src/mangosaddle/platform/_run.py
+++ b/src/mangosaddle/platform/_run.py
@@ -55,13 +55,16 @@
     logs = LogOutput(settings.log_level, settings.vm)
     logs.start()
     try:
-        return asyncio.run(_serve(settings))
+        return asyncio.run(_serve(settings, logs))
     finally:
         logs.stop()
 
 
-async def _serve(settings: EntryProcessSettings) -> int:
+async def _serve(settings: EntryProcessSettings, logs: LogOutput) -> int:
     process = EntryProcess(settings, PlatformStore(settings.store), adapter_parts())
+    process.add_gauge(
+        "mangosaddle_log_lines_dropped", "Log lines dropped", lambda: logs.queue_handler.dropped
+    )
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/tests/routing/test_fleet_budget.py
@@ -0,0 +1,30 @@
+"""Retry budget that all VMs share."""
+
+import pytest
+
+from mangosaddle._retry_budget import RetryBudget
+
+RATIO, EXTRA = 0.2, 52.0
+
+
+@pytest.mark.parametrize("vms", [1, 6, 61])
+@pytest.mark.parametrize("restarts", [0, 1])
+def test_all_vms_together_stay_within_the_budget(vms: int, restarts: int) -> None:
+    """Guards against retries that multiply an overload, also when all VMs restart with reserves."""
+    requests, retries = 0, 0
+    for _ in range(1 + restarts):
+        budgets = [RetryBudget.from_fleet(RATIO, EXTRA, vms) for _ in range(vms)]
+        for _ in range(50):
+            for budget in budgets:
+                budget.earned()
+                requests += 1
+                while budget.take(sent=True, idempotent=True):
+                    retries += 1
+    assert 0 < retries <= RATIO * requests + EXTRA
+
+
+def test_a_request_that_may_not_be_repeated_is_not_retried_once_sent() -> None:
+    """Guards against a second run."""
+    budget = RetryBudget.from_fleet(RATIO, EXTRA, 1)
+    assert not budget.take(sent=True, idempotent=False)
+    assert budget.take(sent=False, idempotent=False)
