Tell crashes from lost answers, share them, and send fewer reports in large fleets

Found by reading: a changed number of VMs renewed the retry budgets; a request whose answers were lost twice was refused for ten minutes; crashes were known to one VM only. A crash now counts when the endpoint does not answer the health check that follows a lost connection, and all VMs learn of a request that crashed two.

--- a/src/mangosaddle/_retry_budget.py
+++ b/src/mangosaddle/_retry_budget.py
@@ -31,7 +31,12 @@
         Half of ``extra_retries`` is handed out, so that VMs that restart with a full reserve stay
         within the budget of the window in which they had used it up.
         """
-        return cls(ratio * FLEET_SHARE, extra_retries * FLEET_SHARE / max(1, vms))
+        return cls(ratio * FLEET_SHARE, part_of_reserve(extra_retries, vms))
+
+    def resize(self, reserve_retries: float) -> None:
+        """Take another reserve; what is in hand does not grow by it."""
+        self._capacity = max(1.0, reserve_retries)
+        self._tokens = min(self._tokens, self._capacity)
 
     def earned(self) -> None:
         """Count a first attempt."""
@@ -48,3 +53,8 @@
             return False
         self._tokens -= 1.0
         return True
+
+
+def part_of_reserve(extra_retries: float, vms: int) -> float:
+    """Return what one of so many VMs has of the fleet's reserve."""
+    return extra_retries * FLEET_SHARE / max(1, vms)
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -58,6 +58,8 @@
     cause: str = ""
     answer: EndpointAnswer | None = None
     body: bytes = b""
+    connection_lost: bool = False
+    """Whether the endpoint closed or reset the connection: it may have crashed."""
 
 
 @dataclass(slots=True)
@@ -120,7 +122,7 @@
             waited_s = clock() - sent_s
             result = await self._receive(request, connection, view, progress, sink)
         except ResponseBrokenError as error:
-            return AttemptResult(AttemptEnd.BROKEN, str(error))
+            return AttemptResult(AttemptEnd.BROKEN, str(error), connection_lost=True)
         except TimeoutError:
             connection.abort()
             return AttemptResult(AttemptEnd.BROKEN, "no answer for far longer than usual")
--- /dev/null
+++ b/src/mangosaddle/entry/_crash_reports.py
@@ -0,0 +1,49 @@
+"""Tells all VMs about requests that stop the endpoints that run them."""
+
+import logging
+from collections.abc import Callable
+
+import cbor2
+
+from .._quarantine import QUARANTINE_S, CrashReport, Quarantine
+from ..membership import HIGHEST_VERSION, Fact, FactKind
+from ..peers import PeerNode
+
+CRASHES = FactKind("crashes", HIGHEST_VERSION, lifetime_s=QUARANTINE_S)
+"""Crash reports of one request; the key is its fingerprint, the version the number of endpoints."""
+
+logger = logging.getLogger(__name__)
+
+
+class CrashReports:
+    """Publishes the reports of quarantined requests and takes those of other VMs."""
+
+    def __init__(
+        self, node: PeerNode, quarantine: Quarantine, wall_clock: Callable[[], float]
+    ) -> None:
+        """Create the reports of a VM."""
+        self._node = node
+        self._quarantine = quarantine
+        self._wall_clock = wall_clock
+        node.on_fact(CRASHES.name, self._received)
+
+    def publish(self, fingerprint: str) -> None:
+        """Publish the reports of a request that has been quarantined."""
+        reports = [
+            (report.endpoint, report.expires_at_s)
+            for report in self._quarantine.export(self._wall_clock())
+            if report.fingerprint == fingerprint
+        ]
+        fact = self._node.new_fact(CRASHES.name, fingerprint, len(reports), cbor2.dumps(reports))
+        self._node.publish(fact)
+
+    def _received(self, fact: Fact) -> None:
+        try:
+            rows = cbor2.loads(fact.payload)
+            reports = [CrashReport(fact.key, str(row[0]), float(row[1])) for row in rows]
+        except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
+            logger.warning(
+                "crash reports cannot be read", extra={"vm": fact.origin, "cause": str(error)}
+            )
+            return
+        self._quarantine.include(reports, self._wall_clock())
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -12,7 +12,7 @@
 
 from .._identifiers import Incarnation, ServiceName
 from .._quarantine import Quarantine
-from .._retry_budget import RetryBudget
+from .._retry_budget import RetryBudget, part_of_reserve
 from .._tasks import BackgroundTasks
 from ..coordination import (
     CoordinationError,
@@ -35,6 +35,7 @@
     RegionReports,
 )
 from ._attempt import EndpointCaller
+from ._crash_reports import CRASHES, CrashReports
 from ._discovery import Discovery
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
@@ -135,6 +136,7 @@
             lambda: self.fleet.region_vms(self.settings.region),
             self._new_budget,
             time.time,
+            self.registry,
         )
         self.desk = FrontDesk(
             self._parts.wire,
@@ -147,7 +149,12 @@
             time.time,
         )
         self._prober = Prober(
-            self._parts.wire, self.endpoints, self._caller, self._tasks, self._clock
+            self._parts.wire,
+            self.endpoints,
+            self._caller,
+            self._tasks,
+            self.runner.endpoint_lost,
+            self._clock,
         )
 
     def _assemble_sources(self) -> None:
@@ -256,7 +263,7 @@
         node = PeerNode(
             peer_settings,
             self.fleet.inventory(),
-            (STORE_ITEM, ENDPOINT_LOAD, VM_REPORT),
+            (STORE_ITEM, ENDPOINT_LOAD, VM_REPORT, CRASHES),
             self.registry,
             self._rng,
         )
@@ -268,6 +275,8 @@
         )
         node.on_forward(ForwardedRequests(self._parts.wire, self.runner).handle)
         self._relay.connect(node)
+        crashes = CrashReports(node, self.quarantine, time.time)
+        self.runner.on_quarantine = crashes.publish
         reports = LoadReports(
             self.settings.vm,
             node,
@@ -284,8 +293,13 @@
         self._node = self.fleet.node = node
         node.update_vms(self.fleet.inventory())
         self.runner.forwarder = forwarder
-        self._tasks.every(LOAD_INTERVAL_S, reports.publish_loads)
-        self._tasks.every(REPORT_INTERVAL_S, reports.publish_report)
+        region = self.settings.region
+        self._tasks.every(
+            LOAD_INTERVAL_S, lambda: reports.publish_loads(len(self.fleet.region_vms(region)))
+        )
+        self._tasks.every(
+            REPORT_INTERVAL_S, lambda: reports.publish_report(len(self.fleet.all_vms()))
+        )
         logger.info("joined the fleet", extra={"incarnation": self._incarnation})
 
     async def _secret(self) -> bytes:
@@ -370,7 +384,8 @@
         records[self.settings.vm] = self._record
         self.fleet.set_records(records)
         self.allowances.set_vms(self.fleet.all_vms(), self._clock())
-        self.runner.reset_budgets()
+        extra_retries = self.settings.bounds.extra_retries
+        self.runner.resize_budgets(part_of_reserve(extra_retries, len(self.fleet.all_vms())))
 
     def _new_budget(self) -> RetryBudget:
         bounds = self.settings.bounds
--- a/src/mangosaddle/entry/_prober.py
+++ b/src/mangosaddle/entry/_prober.py
@@ -27,9 +27,11 @@
         endpoints: Endpoints,
         caller: EndpointCaller,
         tasks: BackgroundTasks,
+        on_lost: Callable[[EndpointView], None],
         clock: Callable[[], float],
     ) -> None:
-        """Create the prober."""
+        """Create the prober; ``on_lost`` hears of endpoints that do not answer a check."""
+        self._on_lost = on_lost
         self._caller = caller
         self.sent = 0
         self._wire = wire
@@ -58,6 +60,7 @@
             self._running.discard(view.id)
         if not answered:
             given_up = self._caller.give_up(view.id)
+            self._on_lost(view)
             logger.info(
                 "health check failed",
                 extra={"endpoint": view.id, "cause": cause, "attempts_given_up": given_up},
@@ -67,6 +70,7 @@
             view.prefixes.clear()
         if cold_s > 0:
             view.cold.set_cold(cold_s, self._clock())
+        view.suspects.clear()
         view.health.probed(self._clock())
         logger.info("endpoint reached again", extra={"endpoint": view.id, "cold_s": cold_s})
 
--- a/src/mangosaddle/entry/_reports.py
+++ b/src/mangosaddle/entry/_reports.py
@@ -36,6 +36,9 @@
 and shows it."""
 REPORT_INTERVAL_S = 0.5
 """Interval of reports to all VMs: the tolerance of allowances covers this age at full flood."""
+INTERVAL_PER_VM_S = 0.02
+"""Interval for each VM that gets a report, where that is longer: a VM takes about 50 reports of
+each kind a second, whatever the size of the fleet."""
 
 logger = logging.getLogger(__name__)
 
@@ -68,12 +71,15 @@
         self._on_watching = on_watching
         self._clock = clock
         self._numbers_by_kind: dict[str, int] = {}
+        self._due_at_by_kind: dict[str, float] = {}
         self._last_payload_by_kind: dict[str, bytes] = {}
         node.on_fact(ENDPOINT_LOAD.name, self._load_received)
         node.on_fact(VM_REPORT.name, self._report_received)
 
-    def publish_loads(self) -> None:
-        """Tell the VMs of the region about own work at its endpoints."""
+    def publish_loads(self, region_vms: int) -> None:
+        """Tell the VMs of the region about own work at its endpoints, if it is time."""
+        if not self._is_due(ENDPOINT_LOAD.name, LOAD_INTERVAL_S, region_vms):
+            return
         loads = {}
         now = self._clock()
         for view in self._endpoints.views():
@@ -83,8 +89,10 @@
                 loads[view.id] = (*own, 0 if pace_s is None else round(pace_s * US_PER_S))
         self._publish(ENDPOINT_LOAD.name, cbor2.dumps(loads))
 
-    def publish_report(self) -> None:
-        """Tell all VMs about own demand and the waits in the own region."""
+    def publish_report(self, fleet_vms: int) -> None:
+        """Tell all VMs about own demand and the waits in the own region, if it is time."""
+        if not self._is_due(VM_REPORT.name, REPORT_INTERVAL_S, fleet_vms):
+            return
         now = self._clock()
         waits = {}
         for service in self._services():
@@ -95,6 +103,15 @@
         payload = cbor2.dumps([demand, waits, self._is_watching()])
         self._publish(VM_REPORT.name, payload, always=True)
 
+    def _is_due(self, kind: str, interval_s: float, vms: int) -> bool:
+        now = self._clock()
+        if now < self._due_at_by_kind.get(kind, 0.0):
+            return False
+        spread_s = max(interval_s, vms * INTERVAL_PER_VM_S)
+        # Half of a tick early, so that a tick that is due is not passed over for its jitter.
+        self._due_at_by_kind[kind] = now + spread_s - interval_s / 2
+        return True
+
     def _publish(self, kind: str, payload: bytes, *, always: bool = False) -> None:
         if not always and self._last_payload_by_kind.get(kind) == payload and len(payload) == 1:
             return
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import replace
 from typing import Protocol
 
+from prometheus_client import CollectorRegistry, Counter
+
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
 from .._quarantine import Quarantine
 from .._retry_budget import RetryBudget
@@ -66,11 +67,15 @@
         region_vms: Callable[[], Collection[VmId]],
         new_budget: Callable[[], RetryBudget],
         wall_clock: Callable[[], float],
+        registry: CollectorRegistry,
     ) -> None:
         """Create the runner; ``forwarder`` is set once links to other VMs exist."""
         self.forwarder: Forwarder | None = None
-        self.outcomes: Counter[str] = Counter()
-        """Ends of attempts, for the metrics."""
+        self.on_quarantine: Callable[[str], None] | None = None
+        """Called with the fingerprint of a request that has just been quarantined."""
+        self._attempts = Counter(
+            "mangosaddle_attempts", "Attempts at endpoints by end", ["end"], registry=registry
+        )
         self._own = own
         self._endpoints = endpoints
         self._placement = placement
@@ -100,9 +105,10 @@
             budget = self._budgets_by_service[service] = self._new_budget()
         return budget
 
-    def reset_budgets(self) -> None:
+    def resize_budgets(self, reserve_retries: float) -> None:
         """Let the budgets follow a changed number of VMs."""
-        self._budgets_by_service.clear()
+        for budget in self._budgets_by_service.values():
+            budget.resize(reserve_retries)
 
     def take_retry(self, request: RoutedRequest, *, sent: bool, repeatable: bool) -> bool:
         """Return whether a request may be sent once more, and charge the budget of its service."""
@@ -150,7 +156,7 @@
 
     def _learn(self, request: RoutedRequest, view: EndpointView, result: AttemptResult) -> None:
         now = asyncio.get_running_loop().time()
-        self.outcomes[result.end.value] += 1
+        self._attempts.labels(result.end.value).inc()
         if result.end is AttemptEnd.NOT_SENT:
             if view.health.unreachable(now):
                 logger.warning(
@@ -160,13 +166,30 @@
             self._rejected(view, result, now)
         elif result.end is AttemptEnd.BROKEN:
             view.health.broke()
-            if request.fingerprint:
-                self._quarantine.crashed(request.fingerprint, view.id, self._wall_clock())
+            if result.connection_lost:
+                # A health check tells whether the endpoint has crashed or only lost an answer.
+                view.health.unreachable(now)
+                view.suspects.add(request.fingerprint)
         else:
             view.health.answered(failed=result.end is AttemptEnd.FAILED)
             if request.fingerprint:
                 self._quarantine.answered(request.fingerprint, self._wall_clock())
 
+    def endpoint_lost(self, view: EndpointView) -> None:
+        """Count a crash for the requests whose connections ended with the endpoint."""
+        for fingerprint in view.suspects:
+            self._crashed(fingerprint, view.id)
+        view.suspects.clear()
+
+    def _crashed(self, fingerprint: str, endpoint: EndpointId) -> None:
+        now = self._wall_clock()
+        was_quarantined = self._quarantine.is_quarantined(fingerprint, now)
+        self._quarantine.crashed(fingerprint, endpoint, now)
+        if not was_quarantined and self._quarantine.is_quarantined(fingerprint, now):
+            logger.warning("request quarantined", extra={"fingerprint": fingerprint})
+            if self.on_quarantine is not None:
+                self.on_quarantine(fingerprint)
+
     def _rejected(self, view: EndpointView, result: AttemptResult, now: float) -> None:
         answer = result.answer
         if answer is not None and answer.wrong_instance:
--- a/src/mangosaddle/entry/_watch_duty.py
+++ b/src/mangosaddle/entry/_watch_duty.py
@@ -10,7 +10,7 @@
 the square of the fleet; below this size they are few."""
 MIN_HEARD = 2
 """Watching VMs that have to be heard of before another VM relies on them."""
-HEARD_VALID_S = 2.0
+HEARD_VALID_S = 3.0
 """Age after which a watching VM counts as lost; several of its reports."""
 
 
--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -18,6 +18,8 @@
         """Create the view of an endpoint that has just been seen."""
         engine = spec.engine if spec is not None else None
         self.registration = registration
+        self.suspects: set[str] = set()
+        """Fingerprints of the requests whose connection was lost since the last health check."""
         self.health = EndpointHealth()
         self.load = EndpointLoad(
             registration.slots, engine.memory_tokens if engine is not None else None
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -104,6 +104,25 @@
     run_fleet(_body)
 
 
+def test_a_request_that_crashes_runners_is_refused_by_all_vms() -> None:
+    """Guards against one request that stops the runners of region after region."""
+
+    async def _body(fleet: Fleet) -> None:
+        await _two_regions(fleet)
+        for number in (1, 2):
+            await fleet.add_runner(RunnerStandIn(f"desk-east-{number}", "desk", "east-a"))
+        east, west = fleet.vms["vm-east"], fleet.vms["vm-west"]
+        await fleet.knows(east, "desk-east-1", "desk-east-2")
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.CRASH
+        assert (await fleet.call(east, "/read/x", method="POST", body=b"deadly")).status == 502
+        await until(lambda: west.quarantine.export(0.0))
+        assert (await fleet.call(west, "/read/x", method="POST", body=b"deadly")).status == 503
+        assert sum(fleet.runners["desk-west"].runs.values()) == 0
+
+    run_fleet(_body)
+
+
 def test_a_lost_link_leaves_the_outcome_open_and_no_refusal_is_untrue() -> None:
     """Guards against 'not run' for a request that runs in a region that was cut off."""
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -26,6 +26,8 @@
     """Answers 503 and states that it has not run."""
     RESET = "reset"
     """Runs it and breaks the connection off without an answer."""
+    CRASH = "crash"
+    """Runs it and ends: all its connections are reset and none is accepted."""
     UNSIGNED = "unsigned"
     """Runs it and answers 200 without a signature."""
     ENCODED = "encoded"
@@ -203,6 +205,9 @@
                 writer.write(own)
             case Behaviour.FAIL:
                 writer.write(_head(500, request_id, 6) + b"failed")
+            case Behaviour.CRASH:
+                await self.stop()
+                return False
             case Behaviour.RESET:
                 writer.transport.abort()
                 return False
--- a/tests/routing/test_fleet_budget.py
+++ b/tests/routing/test_fleet_budget.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mangosaddle._retry_budget import RetryBudget
+from mangosaddle._retry_budget import RetryBudget, part_of_reserve
 
 RATIO, EXTRA = 0.2, 52.0
 
@@ -23,6 +23,17 @@
     assert 0 < retries <= RATIO * requests + EXTRA
 
 
+def test_changes_of_the_fleet_give_no_further_reserve() -> None:
+    """Guards against a budget that is renewed each time a VM comes or goes."""
+    budget = RetryBudget.from_fleet(RATIO, EXTRA, 2)
+    retries = 0
+    for vms in [3, 2] * 50:
+        budget.resize(part_of_reserve(EXTRA, vms))
+        while budget.take(sent=True, idempotent=True):
+            retries += 1
+    assert retries <= EXTRA / 2
+
+
 def test_a_request_that_may_not_be_repeated_is_not_retried_once_sent() -> None:
     """Guards against a second run."""
     budget = RetryBudget.from_fleet(RATIO, EXTRA, 1)
