--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -1,7 +1,8 @@
-"""Chooses the endpoint or region of a request: the earliest first event wins.
+"""Chooses the endpoint or region of a request by its expected start and its burden on others.
 
-Answers the load of long prompts with shared parts: sending a prompt where its parts are cached
-saves reading them again, but a queue there may cost more than the reading.
+Answers the load of long prompts with shared parts beside long answers: sending a prompt where its
+parts are cached saves reading them again, but a queue there may cost more than the reading, and
+reading delays all answers that are being generated.
 """
 
 import math
