Compare versions only at the same step of the share

Cause: within a window of 30 s the new version gets more of the later requests while its share grows. A fleet that turned slow or failed in that time condemned a good version. This is one cause of the listed failure of test_a_good_version_moves_without_a_failed_request: in a trace of its run every VM showed 'moved' at 8.9 s, the answers per second fell to a fifth from 10.4 s on, and at 15.1 s the version was taken back for latency (41 of 555 against 0 of 556, all of them from before the move). The trace does not say why the process slowed down.

Second cause, from four more traces: the share waits for 20, 60 and 200 requests of the new version, which takes about 1,017 requests of both. The fleet of the test, one process, answered 60 to 150 a second, so the sample came between 7 and 12 s, and in one of four runs the move ended at 14.1 s of 15. The test asked for more requests than its process answers.

Ruled out: failed requests (none), endpoints without the version (all had loaded it).

Change: counters also carry the step of the share; only counters of the same step are compared, none at a share of 1. There the latest 200 requests of the old version stand in, at once and no longer 30 to 60 s after the move.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -5,7 +5,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from mangosaddle.platform import main  # noqa: E402
+from mangosaddle.platform import main
 
 if __name__ == "__main__":
     raise SystemExit(main())
--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -8,15 +8,32 @@
 
 from .._identifiers import EndpointId, ModelName, RegionName, VersionId, VmId
 from ..configuration import Configuration, RolloutPlan
-from ._evidence import KEPT_WINDOWS, Counter, Evidence, EvidenceKey, window_of
+from ._evidence import (
+    ALL_TIME,
+    KEPT_WINDOWS,
+    SHARE_STEPS,
+    Counter,
+    Evidence,
+    EvidenceKey,
+    step_of,
+    window_of,
+)
 from ._plan import share
-from ._verdict import Comparison, Finding, compare, compare_together, compare_with_past
+from ._verdict import (
+    Comparison,
+    Finding,
+    compare,
+    compare_together,
+    compare_with_past,
+)
 
 HOLD_BACK = ((20, 0.05), (60, 0.15), (200, 0.4))
 """Requests of the new version below which the share is held back, and the share then.
 
 Sixty answers show a version that fails one request in six; a slower or rarer fault needs more.
 """
+PAST_SAMPLE = 200
+"""Latest requests of the old version that stand in once it has no traffic, as for a full share."""
 SAME_LOSS_S = 1.0
 """Time within which lost connections to one endpoint count as one failure."""
 
@@ -164,7 +181,8 @@
             self._last_loss_at[loss] = wall_time
             if wall_time - last < SAME_LOSS_S:
                 return
-        key = EvidenceKey(window_of(wall_time), model, version, route)
+        step = step_of(self.share(model, wall_time))
+        key = EvidenceKey(window_of(wall_time), model, version, route, step)
         self._evidence.count(key, latency_s)
 
     def judge(self, wall_time: float) -> tuple[Veto, ...]:
@@ -262,38 +280,59 @@
 
     def _fault(self, plan: RolloutPlan, window: int) -> str | None:
         merged = self._evidence.merged(plan.model)
-        windows = range(window, window - KEPT_WINDOWS, -1)
         of_all_routes: list[Comparison] = []
         for route in sorted({key.route for key in merged}):
-            pairs = [
-                Comparison(
-                    merged.get(EvidenceKey(number, plan.model, plan.new, route), Counter()),
-                    merged.get(EvidenceKey(number, plan.model, plan.old, route), Counter()),
-                )
-                for number in windows
-            ]
+            pairs = self._pairs(plan, merged, route, window)
             of_all_routes += pairs
-            finding = compare(pairs) or self._compare_with_past(plan, route, pairs)
+            past = self._compare_with_past(plan, merged, route, window)
+            finding = compare(pairs) or past
             if finding is not None:
                 return f"{finding.fault} on {route}: {finding.reason}"
         finding = compare_together(of_all_routes)
         return None if finding is None else f"{finding.fault} on all routes: {finding.reason}"
 
+    def _pairs(
+        self, plan: RolloutPlan, merged: dict[EvidenceKey, Counter], route: str, window: int
+    ) -> list[Comparison]:
+        """Return the comparisons on a route, of the newest window and largest share first.
+
+        At a share of 1 there is nothing to compare with: requests of the old version that end then
+        are the slow ones.
+        """
+        return [
+            Comparison(
+                merged.get(EvidenceKey(number, plan.model, plan.new, route, step), Counter()),
+                merged.get(EvidenceKey(number, plan.model, plan.old, route, step), Counter()),
+            )
+            for number in range(window, window - KEPT_WINDOWS, -1)
+            for step in range(SHARE_STEPS - 1, -1, -1)
+        ]
+
     def _compare_with_past(
-        self, plan: RolloutPlan, route: str, pairs: list[Comparison]
+        self, plan: RolloutPlan, merged: dict[EvidenceKey, Counter], route: str, window: int
     ) -> Finding | None:
-        """Compare with the last full window of the old version once that has no traffic."""
-        key = (plan.model, plan.old, route)
-        if pairs[0].old.requests or pairs[1].old.requests:
-            full = max((pair.old for pair in pairs), key=lambda counter: counter.requests)
-            self._past[key] = full
-            return None
-        past = self._past.get(key)
+        """Compare requests at a share of 1 with the latest ones of the old version below it."""
+        past_key = (plan.model, plan.old, route)
+        of_old = [
+            key
+            for key in merged
+            if (key.version, key.route) == (plan.old, route)
+            and key.window > ALL_TIME
+            and key.step < SHARE_STEPS
+        ]
+        latest = Counter()
+        for key in sorted(of_old, reverse=True):
+            latest.add(merged[key])
+            if latest.requests >= PAST_SAMPLE:
+                self._past[past_key] = latest
+                break
+        past = self._past.get(past_key)
         if past is None:
             return None
         recent = Counter()
-        recent.add(pairs[0].new)
-        recent.add(pairs[1].new)
+        for number in (window, window - 1):
+            key = EvidenceKey(number, plan.model, plan.new, route, SHARE_STEPS)
+            recent.add(merged.get(key, Counter()))
         return compare_with_past(recent, past)
 
 
--- a/src/mangosaddle/rollouts/_evidence.py
+++ b/src/mangosaddle/rollouts/_evidence.py
@@ -19,7 +19,9 @@
 BUCKET_COUNT = 60
 """Edges from 5 ms to about 140 s, a factor of 2 ** (1/4) apart."""
 EDGES_S = tuple(FIRST_EDGE_S * 2 ** (i / BUCKETS_PER_DOUBLING) for i in range(BUCKET_COUNT))
-PAYLOAD_VERSION = 1
+SHARE_STEPS = 10
+"""Parts into which shares are divided for comparison; a share of 1 is the last step."""
+PAYLOAD_VERSION = 2
 MAX_PAYLOAD_BYTES = 256 * 1024
 
 
@@ -36,6 +38,12 @@
     model: ModelName
     version: VersionId
     route: str
+    step: int = 0
+    """Step of the new version's share at the VM when the request ended, 0 over all time.
+
+    Only requests of the same step compare fairly: while the share grows, the new version gets more
+    of the later requests, and what slows the whole fleet then would be put down to it.
+    """
 
 
 @dataclass(slots=True)
@@ -77,6 +85,11 @@
     return bisect.bisect_left(EDGES_S, latency_s)
 
 
+def step_of(share: float) -> int:
+    """Return the step of a share between 0 and 1."""
+    return int(share * SHARE_STEPS)
+
+
 def window_of(wall_time: float) -> int:
     """Return the number of the window at a time."""
     return int(wall_time // WINDOW_S)
@@ -95,7 +108,7 @@
     def count(self, key: EvidenceKey, latency_s: float | None) -> None:
         """Count a request; ``latency_s`` is ``None`` for a failure."""
         self._sequence += 1
-        overall = replace(key, window=ALL_TIME)
+        overall = replace(key, window=ALL_TIME, step=0)
         self._own.setdefault(overall, Counter()).requests += 1
         self._add_requests(overall, 1)
         counter = self._own.setdefault(key, Counter())
@@ -193,7 +206,7 @@
 
 def _encode(counters: dict[EvidenceKey, Counter], models: set[ModelName], sequence: int) -> bytes:
     rows = [
-        [k.window, k.model, k.version, k.route, c.requests, c.failures, c.buckets]
+        [k.window, k.model, k.version, k.route, k.step, c.requests, c.failures, c.buckets]
         for k, c in sorted(counters.items(), key=lambda item: item[0])
         if k.model in models
     ]
@@ -213,7 +226,7 @@
 
 
 def _parse_row(row: list[object]) -> tuple[EvidenceKey, Counter]:
-    window, model, version, route, requests, failures, buckets = row
+    window, model, version, route, step, requests, failures, buckets = row
     if not (isinstance(model, str) and isinstance(version, str) and isinstance(route, str)):
         raise TypeError("model, version and route have to be text")
     if not isinstance(buckets, dict):
@@ -221,7 +234,9 @@
     counted = {_count(bucket): _count(count) for bucket, count in buckets.items()}
     if any(bucket > BUCKET_COUNT for bucket in counted):
         raise ValueError("bucket number is out of range")
-    key = EvidenceKey(_count(window), ModelName(model), VersionId(version), route)
+    if _count(step) > SHARE_STEPS:
+        raise ValueError("share step is out of range")
+    key = EvidenceKey(_count(window), ModelName(model), VersionId(version), route, _count(step))
     return key, Counter(_count(requests), _count(failures), counted)
 
 
