Let VMs that are all short of tokens admit requests; log decoding errors

Ruled out: too low a rate (it earns four requests in the time), lost messages (none in the simulation).

Change: cancelled and outdated shares go back unused; a VM keeps its tokens if its own waiting request lacks less than the asking one; a VM without capacity to lend returns borrowed shares that hold enough.

Three errors became a default without a log line (a load entry, the cold time, Keep-Alive); they are logged now, as is a client connection that breaks.

--- a/src/mangosaddle/entry/_reports.py
+++ b/src/mangosaddle/entry/_reports.py
@@ -6,7 +6,7 @@
 
 import cbor2
 
-from .._identifiers import OrganisationId, RegionName, ServiceName, VmId
+from .._identifiers import EndpointId, OrganisationId, RegionName, ServiceName, VmId
 from ..membership import PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
 from ..traffic import (
@@ -28,6 +28,8 @@
 )
 VM_REPORT = FactKind("vm_report", PER_ORIGIN, lifetime_s=LIFETIME_S, reconciled=False)
 US_PER_S = 1_000_000
+ENTRY_LOGGED_CHARACTERS = 80
+"""Of an entry that cannot be read, so that another VM cannot fill the log."""
 FULL_WAIT_S = 3.0
 """Wait that is reported for an engine that takes no more requests: longer than any target, so that
 other regions look elsewhere."""
@@ -126,7 +128,7 @@
         now = self._clock()
         for view in self._endpoints.views():
             entry = loads.get(view.id) if loads is not None else None
-            running, unread, memory, pace_us = _numbers(entry)
+            running, unread, memory, pace_us = _numbers(fact.origin, view.id, entry)
             pace_s = pace_us / US_PER_S if pace_us else None
             load = ReportedLoad(running, unread, memory, pace_s, now)
             view.load.reported(fact.origin, load)
@@ -178,8 +180,14 @@
     return content if isinstance(content, kind) else None
 
 
-def _numbers(entry: object) -> tuple[int, int, int, int]:
-    """Return the numbers of a load entry; an endpoint without a valid entry has no load."""
+def _numbers(origin: VmId, endpoint: EndpointId, entry: object) -> tuple[int, int, int, int]:
+    """Return the numbers of a load entry; an endpoint without an entry has no load there."""
+    if entry is None:
+        return 0, 0, 0, 0
     if isinstance(entry, list) and len(entry) == 4 and all(isinstance(n, int) for n in entry):
         return entry[0], entry[1], entry[2], entry[3]
+    logger.warning(
+        "load entry cannot be read and counts as none",
+        extra={"vm": origin, "endpoint": endpoint, "entry": repr(entry)[:ENTRY_LOGGED_CHARACTERS]},
+    )
     return 0, 0, 0, 0
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -154,8 +154,10 @@
         self._connections.add(connection)
         try:
             await connection.run()
-        except (OSError, asyncio.CancelledError):
-            pass
+        except OSError as error:
+            logger.info("client connection broke", extra={"cause": repr(error)})
+        except asyncio.CancelledError:
+            logger.debug("client connection closed by the server")
         finally:
             self._connections.discard(connection)
             if connection.broken:
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -1,6 +1,7 @@
 """Client side of one connection."""
 
 import asyncio
+import logging
 from collections import deque
 from dataclasses import dataclass
 from typing import Any, Self, cast
@@ -16,6 +17,8 @@
 from ._headers import HeaderList, HeaderView
 from ._sockets import set_liveness
 
+logger = logging.getLogger(__name__)
+
 BUFFER_BYTES = 256 * 1024
 """Unread bytes of a response beyond which the socket is not read."""
 HEAD_BYTES = 64 * 1024
@@ -300,5 +303,6 @@
             try:
                 return float(value)
             except ValueError:
+                logger.warning("keep-alive time cannot be read", extra={"value": repr(value)})
                 return None
     return None
--- a/src/mangosaddle/limits/_allowance.py
+++ b/src/mangosaddle/limits/_allowance.py
@@ -20,6 +20,8 @@
 from ._policy import BorrowPolicy, Lenders
 from ._shares import RENEW_BEFORE_S, BorrowedShare, BorrowedShares, LentShares, leave
 
+KEEP_FOR_SHORT_S = 0.5
+"""Time for which tokens are kept for a request that was short: as long as a request may wait."""
 RECALL_RETRY_S = 0.5
 """An unanswered recall is sent again after this time."""
 
@@ -51,6 +53,8 @@
         "open_tokens",
         "organisation",
         "releasing",
+        "short_at_s",
+        "short_tokens",
         "slots",
     )
 
@@ -71,6 +75,9 @@
         self.open_tokens = 0.0
         self.debt_tokens = 0.0
         """Costs above their reservations, which later tokens pay before any request."""
+        self.short_tokens = 0.0
+        """Size of the last request that waits for tokens, 0 once one was admitted or refused."""
+        self.short_at_s = float("-inf")
 
     def is_idle(self, now: float, idle_s: float) -> bool:
         """Return whether there is nothing to do for this organisation until the next message."""
@@ -147,7 +154,9 @@
         self._pay_debt(now)
         group = None if suspended else self.bucket.reserve(tokens, now)
         if group is None:
+            self.short_tokens, self.short_at_s = tokens, now
             return None
+        self.short_tokens = 0.0
         self.open_reservations += 1
         self.open_tokens += tokens
         return OpenReservation(tokens, group)
@@ -184,7 +193,8 @@
         if known is not None:
             return known
         rate = capacity = level = 0.0
-        if not unusable:
+        keeps = request.urgent and self._is_closer(request.level_tokens, now)
+        if not unusable and not keeps:
             rate, capacity, level = self._granted(request, policy, now)
         self.bucket.move_out(rate, capacity, level, now)
         spare_rate, spare_capacity = self._spare(policy, now)
@@ -194,7 +204,7 @@
             rate,
             capacity,
             level,
-            lendable_tokens=0.0 if unusable else self.bucket.level_tokens,
+            lendable_tokens=0.0 if unusable or keeps else self.bucket.level_tokens,
             spare_tokens=0.0 if unusable else self._transferable_tokens(policy, False, now),
             spare_rate_tokens_per_s=0.0 if unusable else max(0.0, spare_rate - rate),
             spare_capacity_tokens=0.0 if unusable else max(0.0, spare_capacity - capacity),
@@ -206,14 +216,17 @@
         return grant
 
     def accept(self, grant: ShareGrant, now: float) -> list[Outgoing]:
-        """Add a granted share to the bucket; a share granted under an older limit is ignored.
+        """Add a granted share to the bucket; one granted under an older limit goes back unused.
 
         The level of a transfer goes where the bucket has room, and the share goes back at once.
         """
         self.advance(now)
         pending = self.borrowed.answered(grant, now)
-        if pending is None or grant.revision < self.lowered_at_revision:
+        if pending is None:
             return []
+        if pending.cancelled or grant.revision < self.lowered_at_revision:
+            unused = ShareReturn(grant.share_id, self.organisation.id, grant.level_tokens)
+            return [Outgoing(pending.lender, unused)]
         if not pending.transfer:
             if self.borrowed.add(grant, pending) is not None:
                 self._apply_limits(now)
@@ -258,10 +271,28 @@
         self._apply_limits(now)
         return [Outgoing(share.lender, ShareReturn(share.id, self.organisation.id, level))]
 
+    def return_for_another(self, tokens: float, now: float) -> list[Outgoing]:
+        """Return borrowed shares that hold about ``tokens``, for another VM's request.
+
+        Borrowed shares are never lent on, so once VMs have lent each other all they own, only the
+        lenders can give the tokens to a VM that is short. With a lower level nothing is returned:
+        it would not cover the request.
+        """
+        if self._is_closer(tokens, now) or self.bucket.level_tokens < tokens:
+            return []
+        messages = []
+        for share in list(self.borrowed.by_id.values()):
+            if tokens <= 0:
+                break
+            level = self.bucket.level_tokens
+            messages += self.return_share(share, now)
+            tokens -= level - self.bucket.level_tokens
+        return messages
+
     def return_all(self, now: float) -> list[Outgoing]:
-        """Return every borrowed share and forget requests on their way."""
+        """Return every borrowed share; those on their way go back when they arrive."""
         self.advance(now)
-        self.borrowed.pending_by_id.clear()
+        self.borrowed.cancel_pending()
         messages = []
         for share in list(self.borrowed.by_id.values()):
             returned = self.return_share(share, now)
@@ -345,6 +376,16 @@
         part = capacity / self.bucket.capacity_tokens if capacity > 0 else 0.0
         return rate, capacity, min(capacity, self.bucket.level_tokens * part)
 
+    def _is_closer(self, asked_tokens: float, now: float) -> bool:
+        """Return whether a request here lacks less than the one that another VM asks for.
+
+        VMs that are all short would otherwise take each other's tokens, and none would ever have
+        enough for a request.
+        """
+        if not self.short_tokens or now - self.short_at_s >= KEEP_FOR_SHORT_S:
+            return False
+        return self.short_tokens - self.bucket.level_tokens < asked_tokens
+
     def _lendable_tokens(self) -> float:
         """Return the level that fits into the capacity of own slots that is not lent."""
         return max(0.0, min(self.bucket.level_tokens, self._unlent_capacity_tokens()))
--- a/src/mangosaddle/limits/_ledger.py
+++ b/src/mangosaddle/limits/_ledger.py
@@ -7,6 +7,7 @@
 from .._identifiers import Incarnation, OrganisationId, VmId
 from ._allowance import Allowance, OpenReservation
 from ._asking import ShareAsker, Short
+from ._constants import ROUNDING_TOKENS
 from ._messages import (
     Outgoing,
     ShareGrant,
@@ -151,7 +152,10 @@
         self._active.add(organisation_id)
         opened = allowance.reserve(tokens, now, self._suspended)
         if opened is None:
-            return self._asker.ask_urgently(allowance, tokens, now, self._suspended)
+            short = self._asker.ask_urgently(allowance, tokens, now, self._suspended)
+            if not short.worth_waiting:
+                allowance.short_tokens = 0.0
+            return short
         self._next_id += 1
         self._reservations_by_id[self._next_id] = _Reservation(organisation_id, opened)
         return Reserved(self._next_id, ())
@@ -179,7 +183,11 @@
         unusable = self._suspended or self._draining
         self._active.add(request.organisation)
         grant = allowance.lend(sender, request, self._policy, self.revision, now, unusable)
-        return [Outgoing(sender, grant)]
+        messages = [Outgoing(sender, grant)]
+        missing = request.level_tokens - grant.level_tokens
+        if request.urgent and missing > ROUNDING_TOKENS:
+            messages += allowance.return_for_another(missing, now)
+        return messages
 
     def handle_share_grant(self, sender: VmId, grant: ShareGrant, now: float) -> list[Outgoing]:
         """Add the granted share; waiting requests of the organisation should try again."""
--- a/src/mangosaddle/limits/_shares.py
+++ b/src/mangosaddle/limits/_shares.py
@@ -1,7 +1,7 @@
 """Shares of slots that a VM has borrowed from holders or lent to other VMs."""
 
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .._identifiers import OrganisationId, VmId
 from ._bucket import TokenBucket
@@ -48,6 +48,8 @@
     sent_s: float
     urgent: bool
     transfer: bool = False
+    cancelled: bool = False
+    """Whether the share, when it is granted, goes back unused."""
 
     def valid_s(self) -> float:
         """Return for how long after the request the share may be used."""
@@ -84,7 +86,11 @@
 
     def expected(self, now: float) -> list[PendingShare]:
         """Return the requests whose answer is probably still to come."""
-        return [p for p in self.pending_by_id.values() if now - p.sent_s < ANSWER_TIMEOUT_S]
+        return [
+            pending
+            for pending in self.pending_by_id.values()
+            if now - pending.sent_s < ANSWER_TIMEOUT_S and not pending.cancelled
+        ]
 
     def lenders_asked(self, now: float) -> set[VmId]:
         """Return the lenders whose answer to a request ahead of need is still to come."""
@@ -108,6 +114,14 @@
             return None
         return pending
 
+    def cancel_pending(self) -> None:
+        """Let the shares of all open requests go back when they are granted.
+
+        Forgotten requests would leave granted shares occupied at their lenders until they expire.
+        """
+        for share_id, pending in self.pending_by_id.items():
+            self.pending_by_id[share_id] = replace(pending, cancelled=True)
+
     def add(self, grant: ShareGrant, pending: PendingShare) -> BorrowedShare | None:
         """Return the new share, or ``None`` for a denial."""
         if grant.capacity_tokens <= 0 and grant.rate_tokens_per_s <= 0:
--- a/src/mangosaddle/measure/_limits_simulation.py
+++ b/src/mangosaddle/measure/_limits_simulation.py
@@ -133,6 +133,7 @@
         self.steered = steered
         self.counts: dict[OrganisationId, Counts] = {}
         self.messages = 0
+        self.admitted_at: list[float] = []
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
         self._number = 0
         self._waiting: list[tuple[Arrival, VmId, bool, float]] = []
@@ -159,6 +160,16 @@
             if holder == vm
         ]
 
+    def apply_at(self, at_s: float, newer: Configuration, spread_s: float) -> None:
+        """Let the VMs learn a configuration one after the other, within ``spread_s``."""
+        for number, (vm, ledger) in enumerate(self.ledgers.items()):
+            self._at(
+                at_s + spread_s * number / len(self.ledgers),
+                lambda now, vm=vm, ledger=ledger: self._send(  # type: ignore[misc]
+                    vm, ledger.apply_configuration(newer, now), now
+                ),
+            )
+
     def run(self, load: list[Arrival], seconds: float) -> dict[OrganisationId, Counts]:
         """Run the load and return what happened."""
         for arrival in load:
@@ -203,6 +214,7 @@
         ledger, count = self.ledgers[vm], self.counts[arrival.organisation]
         result = ledger.reserve(arrival.organisation, arrival.bound_tokens, now, waited=not first)
         if isinstance(result, Reserved):
+            self.admitted_at.append(now)
             self._send(vm, result.messages, now)
             identifier = result.reservation_id
             self._at(
--- a/src/mangosaddle/platform/_requests.py
+++ b/src/mangosaddle/platform/_requests.py
@@ -1,5 +1,6 @@
 """Translates requests and answers between the platform's headers and the project's types."""
 
+import logging
 import math
 from collections.abc import Collection
 
@@ -16,6 +17,8 @@
 )
 from ..traffic import EndpointAnswer, OpaqueRequest, Prompt, PromptPart, Registration
 
+logger = logging.getLogger(__name__)
+
 REQUEST_ID = b"request-id"
 KEY = b"api-key"
 PATIENCE_MS = b"deadline-milliseconds"
@@ -217,6 +220,7 @@
     try:
         return float(raw) / MS_PER_S if raw is not None else None
     except ValueError:
+        logger.warning("cold time cannot be read and counts as none", extra={"value": repr(raw)})
         return None
 
 
--- /dev/null
+++ b/tests/limits/test_contention.py
@@ -0,0 +1,96 @@
+"""Requests of about a second's rate at VMs that all run short: what the fleet still admits."""
+
+from dataclasses import replace
+
+import pytest
+
+from mangosaddle._identifiers import Incarnation, VmId
+from mangosaddle.limits import (
+    AllowanceLedger,
+    BorrowPolicy,
+    HeldSlot,
+    ShareGrant,
+    ShareRequest,
+    ShareReturn,
+    Short,
+    SlotId,
+)
+from mangosaddle.measure._limits_simulation import VM_IDS, Arrival, FleetSimulation
+
+from .simulated_fleet import ORGANISATION, configuration
+
+LOWERED_RATE, LOWERED_BURST = 400.0, 2048.0
+LOWERED_AT_S, END_S = 2.0, 8.0
+REQUEST_TOKENS = 600.0
+CALLERS = 12
+GAP_S = 0.08
+"""Pause of a caller after a refusal."""
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_flood_uses_most_of_a_lowered_rate(seed: int) -> None:
+    """Guards against tokens that VMs take from each other, and that shares of the old limit hold.
+
+    The admitted requests need at least 70% of what the lowered rate earns in the last 5 s.
+    """
+    fleet = FleetSimulation(1, False, BorrowPolicy())
+    ((identifier, organisation),) = fleet.configuration.organisations_by_id.items()
+    lowered = replace(organisation, rate_tokens_per_s=LOWERED_RATE, burst_tokens=LOWERED_BURST)
+    newer = replace(
+        fleet.configuration, revision=2, organisations_by_id={identifier: lowered}, digest=b""
+    )
+    fleet.apply_at(LOWERED_AT_S, newer, spread_s=0.1)
+    load = [
+        Arrival(
+            (number + seed / 7 + caller / CALLERS) * GAP_S,
+            identifier,
+            VM_IDS[caller % len(VM_IDS)],
+            REQUEST_TOKENS,
+            REQUEST_TOKENS,
+            0.3,
+        )
+        for number in range(int(END_S / GAP_S))
+        for caller in range(CALLERS)
+    ]
+    fleet.run(load, END_S)
+    late = [at for at in fleet.admitted_at if at >= END_S - 5.0]
+    assert len(late) * REQUEST_TOKENS >= 0.7 * 5.0 * LOWERED_RATE
+
+
+def _ledger_that_asks() -> tuple[AllowanceLedger, ShareRequest]:
+    """Return a ledger whose request is short of tokens, and what it asks of another VM."""
+    ledger = AllowanceLedger.from_configuration(
+        VmId("vm-0-0"), Incarnation("a"), configuration(), 0.0
+    )
+    ledger.set_held_slots([HeldSlot(SlotId(ORGANISATION, 0), 6, "nonce")], 0.0)
+    ledger.tick(10.0)
+    short = ledger.reserve(ORGANISATION, 300.0, 10.0)
+    assert isinstance(short, Short)
+    message = short.messages[0].message
+    assert isinstance(message, ShareRequest)
+    return ledger, message
+
+
+def test_a_share_granted_under_an_older_limit_goes_back() -> None:
+    """Guards against capacity that a lender misses until an ignored share expires."""
+    ledger, asked = _ledger_that_asks()
+    ledger.apply_configuration(configuration(revision=2, rate=60.0, burst=600.0), 10.01)
+    figures = (0.0, 100.0, 100.0, 0.0, 0.0, 0.0, 0.0, 1, 1)
+    grant = ShareGrant(asked.share_id, ORGANISATION, *figures)
+    answers = ledger.handle_share_grant(VmId("vm-0-1"), grant, 10.02)
+    assert [o.message for o in answers] == [ShareReturn(asked.share_id, ORGANISATION, 100.0)]
+    assert ledger.handle_share_grant(VmId("vm-0-1"), grant, 10.03) == []
+
+
+@pytest.mark.parametrize(("asked_tokens", "granted"), [(150.0, 0.0), (50.0, 50.0)])
+def test_a_vm_keeps_its_tokens_if_its_own_request_lacks_less(
+    asked_tokens: float, granted: float
+) -> None:
+    """Guards against VMs that empty each other; this one has 200 tokens and lacks 100."""
+    ledger, _ = _ledger_that_asks()
+    request = ShareRequest(
+        "id", ORGANISATION, 0.0, asked_tokens, asked_tokens, urgent=True, transfer=True
+    )
+    (answer,) = ledger.handle_share_request(VmId("vm-0-1"), request, 10.1)
+    assert isinstance(answer.message, ShareGrant)
+    assert answer.message.level_tokens == granted
