--- a/src/mangosaddle/traffic/_demand_shares.py
+++ b/src/mangosaddle/traffic/_demand_shares.py
@@ -17,8 +17,6 @@
 """Time constant of the running mean of demand: the window of a rate check is a few times longer."""
 FLOOR_SHARE = 0.03
 """Part of the rate that counts as demand of a VM that has none, so that it can begin to admit."""
-START_LEVEL = 0.3
-"""Filling of a bucket after a restart: the process may have used the burst just before."""
 DEBT_SHARE = 0.5
 """Part of a request's cost that has to be in the bucket; the rest becomes debt. Without debt a
 request larger than a VM's part of the burst could never run."""
@@ -77,10 +75,12 @@
         """Create without organisations; ``extra_burst`` is added to each burst.
 
         ``first_start`` says that no VM has admitted anything before, so buckets begin full.
+        Otherwise they begin empty: the process may have used the burst just before, and VMs that
+        restart one after the other would hand it out again each time.
         """
         self._own = own
         self._extra_burst = extra_burst
-        self._start_level = 1.0 if first_start else START_LEVEL
+        self._start_level = 1.0 if first_start else 0.0
         self._limits_by_id: dict[OrganisationId, AllowanceLimits] = {}
         self._buckets_by_id: dict[OrganisationId, _Bucket] = {}
         self._demand_by_id: dict[OrganisationId, _Demand] = {}
--- /dev/null
+++ b/tests/soak_harness/_proxy.py
@@ -0,0 +1,92 @@
+"""A loopback proxy that delays, resets, cuts one way and silences connections."""
+
+import asyncio
+from enum import StrEnum
+
+CHUNK_BYTES = 64 * 1024
+DELAY_S = 0.3
+
+
+class LinkFault(StrEnum):
+    """What happens to the bytes on a link."""
+
+    NONE = "none"
+    DELAY = "delay"
+    """Each part arrives ``DELAY_S`` later."""
+    RESET = "reset"
+    """Open connections are reset, new ones at once."""
+    NO_ANSWERS = "no_answers"
+    """Requests pass, answers are dropped."""
+    SILENT = "silent"
+    """Nothing passes and nothing is closed."""
+
+
+class LoopbackProxy:
+    """Passes connections on to one address."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._target = (host, port)
+        self.fault = LinkFault.NONE
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> tuple[str, int]:
+        """Listen; returns the address."""
+        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return host, port
+
+    async def stop(self) -> None:
+        """Reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        self._reset_all()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Treat open and new connections in this way; those with lost bytes end with the fault."""
+        lossy = (LinkFault.NO_ANSWERS, LinkFault.SILENT)
+        if fault is LinkFault.RESET or (fault is LinkFault.NONE and self.fault in lossy):
+            self._reset_all()
+        self.fault = fault
+
+    def _reset_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.fault is LinkFault.RESET:
+            writer.transport.abort()
+            return
+        try:
+            there, back = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        for source, sink, is_answer in ((reader, back, False), (there, writer, True)):
+            self._writers.add(sink)
+            task = asyncio.ensure_future(self._pump(source, sink, is_answer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pump(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, is_answer: bool
+    ) -> None:
+        try:
+            while data := await source.read(CHUNK_BYTES):
+                if self.fault is LinkFault.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                if self.fault is LinkFault.SILENT:
+                    continue
+                if is_answer and self.fault is LinkFault.NO_ANSWERS:
+                    continue
+                sink.write(data)
+                await sink.drain()
+            sink.close()
+        except OSError:
+            sink.transport.abort()
+        finally:
+            self._writers.discard(sink)
--- a/tests/traffic/test_demand_shares.py
+++ b/tests/traffic/test_demand_shares.py
@@ -41,6 +41,11 @@
         """Replace the process of a VM: it has forgotten everything."""
         self.shares_by_vm[name] = self._new(name, first_start=False)
 
+    def restart_alone(self, name: VmId) -> None:
+        """Replace the process of a VM while no other VM is known."""
+        self.restart(name)
+        self.shares_by_vm[name].set_vms(frozenset({name}), self.now)
+
     def run(self, seconds: float, demand_per_s: dict[VmId, float], cost: float) -> None:
         """Let callers ask for ``demand_per_s`` tokens at each VM, in requests of ``cost``."""
         end_s = self.now + seconds
@@ -129,6 +134,19 @@
     assert fleet.worst_window() <= BOUND
 
 
+def test_restarts_in_series_do_not_hand_out_the_burst_again() -> None:
+    """Guards against an organisation that gets the burst once more from each restarted VM.
+
+    Found by the soak with seed 3: all VMs are killed, and each comes back alone.
+    """
+    fleet = SimulatedFleet(4, 1)
+    fleet.run(1.0, dict.fromkeys(fleet.names, 4.0 * RATE), 1_000.0)
+    for name in fleet.names * 3:
+        fleet.restart_alone(name)
+        fleet.run(0.5, {name: 8.0 * RATE}, 1_000.0)
+    assert fleet.worst_window() <= BOUND
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_an_organisation_inside_its_rate_is_hardly_refused(seed: int) -> None:
     """Guards against refusals of what the organisation may ask for."""
