--- a/tests/soak_harness/_checks.py
+++ b/tests/soak_harness/_checks.py
@@ -11,7 +11,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 ORDERS = "/order/"
 DRAIN_S = 4.0
+"""Time after which a leaving endpoint must get no more requests, by the deployments' bounds."""
 ALLOWANCE_WINDOW_S = 8.0
+"""Window in which an allowance is judged, by the deployments' bounds."""
 OVERAGE = 1.1
 """Part of an allowance that may be used in a window, by the deployment's bounds."""
 
