Lead callers without a VM in their region to the homes of most routes

The routes of the host are bound to addis, to gondar, and to both; no region is home to all, and then the directory named all live VMs, mekele's as well.

Ruled out: VMs taken for dead (the answers held just the live ones), an unread binding (all three are in the catalogue).

Change: of the live regions, the one that is home to most routes of the host and organisations. Answers for callers whose region has no VM are logged.

--- a/src/mangosaddle/entry/_discovery.py
+++ b/src/mangosaddle/entry/_discovery.py
@@ -2,7 +2,8 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
 
 from .._identifiers import RegionName
 from ..traffic import Catalogue
@@ -36,19 +37,29 @@
         live = self._fleet.live()
         chosen = [vm for vm in live if vm.region == region]
         if not chosen:
-            homes = self._homes(host)
-            chosen = [vm for vm in live if homes is None or vm.region in homes] or live
+            chosen = self._vms_at_homes(host, live)
+            logger.info(
+                "caller's region has no VM",
+                extra={"host": host, "region": region, "vms": [vm.vm for vm in chosen]},
+            )
         self._rng.shuffle(chosen)
         return chosen[:MAX_VMS]
 
-    def _homes(self, host: str) -> frozenset[RegionName] | None:
-        """Return the regions in which all routes of a host may run; ``None`` for all regions."""
+    def _vms_at_homes(self, host: str, live: list[LiveVm]) -> list[LiveVm]:
+        """Return the VMs of the regions that are home to most of what is bound to homes.
+
+        Which route and organisation a caller will use is not known yet.
+        """
+        bound = Counter(home for homes in self._homes(host) for home in homes)
+        most = max((bound[vm.region] for vm in live), default=0)
+        return [vm for vm in live if bound[vm.region] == most]
+
+    def _homes(self, host: str) -> Iterator[frozenset[RegionName]]:
+        """Yield the homes of the host's routes and of the organisations."""
         catalogue = self._catalogue()
         if catalogue is None:
-            return None
-        homes = [
-            route.home_regions
-            for route in catalogue.routes_by_host.get(host.lower(), ())
-            if route.home_regions
-        ]
-        return frozenset.intersection(*homes) if homes else None
+            return
+        for route in catalogue.routes_by_host.get(host.lower(), ()):
+            yield route.home_regions
+        for organisation in catalogue.organisations_by_id.values():
+            yield organisation.home_regions
