--- a/src/mangosaddle/measure/_http_servers.py
+++ b/src/mangosaddle/measure/_http_servers.py
@@ -87,8 +87,18 @@
         yield server.sockets[0].getsockname()[1]
     finally:
         loop.call_soon_threadsafe(server.close)
+        asyncio.run_coroutine_threadsafe(_cancel_others(), loop).result()
         loop.call_soon_threadsafe(loop.stop)
         thread.join()
+        loop.close()
+
+
+async def _cancel_others() -> None:
+    """End the conversations of clients that keep their connections."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
 
 
 async def _converse(odd: Odd, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -101,7 +111,8 @@
             )
             if not await _write(odd, name, writer):
                 return
-    except (OSError, asyncio.IncompleteReadError):
+    except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        # The client has left, or the measurement is over.
         return
     finally:
         writer.close()
--- a/src/mangosaddle/measure/http_stacks.py
+++ b/src/mangosaddle/measure/http_stacks.py
@@ -6,7 +6,8 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 
 import aiohttp
 import click
@@ -140,12 +141,12 @@
     with odd_server(Odd.SOUND) as port:
         if stack is Stack.CHEROOT:
             return await asyncio.to_thread(_blocking_client_us, port)
-        ask = await _asker(stack, port)
-        await ask()
-        began_s = time.thread_time()
-        for _ in range(CLIENT_REQUESTS):
+        async with _asker(stack, port) as ask:
             await ask()
-        return (time.thread_time() - began_s) / CLIENT_REQUESTS * 1e6
+            began_s = time.thread_time()
+            for _ in range(CLIENT_REQUESTS):
+                await ask()
+            return (time.thread_time() - began_s) / CLIENT_REQUESTS * 1e6
 
 
 def _blocking_client_us(port: int) -> float:
@@ -162,8 +163,8 @@
     seen = {}
     for stack in Stack:
         with odd_server(odd) as port:
-            ask = await _asker(stack, port)
-            seen[stack] = " / ".join([await ask(), await ask()])
+            async with _asker(stack, port) as ask:
+                seen[stack] = " / ".join([await ask(), await ask()])
     return seen
 
 
@@ -171,16 +172,21 @@
     return urllib3.HTTPConnectionPool(HOST, port, maxsize=1, retries=False, timeout=TIMEOUT_S)
 
 
-async def _asker(stack: Stack, port: int) -> Callable[[], "asyncio.Future[str]"]:
-    """Return a call that asks once on a kept connection and says what came."""
+@asynccontextmanager
+async def _asker(stack: Stack, port: int) -> AsyncIterator[Callable[[], Awaitable[str]]]:
+    """Yield a call that asks once on a kept connection and says what came."""
     if stack is Stack.CHEROOT:
         pool = _urllib3_pool(port)
-        return lambda: asyncio.ensure_future(asyncio.to_thread(_ask_urllib3, pool))
-    if stack is Stack.AIOHTTP:
-        session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(TIMEOUT_S))
-        return lambda: asyncio.ensure_future(_ask_aiohttp(session, port))
-    connections: list[UpstreamConnection] = []
-    return lambda: asyncio.ensure_future(_ask_h11(connections, port))
+        yield lambda: asyncio.to_thread(_ask_urllib3, pool)
+        pool.close()
+    elif stack is Stack.AIOHTTP:
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(TIMEOUT_S)) as session:
+            yield lambda: _ask_aiohttp(session, port)
+    else:
+        connections: list[UpstreamConnection] = []
+        yield lambda: _ask_h11(connections, port)
+        for connection in connections:
+            connection.abort()
 
 
 def _ask_urllib3(pool: urllib3.HTTPConnectionPool) -> str:
