Judge a restarted VM by its own process, not by what its last one said

Finding: after a restart a VM's entry is there, but the other VMs go on leaving it out of the directory until a link to the new process is open. The links still tell the state of the process before: leaving (its entry was not removed in time) or suspected (it was killed less than a lease ago). A region with one VM stays without one for that time, and its callers are led elsewhere.

Ruled out: a VM that removes its entry when it ends; its state is dropped with the entry, so the next entry is believed at once.

Change: FleetView knows the revision of each entry. An entry that was written after the incarnation that the links know of is judged without them; incarnations are ordered by the revision of their first entry, so a link that is ahead of the store still wins.

Before: two cases of test_a_restarted_vm_is_not_judged_by_what_its_last_process_said fail (old-5-leaving-new-9, old-5-suspected-new-9).

--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -31,10 +31,14 @@
         self._own = own
         self._is_own_ready = is_own_ready
         self._records_by_vm: Mapping[VmId, VmRecord] = {}
+        self._revisions_by_vm: Mapping[VmId, int] = {}
 
-    def set_records(self, records_by_vm: Mapping[VmId, VmRecord]) -> None:
-        """Take over the entries and let the links follow them."""
+    def set_records(
+        self, records_by_vm: Mapping[VmId, VmRecord], revisions_by_vm: Mapping[VmId, int]
+    ) -> None:
+        """Take over the entries, with their revisions, and let the links follow them."""
         self._records_by_vm = dict(records_by_vm)
+        self._revisions_by_vm = dict(revisions_by_vm)
         if self.node is not None:
             self.node.update_vms(self.inventory())
 
@@ -62,7 +66,19 @@
             return self._is_own_ready()
         if record.leaving:
             return False
-        return self.node is None or self.node.membership.state_of(record.vm) not in UNUSABLE
+        return self._state_of(record) not in UNUSABLE
+
+    def _state_of(self, record: VmRecord) -> VmState:
+        """Return what the links tell of a VM, unless its entry is of a newer process."""
+        if self.node is None:
+            return VmState.UNKNOWN
+        membership = self.node.membership
+        identity = membership.identity_of(record.vm)
+        if identity is None or identity.incarnation == record.incarnation:
+            return membership.state_of(record.vm)
+        # An incarnation is ordered by the revision at which it first wrote its entry.
+        is_newer_record = self._revisions_by_vm.get(record.vm, 0) > identity.started_ms
+        return VmState.UNKNOWN if is_newer_record else membership.state_of(record.vm)
 
     def live(self) -> list[LiveVm]:
         """Return the VMs that take requests."""
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -382,7 +382,7 @@
     def _vms_changed(self) -> None:
         records = dict(self._vms.records_by_vm)
         records[self.settings.vm] = self._record
-        self.fleet.set_records(records)
+        self.fleet.set_records(records, self._vms.revisions_by_vm)
         self.allowances.set_vms(self.fleet.all_vms(), self._clock())
         extra_retries = self.settings.bounds.extra_retries
         self.runner.resize_budgets(part_of_reserve(extra_retries, len(self.fleet.all_vms())))
--- a/src/mangosaddle/entry/_sources.py
+++ b/src/mangosaddle/entry/_sources.py
@@ -183,6 +183,8 @@
     ) -> None:
         """Create the listener."""
         self.records_by_vm: dict[VmId, VmRecord] = {}
+        self.revisions_by_vm: dict[VmId, int] = {}
+        """Revision of the store at which each entry was written."""
         self._prefix = prefix
         self._on_change = on_change
         self._clock = clock
@@ -202,6 +204,9 @@
             record = self._decode(item)
             if record is not None:
                 records[record.vm] = record
+                self.revisions_by_vm[record.vm] = item.revision
+        for vm in self.revisions_by_vm.keys() - records.keys():
+            del self.revisions_by_vm[vm]
         if records != self.records_by_vm:
             self.records_by_vm = records
             self._on_change()
@@ -211,6 +216,9 @@
         vm = VmId(event.key.removeprefix(self._prefix))
         self._remove_at_by_vm.pop(vm, None)
         record = self._decode(event) if isinstance(event, Item) else None
+        self.revisions_by_vm.pop(vm, None)
+        if record is not None:
+            self.revisions_by_vm[vm] = event.revision
         if record == self.records_by_vm.get(vm):
             return
         if record is None:
@@ -234,6 +242,7 @@
         due = [vm for vm, at_s in self._remove_at_by_vm.items() if at_s <= now]
         for vm in due:
             del self._remove_at_by_vm[vm]
+            self.revisions_by_vm.pop(vm, None)
             if self.records_by_vm.pop(vm, None) is not None:
                 logger.info("VM entry has not come back", extra={"vm": vm})
         if due:
--- /dev/null
+++ b/tests/entry/test_fleet_view.py
@@ -0,0 +1,48 @@
+"""Which VMs count as usable, by their entries and the links."""
+
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+
+from mangosaddle._identifiers import Incarnation, RegionName, VmId, ZoneName
+from mangosaddle.coordination import VmRecord
+from mangosaddle.entry._fleet_view import FleetView
+from mangosaddle.membership import MembershipTable, VmIdentity, VmState, VmStatus
+from mangosaddle.peers import PeerNode
+
+OWN, OTHER = VmId("vm-1"), VmId("vm-2")
+OLD, NEW = Incarnation("old"), Incarnation("new")
+RECORD = VmRecord(OTHER, OLD, RegionName("b"), ZoneName("b-a"), "127.0.0.2", 7600, 8221)
+
+
+@pytest.mark.parametrize(
+    ("told", "started", "state", "written", "revision", "usable"),
+    [
+        (OLD, 5, VmState.LIVE, OLD, 5, True),
+        (OLD, 5, VmState.LEAVING, OLD, 5, False),
+        (OLD, 5, VmState.SUSPECTED, OLD, 8, False),
+        (OLD, 5, VmState.LEAVING, NEW, 9, True),
+        (OLD, 5, VmState.SUSPECTED, NEW, 9, True),
+        (NEW, 9, VmState.LEAVING, OLD, 5, False),
+        (NEW, 9, VmState.LIVE, OLD, 5, True),
+    ],
+)
+def test_a_restarted_vm_is_not_judged_by_what_its_last_process_said(
+    told: Incarnation,
+    started: int,
+    state: VmState,
+    written: Incarnation,
+    revision: int,
+    usable: bool,
+) -> None:
+    """Guards against a region without a VM until the links have heard of a restart."""
+    table = MembershipTable(VmIdentity(OWN, OLD, 1), {})
+    status = VmStatus(VmIdentity(OTHER, told, started), 1, state)
+    table.apply(status.to_fact(status.identity))
+    node = SimpleNamespace(membership=table, update_vms=lambda _: None)
+    fleet = FleetView(OWN, lambda: True)
+    fleet.node = cast("PeerNode", node)
+    fleet.set_records({OTHER: replace(RECORD, incarnation=written)}, {OTHER: revision})
+    assert [vm.vm for vm in fleet.live()] == ([OTHER] if usable else [])
