Weigh homes by the requests that callers send

Finding: callers whose region has no VM were led to the region that is home to most routes and organisations. That says nothing of traffic: a route with most requests counted as one that nobody uses, organisations' homes were added to the routes' although both bind, and an open route counted for organisations. One region has to be chosen for all, so the wrong one leads more bound requests astray than need be.

Ruled out: naming the VMs of several homes. Callers pick one at random, so the share astray is the mean over these regions, never less than that of the best one.

Change: HomeDemand counts, per host, the requests that callers have sent here by the regions where they may run (half-life 30 s). The configuration counts as 4 requests spread over all pairs of a route and an organisation, so that a VM without traffic still knows homes. Memory: one number per host and set of homes. Work: one dict entry per bound request.

Before, on the old directory: the case 'routes that no organisation can use' and test_a_caller_without_a_vm_in_its_region_is_led_to_the_homes_of_most_requests fail.

Limits: a VM counts its own callers, who may differ from those of the lost region. A changed home keeps weight for about a minute.

--- a/src/mangosaddle/entry/_discovery.py
+++ b/src/mangosaddle/entry/_discovery.py
@@ -2,15 +2,16 @@
 
 import logging
 import random
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from .._identifiers import RegionName
-from ..traffic import Catalogue
+from ..traffic import Catalogue, HomeDemand
 from ._fleet_view import FleetView, LiveVm
 
 MAX_VMS = 64
 """Most VMs in one answer."""
+TIE = 0.01
+"""Difference of weights, as a part of them, up to which regions count as equal."""
 
 logger = logging.getLogger(__name__)
 
@@ -22,12 +23,16 @@
         self,
         fleet: FleetView,
         catalogue: Callable[[], Catalogue | None],
+        demand: HomeDemand,
         rng: random.Random,
+        clock: Callable[[], float],
     ) -> None:
         """Create the discovery of a VM."""
         self._fleet = fleet
         self._catalogue = catalogue
+        self._demand = demand
         self._rng = rng
+        self._clock = clock
 
     def vms_for(self, host: str, region: RegionName | None) -> list[LiveVm]:
         """Return the VMs of the caller's region, or if there are none those of its homes.
@@ -54,18 +59,10 @@
         return chosen[:MAX_VMS]
 
     def _vms_at_homes(self, catalogue: Catalogue, host: str, live: list[LiveVm]) -> list[LiveVm]:
-        """Return the VMs of the regions that are home to most of what is bound to homes.
+        """Return the VMs of the region that is home to most requests that are bound to homes.
 
         Which route and organisation a caller will use is not known yet.
         """
-        bound = Counter(home for homes in _homes(catalogue, host) for home in homes)
-        most = max((bound[vm.region] for vm in live), default=0)
-        return [vm for vm in live if bound[vm.region] == most]
-
-
-def _homes(catalogue: Catalogue, host: str) -> Iterator[frozenset[RegionName]]:
-    """Yield the homes of the host's routes and of the organisations."""
-    for route in catalogue.routes_by_host.get(host.lower(), ()):
-        yield route.home_regions
-    for organisation in catalogue.organisations_by_id.values():
-        yield organisation.home_regions
+        weights = self._demand.by_region(catalogue, host, self._clock())
+        most = max((weights.get(vm.region, 0.0) for vm in live), default=0.0)
+        return [vm for vm in live if weights.get(vm.region, 0.0) >= most * (1.0 - TIE)]
--- a/src/mangosaddle/entry/_front_desk.py
+++ b/src/mangosaddle/entry/_front_desk.py
@@ -16,6 +16,7 @@
 from ..traffic import (
     Catalogue,
     DemandShares,
+    HomeDemand,
     OpaqueRequest,
     Organisation,
     Route,
@@ -59,6 +60,7 @@
         catalogue: CatalogueHolder,
         allowances: DemandShares,
         quarantine: Quarantine,
+        home_demand: HomeDemand,
         runner: RequestRunner,
         registry: CollectorRegistry,
         rng: random.Random,
@@ -71,6 +73,7 @@
         self._catalogue = catalogue
         self._allowances = allowances
         self._quarantine = quarantine
+        self._home_demand = home_demand
         self._runner = runner
         self._rng = rng
         self._wall_clock = wall_clock
@@ -120,6 +123,7 @@
         if isinstance(organisation, Problem):
             return organisation
         request = self._routed(opaque, route, organisation, began_s)
+        self._home_demand.noted(route.host, request.regions, began_s)
         if self._quarantine.is_quarantined(request.fingerprint, self._wall_clock()):
             detail = "this request stopped two endpoints and is not tried again"
             return Problem(503, "quarantined", detail)
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -31,6 +31,7 @@
     Catalogue,
     DemandShares,
     Endpoints,
+    HomeDemand,
     Placement,
     RegionReports,
 )
@@ -121,6 +122,7 @@
             settings.bounds.allowance_slack * ALLOWANCE_SLACK_SHARE,
             first_start=settings.first_start,
         )
+        self.home_demand = HomeDemand()
         self.watch_duty = WatchDuty(settings.vm, settings.region)
         self.catalogue.on_change(self._catalogue_changed)
 
@@ -143,6 +145,7 @@
             self.catalogue,
             self.allowances,
             self.quarantine,
+            self.home_demand,
             self.runner,
             self.registry,
             self._rng,
@@ -199,7 +202,9 @@
         self._presence = Presence(self._store, VM_PREFIX + settings.vm, self._record, self._rng)
 
     def _assemble_servers(self) -> None:
-        discovery = Discovery(self.fleet, lambda: self.catalogue.current, self._rng)
+        discovery = Discovery(
+            self.fleet, lambda: self.catalogue.current, self.home_demand, self._rng, self._clock
+        )
         interfaces = self._parts.interfaces(
             discovery, self.is_ready, self.settings.bounds.discovery_ttl_s
         )
@@ -372,6 +377,7 @@
     def _catalogue_changed(self, catalogue: Catalogue) -> None:
         now = self._clock()
         self.endpoints.set_catalogue(catalogue)
+        self.home_demand.retain(catalogue.routes_by_host.keys())
         limits = {
             organisation.id: AllowanceLimits(organisation.rate_per_s, organisation.burst)
             for organisation in catalogue.organisations_by_id.values()
--- a/src/mangosaddle/traffic/__init__.py
+++ b/src/mangosaddle/traffic/__init__.py
@@ -15,6 +15,7 @@
 from ._endpoints import Endpoints, EndpointView
 from ._events import EventSplitter, EventTooLargeError
 from ._health import Reach
+from ._home_demand import HomeDemand
 from ._load import ReportedLoad, Work
 from ._opaque import EndpointAnswer, OpaqueRequest
 from ._placement import (
@@ -45,6 +46,7 @@
     "EngineLimits",
     "EventSplitter",
     "EventTooLargeError",
+    "HomeDemand",
     "NoPlace",
     "OpaqueRequest",
     "Organisation",
--- /dev/null
+++ b/tests/catalogues.py
@@ -0,0 +1,63 @@
+"""Routes, organisations and configurations with homes."""
+
+from collections.abc import Iterable
+
+from mangosaddle._identifiers import OrganisationId, RegionName, ServiceName
+from mangosaddle.traffic import (
+    CallerLimits,
+    Catalogue,
+    Organisation,
+    RequestKind,
+    Route,
+    ServiceShare,
+)
+
+HOST = "example.test"
+SERVICE = ServiceName("engine")
+LIMITS = CallerLimits(16384, 1 << 20, 3.0, 15.0)
+
+
+def homes_of(names: Iterable[str]) -> frozenset[RegionName]:
+    """Return regions by their names."""
+    return frozenset(RegionName(name) for name in names)
+
+
+def route(prefix: str, homes: Iterable[str] = (), *, is_open: bool = False) -> Route:
+    """Return a route of the host."""
+    return Route(
+        name=prefix,
+        host=HOST,
+        prefix=prefix,
+        kind=RequestKind.IDEMPOTENT,
+        shares=(ServiceShare(SERVICE, 1.0),),
+        timeout_s=10.0,
+        target_latency_s=1.0,
+        gap_target_s=0.0,
+        priority=1,
+        attempts=2,
+        is_open=is_open,
+        has_prompt=False,
+        resumable=False,
+        home_regions=homes_of(homes),
+    )
+
+
+def organisation(name: str, homes: Iterable[str] = ()) -> Organisation:
+    """Return an organisation without a limit."""
+    return Organisation(
+        id=OrganisationId(name),
+        keys=frozenset({f"key-{name}"}),
+        priority=None,
+        counts_tokens=False,
+        plain_tokens=0,
+        rate_per_s=0.0,
+        burst=0.0,
+        home_regions=homes_of(homes),
+    )
+
+
+def catalogue(
+    routes: Iterable[Route], organisations: Iterable[Organisation] = (), version: int = 1
+) -> Catalogue:
+    """Return a configuration."""
+    return Catalogue.from_parts(version, routes, (), organisations, LIMITS)
--- a/tests/entry/test_discovery.py
+++ b/tests/entry/test_discovery.py
@@ -2,32 +2,26 @@
 
 import random
 from types import SimpleNamespace
-from typing import Any, cast
+from typing import cast
 
 import pytest
 
+from catalogues import HOST, catalogue, homes_of, organisation, route
 from mangosaddle._identifiers import RegionName, VmId
 from mangosaddle.entry._discovery import Discovery
 from mangosaddle.entry._fleet_view import FleetView, LiveVm
-from mangosaddle.traffic import Catalogue
+from mangosaddle.traffic import Catalogue, HomeDemand
 
-HOST = "example.test"
+NOW = 100.0
 
 
 def _discovery(
-    regions: str, routes: list[tuple[str, ...]], organisations: list[tuple[str, ...]]
+    regions: str, known: Catalogue | None, demand: HomeDemand | None = None
 ) -> Discovery:
-    """Return a directory over a live VM in each region, and bindings to homes."""
+    """Return a directory over a live VM in each region."""
     live = [LiveVm(VmId(f"vm-{r}"), RegionName(r), "127.0.0.1", 1) for r in regions]
-    catalogue: Any = SimpleNamespace(
-        version=1,
-        routes_by_host={HOST: [SimpleNamespace(home_regions=frozenset(r)) for r in routes]},
-        organisations_by_id={
-            n: SimpleNamespace(home_regions=frozenset(o)) for n, o in enumerate(organisations)
-        },
-    )
     fleet = cast("FleetView", SimpleNamespace(live=lambda: live))
-    return Discovery(fleet, lambda: cast("Catalogue", catalogue), random.Random(1))
+    return Discovery(fleet, lambda: known, demand or HomeDemand(), random.Random(1), lambda: NOW)
 
 
 @pytest.mark.parametrize(
@@ -40,6 +34,7 @@
         ("bc", [("a",)], [], "bc"),
         ("bc", [], [("a",), ("c",)], "c"),
         ("", [("a",)], [], ""),
+        ("bc", [("b",), ("b",), ("b", "c")], [("c",)], "c"),
     ],
     ids=[
         "own region",
@@ -49,22 +44,36 @@
         "no home lives",
         "organisation",
         "none",
+        "routes that no organisation can use",
     ],
 )
 def test_a_caller_without_a_vm_in_its_region_is_led_to_most_homes(
     regions: str, routes: list[tuple[str, ...]], organisations: list[tuple[str, ...]], expected: str
 ) -> None:
     """Guards against bodies of bound requests in foreign regions (atcra hunt-15af-3)."""
-    named = _discovery(regions, routes, organisations).vms_for(HOST, RegionName("a"))
+    known = catalogue(
+        [route("/", ()), *(route(f"/r{n}/", homes) for n, homes in enumerate(routes))],
+        [organisation(f"o{n}", homes) for n, homes in enumerate(organisations)],
+    )
+    named = _discovery(regions, known).vms_for(HOST, RegionName("a"))
     assert sorted(vm.region for vm in named) == list(expected)
 
 
+def test_a_caller_without_a_vm_in_its_region_is_led_to_the_homes_of_most_requests() -> None:
+    """Guards against a region that is home to many routes, but to few requests."""
+    known = catalogue([route("/r1/", "b"), route("/r2/", "b"), route("/r3/", "c")])
+    demand = HomeDemand()
+    for region, requests in (("b", 5), ("c", 20)):
+        for _ in range(requests):
+            demand.noted(HOST, homes_of(region), NOW)
+    named = _discovery("bc", known, demand).vms_for(HOST, RegionName("a"))
+    assert [vm.region for vm in named] == ["c"]
+
+
 @pytest.mark.parametrize(("regions", "expected"), [("bc", ""), ("abc", "a")])
 def test_a_directory_without_a_configuration_leads_nobody_out_of_their_region(
     regions: str, expected: str
 ) -> None:
     """Guards against restarted VMs that name all regions because they know no homes yet."""
-    live = [LiveVm(VmId(f"vm-{r}"), RegionName(r), "127.0.0.1", 1) for r in regions]
-    fleet = cast("FleetView", SimpleNamespace(live=lambda: live))
-    named = Discovery(fleet, lambda: None, random.Random(1)).vms_for(HOST, RegionName("a"))
+    named = _discovery(regions, None).vms_for(HOST, RegionName("a"))
     assert sorted(vm.region for vm in named) == list(expected)
--- /dev/null
+++ b/tests/traffic/test_home_demand.py
@@ -0,0 +1,119 @@
+"""Which region callers are led to when theirs has no VM."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from catalogues import HOST, catalogue, homes_of, organisation, route
+from mangosaddle._identifiers import RegionName
+from mangosaddle.traffic import Catalogue, HomeDemand, allowed_regions
+from mangosaddle.traffic._home_demand import ASSUMED_REQUESTS, HALF_LIFE_S
+
+OTHERS = [RegionName(name) for name in "bcd"]
+"""Regions with VMs; that of the callers, ``a``, has none."""
+
+
+def _drawn_catalogue(rng: random.Random) -> Catalogue:
+    """Return routes and organisations with random homes."""
+
+    def _homes() -> list[str]:
+        return rng.sample("abcd", rng.choice((0, 0, 1, 1, 2)))
+
+    routes = [route(f"/r{n}/", _homes()) for n in range(rng.randint(2, 8))]
+    return catalogue(routes, [organisation(f"o{n}", _homes()) for n in range(5)])
+
+
+def _by_routes(known: Catalogue) -> RegionName:
+    """Return the region that is home to most routes and organisations, as before."""
+    rows = [row.home_regions for row in known.routes_by_host[HOST]]
+    rows += [row.home_regions for row in known.organisations_by_id.values()]
+    numbers = Counter(home for row in rows for home in row)
+    return max(OTHERS, key=lambda region: numbers[region])
+
+
+def test_few_bound_requests_are_led_astray_when_routes_carry_unequal_traffic() -> None:
+    """Guards against a region that is home to many routes, but to few requests."""
+    rng = random.Random(7)
+    astray: Counter[str] = Counter()
+    for _ in range(150):
+        known = _drawn_catalogue(rng)
+        routes = list(known.routes_by_host[HOST])
+        callers = list(known.organisations_by_id.values())
+        route_weights = [1.0 / (n + 1) for n in range(len(routes))]
+        caller_weights = [1.0 / (n + 1) ** 2 for n in range(len(callers))]
+        rng.shuffle(route_weights)
+        demand = HomeDemand()
+
+        def _sent(now: float) -> frozenset[RegionName] | None:
+            chosen = rng.choices(routes, route_weights)[0]  # noqa: B023
+            caller = rng.choices(callers, caller_weights)[0]  # noqa: B023
+            homes = allowed_regions(chosen, caller)
+            demand.noted(HOST, homes, now)  # noqa: B023
+            return homes
+
+        for number in range(200):
+            _sent(number / 10)
+        weights = demand.by_region(known, HOST, 20.0)
+        by_demand = max(OTHERS, key=lambda region: weights.get(region, 0.0))
+        by_routes = _by_routes(known)
+        later = [homes for homes in (_sent(20.0) for _ in range(200)) if homes]
+        missed = {region: sum(region not in homes for homes in later) for region in OTHERS}
+        astray["bound"] += len(later)
+        astray["demand"] += missed[by_demand]
+        astray["routes"] += missed[by_routes]
+        astray["least"] += min(missed.values())
+    assert astray["demand"] <= 1.02 * astray["least"]
+    assert astray["demand"] < astray["routes"]
+
+
+@pytest.mark.parametrize(
+    ("routes", "organisations", "expected"),
+    [
+        ([()], [], {}),
+        ([("a",)], [], {"a": 1.0}),
+        ([("a", "b"), ("b",)], [], {"a": 0.5, "b": 1.0}),
+        ([("a", "b")], [("b", "c")], {"b": 1.0}),
+        ([("a",)], [("b",)], {}),
+        ([()], [("a",), ("a",), ("b",), ()], {"a": 2 / 3, "b": 1 / 3}),
+    ],
+    ids=[
+        "nothing bound",
+        "route",
+        "two routes",
+        "both bind",
+        "no region is left",
+        "organisations",
+    ],
+)
+def test_without_traffic_routes_and_organisations_count_together(
+    routes: list[tuple[str, ...]],
+    organisations: list[tuple[str, ...]],
+    expected: dict[str, float],
+) -> None:
+    """Guards against homes of a route that its organisations rule out."""
+    known = catalogue(
+        [route(f"/r{n}/", homes) for n, homes in enumerate(routes)],
+        [organisation(f"o{n}", homes) for n, homes in enumerate(organisations)],
+    )
+    weights = HomeDemand().by_region(known, HOST.upper(), 0.0)
+    assert weights == pytest.approx({k: v * ASSUMED_REQUESTS for k, v in expected.items()})
+
+
+def test_an_open_route_is_not_bound_by_organisations() -> None:
+    """Guards against homes of organisations on routes that are used without a key."""
+    known = catalogue([route("/r/", is_open=True)], [organisation("o", "a")])
+    assert HomeDemand().by_region(known, HOST, 0.0) == {}
+
+
+def test_homes_of_another_version_of_the_configuration_are_not_kept() -> None:
+    """Guards against callers led to the homes of an older configuration."""
+    demand = HomeDemand()
+    demand.noted(HOST, homes_of("a"), 0.0)
+    first, second = (catalogue([route("/r/", "b")], version=v) for v in (1, 2))
+    third = catalogue([route("/r/", "c")], version=3)
+    for known, home in ((first, "b"), (second, "b"), (third, "c")):
+        weights = demand.by_region(known, HOST, HALF_LIFE_S)
+        assert weights == pytest.approx({"a": 0.5, home: ASSUMED_REQUESTS})
+    demand.retain(())
+    assert demand.by_region(third, HOST, 0.0) == pytest.approx({"c": ASSUMED_REQUESTS})
