Keep callers in a region while its last VMs still serve

Finding: on SIGTERM a VM leaves the directory at once but serves for 3 s. When it is the only VM of its region (or the others are away), its callers are led out of the region for that time as well, and those that were led elsewhere keep that answer for up to 6 s after the VM is back. Each adds bound requests that are sent to regions that are no home.

Ruled out: naming leaving VMs beside others; then callers have a better choice. A VM that was not seen to begin to leave, or whose links are silent, is not named: it may have stopped.

Change: if a region has only leaving VMs, they are named as long as callers that keep an answer for three times its life will still be served (2.1 s); the life shrinks accordingly. Answers that lead out of the region live 1 s instead of 2 s. The life of an answer is decided in Discovery; platform/ only passes it on.

Before, on the old sources: test_a_region_whose_only_vm_stops_keeps_its_callers_while_it_serves fails (127.77.2.2:8221 instead of 127.77.2.1:8221). After: tests/entry, tests/platform/test_homes.py, tests/platform/test_front_contract.py, test_names.py pass.

--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -1,7 +1,8 @@
 """Which VMs live, as one VM sees it."""
 
+import time
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .._entities import Vm
 from .._identifiers import RegionName, VmId
@@ -25,11 +26,18 @@
 class FleetView:
     """Entries of the store, corrected by what the links tell."""
 
-    def __init__(self, own: VmId, is_own_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        own: VmId,
+        is_own_ready: Callable[[], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Create with no other VM; ``node`` is set once the links exist."""
         self.node: PeerNode | None = None
         self._own = own
         self._is_own_ready = is_own_ready
+        self._clock = clock
+        self._leaving_since_by_vm: dict[VmId, float] = {}
         self._records_by_vm: Mapping[VmId, VmRecord] = {}
         self._revisions_by_vm: Mapping[VmId, int] = {}
 
@@ -37,11 +45,26 @@
         self, records_by_vm: Mapping[VmId, VmRecord], revisions_by_vm: Mapping[VmId, int]
     ) -> None:
         """Take over the entries, with their revisions, and let the links follow them."""
+        self._note_leaving(records_by_vm)
         self._records_by_vm = dict(records_by_vm)
         self._revisions_by_vm = dict(revisions_by_vm)
         if self.node is not None:
             self.node.update_vms(self.inventory())
 
+    def _note_leaving(self, records_by_vm: Mapping[VmId, VmRecord]) -> None:
+        """Note since when VMs leave; unknown for those that were not seen to begin."""
+        for vm, record in records_by_vm.items():
+            old = self._records_by_vm.get(vm)
+            if record.leaving and old == replace(record, leaving=False):
+                self._leaving_since_by_vm[vm] = self._clock()
+        for vm in list(self._leaving_since_by_vm):
+            if vm != self._own and (vm not in records_by_vm or not records_by_vm[vm].leaving):
+                del self._leaving_since_by_vm[vm]
+
+    def leave(self) -> None:
+        """Note that this VM begins to leave."""
+        self._leaving_since_by_vm[self._own] = self._clock()
+
     def inventory(self) -> dict[VmId, Vm]:
         """Return the VMs for the links, this one included."""
         return {
@@ -82,10 +105,21 @@
 
     def live(self) -> list[LiveVm]:
         """Return the VMs that take requests."""
+        return [_live(r) for r in self._records_by_vm.values() if self.is_usable(r)]
+
+    def leaving(self, region: RegionName | None) -> list[tuple[LiveVm, float]]:
+        """Return the VMs of a region that leave, each with the time for which it has, in seconds.
+
+        Those whose links are silent are left out.
+        """
+        now = self._clock()
+        silent = (VmState.SUSPECTED, VmState.GONE)
         return [
-            LiveVm(record.vm, record.region, record.host, record.front_port)
-            for record in self._records_by_vm.values()
-            if self.is_usable(record)
+            (_live(record), now - since_s)
+            for vm, since_s in self._leaving_since_by_vm.items()
+            if (record := self._records_by_vm.get(vm)) is not None
+            and record.region == region
+            and (vm == self._own or self._state_of(record) not in silent)
         ]
 
     def region_vms(self, region: RegionName) -> Collection[VmId]:
@@ -107,3 +141,7 @@
     def is_alone(self) -> bool:
         """Return whether no other VM is linked."""
         return self.node is None or not self.node.linked_vms()
+
+
+def _live(record: VmRecord) -> LiveVm:
+    return LiveVm(record.vm, record.region, record.host, record.front_port)
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -203,11 +203,15 @@
 
     def _assemble_servers(self) -> None:
         discovery = Discovery(
-            self.fleet, lambda: self.catalogue.current, self.home_demand, self._rng, self._clock
-        )
-        interfaces = self._parts.interfaces(
-            discovery, self.is_ready, self.settings.bounds.discovery_ttl_s
+            self.fleet,
+            lambda: self.catalogue.current,
+            self.home_demand,
+            self._rng,
+            self._clock,
+            self.settings.bounds.discovery_ttl_s,
+            min(REFUSE_AFTER_S, self.settings.bounds.grace_s - EXIT_MARGIN_S),
         )
+        interfaces = self._parts.interfaces(discovery, self.is_ready)
         own_limits = ServerLimits()
         self._servers = _Servers(
             HttpServer(self.desk.handle, self._front_limits, self._bad_request),
@@ -332,6 +336,8 @@
         """Let callers leave, end what runs, and return when the process may end."""
         began_s = self._clock()
         grace_s = self.settings.bounds.grace_s - EXIT_MARGIN_S
+        if self.is_ready():
+            self.fleet.leave()
         self._leaving = True
         self._servers.front.closing = True
         self._presence.leave()
--- a/src/mangosaddle/entry/_ports.py
+++ b/src/mangosaddle/entry/_ports.py
@@ -33,6 +33,5 @@
     """Keys of the endpoints in the store."""
     decode_registration: DecodeRegistration
     endpoint_of_key: Callable[[str], EndpointId]
-    interfaces: Callable[[Discovery, Callable[[], bool], float], Interfaces]
-    """Returns the handler of readiness and discovery calls; the last argument is the longest life
-    of a discovery answer in seconds."""
+    interfaces: Callable[[Discovery, Callable[[], bool]], Interfaces]
+    """Returns the handler of readiness and discovery calls."""
--- a/src/mangosaddle/platform/_interfaces.py
+++ b/src/mangosaddle/platform/_interfaces.py
@@ -11,20 +11,15 @@
 READINESS_PATH = b"/api/readiness"
 RESOLVE_PATH = b"/api/resolve"
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
-TTL_SHARE = 0.4
-"""Part of the longest life of a directory answer that is used: callers leave a dead VM sooner."""
 
 
 class PlatformInterfaces:
     """Answers the calls on the readiness and directory addresses."""
 
-    def __init__(
-        self, discovery: Discovery, is_ready: Callable[[], bool], max_ttl_s: float
-    ) -> None:
-        """Create the handlers; ``max_ttl_s`` bounds the life of a directory answer."""
+    def __init__(self, discovery: Discovery, is_ready: Callable[[], bool]) -> None:
+        """Create the handlers."""
         self._discovery = discovery
         self._is_ready = is_ready
-        self._ttl_s = max_ttl_s * TTL_SHARE
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Answer one call."""
@@ -42,10 +37,10 @@
         fields = parse_qs(query)
         host = fields.get("name", [""])[0]
         region = fields.get("region", [""])[0]
-        vms = self._discovery.vms_for(host, RegionName(region) if region else None)
-        addresses = [f"{vm.host}:{vm.front_port}" for vm in vms]
+        answer = self._discovery.answer(host, RegionName(region) if region else None)
+        addresses = [f"{vm.host}:{vm.front_port}" for vm in answer.vms]
         if not addresses:
             await exchange.respond(503, JSON_HEADERS, b"{}")
             return
-        body = {"addresses": addresses, "ttl_s": self._ttl_s}
+        body = {"addresses": addresses, "ttl_s": answer.life_s}
         await exchange.respond(200, JSON_HEADERS, json.dumps(body).encode())
--- a/tests/entry/test_discovery.py
+++ b/tests/entry/test_discovery.py
@@ -1,10 +1,13 @@
 """Which VMs the directory names."""
 
 import random
+from collections.abc import Sequence
 from types import SimpleNamespace
 from typing import cast
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from catalogues import HOST, catalogue, homes_of, organisation, route
 from mangosaddle._identifiers import RegionName, VmId
@@ -13,15 +16,38 @@
 from mangosaddle.traffic import Catalogue, HomeDemand
 
 NOW = 100.0
+MAX_LIFE_S = 5.0
+SERVES_S = 3.0
+KEPT = 3.0
+"""Multiple of an answer's life for which callers may keep it."""
+
+
+def _vm(region: str, number: int = 0) -> LiveVm:
+    return LiveVm(VmId(f"vm-{region}-{number}"), RegionName(region), "127.0.0.1", 1)
 
 
 def _discovery(
-    regions: str, known: Catalogue | None, demand: HomeDemand | None = None
+    regions: str,
+    known: Catalogue | None,
+    demand: HomeDemand | None = None,
+    leaving: Sequence[tuple[str, float]] = (),
 ) -> Discovery:
-    """Return a directory over a live VM in each region."""
-    live = [LiveVm(VmId(f"vm-{r}"), RegionName(r), "127.0.0.1", 1) for r in regions]
-    fleet = cast("FleetView", SimpleNamespace(live=lambda: live))
-    return Discovery(fleet, lambda: known, demand or HomeDemand(), random.Random(1), lambda: NOW)
+    """Return a directory over a live VM in each region and VMs that leave, with their times."""
+    fleet = SimpleNamespace(
+        live=lambda: [_vm(region) for region in regions],
+        leaving=lambda region: [
+            (_vm(r, n), left_s) for n, (r, left_s) in enumerate(leaving) if r == region
+        ],
+    )
+    return Discovery(
+        cast("FleetView", fleet),
+        lambda: known,
+        demand or HomeDemand(),
+        random.Random(1),
+        lambda: NOW,
+        max_life_s=MAX_LIFE_S,
+        leaving_serves_s=SERVES_S,
+    )
 
 
 @pytest.mark.parametrize(
@@ -55,7 +81,7 @@
         [route("/", ()), *(route(f"/r{n}/", homes) for n, homes in enumerate(routes))],
         [organisation(f"o{n}", homes) for n, homes in enumerate(organisations)],
     )
-    named = _discovery(regions, known).vms_for(HOST, RegionName("a"))
+    named = _discovery(regions, known).answer(HOST, RegionName("a")).vms
     assert sorted(vm.region for vm in named) == list(expected)
 
 
@@ -66,7 +92,7 @@
     for region, requests in (("b", 5), ("c", 20)):
         for _ in range(requests):
             demand.noted(HOST, homes_of(region), NOW)
-    named = _discovery("bc", known, demand).vms_for(HOST, RegionName("a"))
+    named = _discovery("bc", known, demand).answer(HOST, RegionName("a")).vms
     assert [vm.region for vm in named] == ["c"]
 
 
@@ -75,5 +101,45 @@
     regions: str, expected: str
 ) -> None:
     """Guards against restarted VMs that name all regions because they know no homes yet."""
-    named = _discovery(regions, None).vms_for(HOST, RegionName("a"))
+    named = _discovery(regions, None).answer(HOST, RegionName("a")).vms
     assert sorted(vm.region for vm in named) == list(expected)
+
+
+@pytest.mark.parametrize(
+    ("regions", "leaving", "expected"),
+    [
+        ("ab", [("a", 0.0)], "a"),
+        ("b", [("a", 0.0)], "a"),
+        ("b", [("a", 1.5)], "a"),
+        ("b", [("a", 2.9)], "b"),
+        ("b", [("a", 9.0)], "b"),
+        ("b", [("a", 0.5), ("a", 9.0)], "a"),
+        ("b", [("c", 0.0)], "b"),
+        ("", [("a", 0.0)], "a"),
+    ],
+)
+def test_callers_stay_in_their_region_while_its_last_vm_still_serves(
+    regions: str, leaving: list[tuple[str, float]], expected: str
+) -> None:
+    """Guards against bound requests in foreign regions before a restart has even begun."""
+    known = catalogue([route("/", "a"), route("/r/", "c")])
+    answer = _discovery(regions, known, leaving=leaving).answer(HOST, RegionName("a"))
+    assert [vm.region for vm in answer.vms] == list(expected)
+
+
+@given(left_s=st.floats(0.0, 4.0), has_other=st.booleans())
+@settings(derandomize=True, deadline=None)
+def test_no_caller_keeps_a_leaving_vm_until_it_refuses(left_s: float, *, has_other: bool) -> None:
+    """Guards against requests to a VM that has stopped, by callers that keep answers long."""
+    discovery = _discovery("b" if has_other else "", None, leaving=[("a", left_s)])
+    answer = discovery.answer(HOST, RegionName("a"))
+    assert not answer.vms or left_s + answer.life_s * KEPT < SERVES_S
+
+
+def test_callers_that_are_led_elsewhere_ask_again_soon() -> None:
+    """Guards against callers that stay in a foreign region long after theirs is back."""
+    known = catalogue([route("/", "b")])
+    home = _discovery("ab", known).answer(HOST, RegionName("a"))
+    away = _discovery("b", known).answer(HOST, RegionName("a"))
+    assert away.life_s * KEPT <= MAX_LIFE_S
+    assert away.life_s < home.life_s <= MAX_LIFE_S
--- a/tests/entry/test_fleet_view.py
+++ b/tests/entry/test_fleet_view.py
@@ -46,3 +46,36 @@
     fleet.node = cast("PeerNode", node)
     fleet.set_records({OTHER: replace(RECORD, incarnation=written)}, {OTHER: revision})
     assert [vm.vm for vm in fleet.live()] == ([OTHER] if usable else [])
+
+
+@pytest.mark.parametrize(
+    ("before", "state", "expected"),
+    [
+        (RECORD, VmState.LIVE, [0.5]),
+        (RECORD, VmState.LEAVING, [0.5]),
+        (RECORD, VmState.SUSPECTED, []),
+        (None, VmState.LEAVING, []),
+        (replace(RECORD, incarnation=NEW), VmState.LEAVING, []),
+        (replace(RECORD, leaving=True), VmState.LEAVING, []),
+    ],
+    ids=["seen", "links know", "silent", "never seen live", "other process", "seen late"],
+)
+def test_leaving_vms_are_known_with_the_time_at_which_they_began(
+    before: VmRecord | None, state: VmState, expected: list[float]
+) -> None:
+    """Guards against naming a VM that may have begun to leave long ago."""
+    now = 10.0
+    table = MembershipTable(VmIdentity(OWN, OLD, 1), {})
+    status = VmStatus(VmIdentity(OTHER, OLD, 5), 1, state)
+    table.apply(status.to_fact(status.identity))
+    fleet = FleetView(OWN, lambda: True, lambda: now)
+    fleet.node = cast("PeerNode", SimpleNamespace(membership=table, update_vms=lambda _: None))
+    fleet.set_records({OTHER: before} if before is not None else {}, {OTHER: 5})
+    leaving = replace(RECORD, leaving=True)
+    fleet.set_records({OTHER: leaving}, {OTHER: 6})
+    now = 10.5
+    fleet.set_records({OTHER: leaving}, {OTHER: 6})
+    assert [left_s for _, left_s in fleet.leaving(RECORD.region)] == expected
+    assert fleet.leaving(RegionName("elsewhere")) == []
+    fleet.set_records({OTHER: replace(RECORD, incarnation=NEW)}, {OTHER: 9})
+    assert fleet.leaving(RECORD.region) == []
--- a/tests/platform/test_homes.py
+++ b/tests/platform/test_homes.py
@@ -1,8 +1,19 @@
 """Homes of requests, across entry processes."""
 
+import asyncio
+import json
+from typing import Any
+
 from mangosaddle._identifiers import RegionName
 from mangosaddle.traffic._home_demand import ASSUMED_REQUESTS
-from platform_standins import Fleet, run_scenario
+from platform_standins import (
+    Fleet,
+    RunnerStandIn,
+    run_fleet,
+    run_scenario,
+    until,
+    usual_configuration,
+)
 
 HOST = "example.test"
 
@@ -20,3 +31,42 @@
         assert ASSUMED_REQUESTS + 1.5 < weights[RegionName("west")] <= ASSUMED_REQUESTS + 2.0
 
     run_scenario(_body)
+
+
+async def _resolve(fleet: Fleet, vm: str) -> dict[str, Any]:
+    """Ask the directory of a VM for a caller in the east."""
+    discovery = fleet.vms[vm].settings.discovery
+    assert discovery is not None
+    answer = await fleet.get(discovery, f"/api/resolve?name={HOST}&region=east&zone=east-a")
+    assert answer.status == 200
+    document: dict[str, Any] = json.loads(answer.body)
+    return document
+
+
+def test_a_region_whose_only_vm_stops_keeps_its_callers_while_it_serves() -> None:
+    """Guards against callers in foreign regions for longer than their VM is away."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", usual_configuration())
+        await fleet.add_runner(RunnerStandIn("desk-east", "desk", "east-a"))
+        east = await fleet.add_vm("vm-east", "east-a")
+        west = await fleet.add_vm("vm-west", "west-a")
+        await fleet.ready()
+        await fleet.knows(east, "desk-east")
+        usual = await _resolve(fleet, "vm-east")
+        draining = asyncio.create_task(east.drain())
+        await until(lambda: west.fleet.leaving(RegionName("east")))
+        front = f"{east.settings.host}:8221"
+        for vm in ("vm-east", "vm-west"):
+            answer = await _resolve(fleet, vm)
+            assert answer["addresses"] == [front]
+            assert 0 < answer["ttl_s"] < usual["ttl_s"] / 2
+        assert (await fleet.call(east, "/read/x")).status == 200
+        elsewhere = [f"{west.settings.host}:8221"]
+        async with asyncio.timeout(10):
+            while (await _resolve(fleet, "vm-east"))["addresses"] != elsewhere:
+                assert not east.desk.refuses_new
+                await asyncio.sleep(0.05)
+        await draining
+
+    run_fleet(_body)
