Translate orders of roll-outs and the states that the operator reads

Finding: op/rollout/SERVICE is not followed, and nothing translates it or status/rollout/SERVICE. Ruled out: telling orders apart by service and target, since the same target may be ordered again after it was rolled back; the store's revision identifies an order, and the state carries it. The test of names covers the new names. Nothing uses the functions yet. Conclusion: the entry process can follow orders without knowing the platform's names.

--- a/src/mangosaddle/rollouts/__init__.py
+++ b/src/mangosaddle/rollouts/__init__.py
@@ -4,6 +4,7 @@
 from ._evidence import EvidenceError
 from ._loads import EndpointVersions, LoadCost, LoadOrder, needed_s, plan_loads
 from ._order_holder import HolderState, OrderAnswer, OrderHolder
+from ._order_records import RolloutOrder, RolloutRecord
 from ._plan import share
 
 __all__ = [
@@ -15,6 +16,8 @@
     "OrderAnswer",
     "OrderHolder",
     "RolloutControl",
+    "RolloutOrder",
+    "RolloutRecord",
     "RolloutState",
     "RolloutStatus",
     "Veto",
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -8,7 +8,7 @@
 NAMES = re.compile(
     r"Not-Run|MANGOSADDLE_CONFIG|(?i:Response-Stamp|Token-Counts|Prompt-Prefix|Request-Urgency|Deadline-Milliseconds"
     r"|Expect-Instance|Api-Key|Cold-Milliseconds|Length-Hint|kv-txn|kv-range|kv-watch|kv-keep"
-    r"|op/config|op/evacuate|/api/|cold_per_s|session_affinity|kv_capacity)"
+    r"|op/config|op/evacuate|op/rollout|status/rollout|rolled_back|/api/|cold_per_s|session_affinity|kv_capacity)"
 )
 SOURCES = Path(mangosaddle.__file__).parent
 
