Make the parameters of rollouts a policy; add one for short deadlines

Cause: windows of 30 s, samples of 20 to 200 requests and a bound of 1e-10 decide within minutes; an order with a deadline of 12 to 15 s ends before. Change: RolloutPolicy (default: the present values) with for_order: pace by parts of the duration, a bound on requests of the new version before the full share, counts of started requests, and a verdict on few answers (beta-binomial, against the old version's rate with a margin; slow means above twice its median; at the full share against its latest counts, also for slow answers). RolloutControl takes policy.

--- a/src/mangosaddle/rollouts/__init__.py
+++ b/src/mangosaddle/rollouts/__init__.py
@@ -1,20 +1,25 @@
 """Traffic share of new versions, evidence, verdicts and orders to endpoints."""
 
 from ._control import RolloutControl, RolloutState, RolloutStatus, Veto
-from ._evidence import EvidenceError
+from ._evidence import WINDOW_S, EvidenceError
+from ._exposure import ExposureLimit
 from ._loads import EndpointVersions, LoadCost, LoadOrder, needed_s, plan_loads
 from ._order_holder import HolderState, OrderAnswer, OrderHolder
 from ._plan import share
+from ._policy import RolloutPolicy
 
 __all__ = [
+    "WINDOW_S",
     "EndpointVersions",
     "EvidenceError",
+    "ExposureLimit",
     "HolderState",
     "LoadCost",
     "LoadOrder",
     "OrderAnswer",
     "OrderHolder",
     "RolloutControl",
+    "RolloutPolicy",
     "RolloutState",
     "RolloutStatus",
     "Veto",
--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -10,7 +10,6 @@
 from ..configuration import Configuration, RolloutPlan
 from ._evidence import (
     ALL_TIME,
-    KEPT_WINDOWS,
     SHARE_STEPS,
     Counter,
     Evidence,
@@ -18,22 +17,12 @@
     step_of,
     window_of,
 )
+from ._exposure import SeenRequests
 from ._plan import share
-from ._verdict import (
-    Comparison,
-    Finding,
-    compare,
-    compare_together,
-    compare_with_past,
-)
-
-HOLD_BACK = ((20, 0.05), (60, 0.15), (200, 0.4))
-"""Requests of the new version below which the share is held back, and the share then.
+from ._policy import HOLD_BACK as HOLD_BACK
+from ._policy import RolloutPolicy
+from ._verdict import Comparison, RouteEvidence, find_fault
 
-Sixty answers show a version that fails one request in six; a slower or rarer fault needs more.
-"""
-PAST_SAMPLE = 200
-"""Latest requests of the old version that stand in once it has no traffic, as for a full share."""
 SAME_LOSS_S = 1.0
 """Time within which lost connections to one endpoint count as one failure."""
 
@@ -78,19 +67,23 @@
 class RolloutControl:
     """Versions for requests by plan, evidence and vetoes; times are wall-clock seconds."""
 
-    def __init__(self, own: VmId) -> None:
+    def __init__(self, own: VmId, *, policy: RolloutPolicy | None = None) -> None:
         self._own = own
+        self._policy = policy or RolloutPolicy()
         self._configuration = Configuration(revision=-1)
         self._evidence = Evidence()
         self._vetoes: dict[tuple[str, str], Veto] = {}
         self._loaded_share: dict[ModelName, float] = {}
         self._last_loss_at: dict[tuple[EndpointId, VersionId], float] = {}
         self._past: dict[tuple[ModelName, VersionId, str], Counter] = {}
+        self._sent_before_full: dict[tuple[ModelName, VersionId], int] = {}
 
     @classmethod
-    def from_configuration(cls, own: VmId, configuration: Configuration) -> "RolloutControl":
-        """Return the control of the VM ``own``."""
-        control = cls(own)
+    def from_configuration(
+        cls, own: VmId, configuration: Configuration, *, policy: RolloutPolicy | None = None
+    ) -> "RolloutControl":
+        """Return the control of the VM ``own``; the default policy is for rollouts of minutes."""
+        control = cls(own, policy=policy)
         control.apply_configuration(configuration)
         return control
 
@@ -109,7 +102,8 @@
         if plan is None or self._is_vetoed(model, plan.new):
             return 0.0
         limit = min(self._sample_limit(plan), self._loaded_share.get(model, 1.0))
-        return min(share(plan, wall_time), limit)
+        planned = self._planned(plan, wall_time)
+        return min(planned, limit, self._exposure_limit(plan, planned, wall_time))
 
     def sample_limit(self, model: ModelName) -> float:
         """Return the share that the evidence allows, whatever is planned or loaded.
@@ -158,6 +152,11 @@
         capacity = new_capacity + old_capacity
         self._loaded_share[model] = new_capacity / capacity if old_capacity > 0 else 1.0
 
+    def started(self, model: ModelName, version: VersionId) -> None:
+        """Count a request of a model with a plan when it is sent, for the bound on exposure."""
+        if model in self._configuration.rollouts_by_model:
+            self._evidence.start(model, version)
+
     def record(
         self,
         model: ModelName,
@@ -182,7 +181,7 @@
             if wall_time - last < SAME_LOSS_S:
                 return
         step = step_of(self.share(model, wall_time))
-        key = EvidenceKey(window_of(wall_time), model, version, route, step)
+        key = EvidenceKey(self._window(wall_time), model, version, route, step)
         self._evidence.count(key, latency_s)
 
     def judge(self, wall_time: float) -> tuple[Veto, ...]:
@@ -190,12 +189,13 @@
 
         To be called about once a second; the vetoes are to be spread and stored.
         """
-        self._evidence.forget_before(window_of(wall_time) - KEPT_WINDOWS + 1)
+        window = self._window(wall_time)
+        self._evidence.forget_before(window - self._policy.kept_windows + 1)
         found = []
         for plan in self._configuration.rollouts_by_model.values():
             if wall_time < plan.start_s or self._is_vetoed(plan.model, plan.new):
                 continue
-            reason = self._fault(plan, window_of(wall_time))
+            reason = self._fault(plan, window)
             if reason is not None:
                 found.append(Veto(plan.model, plan.new, reason, self._own, wall_time))
         self.include_vetoes(found)
@@ -254,7 +254,7 @@
             return RolloutState.PLANNED, ""
         if now_share >= 1.0:
             return RolloutState.MOVED, ""
-        reason = self._hold_reason(plan) if now_share < share(plan, wall_time) else ""
+        reason = self._hold_reason(plan) if now_share < self._planned(plan, wall_time) else ""
         late = wall_time >= plan.deadline_s
         return (RolloutState.LATE if late else RolloutState.MOVING), reason
 
@@ -262,13 +262,36 @@
         loaded = self._loaded_share.get(plan.model, 1.0)
         if loaded < self._sample_limit(plan):
             return f"the new version is loaded on {loaded:.0%} of the capacity"
+        if self._policy.exposure is not None:
+            return "the bound on requests of the new version holds it back"
         return (
             f"only {self._evidence.requests(plan.model, plan.new)} requests of the new version seen"
         )
 
+    def _window(self, wall_time: float) -> int:
+        return window_of(wall_time, self._policy.window_s)
+
+    def _planned(self, plan: RolloutPlan, wall_time: float) -> float:
+        return share(plan, wall_time, self._policy.ramp)
+
     def _sample_limit(self, plan: RolloutPlan) -> float:
         sample = self._evidence.requests(plan.model, plan.new)
-        return next((limit for size, limit in HOLD_BACK if sample < size), 1.0)
+        return next((limit for size, limit in self._policy.hold_back if sample < size), 1.0)
+
+    def _exposure_limit(self, plan: RolloutPlan, planned: float, wall_time: float) -> float:
+        """Return the share that the bound on exposure allows."""
+        exposure = self._policy.exposure
+        if exposure is None or wall_time < plan.start_s:
+            return 1.0
+        of_new = self._evidence.started(plan.model, plan.new)
+        of_both = of_new + self._evidence.started(plan.model, plan.old)
+        seen = SeenRequests(of_both, of_new, self._evidence.requests(plan.model, plan.new))
+        elapsed_s, duration_s = wall_time - plan.start_s, plan.deadline_s - plan.start_s
+        if planned < 1.0:
+            full_s = self._policy.full_part() * duration_s
+            return exposure.before_full(seen, elapsed_s, duration_s, full_s)
+        sent_before = self._sent_before_full.setdefault((plan.model, plan.new), of_new)
+        return exposure.at_full(seen, sent_before, elapsed_s, duration_s)
 
     def _is_vetoed(self, model: ModelName, version: VersionId) -> bool:
         return (model, version) in self._vetoes
@@ -280,38 +303,48 @@
 
     def _fault(self, plan: RolloutPlan, window: int) -> str | None:
         merged = self._evidence.merged(plan.model)
-        of_all_routes: list[Comparison] = []
-        for route in sorted({key.route for key in merged}):
-            pairs = self._pairs(plan, merged, route, window)
-            of_all_routes += pairs
-            past = self._compare_with_past(plan, merged, route, window)
-            finding = compare(pairs) or past
-            if finding is not None:
-                return f"{finding.fault} on {route}: {finding.reason}"
-        finding = compare_together(of_all_routes)
-        return None if finding is None else f"{finding.fault} on all routes: {finding.reason}"
+        windows = range(window, window - self._policy.kept_windows, -1)
+        routes = {key.route for key in merged if key.window > ALL_TIME}
+        by_route = {
+            route: RouteEvidence(
+                self._pairs(plan, merged, route, windows),
+                tuple(
+                    merged.get(
+                        EvidenceKey(number, plan.model, plan.new, route, SHARE_STEPS), Counter()
+                    )
+                    for number in windows
+                ),
+                self._past_of_old(plan, merged, route),
+            )
+            for route in routes
+        }
+        return find_fault(self._policy.rules, by_route)
 
     def _pairs(
-        self, plan: RolloutPlan, merged: dict[EvidenceKey, Counter], route: str, window: int
-    ) -> list[Comparison]:
+        self,
+        plan: RolloutPlan,
+        merged: dict[EvidenceKey, Counter],
+        route: str,
+        windows: range,
+    ) -> tuple[Comparison, ...]:
         """Return the comparisons on a route, of the newest window and largest share first.
 
         At a share of 1 there is nothing to compare with: requests of the old version that end then
         are the slow ones.
         """
-        return [
+        return tuple(
             Comparison(
                 merged.get(EvidenceKey(number, plan.model, plan.new, route, step), Counter()),
                 merged.get(EvidenceKey(number, plan.model, plan.old, route, step), Counter()),
             )
-            for number in range(window, window - KEPT_WINDOWS, -1)
+            for number in windows
             for step in range(SHARE_STEPS - 1, -1, -1)
-        ]
+        )
 
-    def _compare_with_past(
-        self, plan: RolloutPlan, merged: dict[EvidenceKey, Counter], route: str, window: int
-    ) -> Finding | None:
-        """Compare requests at a share of 1 with the latest ones of the old version below it."""
+    def _past_of_old(
+        self, plan: RolloutPlan, merged: dict[EvidenceKey, Counter], route: str
+    ) -> Counter | None:
+        """Return the latest counts of the old version below the full share, if there are enough."""
         past_key = (plan.model, plan.old, route)
         of_old = [
             key
@@ -323,17 +356,11 @@
         latest = Counter()
         for key in sorted(of_old, reverse=True):
             latest.add(merged[key])
-            if latest.requests >= PAST_SAMPLE:
-                self._past[past_key] = latest
+            if latest.requests >= self._policy.past_sample:
                 break
-        past = self._past.get(past_key)
-        if past is None:
-            return None
-        recent = Counter()
-        for number in (window, window - 1):
-            key = EvidenceKey(number, plan.model, plan.new, route, SHARE_STEPS)
-            recent.add(merged.get(key, Counter()))
-        return compare_with_past(recent, past)
+        if latest.requests >= self._policy.min_past:
+            self._past[past_key] = latest
+        return self._past.get(past_key)
 
 
 def _unit(plan: RolloutPlan, chosen_by: bytes | random.Random) -> float:
--- a/src/mangosaddle/rollouts/_evidence.py
+++ b/src/mangosaddle/rollouts/_evidence.py
@@ -14,6 +14,8 @@
 KEPT_WINDOWS = 6
 ALL_TIME = 0
 """Window number of the counters over the whole life of the VM, which tell the sample size."""
+ENDED, STARTED = 0, 1
+"""Steps of the counters over all time: requests that have ended, and that were started."""
 BUCKETS_PER_DOUBLING = 4
 FIRST_EDGE_S = 0.005
 BUCKET_COUNT = 60
@@ -39,7 +41,9 @@
     version: VersionId
     route: str
     step: int = 0
-    """Step of the new version's share at the VM when the request ended, 0 over all time.
+    """Step of the new version's share at the VM when the request ended.
+
+    Over all time it is ``ENDED`` or ``STARTED``.
 
     Only requests of the same step compare fairly: while the share grows, the new version gets more
     of the later requests, and what slows the whole fleet then would be put down to it.
@@ -68,7 +72,15 @@
 
     def p95_bucket(self) -> int | None:
         """Return the bucket of the 95th percentile, ``None`` without answers."""
-        rest = self.answers() * 0.05
+        return self._bucket_below(0.05)
+
+    def median_bucket(self) -> int | None:
+        """Return the bucket of the median, ``None`` without answers."""
+        return self._bucket_below(0.5)
+
+    def _bucket_below(self, part: float) -> int | None:
+        """Return the bucket that ``part`` of the answers reach or exceed."""
+        rest = self.answers() * part
         for bucket in sorted(self.buckets, reverse=True):
             rest -= self.buckets[bucket]
             if rest < 0:
@@ -90,9 +102,9 @@
     return int(share * SHARE_STEPS)
 
 
-def window_of(wall_time: float) -> int:
+def window_of(wall_time: float, window_s: float = WINDOW_S) -> int:
     """Return the number of the window at a time."""
-    return int(wall_time // WINDOW_S)
+    return int(wall_time // window_s)
 
 
 class Evidence:
@@ -104,13 +116,12 @@
         self._others: dict[str, tuple[int, dict[EvidenceKey, Counter]]] = {}
         self._regions: dict[str, tuple[int, dict[EvidenceKey, Counter]]] = {}
         self._requests: dict[tuple[ModelName, VersionId], int] = {}
+        self._started: dict[tuple[ModelName, VersionId], int] = {}
 
     def count(self, key: EvidenceKey, latency_s: float | None) -> None:
         """Count a request; ``latency_s`` is ``None`` for a failure."""
         self._sequence += 1
-        overall = replace(key, window=ALL_TIME, step=0)
-        self._own.setdefault(overall, Counter()).requests += 1
-        self._add_requests(overall, 1)
+        self._count_overall(replace(key, window=ALL_TIME, step=ENDED))
         counter = self._own.setdefault(key, Counter())
         counter.requests += 1
         if latency_s is None:
@@ -119,18 +130,31 @@
             bucket = bucket_of(latency_s)
             counter.buckets[bucket] = counter.buckets.get(bucket, 0) + 1
 
+    def start(self, model: ModelName, version: VersionId) -> None:
+        """Count a request that is sent."""
+        self._sequence += 1
+        self._count_overall(EvidenceKey(ALL_TIME, model, version, "", STARTED))
+
     def requests(self, model: ModelName, version: VersionId) -> int:
-        """Return the requests of a version over all time and all VMs."""
+        """Return the requests of a version that have ended, over all time and all VMs."""
         return self._requests.get((model, version), 0)
 
+    def started(self, model: ModelName, version: VersionId) -> int:
+        """Return the requests of a version that were started, over all time and all VMs.
+
+        Where starts are not counted, or not all of them, those that have ended count.
+        """
+        return max(self._started.get((model, version), 0), self.requests(model, version))
+
     def keep_models(self, models: Iterable[ModelName]) -> None:
         """Drop the counters of all other models, whose plans have ended."""
         wanted = set(models)
         for counters in self._sources():
             for key in [key for key in counters if key.model not in wanted]:
                 del counters[key]
-        for version in [version for version in self._requests if version[0] not in wanted]:
-            del self._requests[version]
+        for counts in (self._requests, self._started):
+            for version in [version for version in counts if version[0] not in wanted]:
+                del counts[version]
 
     def merged(self, model: ModelName) -> dict[EvidenceKey, Counter]:
         """Return the counters of the model, summed over all VMs."""
@@ -198,10 +222,15 @@
         sources[source] = (sequence, counters)
         return True
 
+    def _count_overall(self, key: EvidenceKey) -> None:
+        self._own.setdefault(key, Counter()).requests += 1
+        self._add_requests(key, 1)
+
     def _add_requests(self, key: EvidenceKey, amount: int) -> None:
         if key.window == ALL_TIME:
             version = (key.model, key.version)
-            self._requests[version] = self._requests.get(version, 0) + amount
+            counts = self._started if key.step == STARTED else self._requests
+            counts[version] = counts.get(version, 0) + amount
 
 
 def _encode(counters: dict[EvidenceKey, Counter], models: set[ModelName], sequence: int) -> bytes:
--- /dev/null
+++ b/src/mangosaddle/rollouts/_exposure.py
@@ -0,0 +1,60 @@
+"""Bound on the requests that a version under doubt may get."""
+
+from dataclasses import dataclass
+
+MIN_ELAPSED_S = 1.0
+"""Time since the start below which the rate of requests is taken to be that of this time."""
+MIN_LEFT_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class SeenRequests:
+    """Requests of a rollout that were seen on all VMs."""
+
+    of_both: int
+    """Requests of both versions that were started."""
+    of_new: int
+    """Requests of the new version that were started."""
+    answered_of_new: int
+    """Requests of the new version that have ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExposureLimit:
+    """Bound on requests of the new version: ``share`` of all until the deadline, and ``slack``."""
+
+    share: float
+    slack: float
+    part_before_full: float = 0.35
+    """Part of the bound that may be used before the full share."""
+    held_share: float = 0.02
+    """Share while the part is used up."""
+    part_on_probation: float = 0.7
+    """Part of the bound beyond which the full share needs answers to requests at the full share."""
+    probation_answers: int = 20
+
+    def bound(self, seen: SeenRequests, elapsed_s: float, duration_s: float) -> float:
+        """Return the requests that a bad version may get, for the traffic seen so far."""
+        expected = seen.of_both * duration_s / min(duration_s, max(elapsed_s, MIN_ELAPSED_S))
+        return self.share * expected + self.slack
+
+    def before_full(
+        self, seen: SeenRequests, elapsed_s: float, duration_s: float, full_s: float
+    ) -> float:
+        """Return the share that spends what is left evenly until the full share at ``full_s``."""
+        left = self.part_before_full * self.bound(seen, elapsed_s, duration_s) - seen.of_new
+        rate = seen.of_both / max(elapsed_s, MIN_ELAPSED_S)
+        coming = rate * max(full_s - elapsed_s, MIN_LEFT_S)
+        return 1.0 if left >= coming else max(self.held_share, left / coming)
+
+    def at_full(
+        self, seen: SeenRequests, sent_before: int, elapsed_s: float, duration_s: float
+    ) -> float:
+        """Return the share once the full one is due, after ``sent_before`` requests below it.
+
+        It falls back until answers show how the version does at the full share.
+        """
+        if seen.of_new < self.part_on_probation * self.bound(seen, elapsed_s, duration_s):
+            return 1.0
+        answered = seen.answered_of_new - sent_before
+        return 1.0 if answered >= self.probation_answers else self.held_share
--- /dev/null
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -0,0 +1,174 @@
+"""Verdict on a new version after few answers, for orders with short deadlines."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from ._evidence import BUCKETS_PER_DOUBLING, Counter
+from ._verdict import Comparison, Fault, Finding, RouteEvidence, find_fault
+
+
+@dataclass(frozen=True, slots=True)
+class ExcessBounds:
+    """How far the rate of one kind of bad answers may be above the old version's."""
+
+    margin: float
+    """Difference of rates that is no fault."""
+    min_excess: float
+    """Observed difference of rates without which no version is vetoed."""
+    min_hits: int
+    prior_hits: float
+    """Bad answers of the old version that are assumed beside those seen."""
+    prior_size: float
+    """Answers of the old version that are assumed beside those seen."""
+    max_size: float
+    """Answers of the old version beyond which its rate is not taken to be known better.
+
+    Answers depend on each other: endpoints differ, and trouble comes in bursts.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRules:
+    """Comparison of failures, and of answers above twice the old version's median."""
+
+    alpha: float = 1e-4
+    """Probability that one comparison vetoes a version at the margin."""
+    failures: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 0.5, 20.0, 150.0)
+    slow: ExcessBounds = ExcessBounds(0.2, 0.3, 5, 1.0, 10.0, 60.0)
+    failures_at_full: ExcessBounds = ExcessBounds(0.05, 0.15, 4, 0.5, 20.0, 100.0)
+    """Bounds against earlier counts of the old version; the fleet may have changed since."""
+    slow_at_full: ExcessBounds = ExcessBounds(0.35, 0.5, 6, 1.0, 10.0, 40.0)
+    stratum_prior: float = 4.0
+    """Answers of the old version in all strata that are assumed in each of them."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Stratum:
+    """Bad answers and all answers of both versions."""
+
+    hits_new: int
+    size_new: int
+    hits_old: int
+    size_old: int
+
+
+@find_fault.register
+def _find_fault_of_order(rules: OrderRules, by_route: Mapping[str, RouteEvidence]) -> str | None:
+    for route, evidence in sorted(by_route.items()):
+        finding = _find(rules, [evidence])
+        if finding is not None:
+            return f"{finding.fault} on {route}: {finding.reason}"
+    finding = _find(rules, list(by_route.values())) if len(by_route) > 1 else None
+    return None if finding is None else f"{finding.fault} on all routes: {finding.reason}"
+
+
+def _find(rules: OrderRules, routes: Sequence[RouteEvidence]) -> Finding | None:
+    """Return the fault on the routes together: below the full share, else at it."""
+    pairs = [(route, pair) for route in routes for pair in route.comparisons]
+    found = _failures(rules, [pair for _, pair in pairs], rules.failures)
+    if found is None:
+        strata = [_slow_stratum(pair, route.past) for route, pair in pairs]
+        found = _slow(rules, strata, rules.slow)
+    for windows in (2, None):
+        full = [
+            Comparison(_sum(route.full[:windows]), route.past)
+            for route in routes
+            if route.past is not None
+        ]
+        found = found or _failures(rules, full, rules.failures_at_full)
+        at_full = [_slow_stratum(pair, pair.old) for pair in full]
+        found = found or _slow(rules, at_full, rules.slow_at_full)
+    return found
+
+
+def _failures(
+    rules: OrderRules, pairs: Sequence[Comparison], bounds: ExcessBounds
+) -> Finding | None:
+    strata = [
+        _Stratum(pair.new.failures, pair.new.requests, pair.old.failures, pair.old.requests)
+        for pair in pairs
+    ]
+    if not _exceeds(rules, strata, bounds):
+        return None
+    return Finding(Fault.FAILURES, _figures(strata, "failed"))
+
+
+def _slow(rules: OrderRules, strata: Sequence[_Stratum], bounds: ExcessBounds) -> Finding | None:
+    if not _exceeds(rules, strata, bounds):
+        return None
+    return Finding(Fault.LATENCY, _figures(strata, "slower than 2x the median of the old version"))
+
+
+def _figures(strata: Sequence[_Stratum], what: str) -> str:
+    hits_new, size_new = sum(s.hits_new for s in strata), sum(s.size_new for s in strata)
+    hits_old, size_old = sum(s.hits_old for s in strata), sum(s.size_old for s in strata)
+    return f"{hits_new} of {size_new} {what}, of the old version {hits_old} of {size_old}"
+
+
+def _slow_stratum(pair: Comparison, past: Counter | None) -> _Stratum:
+    """Count answers above twice the median of the old version, its latest one where few ended."""
+    medians = [
+        median
+        for old in (pair.old, past)
+        if old is not None and (median := old.median_bucket()) is not None
+    ]
+    if not medians:
+        return _Stratum(0, 0, 0, 0)
+    bound = max(medians) + BUCKETS_PER_DOUBLING
+    new, old = pair.new, pair.old
+    return _Stratum(
+        new.answers_above(bound), new.answers(), old.answers_above(bound), old.answers()
+    )
+
+
+def _exceeds(rules: OrderRules, strata: Sequence[_Stratum], bounds: ExcessBounds) -> bool:
+    """Return whether the new version has more bad answers than chance explains.
+
+    The rate of each stratum is drawn towards that of all. For given rates the number of bad
+    answers has a smaller tail than with their mean for all (Hoeffding 1956); the uncertainty of
+    that mean makes it beta-binomial.
+    """
+    size = sum(stratum.size_new for stratum in strata)
+    hits = sum(stratum.hits_new for stratum in strata)
+    if hits < bounds.min_hits:
+        return False
+    size_old = bounds.prior_size + sum(stratum.size_old for stratum in strata)
+    rate_old = (bounds.prior_hits + sum(stratum.hits_old for stratum in strata)) / size_old
+    weight = rules.stratum_prior
+    mean = sum(
+        s.size_new * (s.hits_old + weight * rate_old) / (s.size_old + weight) for s in strata
+    )
+    mean /= size
+    if hits / size < mean + bounds.min_excess:
+        return False
+    known = min(size_old, bounds.max_size)
+    return excess_probability(hits, size, min(1.0, mean + bounds.margin), known) < rules.alpha
+
+
+def excess_probability(hits: int, size: int, rate: float, known_from: float) -> float:
+    """Return the probability of at least ``hits`` of ``size`` if the rate is ``rate``.
+
+    The rate is as uncertain as one that is known from ``known_from`` requests (beta-binomial).
+    """
+    if rate >= 1.0:
+        return 1.0
+    of_hits, of_rest = rate * known_from, (1.0 - rate) * known_from
+    return min(1.0, sum(_beta_binomial(x, size, of_hits, of_rest) for x in range(hits, size + 1)))
+
+
+def _beta_binomial(hits: int, size: int, of_hits: float, of_rest: float) -> float:
+    choose = math.lgamma(size + 1) - math.lgamma(hits + 1) - math.lgamma(size - hits + 1)
+    drawn = _log_beta(hits + of_hits, size - hits + of_rest)
+    return math.exp(choose + drawn - _log_beta(of_hits, of_rest))
+
+
+def _log_beta(a: float, b: float) -> float:
+    return math.lgamma(a) + math.lgamma(b) - math.lgamma(a + b)
+
+
+def _sum(counters: Sequence[Counter]) -> Counter:
+    total = Counter()
+    for counter in counters:
+        total.add(counter)
+    return total
--- a/src/mangosaddle/rollouts/_plan.py
+++ b/src/mangosaddle/rollouts/_plan.py
@@ -9,8 +9,10 @@
 """
 
 
-def share(plan: RolloutPlan, wall_time: float) -> float:
-    """Return the planned share of the new version, between 0 and 1.
+def share(
+    plan: RolloutPlan, wall_time: float, ramp: tuple[tuple[float, float], ...] = DEFAULT_RAMP
+) -> float:
+    """Return the planned share of the new version, between 0 and 1; ``ramp`` without plan steps.
 
     It is 0 before the start, 1 from the deadline on, and never falls in between.
     """
@@ -22,5 +24,5 @@
         reached = [step.share for step in plan.steps if step.at_s <= wall_time]
     else:
         part = (wall_time - plan.start_s) / (plan.deadline_s - plan.start_s)
-        reached = [ramp_share for from_part, ramp_share in DEFAULT_RAMP if from_part <= part]
+        reached = [ramp_share for from_part, ramp_share in ramp if from_part <= part]
     return min(1.0, max(reached, default=0.0))
--- a/src/mangosaddle/rollouts/_verdict.py
+++ b/src/mangosaddle/rollouts/_verdict.py
@@ -1,9 +1,10 @@
 """Verdict on a new version by comparison with the old one."""
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import singledispatch
 
 from ._evidence import BUCKETS_PER_DOUBLING, Counter
 
@@ -55,6 +56,50 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RouteEvidence:
+    """Counters of both versions on one route."""
+
+    comparisons: tuple[Comparison, ...]
+    """Both versions below the full share, of the newest window and largest share first."""
+    full: tuple[Counter, ...]
+    """The new version at the full share, the newest window first."""
+    past: Counter | None
+    """Latest counts of the old version below the full share, ``None`` if they are too few."""
+
+
+@dataclass(frozen=True, slots=True)
+class TailRules:
+    """Comparison of failures, and of answers above twice the old version's p95."""
+
+    alpha: float = ALPHA
+    """Probability that one comparison vetoes a version that is as good as the old one."""
+
+
+@singledispatch
+def find_fault(rules: object, by_route: Mapping[str, RouteEvidence]) -> str | None:
+    """Return the fault of the new version with its route and figures, ``None`` without one."""
+    raise TypeError(f"{type(rules).__name__} is no kind of rules")
+
+
+@find_fault.register
+def _find_fault_by_tails(rules: TailRules, by_route: Mapping[str, RouteEvidence]) -> str | None:
+    of_all_routes: list[Comparison] = []
+    for route, evidence in sorted(by_route.items()):
+        of_all_routes += evidence.comparisons
+        recent = Counter()
+        for counter in evidence.full[:2]:
+            recent.add(counter)
+        past = evidence.past
+        finding = compare(evidence.comparisons, rules.alpha)
+        if finding is None and past is not None:
+            finding = compare_with_past(recent, past, rules.alpha)
+        if finding is not None:
+            return f"{finding.fault} on {route}: {finding.reason}"
+    finding = compare_together(of_all_routes, rules.alpha)
+    return None if finding is None else f"{finding.fault} on all routes: {finding.reason}"
+
+
 def tail_probability(hits_new: int, size_new: int, hits_old: int, size_old: int) -> float:
     """Return the probability of at least ``hits_new`` hits if both versions were the same.
 
@@ -92,29 +137,29 @@
     return math.exp(hits - mean - hits * math.log(hits / mean))
 
 
-def compare(windows: Sequence[Comparison]) -> Finding | None:
+def compare(windows: Sequence[Comparison], alpha: float = ALPHA) -> Finding | None:
     """Return the fault of the new version on one route, the newest window first.
 
     The two newest windows count alone, which shows a fault at once; all of them together show it
     where traffic is thin.
     """
-    return _compare(windows, alone=2)
+    return _compare(windows, 2, alpha)
 
 
-def compare_together(windows: Sequence[Comparison]) -> Finding | None:
+def compare_together(windows: Sequence[Comparison], alpha: float = ALPHA) -> Finding | None:
     """Return the fault that only the windows of all routes together show.
 
     A small share spread over many routes would otherwise take long to reach a sample.
     """
-    return _compare(windows, alone=0)
+    return _compare(windows, 0, alpha)
 
 
-def _compare(windows: Sequence[Comparison], alone: int) -> Finding | None:
+def _compare(windows: Sequence[Comparison], alone: int, alpha: float) -> Finding | None:
     usable = [window for window in windows if window.old.requests and window.new.requests]
-    return _compare_failures(usable, alone) or _compare_latency(usable, alone)
+    return _compare_failures(usable, alone, alpha) or _compare_latency(usable, alone, alpha)
 
 
-def compare_with_past(new: Counter, old: Counter) -> Finding | None:
+def compare_with_past(new: Counter, old: Counter, alpha: float = ALPHA) -> Finding | None:
     """Return the fault of a version that has all traffic against earlier counts of the old one.
 
     Only failures far above the earlier ones count, because the fleet may have changed since.
@@ -125,16 +170,16 @@
     if rate < PAST_MIN_RATE or rate < PAST_FACTOR * past:
         return None
     stratum = (new.failures, new.requests, old.failures, old.requests)
-    return _failures(stratum) if tail_probability(*stratum) < ALPHA else None
+    return _failures(stratum) if tail_probability(*stratum) < alpha else None
 
 
-def _compare_failures(windows: Sequence[Comparison], alone: int) -> Finding | None:
+def _compare_failures(windows: Sequence[Comparison], alone: int, alpha: float) -> Finding | None:
     strata = [(w.new.failures, w.new.requests, w.old.failures, w.old.requests) for w in windows]
-    found = _find(strata, alone, MIN_FAILURE_EXCESS, ALPHA)
+    found = _find(strata, alone, MIN_FAILURE_EXCESS, alpha)
     return None if found is None else _failures(found)
 
 
-def _compare_latency(windows: Sequence[Comparison], alone: int) -> Finding | None:
+def _compare_latency(windows: Sequence[Comparison], alone: int, alpha: float) -> Finding | None:
     strata = []
     for window in windows:
         bucket = window.old.p95_bucket()
@@ -145,7 +190,7 @@
         strata.append(
             (new.answers_above(bound), new.answers(), old.answers_above(bound), old.answers())
         )
-    found = _find(strata, alone, 0.05, ALPHA)
+    found = _find(strata, alone, 0.05, alpha)
     if found is None:
         return None
     reason = f"{found[0]} of {found[1]} slower than 2x the p95 of the old version"
