Let the entry processes follow ordered roll-outs

Finding: on the entry processes ignored op/rollout.

Cause: requests were placed on endpoints of all versions alike, and nobody wrote the state.

Ruled out: endpoints of the new version that cannot be told apart (their registrations name the version, and the order arrives 0.3 s and more before they do).

Change: the product's own control (share, evidence, verdict) runs once per order in each VM. Requests choose the version by the hash of their id, so that a VM that runs a forwarded request chooses alike; what is meant for the old version never runs at the new one. Answer times count against the expected time, and requests that are long overdue count before they end. VMs exchange counters and progress every 0.25 s, and vetoes at once. Any VM may write the state, by turns, naming the revision that it replaces: the first end in the store holds for all. The old endpoints are given up once no request runs there, or shortly before the deadline. Versions that were rejected stay out until they are ordered again.

Open: tests through the platform's interface with killed VMs and a store that is away follow.

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -178,6 +178,7 @@
             gap_target_ms=int(route.gap_target_s * MS_PER_S),
             fingerprint=request.fingerprint,
             resume_after=-1 if resume_after is None else resume_after,
+            route_name=request.route_name,
         ),
     )
 
@@ -261,6 +262,7 @@
             began_s=now,
             deadline_s=now + left_s,
             fingerprint=traffic.fingerprint,
+            route_name=traffic.route_name,
             forwarded=True,
         )
         opaque = OpaqueRequest(
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -10,7 +10,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
-from .._identifiers import Incarnation, ServiceName
+from .._identifiers import Incarnation, ServiceName, VmId
 from .._quarantine import Quarantine
 from .._retry_budget import RetryBudget, part_of_reserve
 from .._tasks import BackgroundTasks
@@ -44,6 +44,8 @@
 from ._prober import CHECK_INTERVAL_S, Prober
 from ._relay import STORE_ITEM, StoreRelay
 from ._reports import ENDPOINT_LOAD, LOAD_INTERVAL_S, REPORT_INTERVAL_S, VM_REPORT, LoadReports
+from ._rollout_records import RolloutRecords
+from ._rollouts import ROLLOUT_PROGRESS, ROLLOUT_VETO, TICK_S, Rollouts
 from ._runner import RequestRunner
 from ._settings import EntryProcessSettings
 from ._sources import EndpointSource, OperatorSource, VmSource
@@ -122,6 +124,14 @@
             first_start=settings.first_start,
         )
         self.watch_duty = WatchDuty(settings.vm, settings.region)
+        self.rollouts = Rollouts(
+            settings.vm,
+            self.endpoints,
+            lambda: self.settings.bounds,
+            self._live_vms,
+            self._clock,
+            time.time,
+        )
         self.catalogue.on_change(self._catalogue_changed)
 
     def _assemble_traffic(self) -> None:
@@ -133,6 +143,7 @@
             placement,
             self._caller,
             self.quarantine,
+            self.rollouts,
             lambda: self.fleet.region_vms(self.settings.region),
             self._new_budget,
             time.time,
@@ -165,6 +176,8 @@
             parts.evacuated_zone,
             self.catalogue,
             self.endpoints,
+            self.rollouts,
+            parts.rollouts,
             self._clock,
         )
         self._registrations = EndpointSource(
@@ -187,6 +200,19 @@
         self._followers = [
             Follower(self._store, prefix, listener, self._rng) for prefix, listener in followed
         ]
+        self._records = RolloutRecords(
+            settings.vm,
+            self._store,
+            parts.rollouts,
+            self.rollouts,
+            self._live_vms,
+            self._tasks,
+            self._clock,
+        )
+        prefix = parts.rollouts.STATUS_PREFIX
+        self._record_follower = Follower(
+            self._store, prefix, self._relay.relayed(prefix, self._records), self._rng
+        )
         self._record = VmRecord(
             vm=settings.vm,
             incarnation=self._incarnation,
@@ -247,10 +273,13 @@
         await servers.front.start(*settings.front)
         for follower in self._followers:
             self._tasks.spawn(follower.run())
+        self._record_follower.set_wanted(False)
+        self._tasks.spawn(self._record_follower.run())
         self._tasks.spawn(self._presence.run())
         self._tasks.spawn(self._join())
         self._tasks.every(CHECK_INTERVAL_S, self._prober.check)
         self._tasks.every(HOUSEKEEPING_S, self._housekeeping)
+        self._tasks.every(TICK_S, self._follow_rollouts)
 
     async def _join(self) -> None:
         """Open the links to the other VMs once this one is registered."""
@@ -263,7 +292,7 @@
         node = PeerNode(
             peer_settings,
             self.fleet.inventory(),
-            (STORE_ITEM, ENDPOINT_LOAD, VM_REPORT, CRASHES),
+            (STORE_ITEM, ENDPOINT_LOAD, VM_REPORT, CRASHES, ROLLOUT_PROGRESS, ROLLOUT_VETO),
             self.registry,
             self._rng,
         )
@@ -275,6 +304,7 @@
         )
         node.on_forward(ForwardedRequests(self._parts.wire, self.runner).handle)
         self._relay.connect(node)
+        self.rollouts.connect(node)
         crashes = CrashReports(node, self.quarantine, time.time)
         self.runner.on_quarantine = crashes.publish
         reports = LoadReports(
@@ -411,6 +441,15 @@
         self.allowances.set_isolated(is_isolated, now)
         self.allowances.rebalance(now)
 
+    def _follow_rollouts(self) -> None:
+        """Judge the versions of ordered rollouts and write the states that are due."""
+        self._record_follower.set_wanted(bool(self.rollouts.active()))
+        self.rollouts.tick()
+        self._records.write_due()
+
+    def _live_vms(self) -> frozenset[VmId]:
+        return frozenset(row.vm for row in self.fleet.live())
+
     def _share_watches(self, now: float) -> None:
         """Watch the store, or leave that to others and rely on what they relay."""
         region_vms = self.fleet.region_vms(self.settings.region)
--- a/src/mangosaddle/entry/_ports.py
+++ b/src/mangosaddle/entry/_ports.py
@@ -7,6 +7,7 @@
 from .._identifiers import EndpointId
 from ..http11 import ServerExchange
 from ._discovery import Discovery
+from ._rollout_records import RolloutCodec
 from ._sources import DecodeCatalogue, DecodeRegistration, DecodeZone
 from ._wire import WireFormat
 
@@ -33,6 +34,7 @@
     """Keys of the endpoints in the store."""
     decode_registration: DecodeRegistration
     endpoint_of_key: Callable[[str], EndpointId]
+    rollouts: RolloutCodec
     interfaces: Callable[[Discovery, Callable[[], bool], float], Interfaces]
     """Returns the handler of readiness and discovery calls; the last argument is the longest life
     of a discovery answer in seconds."""
--- /dev/null
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -0,0 +1,342 @@
+"""Lets the requests of one VM follow the ordered rollouts of all services."""
+
+import itertools
+import logging
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from .._identifiers import ServiceName, VmId
+from ..membership import GROW_ONLY, PER_ORIGIN, Fact, FactKind
+from ..peers import PeerNode
+from ..rollouts import (
+    EvidenceError,
+    OrderedRollout,
+    RolloutOrder,
+    RolloutPolicy,
+    RolloutRecord,
+    RolloutState,
+    Veto,
+)
+from ..traffic import (
+    ANY_VERSION,
+    USUAL_PACE_S,
+    Endpoints,
+    Place,
+    RoutedRequest,
+    VersionChoice,
+)
+from ._attempt import AttemptEnd, AttemptResult
+from ._settings import FleetBounds
+
+ROLLOUT_PROGRESS = FactKind("rollout_progress", PER_ORIGIN, lifetime_s=60.0, reconciled=False)
+"""Evidence and progress of one VM; the key is the service."""
+ROLLOUT_VETO = FactKind("rollout_veto", GROW_ONLY, lifetime_s=3600.0)
+"""A version that has failed its order; the key names service, version and order."""
+TICK_S = 0.25
+INTERVAL_PER_VM_S = 0.02
+"""Interval of a VM's progress for each VM of the fleet, where that is longer than a tick."""
+OVERDUE_FACTOR = 4.0
+"""Multiple of its expected time from which a request counts as slow before it has ended."""
+FAILURE_STATUS = 500
+"""Status from which an answer counts as the endpoint's failure, not the request's fault."""
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class TrackedAttempt:
+    """A request at an endpoint."""
+
+    service: ServiceName
+    version: str
+    route: str
+    endpoint: str
+    sent_s: float
+    start_s: float
+    """Time expected to the first byte, at the usual speed."""
+    tokens: int
+    """Tokens that are expected to be generated."""
+    counted: bool = False
+    """Whether its outcome is in the evidence already."""
+
+    def slowness(self, tokens: int, now: float) -> float:
+        """Return the time taken, as a multiple of the expected time with so many tokens."""
+        return (now - self.sent_s) / (self.start_s + tokens * USUAL_PACE_S)
+
+
+class Rollouts:
+    """Orders by service, with what requests and other VMs tell about them; event loop only."""
+
+    def __init__(
+        self,
+        own: VmId,
+        endpoints: Endpoints,
+        bounds: Callable[[], FleetBounds],
+        live_vms: Callable[[], Collection[VmId]],
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Create without orders; ``connect`` adds the links to other VMs."""
+        self._own = own
+        self._endpoints = endpoints
+        self._bounds = bounds
+        self._live_vms = live_vms
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._node: PeerNode | None = None
+        self._rollouts_by_service: dict[ServiceName, OrderedRollout] = {}
+        self._barred_by_service: dict[ServiceName, set[str]] = {}
+        """Versions that were rejected, or whose order was replaced before it ended."""
+        self._attempts_by_number: dict[int, TrackedAttempt] = {}
+        self._numbers = itertools.count(1)
+        self._running: Counter[tuple[ServiceName, str]] = Counter()
+        self._fact_numbers = itertools.count(1)
+        self._publish_at_s = 0.0
+
+    def connect(self, node: PeerNode) -> None:
+        """Exchange progress and vetoes over the links of a node."""
+        self._node = node
+        node.on_fact(ROLLOUT_PROGRESS.name, self._progress_received)
+        node.on_fact(ROLLOUT_VETO.name, self._veto_received)
+        for rollout in self.active():
+            self._take_known_veto(rollout)
+
+    # Orders
+
+    def ordered(self, order: RolloutOrder, *, is_new: bool) -> None:
+        """Take an order; ``is_new`` is false if it may have been given long ago."""
+        known = self._rollouts_by_service.get(order.service)
+        if known is not None and known.order.revision >= order.revision:
+            return
+        barred = self._barred_by_service.setdefault(order.service, set())
+        if known is not None and known.end is not RolloutState.MOVED:
+            barred.add(known.order.target)
+        barred.discard(order.target)
+        bounds = self._bounds()
+        policy = RolloutPolicy.for_order(
+            order.duration_s, bounds.exposure_share, bounds.exposure_slack
+        )
+        now = self._clock()
+        rollout = OrderedRollout(self._own, order, policy, now, is_new=is_new)
+        self._rollouts_by_service[order.service] = rollout
+        self._take_known_veto(rollout)
+        self._log("rollout ordered", rollout, duration_s=order.duration_s, is_new=is_new)
+
+    def withdrawn(self, service: ServiceName) -> None:
+        """Forget the order of a service; a version that had not taken over stays out."""
+        rollout = self._rollouts_by_service.pop(service, None)
+        if rollout is None:
+            return
+        if rollout.end is not RolloutState.MOVED:
+            self._barred_by_service.setdefault(service, set()).add(rollout.order.target)
+        self._log("rollout withdrawn", rollout)
+
+    def keep_orders(self, services: Collection[ServiceName]) -> None:
+        """Forget the orders of all other services."""
+        for service in self._rollouts_by_service.keys() - set(services):
+            self.withdrawn(service)
+
+    def recorded(self, service: ServiceName, record: RolloutRecord | None) -> None:
+        """Learn what the store shows for a service; ``None`` if it shows nothing."""
+        rollout = self._rollouts_by_service.get(service)
+        if rollout is None:
+            return
+        if record is None or record.order != rollout.order.revision:
+            rollout.is_known = True
+            return
+        if not rollout.is_known and record.began_at_s > 0:
+            rollout.has_run_for(self._wall_clock() - record.began_at_s, self._clock())
+        rollout.is_known = True
+        if rollout.end is not None:
+            return
+        rollout.record = record
+        if rollout.end is None:
+            return
+        if rollout.end is RolloutState.TAKEN_BACK:
+            self._barred_by_service.setdefault(service, set()).add(rollout.order.target)
+        if rollout.end is RolloutState.MOVED and rollout.reason:
+            self._log("rejected version was completed by another VM", rollout)
+        self._log("rollout ended", rollout, state=rollout.end.value)
+
+    def active(self) -> list[OrderedRollout]:
+        """Return the rollouts that have not ended."""
+        return [row for row in self._rollouts_by_service.values() if row.end is None]
+
+    # Requests
+
+    def choices(self, request: RoutedRequest, *, again: bool) -> tuple[VersionChoice, ...]:
+        """Return the versions for a request, preferred first; ``again`` after a failed attempt."""
+        service = request.service
+        barred = self._barred_by_service.get(service)
+        rollout = self._rollouts_by_service.get(service)
+        if rollout is None:
+            return (VersionChoice(barred=frozenset(barred)),) if barred else ANY_VERSION
+        target = VersionChoice(only=rollout.order.target)
+        others = VersionChoice(barred=frozenset({rollout.order.target, *(barred or ())}))
+        if rollout.is_rejected:
+            return (others,)
+        now = self._clock()
+        if rollout.prefers_target(request.id, now):
+            # A request that failed at the target gets the version that is known to work.
+            return (others, target) if again and rollout.end is None else (target, others)
+        return (others,) if self._endpoints.registry.regions(service, others) else (others, target)
+
+    def started(self, request: RoutedRequest, place: Place, now: float) -> int:
+        """Count a request that is being sent, and return the number of its attempt."""
+        view = place.endpoint
+        version = view.registration.version
+        number = next(self._numbers)
+        self._attempts_by_number[number] = TrackedAttempt(
+            request.service,
+            version,
+            request.route_name,
+            view.id,
+            now,
+            view.load.sound_forecast_s(place.work, now),
+            request.prompt.expected_tokens if request.prompt is not None else 0,
+        )
+        self._running[request.service, version] += 1
+        rollout = self._rollouts_by_service.get(request.service)
+        if rollout is not None:
+            rollout.started(version)
+        return number
+
+    def ended(self, number: int, result: AttemptResult | None, tokens: int, now: float) -> None:
+        """Count the outcome of an attempt; ``None`` if it was given up without one."""
+        attempt = self._attempts_by_number.pop(number)
+        key = (attempt.service, attempt.version)
+        self._running[key] -= 1
+        if not self._running[key]:
+            del self._running[key]
+        rollout = self._rollouts_by_service.get(attempt.service)
+        if rollout is None or result is None or attempt.counted:
+            return
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.REJECTED):
+            return
+        status = result.answer.status if result.answer is not None else FAILURE_STATUS
+        is_failure = result.end is not AttemptEnd.DELIVERED and status >= FAILURE_STATUS
+        slowness = None if is_failure else attempt.slowness(tokens, now)
+        lost_endpoint = attempt.endpoint if result.connection_lost else None
+        rollout.answered(attempt.version, attempt.route, slowness, lost_endpoint, now)
+
+    def _count_overdue(self, now: float) -> None:
+        """Let requests that take far too long show before they end."""
+        for attempt in self._attempts_by_number.values():
+            rollout = self._rollouts_by_service.get(attempt.service)
+            if rollout is None or rollout.end is not None or attempt.counted:
+                continue
+            slowness = attempt.slowness(attempt.tokens, now)
+            if slowness >= OVERDUE_FACTOR:
+                attempt.counted = True
+                rollout.answered(attempt.version, attempt.route, slowness, None, now)
+
+    # Decisions
+
+    def tick(self) -> None:
+        """Judge the versions and tell the other VMs; to be called every ``TICK_S``."""
+        now = self._clock()
+        active = self.active()
+        if not active:
+            return
+        self._count_overdue(now)
+        for rollout in active:
+            for veto in rollout.judge(now):
+                self._log("version rejected", rollout, reason=veto.reason)
+                self._publish_veto(rollout)
+        if now >= self._publish_at_s:
+            interval_s = max(TICK_S, INTERVAL_PER_VM_S * (len(self._live_vms()) + 1))
+            self._publish_at_s = now + interval_s - TICK_S / 2
+            for rollout in active:
+                self._publish(ROLLOUT_PROGRESS.name, rollout, now)
+
+    def state_to_write(self, rollout: OrderedRollout) -> RolloutState | None:
+        """Return the state that the store should show for a rollout and does not."""
+        now = self._clock()
+        others = [vm for vm in self._live_vms() if vm != self._own]
+        running = self._old_running(rollout)
+        return rollout.state_to_write(
+            others, running, has_successors=self._has_successors(rollout), now=now
+        )
+
+    def _old_running(self, rollout: OrderedRollout) -> int:
+        service, target = rollout.order.service, rollout.order.target
+        return sum(
+            count
+            for (name, version), count in self._running.items()
+            if name == service and version != target
+        )
+
+    def _has_successors(self, rollout: OrderedRollout) -> bool:
+        """Return whether the target has endpoints in each region where other versions have."""
+        service, target = rollout.order.service, rollout.order.target
+        registry = self._endpoints.registry
+        new = registry.regions(service, VersionChoice(only=target))
+        old = registry.regions(service, VersionChoice(barred=frozenset({target})))
+        return bool(new) and old <= new
+
+    # Other VMs
+
+    def _publish(self, kind: str, rollout: OrderedRollout, now: float) -> None:
+        if self._node is None:
+            return
+        payload = rollout.payload(self._old_running(rollout), now)
+        number = next(self._fact_numbers)
+        fact = self._node.new_fact(kind, rollout.order.service, number, payload)
+        self._node.publish(fact)
+
+    def _publish_veto(self, rollout: OrderedRollout) -> None:
+        if self._node is not None:
+            key = _veto_key(rollout.order)
+            fact = self._node.new_fact(ROLLOUT_VETO.name, key, 1, rollout.reason.encode())
+            self._node.publish(fact)
+
+    def _progress_received(self, fact: Fact) -> None:
+        rollout = self._rollouts_by_service.get(ServiceName(fact.key))
+        if fact.origin == self._own or rollout is None or rollout.end is not None:
+            return
+        try:
+            rollout.include(fact.origin, fact.incarnation, fact.payload, self._clock())
+        except EvidenceError as error:
+            logger.warning(
+                "progress of a rollout cannot be read",
+                extra={"vm": fact.origin, "service": fact.key, "cause": str(error)},
+            )
+
+    def _veto_received(self, fact: Fact) -> None:
+        rollout = next(
+            (row for row in self.active() if _veto_key(row.order) == fact.key),
+            None,
+        )
+        if rollout is None or rollout.is_rejected:
+            return
+        reason = fact.payload.decode("utf-8", "replace")
+        order = rollout.order
+        rollout.include_vetoes([Veto(order.service, order.target, reason, fact.origin, 0.0)])
+        self._log("version rejected by another VM", rollout, from_vm=fact.origin, reason=reason)
+
+    def _take_known_veto(self, rollout: OrderedRollout) -> None:
+        """Take a veto that other VMs knew before this one knew the order."""
+        if self._node is not None:
+            fact = self._node.facts.find(ROLLOUT_VETO.name, _veto_key(rollout.order))
+            if fact is not None:
+                self._veto_received(fact)
+
+    def _log(self, message: str, rollout: OrderedRollout, **fields: object) -> None:
+        now = self._clock()
+        order = rollout.order
+        logger.info(
+            message,
+            extra={
+                "service": order.service,
+                "target": order.target,
+                "order": order.revision,
+                "elapsed_s": round(rollout.elapsed_s(now), 2),
+                "share": round(rollout.share(now), 3),
+                **fields,
+            },
+        )
+
+
+def _veto_key(order: RolloutOrder) -> str:
+    return f"{order.service}@{order.target}@{order.revision}"
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -24,6 +24,7 @@
 )
 from ._attempt import AttemptEnd, AttemptResult, EndpointCaller, StreamProgress
 from ._results import AnswerSink, Ending, RunResult
+from ._rollouts import Rollouts
 
 MAX_TRIES = 4
 """Endpoints that are tried for one request, those that rejected it or were not reached included."""
@@ -64,6 +65,7 @@
         placement: Placement,
         caller: EndpointCaller,
         quarantine: Quarantine,
+        rollouts: Rollouts,
         region_vms: Callable[[], Collection[VmId]],
         new_budget: Callable[[], RetryBudget],
         wall_clock: Callable[[], float],
@@ -81,6 +83,7 @@
         self._placement = placement
         self._caller = caller
         self._quarantine = quarantine
+        self._rollouts = rollouts
         self._region_vms = region_vms
         self._new_budget = new_budget
         self._wall_clock = wall_clock
@@ -128,7 +131,8 @@
         reachable = self.forwarder.regions() if self.forwarder is not None else ()
         regions = [region for region in reachable if region not in tried_regions]
         now = asyncio.get_running_loop().time()
-        return self._placement.decide(request, self._region_vms(), regions, tried, now)
+        versions = self._rollouts.choices(request, again=bool(tried))
+        return self._placement.decide(request, self._region_vms(), regions, tried, now, versions)
 
     async def attempt(
         self,
@@ -141,15 +145,19 @@
         """Run one attempt and take its outcome into the beliefs about the endpoint."""
         view = place.endpoint
         now = asyncio.get_running_loop().time()
+        number = self._rollouts.started(request, place, now)
         view.load.started(request.id, place.work, place.forecast_s, now)
         if view.cold.is_cold(now):
             view.cold.sent()
         if request.prompt is not None:
             view.prefixes.remember(request.prompt.model, request.prompt.parts)
         view.health.tried_at_s = now
+        result: AttemptResult | None = None
         try:
             result = await self._caller.run(request, opaque, place, progress, sink)
         finally:
+            tokens = view.load.tokens_of(request.id)
+            self._rollouts.ended(number, result, tokens, asyncio.get_running_loop().time())
             view.load.ended(request.id)
         self._learn(request, view, result)
         return result
--- a/src/mangosaddle/entry/_settings.py
+++ b/src/mangosaddle/entry/_settings.py
@@ -30,6 +30,10 @@
     """Longest time for which callers may keep a discovery answer."""
     rollback_s: float
     """Time after its fault has shown in which a bad version has to be out of use."""
+    exposure_share: float = 0.1
+    """Part of a service's requests that a bad version may get until the deadline of its order."""
+    exposure_slack: float = 50.0
+    """Requests that it may get beside that part."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mangosaddle/entry/_sources.py
+++ b/src/mangosaddle/entry/_sources.py
@@ -9,6 +9,8 @@
 from .._identifiers import EndpointId, RegionName, VmId, ZoneName
 from ..coordination import LEASE_S, Item, Removal, Snapshot, VmRecord
 from ..traffic import Catalogue, Endpoints, Registration
+from ._rollout_records import RolloutCodec
+from ._rollouts import Rollouts
 from ._state import CatalogueHolder
 
 LAPSE_GRACE_S = 2.3
@@ -25,7 +27,7 @@
 
 
 class OperatorSource:
-    """Follows the operator's configuration and the evacuated zones."""
+    """Follows the operator's configuration, the evacuated zones and the orders of rollouts."""
 
     def __init__(
         self,
@@ -34,9 +36,13 @@
         zone_of_key: DecodeZone,
         catalogue: CatalogueHolder,
         endpoints: Endpoints,
+        rollouts: Rollouts,
+        codec: RolloutCodec,
         clock: Callable[[], float],
     ) -> None:
         """Create the listener."""
+        self._rollouts = rollouts
+        self._codec = codec
         self._configuration_key = configuration_key
         self._decode = decode
         self._zone_of_key = zone_of_key
@@ -49,18 +55,30 @@
         """Take all items."""
         del after_outage  # The operator's keys have no lease, so they do not lapse.
         zones = set()
+        services = set()
         for item in snapshot.items:
             zone = self._zone_of_key(item.key)
+            service = self._codec.service_of_order_key(item.key)
             if zone is not None:
                 zones.add(zone)
+            elif service is not None:
+                services.add(service)
+                self._order(item, is_new=False)
             elif item.key == self._configuration_key:
                 self._publish(item)
         self._evacuate(zones)
+        self._rollouts.keep_orders(services)
 
     def changed(self, event: Item | Removal) -> None:
         """Take one change."""
         zone = self._zone_of_key(event.key)
-        if zone is not None:
+        service = self._codec.service_of_order_key(event.key)
+        if service is not None:
+            if isinstance(event, Item):
+                self._order(event, is_new=True)
+            else:
+                self._rollouts.withdrawn(service)
+        elif zone is not None:
             zones = set(self._evacuated)
             zones.discard(zone)
             if isinstance(event, Item):
@@ -69,6 +87,16 @@
         elif event.key == self._configuration_key and isinstance(event, Item):
             self._publish(event)
 
+    def _order(self, item: Item, *, is_new: bool) -> None:
+        decoded = self._codec.decode_order(item.key, item.value, item.revision)
+        if isinstance(decoded, Failure):
+            logger.error(
+                "order of a rollout is refused",
+                extra={"key": item.key, "findings": [decoded.failure()]},
+            )
+            return
+        self._rollouts.ordered(decoded.unwrap(), is_new=is_new)
+
     def _publish(self, item: Item) -> None:
         """Bring an encoded configuration into force if it is newer."""
         decoded = self._decode(item.value)
--- a/src/mangosaddle/platform/_run.py
+++ b/src/mangosaddle/platform/_run.py
@@ -11,6 +11,7 @@
 
 from ..entry import AdapterParts, EntryProcess, EntryProcessSettings, LogOutput
 from . import _requests as wire
+from . import _rollouts as rollouts
 from ._configuration import (
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
@@ -40,6 +41,7 @@
         registration_prefix=REGISTRATION_PREFIX,
         decode_registration=decode_registration,
         endpoint_of_key=endpoint_of_key,
+        rollouts=rollouts,
         interfaces=PlatformInterfaces,
     )
 
--- a/src/mangosaddle/platform/_settings.py
+++ b/src/mangosaddle/platform/_settings.py
@@ -41,6 +41,8 @@
     quota_slack: float = Field(default=0, ge=0)
     ttl_max_s: float = Field(default=5, gt=0)
     rollback_ms: float = Field(default=5000, gt=0)
+    exposure_share: float = Field(default=0.1, ge=0)
+    exposure_slack: float = Field(default=50, ge=0)
 
 
 class _Platform(BaseModel):
@@ -152,6 +154,8 @@
         allowance_slack=bounds.quota_slack,
         discovery_ttl_s=bounds.ttl_max_s,
         rollback_s=bounds.rollback_ms / MS_PER_S,
+        exposure_share=bounds.exposure_share,
+        exposure_slack=bounds.exposure_slack,
     )
 
 
--- a/src/mangosaddle/rollouts/__init__.py
+++ b/src/mangosaddle/rollouts/__init__.py
@@ -6,6 +6,7 @@
 from ._loads import EndpointVersions, LoadCost, LoadOrder, needed_s, plan_loads
 from ._order_holder import HolderState, OrderAnswer, OrderHolder
 from ._order_records import RolloutOrder, RolloutRecord
+from ._ordered import OrderedRollout
 from ._plan import share
 from ._policy import RolloutPolicy
 
@@ -19,6 +20,7 @@
     "LoadOrder",
     "OrderAnswer",
     "OrderHolder",
+    "OrderedRollout",
     "RolloutControl",
     "RolloutOrder",
     "RolloutPolicy",
--- a/src/mangosaddle/traffic/__init__.py
+++ b/src/mangosaddle/traffic/__init__.py
@@ -15,7 +15,7 @@
 from ._endpoints import Endpoints, EndpointView
 from ._events import EventSplitter, EventTooLargeError
 from ._health import Reach
-from ._load import ReportedLoad, Work
+from ._load import USUAL_PACE_S, ReportedLoad, Work
 from ._opaque import EndpointAnswer, OpaqueRequest
 from ._placement import (
     FULL_SHARE_OTHERS,
@@ -29,9 +29,12 @@
 )
 from ._registry import EndpointPhase, EndpointRegistry, Registration
 from ._requests import Prompt, PromptPart, RoutedRequest
+from ._versions import ANY_VERSION, VersionChoice
 
 __all__ = [
+    "ANY_VERSION",
     "FULL_SHARE_OTHERS",
+    "USUAL_PACE_S",
     "AllowanceLimits",
     "CallerLimits",
     "Catalogue",
@@ -64,6 +67,7 @@
     "RoutedRequest",
     "ServiceShare",
     "ServiceSpec",
+    "VersionChoice",
     "Work",
     "allowed_regions",
 ]
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -163,16 +163,28 @@
 
     def forecast_s(self, work: Work, now: float) -> float:
         """Return the expected time to the first byte of the answer."""
+        return self._forecast_s(work, now, self.slowness)
+
+    def sound_forecast_s(self, work: Work, now: float) -> float:
+        """Return the same for an endpoint of the usual speed, whatever has been observed."""
+        return self._forecast_s(work, now, 1.0)
+
+    def tokens_of(self, request_id: str) -> int:
+        """Return the tokens that have been generated for a request in flight."""
+        entry = self._in_flight_by_id.get(request_id)
+        return entry.tokens if entry is not None else 0
+
+    def _forecast_s(self, work: Work, now: float, slowness: float) -> float:
         running = self.running(now)
         full_s = max(0.0, self._full_until_s - now)
         if self.memory_tokens is None:
             queued = max(0, running + 1 - self.slots)
             # One that is faster than expected has no more room than others, so it is not preferred.
-            return full_s + max(1.0, self.slowness) * FIRST_STEP_S * (1 + queued / self.slots)
+            return full_s + max(1.0, slowness) * FIRST_STEP_S * (1 + queued / self.slots)
         waiting = self.unread_tokens(now)
         read_s = (waiting + work.unread_tokens) / READ_TOKENS_PER_S
         wait_s = full_s + self._memory_wait_s(work, running, now)
-        return wait_s + self.slowness * (read_s + FIRST_STEP_S)
+        return wait_s + slowness * (read_s + FIRST_STEP_S)
 
     def _memory_wait_s(self, work: Work, running: int, now: float) -> float:
         """Return the wait for a slot or memory: a part of the time that running requests take."""
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -15,6 +15,7 @@
 from ._endpoints import Endpoints, EndpointView
 from ._load import READ_TOKENS_PER_S, USUAL_PACE_S, Work
 from ._requests import RoutedRequest
+from ._versions import ANY_VERSION, VersionChoice
 
 REGION_ROUND_TRIP_S = 0.2
 """Time that another region adds to the first event: the usual round trip and the VM there."""
@@ -166,12 +167,30 @@
         reachable_regions: Iterable[RegionName],
         tried: Collection[EndpointId],
         now: float,
+        versions: Sequence[VersionChoice] = ANY_VERSION,
     ) -> Place | Elsewhere | NoPlace:
-        """Return where a request should run now."""
-        local = self._local(request, region_vms, tried, now)
-        remote = self._remote(request, reachable_regions, now)
+        """Return where a request should run now; ``versions`` are the choices, preferred first."""
+        regions = tuple(reachable_regions)
+        decision: Place | Elsewhere | NoPlace = NoPlace(RefusalCause.NO_ENDPOINT, 1.0)
+        for version in versions:
+            decision = self._decide_for(version, request, region_vms, regions, tried, now)
+            if not isinstance(decision, NoPlace):
+                break
+        return decision
+
+    def _decide_for(
+        self,
+        version: VersionChoice,
+        request: RoutedRequest,
+        region_vms: Collection[VmId],
+        reachable_regions: Iterable[RegionName],
+        tried: Collection[EndpointId],
+        now: float,
+    ) -> Place | Elsewhere | NoPlace:
+        local = self._local(version, request, region_vms, tried, now)
+        remote = self._remote(version, request, reachable_regions, now)
         if local is None and remote is None:
-            if request.prompt is not None and self._has_full(request, tried):
+            if request.prompt is not None and self._has_full(version, request, tried):
                 return NoPlace(RefusalCause.FULL, FULL_RETRY_S)
             return NoPlace(RefusalCause.NO_ENDPOINT, 1.0)
         if local is None or (remote is not None and remote.cost_s + SPILL_GAIN_S < local.cost_s):
@@ -206,13 +225,18 @@
         cause = RefusalCause.LATE_END if end_late_s > start_late_s else RefusalCause.LATE_START
         return NoPlace(cause, max(MIN_RETRY_S, late_s), place.forecast_s, place.pace_s)
 
-    def _has_full(self, request: RoutedRequest, tried: Collection[EndpointId]) -> bool:
+    def _has_full(
+        self, version: VersionChoice, request: RoutedRequest, tried: Collection[EndpointId]
+    ) -> bool:
         """Return whether engines of the region are left out only because they are full."""
         views = self._endpoints.usable(request.service)
-        return any(view.id not in tried for view in views)
+        return any(
+            view.id not in tried and version.allows(view.registration.version) for view in views
+        )
 
     def _local(
         self,
+        version: VersionChoice,
         request: RoutedRequest,
         region_vms: Collection[VmId],
         tried: Collection[EndpointId],
@@ -225,7 +249,11 @@
         usual = self._endpoints.usual_failure_rate(request.service)
         sound: list[Place] = []
         faulty: list[Place] = []
-        views = self._endpoints.usable(request.service)
+        views = [
+            view
+            for view in self._endpoints.usable(request.service)
+            if version.allows(view.registration.version)
+        ]
         named = _named_by_hash(request, views)
         for view in views:
             if view.id in tried:
@@ -251,12 +279,16 @@
         )
 
     def _remote(
-        self, request: RoutedRequest, reachable: Iterable[RegionName], now: float
+        self,
+        version: VersionChoice,
+        request: RoutedRequest,
+        reachable: Iterable[RegionName],
+        now: float,
     ) -> Elsewhere | None:
         if request.forwarded:
             return None
         best: Elsewhere | None = None
-        serving = self._endpoints.registry.regions(request.service)
+        serving = self._endpoints.registry.regions(request.service, version)
         for region in reachable:
             if region not in serving or not request.allows(region):
                 continue
--- a/src/mangosaddle/traffic/_registry.py
+++ b/src/mangosaddle/traffic/_registry.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from .._identifiers import EndpointId, RegionName, ServiceName, ZoneName
+from ._versions import ALL_VERSIONS, VersionChoice
 
 
 class EndpointPhase(StrEnum):
@@ -108,12 +109,15 @@
         is_ready = registration.phase is EndpointPhase.READY
         return is_ready and registration.zone not in self._evacuated
 
-    def regions(self, service: ServiceName) -> frozenset[RegionName]:
-        """Return the regions with endpoints of a service that take new work."""
+    def regions(
+        self, service: ServiceName, versions: VersionChoice = ALL_VERSIONS
+    ) -> frozenset[RegionName]:
+        """Return the regions with endpoints of a service and versions that take new work."""
         return frozenset(
             region
             for (name, region) in self._ids_by_service
-            if name == service and any(True for _ in self.serving(service, region))
+            if name == service
+            and any(versions.allows(row.version) for row in self.serving(service, region))
         )
 
     def _unindex(self, registration: Registration) -> None:
--- /dev/null
+++ b/tests/entry/test_rollout_records.py
@@ -0,0 +1,152 @@
+"""Writes of the state of a rollout to a store that conflicts, fails, and loses answers."""
+
+import asyncio
+from collections.abc import Sequence
+from types import SimpleNamespace
+from typing import Any, cast
+
+from mangosaddle._identifiers import ServiceName, VersionId, VmId
+from mangosaddle._tasks import BackgroundTasks
+from mangosaddle.coordination import (
+    CoordinationStore,
+    Item,
+    OutcomeUnknownError,
+    Put,
+    RevisionConflictError,
+    StoreUnavailableError,
+)
+from mangosaddle.entry._rollout_records import RETRY_S, RolloutRecords
+from mangosaddle.entry._rollouts import Rollouts
+from mangosaddle.platform import _rollouts as codec
+from mangosaddle.rollouts import RolloutOrder, RolloutRecord, RolloutState
+
+SERVICE = ServiceName("engine")
+KEY = codec.status_key(SERVICE)
+OWN = VmId("vm-1")
+
+
+class FakeStore:
+    """Holds one key; each of ``faults`` strikes one write."""
+
+    def __init__(self) -> None:
+        """Begin without the key."""
+        self.item: Item | None = None
+        self.writes: list[int] = []
+        self.faults: list[Exception] = []
+        self.revision = 10
+
+    async def write(
+        self,
+        puts: Sequence[Put],
+        *,
+        expected: Sequence[tuple[str, int]] = (),
+        removed: Sequence[str] = (),
+    ) -> int:
+        """Write under the condition, or fail as told; an unknown outcome has taken effect."""
+        fault = self.faults.pop(0) if self.faults else None
+        if isinstance(fault, StoreUnavailableError):
+            raise fault
+        if expected[0][1] != (self.item.revision if self.item is not None else 0):
+            raise RevisionConflictError("a key has changed")
+        self.put(puts[0].value)
+        if fault is not None:
+            raise fault
+        return self.revision
+
+    def put(self, value: bytes) -> None:
+        """Replace the value."""
+        self.revision += 1
+        self.writes.append(self.revision)
+        self.item = Item(KEY, value, self.revision)
+
+    async def find(self, key: str) -> Item | None:
+        """Return the key."""
+        return self.item
+
+
+class Vm:
+    """Records of one VM whose rollout wants a state."""
+
+    def __init__(self, store: FakeStore, wanted: RolloutState | None) -> None:
+        """Create with a rollout that runs."""
+        self.now = 100.0
+        self.wanted = wanted
+        self.seen: list[RolloutState | None] = []
+        self.tasks = BackgroundTasks()
+        order = RolloutOrder(SERVICE, VersionId("v2"), 10.0, 7)
+        rollout = SimpleNamespace(order=order, reason="", elapsed_s=lambda now: 1.0)
+        rollouts: Any = SimpleNamespace(
+            active=lambda: [rollout],
+            state_to_write=lambda rollout: self.wanted,
+            recorded=self._recorded,
+        )
+        self.records = RolloutRecords(
+            OWN,
+            cast("CoordinationStore", store),
+            codec,
+            cast("Rollouts", rollouts),
+            lambda: [OWN],
+            self.tasks,
+            lambda: self.now,
+        )
+
+    def _recorded(self, service: ServiceName, record: RolloutRecord | None) -> None:
+        self.seen.append(record.state if record is not None else None)
+        if record is not None and record.state is self.wanted:
+            self.wanted = None
+
+    async def pass_time(self) -> None:
+        """Let writes that are due run to their end."""
+        self.records.write_due()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.now += RETRY_S
+
+
+def _run(store: FakeStore, wanted: RolloutState, rounds: int = 4) -> Vm:
+    async def _body() -> Vm:
+        vm = Vm(store, wanted)
+        for _ in range(rounds):
+            await vm.pass_time()
+        return vm
+
+    return asyncio.run(_body())
+
+
+def _states(store: FakeStore) -> RolloutState:
+    assert store.item is not None
+    return codec.decode_status(KEY, store.item.value).unwrap().state
+
+
+def test_a_state_is_written_once() -> None:
+    """Guards against a write per tick."""
+    store = FakeStore()
+    _run(store, RolloutState.MOVING)
+    assert len(store.writes) == 1
+
+
+def test_a_store_that_is_away_only_delays_the_write() -> None:
+    """Guards against a rejected version that is never shown as rolled back."""
+    store = FakeStore()
+    store.faults = [StoreUnavailableError("away"), StoreUnavailableError("away")]
+    _run(store, RolloutState.TAKEN_BACK)
+    assert _states(store) is RolloutState.TAKEN_BACK
+
+
+def test_a_write_whose_answer_is_lost_is_read_back() -> None:
+    """Guards against a second write for a lost answer."""
+    store = FakeStore()
+    store.faults = [OutcomeUnknownError("no answer")]
+    vm = _run(store, RolloutState.TAKEN_BACK)
+    assert len(store.writes) == 1
+    assert vm.seen == [RolloutState.TAKEN_BACK]
+
+
+def test_an_end_that_another_vm_has_written_is_never_replaced() -> None:
+    """Guards against a fleet that completes a version that it has rolled back, or the reverse."""
+    store = FakeStore()
+    end = RolloutRecord(SERVICE, VersionId("v2"), RolloutState.TAKEN_BACK, 7, 0.0)
+    store.put(codec.encode_status(end))
+    vm = _run(store, RolloutState.MOVED, rounds=1)
+    assert vm.seen == [RolloutState.TAKEN_BACK]
+    assert _states(store) is RolloutState.TAKEN_BACK
--- a/tests/traffic/test_placement.py
+++ b/tests/traffic/test_placement.py
@@ -1,5 +1,7 @@
 """Choice of an endpoint, each test under the load that it answers."""
 
+from dataclasses import replace
+
 import pytest
 
 from mangosaddle._identifiers import EndpointId, RegionName, ServiceName, VmId, ZoneName
@@ -25,6 +27,7 @@
     RoutedRequest,
     ServiceShare,
     ServiceSpec,
+    VersionChoice,
 )
 
 ENGINE = ServiceName("engine")
@@ -234,3 +237,34 @@
 def test_tried_endpoints_are_left_out(endpoints: Endpoints, regions: RegionReports) -> None:
     """Guards against a second attempt at the endpoint that failed the first."""
     assert _chosen(_decide(endpoints, regions, _request(), tried=("a",))) == "b"
+
+
+def test_a_request_falls_back_to_the_second_choice_of_versions(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Guards against refusals while the new version has no endpoint that can be reached."""
+    endpoints.registered(replace(_registration("c"), version="v2"), NOW)
+    placement = Placement(OWN, endpoints, regions)
+    new, old = VersionChoice(only="v2"), VersionChoice(barred=frozenset({"v2"}))
+
+    def _placed(*versions: VersionChoice, tried: tuple[str, ...] = ()) -> str:
+        names = [EndpointId(name) for name in tried]
+        return _chosen(placement.decide(_request(), [OWN], [], names, NOW, versions))
+
+    assert _placed(new, old) == "c"
+    assert _placed(new, old, tried=("c",)) in ("a", "b")
+    assert _placed(old, tried=("a",)) == "b"
+
+
+def test_no_request_goes_to_a_region_that_has_only_barred_versions(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Guards against a rejected version that gets the requests of other regions."""
+    for name in ("a", "b"):
+        endpoints.removed(EndpointId(name))
+    endpoints.registered(replace(_registration("far", WEST), version="v2"), NOW)
+    regions.received(ENGINE, WEST, RegionReport(0.0, 1, 0.008, 0, NOW))
+    placement = Placement(OWN, endpoints, regions)
+    old = VersionChoice(barred=frozenset({"v2"}))
+    assert isinstance(placement.decide(_request(), [OWN], [WEST], (), NOW, (old,)), NoPlace)
+    assert isinstance(placement.decide(_request(), [OWN], [WEST], (), NOW), Elsewhere)
