--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -31,6 +31,7 @@
     Catalogue,
     DemandShares,
     Endpoints,
+    HomeDemand,
     Placement,
     RegionReports,
 )
@@ -123,6 +124,7 @@
             settings.bounds.allowance_slack * ALLOWANCE_SLACK_SHARE,
             first_start=settings.first_start,
         )
+        self.home_demand = HomeDemand()
         self.watch_duty = WatchDuty(settings.vm, settings.region)
         self.rollouts = Rollouts(
             settings.vm,
@@ -154,6 +156,7 @@
             self.catalogue,
             self.allowances,
             self.quarantine,
+            self.home_demand,
             self.runner,
             self.registry,
             self._rng,
@@ -225,7 +228,9 @@
         self._presence = Presence(self._store, VM_PREFIX + settings.vm, self._record, self._rng)
 
     def _assemble_servers(self) -> None:
-        discovery = Discovery(self.fleet, lambda: self.catalogue.current, self._rng)
+        discovery = Discovery(
+            self.fleet, lambda: self.catalogue.current, self.home_demand, self._rng, self._clock
+        )
         interfaces = self._parts.interfaces(
             discovery, self.is_ready, self.settings.bounds.discovery_ttl_s
         )
@@ -402,6 +407,7 @@
     def _catalogue_changed(self, catalogue: Catalogue) -> None:
         now = self._clock()
         self.endpoints.set_catalogue(catalogue)
+        self.home_demand.retain(catalogue.routes_by_host.keys())
         limits = {
             organisation.id: AllowanceLimits(organisation.rate_per_s, organisation.burst)
             for organisation in catalogue.organisations_by_id.values()
@@ -412,7 +418,7 @@
     def _vms_changed(self) -> None:
         records = dict(self._vms.records_by_vm)
         records[self.settings.vm] = self._record
-        self.fleet.set_records(records)
+        self.fleet.set_records(records, self._vms.revisions_by_vm)
         self.allowances.set_vms(self.fleet.all_vms(), self._clock())
         extra_retries = self.settings.bounds.extra_retries
         self.runner.resize_budgets(part_of_reserve(extra_retries, len(self.fleet.all_vms())))
