Give up responses without end as soon as a bound is passed

Finding: UpstreamConnection bounded an unfinished head (64 KiB) and the data of a whole body, and nothing else. Informational responses, late responses to other requests and their bodies, and framing around tiny chunks (extensions) could go on until the request's deadline; so could a head that drips, also one whose first bytes are no response. A head that arrived complete was never checked for its size. Buffered bytes were parsed without giving other tasks a turn, and a body of tiny chunks was held as one object a chunk.

Ruled out by reading h11 0.16: quadratic searching in a head, chunk size or trailer that drips. Its buffer keeps where it has searched; deleting the front of a bytearray is amortised linear. Guards that passed on the old code stay: endless header value, lines, name, reason, text without a line end, body with and without a length, chunk, chunks, chunk size, one chunk extension, trailer, trailers; pieces of a sound response; bare line feeds; hints with pauses.

Change: HeadGuard checks status line and header names as bytes arrive, with bounds of 64 KiB, 256 lines and 1 s from a head's first byte. At most 16 informational and 8 late responses, each late one within 1 MiB and 1 s. Framing is at most 64 KiB and 16 B a byte of data. After 64 parts other tasks run. whole_body takes a bound on time that grows with the bytes, and a share of BodyMemory. Passing a bound raises EndlessResponseError, a BadResponseError, and aborts the connection.

Old code: 19 of 40 new tests failed (endless informational, chunk extensions, late body, late responses; 5 drips; 7 kinds of bytes that are no response; a head of 40,000 lines; turns "0 >= 80"; memory "1005506 < 160000", B for 16,000 B of body). New code: 40 passed. tests/platform/test_runner_answers.py: 38 of 40 passed, 2 failed to bind 127.77.15.1:7601 and 127.77.16.1:7601 ("address already in use"): test runs of others on this machine use the same addresses.

--- a/src/mangosaddle/http11/__init__.py
+++ b/src/mangosaddle/http11/__init__.py
@@ -4,9 +4,11 @@
 because the truth of a refusal depends on it.
 """
 
+from ._body_memory import BodyMemory, BodyShare
 from ._exceptions import (
     BadResponseError,
     ConnectFailedError,
+    EndlessResponseError,
     HttpError,
     RequestTimeoutError,
     ResponseBrokenError,
@@ -19,8 +21,11 @@
 
 __all__ = [
     "BadResponseError",
+    "BodyMemory",
+    "BodyShare",
     "ConnectFailedError",
     "ConnectionPool",
+    "EndlessResponseError",
     "HeaderList",
     "HeaderView",
     "HttpError",
--- a/src/mangosaddle/http11/_exceptions.py
+++ b/src/mangosaddle/http11/_exceptions.py
@@ -25,5 +25,9 @@
     """The peer sent bytes that are no response to the request."""
 
 
+class EndlessResponseError(BadResponseError):
+    """The peer sent more, or for longer, than a response may take."""
+
+
 class RequestTimeoutError(HttpError):
     """The peer did not answer in time."""
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -8,12 +8,15 @@
 
 import h11
 
+from ._body_memory import BodyShare
 from ._exceptions import (
     BadResponseError,
     ConnectFailedError,
+    EndlessResponseError,
     RequestTimeoutError,
     ResponseBrokenError,
 )
+from ._head_guard import HEAD_BYTES, HeadGuard
 from ._headers import HeaderList, HeaderView
 from ._sockets import set_liveness
 
@@ -21,8 +24,25 @@
 
 BUFFER_BYTES = 256 * 1024
 """Unread bytes of a response beyond which the socket is not read."""
-HEAD_BYTES = 64 * 1024
-"""Largest head of a response."""
+HEAD_S = 1.0
+"""Longest time from the first byte of a head to its end: a head fits into a few packets, and the
+network sends lost ones again within this time."""
+MAX_INFORMATIONAL = 16
+"""Informational responses that may precede a response."""
+MAX_SKIPPED = 8
+"""Late responses to earlier requests that are skipped."""
+SKIP_BYTES = 1024 * 1024
+"""Largest body of a late response that is skipped; a new connection is cheaper beyond it."""
+SKIP_S = 1.0
+"""Longest time from the head of a late response to its end: it was complete before."""
+FRAMING_BYTES = 64 * 1024
+FRAMING_PER_BYTE = 16
+"""Bytes of framing that a body may have beside its data: these, and a multiple of the data. A
+chunk of one byte has five."""
+BODY_RATE = 64 * 1024
+"""Bytes of a body per second that prolong a bound on its time."""
+EVENTS_PER_TURN = 64
+"""Parts of a response that are parsed before other tasks get their turn."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +95,12 @@
         self._closing = False
         self._seen_bytes = False
         self._framed = True
+        self._guard = HeadGuard()
+        self._head_deadline_s: float | None = None
+        self._wire_bytes = 0
+        """Bytes of the body as received."""
+        self._data_bytes = 0
+        self._events_in_turn = 0
 
     @classmethod
     async def open(cls, host: str, port: int, timeout_s: float) -> Self:
@@ -128,6 +154,11 @@
         open_ = self._transport is not None and not self._transport.is_closing()
         return open_ and self._complete and not self._closing and not self._ended
 
+    @property
+    def answering(self) -> bool:
+        """Return whether a response has begun and not ended."""
+        return self._seen_bytes and not self._complete
+
     def send(self, request: UpstreamRequest) -> None:
         """Write a request; its body has to be whole."""
         if self._transport is None or not self.usable:
@@ -143,6 +174,7 @@
     def _start(self, request: UpstreamRequest) -> bytes:
         """Begin a new cycle of the parser and return the bytes of the request."""
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+        self._expect_head()
         headers = [*request.headers, (b"content-length", str(len(request.body)).encode())]
         if not request.body and request.method in (b"GET", b"HEAD", b"DELETE"):
             headers = request.headers
@@ -164,17 +196,31 @@
 
         Raises ``ResponseBrokenError`` and ``BadResponseError``.
         """
+        informational = skipped = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL:
+                    raise self._endless(f"more than {MAX_INFORMATIONAL} informational responses")
+                self._expect_head()
                 continue
             if not isinstance(event, h11.Response):
                 raise self._bad(f"unexpected {type(event).__name__}")
             head = self._head_of(event)
             if self._is_own(head):
                 return head
+            skipped += 1
+            if skipped > MAX_SKIPPED:
+                raise self._endless(f"more than {MAX_SKIPPED} responses to other requests")
             await self._skip()
 
+    def _expect_head(self) -> None:
+        self._guard = HeadGuard()
+        self._head_deadline_s = None
+        self._wire_bytes = 0
+        self._data_bytes = 0
+
     def _head_of(self, event: h11.Response) -> ResponseHead:
         headers = event.headers.raw_items()
         view = HeaderView(headers)
@@ -200,13 +246,19 @@
         """Read past a response that belongs to an earlier request."""
         if not self._framed:
             raise self._bad("response to another request without a length")
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
-            pass
+        try:
+            async with asyncio.timeout(SKIP_S):
+                while not isinstance(await self._next_event(), h11.EndOfMessage):
+                    if self._data_bytes > SKIP_BYTES:
+                        raise self._endless(f"late response exceeds {SKIP_BYTES} B")
+        except TimeoutError as error:
+            raise self._endless(f"late response took longer than {SKIP_S} s") from error
         rest, _ = self._parser.trailing_data
         assert self._request is not None
         self._start(self._request)
         if rest:
-            self._parser.receive_data(rest)
+            self._received.appendleft(rest)
+            self._received_bytes += len(rest)
 
     async def body(self) -> bytes | None:
         """Return the next part of the body, or ``None`` at its end.
@@ -224,16 +276,33 @@
         self._complete = True
         return None
 
-    async def whole_body(self, limit_bytes: int) -> bytes:
-        """Return the rest of the body; raises as ``body``, also for one above the limit."""
-        parts: list[bytes] = []
-        size_bytes = 0
-        while (part := await self.body()) is not None:
-            parts.append(part)
-            size_bytes += len(part)
-            if size_bytes > limit_bytes:
-                raise self._bad(f"body exceeds {limit_bytes} B")
-        return b"".join(parts)
+    async def whole_body(
+        self, limit_bytes: int, *, time_s: float | None = None, share: BodyShare | None = None
+    ) -> bytes:
+        """Return the rest of the body.
+
+        Raises as ``body``, also for a body above the limit, for one that takes longer than
+        ``time_s`` and the time for its bytes at ``BODY_RATE``, and for one that finds no memory.
+        """
+        body = bytearray()
+        clock = asyncio.get_running_loop().time
+        began_s = clock()
+        while True:
+            deadline_s = None if time_s is None else began_s + time_s + len(body) / BODY_RATE
+            try:
+                async with asyncio.timeout_at(deadline_s):
+                    part = await self.body()
+            except TimeoutError as error:
+                raise self._endless(f"{len(body)} B of a body in {clock() - began_s:.1f} s") from (
+                    error
+                )
+            if part is None:
+                return bytes(body)
+            body += part
+            if len(body) > limit_bytes:
+                raise self._endless(f"body exceeds {limit_bytes} B")
+            if share is not None and not share.grow(len(part)):
+                raise self._endless(f"no memory for a body of more than {len(body)} B")
 
     async def _next_event(self) -> Any:  # noqa: ANN401
         while True:
@@ -244,25 +313,73 @@
                     raise self._broken() from error
                 raise self._bad(str(error)) from error
             if event is not h11.NEED_DATA:
+                if isinstance(event, h11.Data):
+                    self._data_bytes += len(event.data)
+                await self._take_turns()
                 return event
             await self._feed()
 
+    async def _take_turns(self) -> None:
+        """Let other tasks run now and then while buffered bytes are parsed."""
+        self._events_in_turn += 1
+        if self._events_in_turn >= EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await asyncio.sleep(0)
+
     async def _feed(self) -> None:
         """Give the parser the next bytes, or the end of a response that ends with it."""
-        while not self._received:
-            if self._ended:
-                if self._error is not None or self._framed:
-                    raise self._broken()
-                self._parser.receive_data(b"")
-                return
-            self._wake.clear()
-            await self._wake.wait()
+        if not await self._more():
+            if self._error is not None or self._framed:
+                raise self._broken()
+            self._parser.receive_data(b"")
+            return
         data = self._received.popleft()
+        if self._guard.complete:
+            self._count_framing(len(data))
+        else:
+            data = self._head_part(data)
         self._received_bytes -= len(data)
         if self._transport is not None and self._received_bytes <= BUFFER_BYTES // 2:
             self._transport.resume_reading()
         self._parser.receive_data(data)
 
+    async def _more(self) -> bool:
+        """Wait for bytes; returns False at the end of the connection."""
+        try:
+            async with asyncio.timeout_at(self._head_deadline_s):
+                while not self._received and not self._ended:
+                    self._events_in_turn = 0
+                    self._wake.clear()
+                    await self._wake.wait()
+        except TimeoutError as error:
+            raise self._endless(f"head took longer than {HEAD_S} s") from error
+        return bool(self._received)
+
+    def _head_part(self, data: bytes) -> bytes:
+        """Return the part that belongs to the head; the rest is kept."""
+        try:
+            size = self._guard.take(data)
+        except BadResponseError as error:
+            if self._ended:
+                raise self._broken() from error
+            self.abort()
+            raise
+        if size < len(data):
+            self._received.appendleft(data[size:])
+        if self._guard.complete:
+            self._head_deadline_s = None
+        elif self._head_deadline_s is None:
+            self._head_deadline_s = asyncio.get_running_loop().time() + HEAD_S
+        return data[:size]
+
+    def _count_framing(self, size_bytes: int) -> None:
+        """Note bytes of the body; whatever came before them has been parsed."""
+        if self._wire_bytes - self._data_bytes > FRAMING_BYTES + FRAMING_PER_BYTE * (
+            self._data_bytes
+        ):
+            raise self._endless(f"{self._wire_bytes} B for {self._data_bytes} B of a body")
+        self._wire_bytes += size_bytes
+
     def _broken(self) -> ResponseBrokenError:
         self.abort()
         reset = self._error is not None
@@ -273,6 +390,10 @@
         self.abort()
         return BadResponseError(message)
 
+    def _endless(self, message: str) -> EndlessResponseError:
+        self.abort()
+        return EndlessResponseError(message)
+
     def abort(self) -> None:
         """Close at once; the server sees that the request is not wanted any more."""
         self._closing = True
