Let the receiver of a forward check the homes of the request

Finding: a forwarded request carries no homes, and the VM that runs it took any. A VM that knows an older configuration (cut off from the store and from the links that relay it) forwards to a region that is no home any more, and its body reaches an endpoint there.

Ruled out: a forward that is passed on again (a forwarded request is never placed elsewhere, and PeerNode.forward dials the chosen VM itself, never through a third one); a VM of another region than the one that was chosen (a link is authenticated for its VM).

Change: ForwardedRequests matches route and organisation in its own configuration and answers 'not run' when its region is no home; the sender tries other homes or refuses with 503. A receiver with the older configuration may refuse in this way until it has the new one. Paths without a route there are left to the sender.

Before: test_a_region_that_is_no_home_any_more_runs_no_forwarded_request fails (200 == 503). After: tests/platform/test_homes.py and test_links.py pass (13).

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -21,12 +21,14 @@
     PeerNode,
 )
 from ..traffic import (
+    Catalogue,
     OpaqueRequest,
     RegionReports,
     RequestKind,
     Route,
     RoutedRequest,
     ServiceShare,
+    allowed_regions,
 )
 from ._attempt import StreamProgress
 from ._results import AnswerSink, Ending, RunResult
@@ -186,16 +188,29 @@
 class ForwardedRequests:
     """Runs the requests that other VMs forward."""
 
-    def __init__(self, wire: WireFormat, runner: RequestRunner) -> None:
-        """Create the handler of forwarded requests."""
+    def __init__(
+        self,
+        wire: WireFormat,
+        runner: RequestRunner,
+        region: RegionName,
+        catalogue: Callable[[], Catalogue | None],
+    ) -> None:
+        """Create the handler of forwarded requests of a VM in a region."""
         self._wire = wire
         self._runner = runner
+        self._region = region
+        self._catalogue = catalogue
 
     async def handle(self, vm: VmId, forward: ForwardRequest) -> AsyncIterator[ForwardAnswer]:
         """Run a request and yield its answer; cancelled when the other VM gives it up."""
         if forward.opaque is None:
             yield ForwardEnd(False, Ending.NOT_RUN.value, "only opaque requests run here")
             return
+        if not self._is_home(forward, forward.opaque):
+            extra = {"request_id": forward.request_id, "from_vm": vm}
+            logger.warning("forwarded request is bound to other regions", extra=extra)
+            yield ForwardEnd(False, Ending.NOT_RUN.value, f"{self._region} is no home")
+            return
         now = asyncio.get_running_loop().time()
         request, opaque = self._decode(forward, forward.opaque, now)
         sink = LinkSink()
@@ -207,6 +222,21 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
+    def _is_home(self, forward: ForwardRequest, traffic: OpaqueTraffic) -> bool:
+        """Return whether a request may run here, by the configuration of this VM.
+
+        The other VM may know an older one.
+        """
+        catalogue = self._catalogue()
+        if catalogue is None:
+            return True
+        route = catalogue.match(traffic.host, forward.path.partition("?")[0])
+        if route is None:
+            return True
+        organisation = catalogue.organisations_by_id.get(forward.organisation)
+        regions = allowed_regions(route, organisation)
+        return regions is None or self._region in regions
+
     async def _run(
         self, request: RoutedRequest, opaque: OpaqueRequest, sink: LinkSink, vm: VmId
     ) -> None:
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -311,7 +311,13 @@
             lambda: self.fleet.vms_elsewhere(self.settings.region),
             self._rng,
         )
-        node.on_forward(ForwardedRequests(self._parts.wire, self.runner).handle)
+        forwarded = ForwardedRequests(
+            self._parts.wire,
+            self.runner,
+            self.settings.region,
+            lambda: self.catalogue.current,
+        )
+        node.on_forward(forwarded.handle)
         self._relay.connect(node)
         self.rollouts.connect(node)
         crashes = CrashReports(node, self.quarantine, time.time)
--- a/tests/platform/test_homes.py
+++ b/tests/platform/test_homes.py
@@ -4,13 +4,15 @@
 import json
 from typing import Any
 
-from mangosaddle._identifiers import RegionName
+from mangosaddle._identifiers import RegionName, ServiceName
+from mangosaddle.platform._configuration import decode_configuration
 from mangosaddle.traffic._home_demand import ASSUMED_REQUESTS
 from platform_standins import (
     Fleet,
     RunnerStandIn,
     run_fleet,
     run_scenario,
+    tenant,
     until,
     usual_configuration,
 )
@@ -70,3 +72,27 @@
         await draining
 
     run_fleet(_body)
+
+
+def test_a_region_that_is_no_home_any_more_runs_no_forwarded_request() -> None:
+    """Guards against a VM with an older configuration that forwards to a former home."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", usual_configuration())
+        runner = await fleet.add_runner(RunnerStandIn("desk-west", "desk", "west-a"))
+        east = await fleet.add_vm("vm-east", "east-a")
+        west = await fleet.add_vm("vm-west", "west-a")
+        await fleet.ready()
+        now = asyncio.get_running_loop().time
+        desk = ServiceName("desk")
+        await until(lambda: east.regions.find(desk, RegionName("west"), now()))
+        assert (await fleet.call(east, "/west/x")).status == 200
+        changed = usual_configuration(2, tenants=[tenant("acme", "key-1", home_regions=["east"])])
+        west.catalogue.apply(decode_configuration(json.dumps(changed).encode()).unwrap(), 1)
+        assert east.catalogue.version == 1
+        for path in ("/west/x", "/order/x"):
+            assert (await fleet.call(east, path)).status == 503
+        assert (await fleet.call(east, "/open/x", None)).status == 200
+        assert sum(runner.runs.values()) == 2
+
+    run_fleet(_body)
