Forget homes that only an older configuration has set

Finding: requests that were counted under homes which a new version drops kept their weight for minutes, so callers could be led to a region that is home to nothing any more.

Ruled out: clearing the counts with each version; versions come every few seconds at the target scale, and the counts would never fill.

Change: only sets of homes that some pair of route and organisation has in the present version count; an open route may be bound by an organisation whose key is shown.

--- a/src/mangosaddle/traffic/_home_demand.py
+++ b/src/mangosaddle/traffic/_home_demand.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Collection, Mapping
+from dataclasses import dataclass
 
 from .._identifiers import RegionName
 from ._catalogue import Catalogue, Organisation, allowed_regions
@@ -14,6 +15,16 @@
 Homes = frozenset[RegionName]
 
 
+@dataclass(frozen=True, slots=True)
+class _HostHomes:
+    """What the configuration says of a host's homes."""
+
+    possible: frozenset[Homes]
+    """Homes that some request for the host has."""
+    weights: Mapping[RegionName, float]
+    """Requests that are assumed for each region."""
+
+
 class HomeDemand:
     """Counts the requests that are bound to homes; all times are monotonic seconds."""
 
@@ -21,8 +32,8 @@
         """Create without requests."""
         self._counts_by_host: dict[str, dict[Homes, tuple[float, float]]] = {}
         """Count and time to which it has decayed, for each set of homes."""
-        self._assumed_by_host: dict[str, Mapping[RegionName, float]] = {}
-        self._assumed_version: int | None = None
+        self._homes_by_host: dict[str, _HostHomes] = {}
+        self._homes_version: int | None = None
 
     def noted(self, host: str, regions: Homes | None, now: float) -> None:
         """Take a request that may run in these regions; ``None`` for all."""
@@ -40,28 +51,31 @@
     def by_region(self, catalogue: Catalogue, host: str, now: float) -> Mapping[RegionName, float]:
         """Return the number of recent requests to which each region is a home.
 
-        While few have been seen, all routes and organisations are taken to send alike.
+        While few have been seen, all routes and organisations are taken to send alike. Homes that
+        only an older configuration has set do not count.
         """
-        host = host.lower()
-        weights = defaultdict(float, self._assumed(catalogue, host))
-        for homes, (count, at_s) in self._counts_by_host.get(host, {}).items():
+        homes_of_host = self._homes_of(catalogue, host.lower())
+        weights = defaultdict(float, homes_of_host.weights)
+        for homes, (count, at_s) in self._counts_by_host.get(host.lower(), {}).items():
+            if homes not in homes_of_host.possible:
+                continue
             for region in homes:
                 weights[region] += _decayed(count, now - at_s)
         return weights
 
-    def _assumed(self, catalogue: Catalogue, host: str) -> Mapping[RegionName, float]:
-        if catalogue.version != self._assumed_version:
-            self._assumed_version = catalogue.version
-            self._assumed_by_host = {}
+    def _homes_of(self, catalogue: Catalogue, host: str) -> _HostHomes:
+        if catalogue.version != self._homes_version:
+            self._homes_version = catalogue.version
+            self._homes_by_host = {}
         if host not in catalogue.routes_by_host:
-            return {}
-        assumed = self._assumed_by_host.get(host)
-        if assumed is None:
-            assumed = self._assumed_by_host[host] = _assume(catalogue, host)
-        return assumed
+            return _HostHomes(frozenset(), {})
+        homes = self._homes_by_host.get(host)
+        if homes is None:
+            homes = self._homes_by_host[host] = _configured(catalogue, host)
+        return homes
 
 
-def _assume(catalogue: Catalogue, host: str) -> Mapping[RegionName, float]:
+def _configured(catalogue: Catalogue, host: str) -> _HostHomes:
     """Spread ``ASSUMED_REQUESTS`` over all pairs of a route and an organisation."""
     # Of thousands of organisations most have the same homes.
     groups: dict[Homes, list[Organisation]] = defaultdict(list)
@@ -71,15 +85,16 @@
     for route in catalogue.routes_by_host[host]:
         if route.is_open or not groups:
             pairs[allowed_regions(route, None) or frozenset()] += 1
-            continue
         for group in groups.values():
-            pairs[allowed_regions(route, group[0]) or frozenset()] += len(group)
+            # A key is not needed on an open route, but binds if there is one.
+            number = 0 if route.is_open else len(group)
+            pairs[allowed_regions(route, group[0]) or frozenset()] += number
     del pairs[frozenset()]
     weights: dict[RegionName, float] = defaultdict(float)
     for homes, number in pairs.items():
         for region in homes:
-            weights[region] += ASSUMED_REQUESTS * number / pairs.total()
-    return weights
+            weights[region] += ASSUMED_REQUESTS * number / max(1, pairs.total())
+    return _HostHomes(frozenset(pairs), weights)
 
 
 def _decayed(count: float, age_s: float) -> float:
--- a/tests/catalogues.py
+++ b/tests/catalogues.py
@@ -10,6 +10,7 @@
     RequestKind,
     Route,
     ServiceShare,
+    ServiceSpec,
 )
 
 HOST = "example.test"
@@ -57,7 +58,10 @@
 
 
 def catalogue(
-    routes: Iterable[Route], organisations: Iterable[Organisation] = (), version: int = 1
+    routes: Iterable[Route],
+    organisations: Iterable[Organisation] = (),
+    version: int = 1,
+    services: Iterable[ServiceSpec] = (),
 ) -> Catalogue:
     """Return a configuration."""
-    return Catalogue.from_parts(version, routes, (), organisations, LIMITS)
+    return Catalogue.from_parts(version, routes, services, organisations, LIMITS)
--- a/tests/entry/test_discovery.py
+++ b/tests/entry/test_discovery.py
@@ -13,7 +13,7 @@
 from mangosaddle._identifiers import RegionName, VmId
 from mangosaddle.entry._discovery import Discovery
 from mangosaddle.entry._fleet_view import FleetView, LiveVm
-from mangosaddle.traffic import Catalogue, HomeDemand
+from mangosaddle.traffic import Catalogue, HomeDemand, Organisation, allowed_regions
 
 NOW = 100.0
 MAX_LIFE_S = 5.0
@@ -143,3 +143,43 @@
     away = _discovery("b", known).answer(HOST, RegionName("a"))
     assert away.life_s * KEPT <= MAX_LIFE_S
     assert away.life_s < home.life_s <= MAX_LIFE_S
+
+
+REGION_SETS = st.sets(st.sampled_from("abcd"), max_size=3)
+
+
+@given(
+    live=st.sets(st.sampled_from("abcd")),
+    route_homes=st.lists(REGION_SETS, min_size=1, max_size=4),
+    caller_homes=st.lists(REGION_SETS, max_size=3),
+    sent=st.lists(REGION_SETS, max_size=20),
+    region=st.sampled_from("abcd"),
+)
+@settings(derandomize=True, deadline=None, max_examples=400)
+def test_only_the_callers_region_and_homes_are_named_if_they_have_a_vm(
+    live: set[str],
+    route_homes: list[set[str]],
+    caller_homes: list[set[str]],
+    sent: list[set[str]],
+    region: str,
+) -> None:
+    """Guards against callers led to regions that are home to none of their requests."""
+    routes = [route(f"/r{n}/", homes) for n, homes in enumerate(route_homes)]
+    callers = [organisation(f"o{n}", homes) for n, homes in enumerate(caller_homes)]
+    demand = HomeDemand()
+    for homes in sent:
+        # Some of these belong to an older configuration.
+        demand.noted(HOST, homes_of(homes), NOW)
+    discovery = _discovery("".join(sorted(live)), catalogue(routes, callers), demand)
+    named = {vm.region for vm in discovery.answer(HOST, RegionName(region)).vms}
+    everyone: list[Organisation | None] = [*callers] or [None]
+    homes_at_all = {
+        home for one in routes for caller in everyone for home in allowed_regions(one, caller) or ()
+    }
+    if region in live:
+        assert named == {region}
+    elif homes_at_all & live:
+        assert named
+        assert named <= homes_at_all & live
+    else:
+        assert named == live
--- a/tests/traffic/test_home_demand.py
+++ b/tests/traffic/test_home_demand.py
@@ -100,20 +100,26 @@
     assert weights == pytest.approx({k: v * ASSUMED_REQUESTS for k, v in expected.items()})
 
 
-def test_an_open_route_is_not_bound_by_organisations() -> None:
+def test_an_open_route_is_bound_by_an_organisation_only_if_a_caller_names_it() -> None:
     """Guards against homes of organisations on routes that are used without a key."""
     known = catalogue([route("/r/", is_open=True)], [organisation("o", "a")])
-    assert HomeDemand().by_region(known, HOST, 0.0) == {}
+    demand = HomeDemand()
+    assert not any(demand.by_region(known, HOST, 0.0).values())
+    demand.noted(HOST, homes_of("a"), 0.0)
+    assert demand.by_region(known, HOST, 0.0) == pytest.approx({"a": 1.0})
 
 
-def test_homes_of_another_version_of_the_configuration_are_not_kept() -> None:
+def test_homes_of_another_version_of_the_configuration_do_not_count() -> None:
     """Guards against callers led to the homes of an older configuration."""
     demand = HomeDemand()
     demand.noted(HOST, homes_of("a"), 0.0)
-    first, second = (catalogue([route("/r/", "b")], version=v) for v in (1, 2))
-    third = catalogue([route("/r/", "c")], version=3)
-    for known, home in ((first, "b"), (second, "b"), (third, "c")):
-        weights = demand.by_region(known, HOST, HALF_LIFE_S)
-        assert weights == pytest.approx({"a": 0.5, home: ASSUMED_REQUESTS})
+    for version, home, expected in (
+        (1, "a", {"a": ASSUMED_REQUESTS + 0.5}),
+        (2, "b", {"b": ASSUMED_REQUESTS}),
+        (3, "a", {"a": ASSUMED_REQUESTS + 0.5}),
+    ):
+        known = catalogue([route("/r/", home)], version=version)
+        assert demand.by_region(known, HOST, HALF_LIFE_S) == pytest.approx(expected)
     demand.retain(())
-    assert demand.by_region(third, HOST, 0.0) == pytest.approx({"c": ASSUMED_REQUESTS})
+    known = catalogue([route("/r/", "a")])
+    assert demand.by_region(known, HOST, 0.0) == pytest.approx({"a": ASSUMED_REQUESTS})
