Refuse a request whose homes cannot be reached as such, not as a shortage

Finding: a prompt that may not run in the region of its VM was refused with cause 'full' when the region had engines: the log named a shortage that there was not, and the caller was asked to come back after 0.5 s. A request whose route and organisation have no common home took the same way.

Ruled out: that such a request waits.

Change: engines of a region in which the request may not run are not full for it.

Before: test_no_request_runs_or_is_forwarded_outside_its_homes fails in its last check (cause full) and test_a_request_without_a_common_home_is_not_refused_for_a_shortage[True]. After: tests/entry and tests/traffic pass. In no case, before or after, was a request placed or forwarded outside its homes.

--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -229,6 +229,8 @@
         self, version: VersionChoice, request: RoutedRequest, tried: Collection[EndpointId]
     ) -> bool:
         """Return whether engines of the region are left out only because they are full."""
+        if not request.allows(self._endpoints.own_region):
+            return False
         views = self._endpoints.usable(request.service)
         return any(
             view.id not in tried and version.allows(view.registration.version) for view in views
--- /dev/null
+++ b/tests/traffic/test_home_placement.py
@@ -0,0 +1,131 @@
+"""Homes bind every placement of a request."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catalogues import HOST, SERVICE, catalogue, homes_of, organisation, route
+from mangosaddle._identifiers import EndpointId, OrganisationId, RegionName, VmId, ZoneName
+from mangosaddle.traffic import (
+    Elsewhere,
+    EndpointPhase,
+    Endpoints,
+    EngineLimits,
+    NoPlace,
+    Place,
+    Placement,
+    Prompt,
+    RefusalCause,
+    RegionReport,
+    RegionReports,
+    Registration,
+    RoutedRequest,
+    ServiceSpec,
+    allowed_regions,
+)
+
+REGIONS = "abcd"
+OWN = RegionName("a")
+NOW = 100.0
+SPEC = ServiceSpec(SERVICE, "/health", 100, 0.0, 0.0, EngineLimits(10, 100_000, 7))
+SUBSETS = st.sets(st.sampled_from(REGIONS))
+
+
+def _registration(region: str) -> Registration:
+    return Registration(
+        id=EndpointId(f"endpoint-{region}"),
+        service=SERVICE,
+        host="127.0.0.1",
+        port=1000,
+        zone=ZoneName(f"{region}-a"),
+        region=RegionName(region),
+        version="v1",
+        slots=10,
+        phase=EndpointPhase.READY,
+        cold_s=0.0,
+        born_ms=None,
+    )
+
+
+def _request(
+    route_homes: set[str], caller_homes: set[str], *, has_prompt: bool, forwarded: bool
+) -> RoutedRequest:
+    """Return a request as the front desk routes it, or as it arrives from another VM."""
+    known = catalogue([route("/r/", route_homes)], [organisation("o", caller_homes)])
+    matched = known.match(HOST, "/r/x")
+    assert matched is not None
+    caller = known.organisations_by_id[OrganisationId("o")]
+    return RoutedRequest(
+        id="q",
+        route=matched,
+        service=SERVICE,
+        organisation=caller.id,
+        priority=1,
+        regions=allowed_regions(matched, caller),
+        prompt=Prompt("m", 500, 50, 50, ()) if has_prompt else None,
+        began_s=NOW,
+        deadline_s=NOW + 10.0,
+        forwarded=forwarded,
+    )
+
+
+def _decide(
+    request: RoutedRequest, serving: set[str], reported: set[str], reachable: set[str]
+) -> Place | Elsewhere | NoPlace:
+    """Place a request of region ``a``; the other regions report different waits."""
+    endpoints, reports = Endpoints(OWN), RegionReports()
+    endpoints.set_catalogue(catalogue([], services=[SPEC]))
+    for region in sorted(serving):
+        endpoints.registered(_registration(region), NOW)
+    for number, region in enumerate(sorted(reported - {OWN})):
+        report = RegionReport(0.1 * number, 1, 0.01, 0, NOW)
+        reports.received(SERVICE, RegionName(region), report)
+    regions = [RegionName(region) for region in sorted(reachable - {OWN})]
+    return Placement(VmId("vm-1"), endpoints, reports).decide(
+        request, [VmId("vm-1")], regions, (), NOW
+    )
+
+
+@given(
+    route_homes=SUBSETS,
+    caller_homes=SUBSETS,
+    serving=SUBSETS,
+    reported=SUBSETS,
+    reachable=SUBSETS,
+    has_prompt=st.booleans(),
+    forwarded=st.booleans(),
+)
+@settings(derandomize=True, deadline=None, max_examples=400)
+def test_no_request_runs_or_is_forwarded_outside_its_homes(
+    route_homes: set[str],
+    caller_homes: set[str],
+    serving: set[str],
+    reported: set[str],
+    reachable: set[str],
+    *,
+    has_prompt: bool,
+    forwarded: bool,
+) -> None:
+    """Guards against a home that is passed over because no other place is left."""
+    request = _request(route_homes, caller_homes, has_prompt=has_prompt, forwarded=forwarded)
+    decision = _decide(request, serving, reported, reachable)
+    allowed = (route_homes or set(REGIONS)) & (caller_homes or set(REGIONS))
+    usable = serving & {OWN}
+    if not forwarded:
+        usable |= serving & reported & reachable
+    if isinstance(decision, NoPlace):
+        assert not usable & allowed
+        assert decision.cause is RefusalCause.NO_ENDPOINT
+        return
+    region = OWN if isinstance(decision, Place) else decision.region
+    assert region in usable & allowed
+
+
+@pytest.mark.parametrize("has_prompt", [True, False])
+def test_a_request_without_a_common_home_is_not_refused_for_a_shortage(has_prompt: bool) -> None:
+    """Guards against callers that come back for a place that can never come."""
+    request = _request({"a"}, {"b"}, has_prompt=has_prompt, forwarded=False)
+    decision = _decide(request, {"a", "b"}, {"a", "b"}, {"a", "b"})
+    assert isinstance(decision, NoPlace)
+    assert decision.cause is RefusalCause.NO_ENDPOINT
+    assert request.regions == homes_of(())
