Forward to a region whose only VM has just begun to leave

Finding: on SIGTERM of the only VM of a region, the others took it off their forwards at once. The requests that are bound to that region and had come in elsewhere were refused with 503 from the signal on, though the VM serves for 3 s more.

Ruled out: a leaving VM that turns forwards away (it counts them as busy and waits for them); links that close when a VM leaves (they keep their heartbeats).

Change: a region without a live VM takes forwards by VMs that began to leave less than 2 s ago, by their entry and with links that are not silent.

Before: test_requests_bound_to_a_region_run_there_while_its_only_vm_leaves fails (503 == 200, cause no_endpoint). After: tests/entry, tests/platform and tests/traffic pass (251).

Limit: requests that are not bound may be placed there as well while it is the cheapest place, and a stream that lasts more than 5 s is then cut when the VM ends.

--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -1,7 +1,7 @@
 """Which VMs live, as one VM sees it."""
 
 import time
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from .._entities import Vm
@@ -11,6 +11,9 @@
 from ..peers import PeerNode
 
 UNUSABLE = (VmState.SUSPECTED, VmState.LEAVING, VmState.GONE)
+LEAVING_FORWARDS_S = 2.0
+"""Time for which the only VMs of a region take forwards after they have begun to leave; the rest
+of their time of grace is for the requests to end."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,13 +115,15 @@
 
         Those whose links are silent are left out.
         """
+        return [(vm, left_s) for vm, left_s in self._all_leaving() if vm.region == region]
+
+    def _all_leaving(self) -> list[tuple[LiveVm, float]]:
         now = self._clock()
         silent = (VmState.SUSPECTED, VmState.GONE)
         return [
             (_live(record), now - since_s)
             for vm, since_s in self._leaving_since_by_vm.items()
             if (record := self._records_by_vm.get(vm)) is not None
-            and record.region == region
             and (vm == self._own or self._state_of(record) not in silent)
         ]
 
@@ -127,11 +132,14 @@
         return [live.vm for live in self.live() if live.region == region]
 
     def vms_elsewhere(self, region: RegionName) -> dict[RegionName, list[VmId]]:
-        """Return the live VMs of all other regions."""
-        vms: dict[RegionName, list[VmId]] = {}
-        for live in self.live():
-            if live.region != region:
-                vms.setdefault(live.region, []).append(live.vm)
+        """Return the VMs of all other regions that take forwards.
+
+        These are the live ones, or if a region has none, those that have just begun to leave.
+        """
+        vms = _by_region(self.live())
+        leaving = [vm for vm, left_s in self._all_leaving() if left_s < LEAVING_FORWARDS_S]
+        vms = _by_region(leaving) | vms
+        vms.pop(region, None)
         return vms
 
     def all_vms(self) -> frozenset[VmId]:
@@ -143,5 +151,12 @@
         return self.node is None or not self.node.linked_vms()
 
 
+def _by_region(vms: Iterable[LiveVm]) -> dict[RegionName, list[VmId]]:
+    vms_by_region: dict[RegionName, list[VmId]] = {}
+    for vm in vms:
+        vms_by_region.setdefault(vm.region, []).append(vm.vm)
+    return vms_by_region
+
+
 def _live(record: VmRecord) -> LiveVm:
     return LiveVm(record.vm, record.region, record.host, record.front_port)
--- a/tests/entry/test_fleet_view.py
+++ b/tests/entry/test_fleet_view.py
@@ -79,3 +79,23 @@
     assert fleet.leaving(RegionName("elsewhere")) == []
     fleet.set_records({OTHER: replace(RECORD, incarnation=NEW)}, {OTHER: 9})
     assert fleet.leaving(RECORD.region) == []
+
+
+@pytest.mark.parametrize(
+    ("has_other", "left_s", "expected"),
+    [(False, 0.5, [OTHER]), (False, 2.5, []), (True, 0.5, [VmId("vm-3")])],
+)
+def test_a_leaving_vm_takes_forwards_only_while_its_region_has_no_other(
+    has_other: bool, left_s: float, expected: list[VmId]
+) -> None:
+    """Guards against refused requests of a region, and against work for a VM that ends."""
+    now = 10.0
+    third = replace(RECORD, vm=VmId("vm-3"), incarnation=NEW)
+    records = {OTHER: RECORD} | ({third.vm: third} if has_other else {})
+    fleet = FleetView(OWN, lambda: True, lambda: now)
+    fleet.set_records(records, {})
+    fleet.set_records(records | {OTHER: replace(RECORD, leaving=True)}, {})
+    now += left_s
+    vms = fleet.vms_elsewhere(RegionName("a"))
+    assert vms.get(RECORD.region, []) == expected
+    assert fleet.vms_elsewhere(RECORD.region) == {}
--- a/tests/platform/test_homes.py
+++ b/tests/platform/test_homes.py
@@ -96,3 +96,27 @@
         assert sum(runner.runs.values()) == 2
 
     run_fleet(_body)
+
+
+def test_requests_bound_to_a_region_run_there_while_its_only_vm_leaves() -> None:
+    """Guards against refusals for as long as a VM still serves."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", usual_configuration())
+        runner = await fleet.add_runner(RunnerStandIn("desk-west", "desk", "west-a"))
+        east = await fleet.add_vm("vm-east", "east-a")
+        west = await fleet.add_vm("vm-west", "west-a")
+        await fleet.ready()
+        now = asyncio.get_running_loop().time
+        desk = ServiceName("desk")
+        await until(lambda: east.regions.find(desk, RegionName("west"), now()))
+        draining = asyncio.create_task(west.drain())
+        await until(lambda: east.fleet.leaving(RegionName("west")))
+        assert (await fleet.call(east, "/west/x")).status == 200
+        assert sum(runner.runs.values()) == 1
+        await until(lambda: not east.fleet.vms_elsewhere(RegionName("east")))
+        assert not west.desk.refuses_new
+        assert (await fleet.call(east, "/west/x")).status == 503
+        await draining
+
+    run_fleet(_body)
