--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -255,6 +255,11 @@
             "Version of the configuration in force",
             lambda: self.catalogue.version or 0,
         )
+        self.add_gauge(
+            "mangosaddle_rollouts_active",
+            "Ordered rollouts that have not ended",
+            lambda: len(self.rollouts.active()),
+        )
         self.add_gauge(
             "mangosaddle_store_contact_age_seconds",
             "Time since the store answered last",
--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -36,6 +36,8 @@
 TICK_S = 0.25
 INTERVAL_PER_VM_S = 0.02
 """Interval of a VM's progress for each VM of the fleet, where that is longer than a tick."""
+JUDGE_INTERVAL_PER_VM_S = 0.01
+"""The same for judging the versions: its work grows with the counters of the fleet."""
 OVERDUE_FACTOR = 4.0
 """Multiple of its expected time from which a request counts as slow before it has ended."""
 FAILURE_STATUS = 500
@@ -92,6 +94,7 @@
         self._numbers = itertools.count(1)
         self._running: Counter[tuple[ServiceName, str]] = Counter()
         self._fact_numbers = itertools.count(1)
+        self._judge_at_s = 0.0
         self._publish_at_s = 0.0
 
     def connect(self, node: PeerNode) -> None:
@@ -240,15 +243,20 @@
         if not active:
             return
         self._count_overdue(now)
-        for rollout in active:
-            for veto in rollout.judge(now):
-                self._log("version rejected", rollout, reason=veto.reason)
-                self._publish_veto(rollout)
+        vms = len(self._live_vms())
+        if now >= self._judge_at_s:
+            self._judge_at_s = _next_s(now, vms * JUDGE_INTERVAL_PER_VM_S)
+            for rollout in active:
+                self._judge(rollout, now)
         if now >= self._publish_at_s:
-            interval_s = max(TICK_S, INTERVAL_PER_VM_S * (len(self._live_vms()) + 1))
-            self._publish_at_s = now + interval_s - TICK_S / 2
+            self._publish_at_s = _next_s(now, vms * INTERVAL_PER_VM_S)
             for rollout in active:
-                self._publish(ROLLOUT_PROGRESS.name, rollout, now)
+                self._publish_progress(rollout, now)
+
+    def _judge(self, rollout: OrderedRollout, now: float) -> None:
+        for veto in rollout.judge(now):
+            self._log("version rejected", rollout, reason=veto.reason)
+            self._publish_veto(rollout)
 
     def state_to_write(self, rollout: OrderedRollout) -> RolloutState | None:
         """Return the state that the store should show for a rollout and does not."""
@@ -277,13 +285,12 @@
 
     # Other VMs
 
-    def _publish(self, kind: str, rollout: OrderedRollout, now: float) -> None:
-        if self._node is None:
-            return
-        payload = rollout.payload(self._old_running(rollout), now)
-        number = next(self._fact_numbers)
-        fact = self._node.new_fact(kind, rollout.order.service, number, payload)
-        self._node.publish(fact)
+    def _publish_progress(self, rollout: OrderedRollout, now: float) -> None:
+        if self._node is not None:
+            payload = rollout.payload(self._old_running(rollout), now)
+            kind, number = ROLLOUT_PROGRESS.name, next(self._fact_numbers)
+            fact = self._node.new_fact(kind, rollout.order.service, number, payload)
+            self._node.publish(fact)
 
     def _publish_veto(self, rollout: OrderedRollout) -> None:
         if self._node is not None:
@@ -338,5 +345,10 @@
         )
 
 
+def _next_s(now: float, interval_s: float) -> float:
+    """Return when something is due again, half a tick early so that jitter passes no tick over."""
+    return now + max(TICK_S, interval_s) - TICK_S / 2
+
+
 def _veto_key(order: RolloutOrder) -> str:
     return f"{order.service}@{order.target}@{order.revision}"
