--- a/src/mangosaddle/entry/_ports.py
+++ b/src/mangosaddle/entry/_ports.py
@@ -35,6 +35,5 @@
     decode_registration: DecodeRegistration
     endpoint_of_key: Callable[[str], EndpointId]
     rollouts: RolloutCodec
-    interfaces: Callable[[Discovery, Callable[[], bool], float], Interfaces]
-    """Returns the handler of readiness and discovery calls; the last argument is the longest life
-    of a discovery answer in seconds."""
+    interfaces: Callable[[Discovery, Callable[[], bool]], Interfaces]
+    """Returns the handler of readiness and discovery calls."""
