Take a forwarded request's route from the receiver's configuration

VMs of the version before drop a message with another field without an answer (found by the work on homes), so the label of the route does not travel: the receiver matches host and path itself, as it does for homes. Ruled out: a default for the field; the decoder of the other side refuses it.

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -180,7 +180,6 @@
             gap_target_ms=int(route.gap_target_s * MS_PER_S),
             fingerprint=request.fingerprint,
             resume_after=-1 if resume_after is None else resume_after,
-            route_name=request.route_name,
         ),
     )
 
@@ -206,13 +205,15 @@
         if forward.opaque is None:
             yield ForwardEnd(False, Ending.NOT_RUN.value, "only opaque requests run here")
             return
-        if not self._is_home(forward, forward.opaque):
+        known = self._route(forward, forward.opaque)
+        if known is not None and not self._is_home(forward, known):
             extra = {"request_id": forward.request_id, "from_vm": vm}
             logger.warning("forwarded request is bound to other regions", extra=extra)
             yield ForwardEnd(False, Ending.NOT_RUN.value, f"{self._region} is no home")
             return
         now = asyncio.get_running_loop().time()
-        request, opaque = self._decode(forward, forward.opaque, now)
+        label = known.label if known is not None else ""
+        request, opaque = self._decode(forward, forward.opaque, label, now)
         sink = LinkSink()
         task = asyncio.create_task(self._run(request, opaque, sink, vm))
         try:
@@ -222,17 +223,20 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-    def _is_home(self, forward: ForwardRequest, traffic: OpaqueTraffic) -> bool:
+    def _route(self, forward: ForwardRequest, traffic: OpaqueTraffic) -> Route | None:
+        """Return the route of a request by the configuration of this VM."""
+        catalogue = self._catalogue()
+        if catalogue is None:
+            return None
+        return catalogue.match(traffic.host, forward.path.partition("?")[0])
+
+    def _is_home(self, forward: ForwardRequest, route: Route) -> bool:
         """Return whether a request may run here, by the configuration of this VM.
 
         The other VM may know an older one.
         """
         catalogue = self._catalogue()
-        if catalogue is None:
-            return True
-        route = catalogue.match(traffic.host, forward.path.partition("?")[0])
-        if route is None:
-            return True
+        assert catalogue is not None
         organisation = catalogue.organisations_by_id.get(forward.organisation)
         regions = allowed_regions(route, organisation)
         return regions is None or self._region in regions
@@ -259,7 +263,7 @@
             await sink.end(end)
 
     def _decode(
-        self, forward: ForwardRequest, traffic: OpaqueTraffic, now: float
+        self, forward: ForwardRequest, traffic: OpaqueTraffic, route_label: str, now: float
     ) -> tuple[RoutedRequest, OpaqueRequest]:
         headers = [(field.name, field.value) for field in traffic.headers]
         left_s = traffic.left_ms / MS_PER_S
@@ -292,7 +296,7 @@
             began_s=now,
             deadline_s=now + left_s,
             fingerprint=traffic.fingerprint,
-            route_name=traffic.route_name,
+            route_label=route_label,
             forwarded=True,
         )
         opaque = OpaqueRequest(
--- a/src/mangosaddle/entry/_front_desk.py
+++ b/src/mangosaddle/entry/_front_desk.py
@@ -166,7 +166,7 @@
             began_s=began_s,
             deadline_s=began_s + patience_s,
             fingerprint=fingerprint(caller, opaque.path, opaque.body),
-            route_name=route.name or f"{route.host}{route.prefix}",
+            route_label=route.label,
         )
 
     def _service(self, route: Route) -> ServiceName:
--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -193,7 +193,7 @@
         self._attempts_by_number[number] = TrackedAttempt(
             request.service,
             version,
-            request.route_name,
+            request.route_label,
             view.id,
             now,
             view.load.sound_forecast_s(place.work, now),
--- a/src/mangosaddle/peers/_messages.py
+++ b/src/mangosaddle/peers/_messages.py
@@ -111,7 +111,6 @@
     fingerprint: str
     resume_after: int
     """Number of the last event that the caller has; -1 if it has none."""
-    route_name: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mangosaddle/traffic/_catalogue.py
+++ b/src/mangosaddle/traffic/_catalogue.py
@@ -56,6 +56,11 @@
     home_regions: frozenset[RegionName]
     """Regions in which the requests may run; empty for all."""
 
+    @property
+    def label(self) -> str:
+        """Return a text that identifies the route, also if it has no name."""
+        return self.name or f"{self.host}{self.prefix}"
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request may run again after an attempt with an unknown outcome."""
--- a/src/mangosaddle/traffic/_requests.py
+++ b/src/mangosaddle/traffic/_requests.py
@@ -52,8 +52,8 @@
     """Monotonic time at which the caller gives up or the route's time is over."""
     fingerprint: str = ""
     """Digest that is equal for repetitions of the same request."""
-    route_name: str = ""
-    """Name of the route by which the caller's VM has routed it."""
+    route_label: str = ""
+    """Label of the route that leads to the service; empty if this VM does not know it."""
     forwarded: bool = False
     """Whether another VM has passed it on."""
 
--- a/tests/entry/test_rollout_choices.py
+++ b/tests/entry/test_rollout_choices.py
@@ -76,7 +76,7 @@
 
 def _request(id_: str = "r") -> RoutedRequest:
     request: Any = type("Request", (), {})()
-    request.id, request.service, request.prompt, request.route_name = id_, SERVICE, None, "route"
+    request.id, request.service, request.prompt, request.route_label = id_, SERVICE, None, "route"
     return cast("RoutedRequest", request)
 
 
