Give up endpoints that send without end, and avoid them

Finding: once the first byte had come, only a request's deadline bounded its attempt. Callers of requests that may be repeated got 504 although another endpoint was idle, requests that run once got 504 after their whole time, and an attempt that the deadline cancelled did not count in the endpoint's health. A part of an event counted as a sign of life.

Ruled out: health checks (1 s and 64 KiB already).

Change: the wait for the usual time of a route covers the whole head, and the body of an answer that may be asked for elsewhere, prolonged by 64 KiB a second. The body of a failure or rejection has 1 s and 1 MiB. Between the events of a resumable stream only whole events count. Whole answers share 32 MiB, those below 64 KiB aside. A body has at most 4,096 parts and one for 64 B (streams: 4). An endpoint that passes a bound gets no work before a sound health check; a rejection without an end counts as may have run. An answer that has begun when the deadline cancels it counts as broken.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -1,16 +1,20 @@
 """One attempt of a request at one endpoint."""
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from enum import StrEnum
 
 from .._identifiers import EndpointId
 from ..http11 import (
     BadResponseError,
+    BodyMemory,
     ConnectFailedError,
     ConnectionPool,
+    EndlessResponseError,
     HeaderList,
     ResponseBrokenError,
+    ResponseHead,
     UpstreamConnection,
 )
 from ..traffic import (
@@ -34,6 +38,17 @@
 endpoint that closes it at the same moment would leave the outcome unknown."""
 MAX_WHOLE_BYTES = 8 * 1024 * 1024
 """Largest answer that is held before it is passed on."""
+HELD_BYTES = 32 * 1024 * 1024
+"""Answers of a VM that are held at the same time, small ones aside: a tenth of its memory."""
+FAILURE_BYTES = 1024 * 1024
+"""Largest body of an answer by which an endpoint rejects or fails a request."""
+FAILURE_S = 1.0
+"""Longest time from the head of such an answer to its end, beside the time for its bytes: no work
+precedes its body."""
+OVERDUE_S = 0.001
+"""Time before a request's deadline at which it counts as over: more than a clock's step."""
+
+logger = logging.getLogger(__name__)
 
 
 class AttemptEnd(StrEnum):
@@ -80,6 +95,7 @@
         self._pool = pool
         self.connections_opened = 0
         self._patience = Patience()
+        self._memory = BodyMemory(HELD_BYTES)
         self._repeatable_by_endpoint: dict[EndpointId, set[UpstreamConnection]] = {}
 
     async def run(
@@ -118,17 +134,25 @@
             connection.send(encoded)
             sent_s = clock()
             async with asyncio.timeout(self._patience.first_byte_s(request, left_s)):
-                await connection.wait_for_data()
+                head = await connection.head()
             waited_s = clock() - sent_s
-            result = await self._receive(request, connection, view, progress, sink)
+            result = await self._receive(request, connection, head, view, progress, sink)
         except ResponseBrokenError as error:
             return AttemptResult(AttemptEnd.BROKEN, str(error), connection_lost=True)
         except TimeoutError:
             connection.abort()
             return AttemptResult(AttemptEnd.BROKEN, "no answer for far longer than usual")
-        except (BadResponseError, EventTooLargeError) as error:
+        except (EndlessResponseError, EventTooLargeError) as error:
+            connection.abort()
+            _avoid(view, str(error))
+            return AttemptResult(AttemptEnd.BROKEN, f"answer without end: {error}")
+        except BadResponseError as error:
             return AttemptResult(AttemptEnd.BROKEN, f"bad answer: {error}")
         except BaseException:
+            is_stream = request.route.kind is RequestKind.STREAM
+            if connection.answering and not is_stream and request.left_s(clock()) < OVERDUE_S:
+                # Nobody counts the outcome of an attempt that the deadline cancels.
+                view.health.broke()
             connection.abort()
             raise
         finally:
@@ -155,26 +179,30 @@
         self,
         request: RoutedRequest,
         connection: UpstreamConnection,
+        head: ResponseHead,
         view: EndpointView,
         progress: StreamProgress,
         sink: AnswerSink,
     ) -> AttemptResult:
-        head = await connection.head()
-        view.health.heard_at_s = asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        view.health.heard_at_s = now
         answer = self._wire.decode_answer(head)
         if request.route.kind is not RequestKind.STREAM:
-            view.load.answering(request.id, asyncio.get_running_loop().time())
+            view.load.answering(request.id, now)
         if answer.proves_not_run:
-            await connection.whole_body(MAX_WHOLE_BYTES)
+            await connection.whole_body(FAILURE_BYTES, time_s=FAILURE_S)
             return AttemptResult(AttemptEnd.REJECTED, f"status {answer.status}", answer)
         if answer.succeeded and not answer.genuine:
             return AttemptResult(AttemptEnd.BROKEN, "answer is not the endpoint's own")
         if answer.succeeded and request.route.kind is RequestKind.STREAM:
             return await self._stream(request, connection, view, answer, progress, sink)
-        body = await connection.whole_body(MAX_WHOLE_BYTES)
         if not answer.succeeded:
+            body = await connection.whole_body(FAILURE_BYTES, time_s=FAILURE_S)
             return AttemptResult(AttemptEnd.FAILED, f"status {answer.status}", answer, body)
-        await sink.whole(answer.status, answer.headers, body)
+        patience_s = self._patience.first_byte_s(request, request.left_s(now))
+        with self._memory.share() as share:
+            body = await connection.whole_body(MAX_WHOLE_BYTES, time_s=patience_s, share=share)
+            await sink.whole(answer.status, answer.headers, body)
         return AttemptResult(AttemptEnd.DELIVERED, answer=answer)
 
     async def _stream(
@@ -188,20 +216,27 @@
     ) -> AttemptResult:
         clock = asyncio.get_running_loop().time
         progress.splitter.restart()
+        patience_s = self._patience.next_byte_s(request)
+        event_at_s = clock()
         while True:
-            async with asyncio.timeout(self._patience.next_byte_s(request)):
+            deadline_s = None if patience_s is None else event_at_s + patience_s
+            async with asyncio.timeout_at(deadline_s):
                 data = await connection.body()
             if data is None:
                 break
-            view.health.heard_at_s = clock()
-            view.load.answering(request.id, clock())
+            whole_events = progress.splitter.whole_events
             events = progress.splitter.feed(data)
+            if progress.splitter.whole_events > whole_events:
+                # Parts of an event prove nothing: they may be bytes without end.
+                view.health.heard_at_s = event_at_s = clock()
+            view.load.answering(request.id, clock())
             if events:
                 tokens = progress.splitter.take_count() * view.tokens_per_event
                 view.load.generated(request.id, tokens, clock())
                 await _start(sink, answer.status, answer.headers)
                 progress.resumes = True
                 await sink.write(events)
+                event_at_s = clock()
         tail = progress.splitter.take_tail()
         await _start(sink, answer.status, answer.headers)
         if tail:
@@ -210,6 +245,12 @@
         return AttemptResult(AttemptEnd.DELIVERED, answer=answer)
 
 
+def _avoid(view: EndpointView, cause: str) -> None:
+    """Give the endpoint no work before it has passed a health check."""
+    logger.warning("endpoint sends without end", extra={"endpoint": view.id, "cause": cause})
+    view.health.unreachable(asyncio.get_running_loop().time(), silent=True)
+
+
 async def _start(sink: AnswerSink, status: int, headers: HeaderList) -> None:
     if not sink.started:
         await sink.start(status, headers)
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -39,6 +39,11 @@
 FRAMING_PER_BYTE = 16
 """Bytes of framing that a body may have beside its data: these, and a multiple of the data. A
 chunk of one byte has five."""
+FREE_PARTS = 4096
+PART_BYTES = 4
+WHOLE_PART_BYTES = 64
+"""Parts in which a body may arrive: these, and one for so many bytes. Streams are written in
+smaller parts than bodies that were complete before."""
 BODY_RATE = 64 * 1024
 """Bytes of a body per second that prolong a bound on its time."""
 EVENTS_PER_TURN = 64
@@ -100,6 +105,7 @@
         self._wire_bytes = 0
         """Bytes of the body as received."""
         self._data_bytes = 0
+        self._data_parts = 0
         self._events_in_turn = 0
 
     @classmethod
@@ -220,6 +226,7 @@
         self._head_deadline_s = None
         self._wire_bytes = 0
         self._data_bytes = 0
+        self._data_parts = 0
 
     def _head_of(self, event: h11.Response) -> ResponseHead:
         headers = event.headers.raw_items()
@@ -299,6 +306,7 @@
             if part is None:
                 return bytes(body)
             body += part
+            self._check_parts(WHOLE_PART_BYTES)
             if len(body) > limit_bytes:
                 raise self._endless(f"body exceeds {limit_bytes} B")
             if share is not None and not share.grow(len(part)):
@@ -314,11 +322,17 @@
                 raise self._bad(str(error)) from error
             if event is not h11.NEED_DATA:
                 if isinstance(event, h11.Data):
+                    self._data_parts += 1
                     self._data_bytes += len(event.data)
+                    self._check_parts(PART_BYTES)
                 await self._take_turns()
                 return event
             await self._feed()
 
+    def _check_parts(self, part_bytes: int) -> None:
+        if self._data_parts > FREE_PARTS + self._data_bytes / part_bytes:
+            raise self._endless(f"{self._data_bytes} B of a body in {self._data_parts} parts")
+
     async def _take_turns(self) -> None:
         """Let other tasks run now and then while buffered bytes are parsed."""
         self._events_in_turn += 1
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -48,9 +48,35 @@
     """Runs it and answers when ``release`` is set."""
     SILENT = "silent"
     """Runs it and says nothing."""
+    ENDLESS_HEAD = "endless_head"
+    """Runs it and sends headers without end, as the following send other bytes."""
+    ENDLESS_GARBAGE = "endless_garbage"
+    ENDLESS_HINTS = "endless_hints"
+    ENDLESS_BODY = "endless_body"
+    ENDLESS_REST = "endless_rest"
+    """The body has no length and would end with the connection."""
+    ENDLESS_EXTENSION = "endless_extension"
+    ENDLESS_TRAILER = "endless_trailer"
+    ENDLESS_LATE = "endless_late"
+    """The body of an answer to another request has no end."""
+    ENDLESS_UNSIGNED = "endless_unsigned"
+    ENDLESS_FAILURE = "endless_failure"
+    ENDLESS_REJECTION = "endless_rejection"
+    """The head states that the request has not run."""
+    DRIP_HEAD = "drip_head"
+    """Runs it and sends a header byte by byte, as the following send other bytes."""
+    DRIP_GARBAGE = "drip_garbage"
+    DRIP_BODY = "drip_body"
+    DRIP_FAILURE = "drip_failure"
+    DRIP_REJECTION = "drip_rejection"
+    DRIP_LATE = "drip_late"
+    DRIP_EVENT = "drip_event"
 
 
 SIGNATURE = b"3e1b.07.signature"
+DRIP_S = 0.1
+"""Pause between the bytes of an answer that drips."""
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 @dataclass(slots=True)
@@ -83,6 +109,12 @@
     runs: Counter[str] = field(default_factory=Counter)
     checks: int = 0
     cancelled: int = 0
+    endless_bytes: int = 0
+    """Bytes that were taken from it of answers without end."""
+    closed_after_s: list[float] = field(default_factory=list)
+    """Times after which the other side closed on an answer without end."""
+    endless_checks: bool = False
+    """Whether it answers health checks without end."""
     connections: int = 0
     running: asyncio.Event = field(default_factory=asyncio.Event)
     port: int = 0
@@ -174,6 +206,8 @@
 
     async def _health(self, writer: asyncio.StreamWriter) -> bool:
         self.checks += 1
+        if self.endless_checks:
+            return await self._endless(Behaviour.ENDLESS_BODY, "", writer)
         status = b"200 OK" if self.healthy else b"503 Unavailable"
         cold = f"Cold-Milliseconds: {self.cold_ms}\r\n".encode() if self.cold_ms else b""
         writer.write(b"HTTP/1.1 " + status + b"\r\nInstance-Id: " + self.id.encode())
@@ -195,6 +229,8 @@
         self.running.set()
         if behaviour in (Behaviour.STREAM, Behaviour.CUT_STREAM, Behaviour.HOLD_STREAM):
             return await self._stream(behaviour, seen, reader, writer)
+        if behaviour.startswith(("endless", "drip")):
+            return await self._endless(behaviour, request_id, writer)
         size = len(self.body)
         own = _head(200, request_id, size) + self.body
         match behaviour:
@@ -238,6 +274,25 @@
                 return False
         return True
 
+    async def _endless(
+        self, behaviour: Behaviour, request_id: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        first, repeated = _without_end(behaviour, request_id)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        drips = behaviour.startswith("drip")
+        piece = repeated if drips else repeated * (65536 // len(repeated) + 1)
+        try:
+            writer.write(first)
+            while not writer.is_closing():
+                writer.write(piece)
+                self.endless_bytes += len(piece)
+                await writer.drain()
+                await asyncio.sleep(DRIP_S if drips else 0)
+        finally:
+            self.closed_after_s.append(loop.time() - began_s)
+        return False
+
     async def _stream(
         self,
         behaviour: Behaviour,
@@ -293,6 +348,42 @@
     return b"\r\n".join(lines) + b"\r\n" + extra + b"\r\n"
 
 
+def _without_end(behaviour: Behaviour, request_id: str) -> tuple[bytes, bytes]:
+    """Return how an answer begins, and what follows again and again."""
+    unstated = _head(200, request_id, None)
+    chunked = _head(200, request_id, None, CHUNKED)
+    not_run = CHUNKED + b"Not-Run: 1\r\n"
+    letter = b"1\r\nx\r\n"
+    late = _head(200, "an-earlier-request", 1 << 40)
+    match behaviour:
+        case Behaviour.ENDLESS_HEAD:
+            return unstated[:-2], b"X-Noise: x\r\n"
+        case Behaviour.DRIP_HEAD:
+            return unstated[:-2] + b"X-Noise: ", b"x"
+        case Behaviour.ENDLESS_GARBAGE | Behaviour.DRIP_GARBAGE:
+            return b"z", b"z"
+        case Behaviour.ENDLESS_HINTS:
+            return b"HTTP/1.1 103 Early Hints\r\n\r\n", b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        case Behaviour.ENDLESS_REST:
+            return unstated, b"x"
+        case Behaviour.ENDLESS_EXTENSION:
+            return chunked, b"1;" + b"x" * 8192 + b"\r\ny\r\n"
+        case Behaviour.ENDLESS_TRAILER:
+            return chunked + b"0\r\n", b"X-Noise: x\r\n"
+        case Behaviour.ENDLESS_LATE | Behaviour.DRIP_LATE:
+            return late, b"x"
+        case Behaviour.ENDLESS_UNSIGNED:
+            return _head(200, request_id, None, CHUNKED, signed=False), letter
+        case Behaviour.ENDLESS_FAILURE | Behaviour.DRIP_FAILURE:
+            return _head(500, request_id, None, CHUNKED), letter
+        case Behaviour.ENDLESS_REJECTION | Behaviour.DRIP_REJECTION:
+            return _head(503, request_id, None, not_run, signed=False), letter
+        case Behaviour.ENDLESS_BODY:
+            return chunked, b"400\r\n" + b"x" * 1024 + b"\r\n"
+        case _:
+            return chunked, letter
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Reset the connection: closing it with a linger time of zero sends no end."""
     import socket
