Bound the answers that another VM sends

Finding: an answer from another VM that is no stream was held without a bound, one bytes object a frame. An event without end raised EventTooLargeError out of the request handler, which breaks the caller's connection off instead of a 502. A stream of which no whole event had come had already given the caller a head.

Ruled out: unread frames of a link are bounded by its window (256 KiB a call, 64 B a frame counted), frames by 1 MiB.

Change: such answers are at most 8 MiB, and share 32 MiB; beyond it the forward is cancelled and ends as broken off or unknown. A caller's answer starts with the first whole event. "broken_off" of the other VM counts as unknown while the caller has nothing.

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -7,6 +7,7 @@
 from contextlib import aclosing
 
 from .._identifiers import OrganisationId, RegionName, RequestId, ServiceName, VmId
+from ..http11 import BodyMemory, BodyShare
 from ..peers import (
     EncodeError,
     ForwardAnswer,
@@ -21,6 +22,7 @@
     PeerNode,
 )
 from ..traffic import (
+    EventTooLargeError,
     OpaqueRequest,
     RegionReports,
     RequestKind,
@@ -28,7 +30,7 @@
     RoutedRequest,
     ServiceShare,
 )
-from ._attempt import StreamProgress
+from ._attempt import HELD_BYTES, MAX_WHOLE_BYTES, StreamProgress
 from ._results import AnswerSink, Ending, RunResult
 from ._runner import RequestRunner
 from ._sinks import LinkSink
@@ -58,6 +60,7 @@
         self._reports = reports
         self._vms_by_region = vms_by_region
         self._rng = rng
+        self._memory = BodyMemory(HELD_BYTES)
 
     def regions(self) -> Collection[RegionName]:
         """Return the regions in which a VM can be reached."""
@@ -83,8 +86,16 @@
         forward = _encode(request, opaque, request.left_s(now), resume_after)
         logger.info("forwarded", extra={"request_id": request.id, "vm": vm, "region": region})
         try:
-            async with aclosing(self._node.forward(vm, forward)) as answers:
-                return await _deliver(request, answers, sink, progress)
+            with self._memory.share() as share:
+                async with aclosing(self._node.forward(vm, forward)) as answers:
+                    return await _deliver(request, answers, sink, progress, share)
+        except (_TooLargeError, EventTooLargeError) as error:
+            logger.warning(
+                "forwarded answer without end",
+                extra={"request_id": request.id, "vm": vm, "cause": str(error)},
+            )
+            ending = Ending.BROKEN_OFF if sink.started else Ending.UNKNOWN
+            return RunResult(ending, f"answer without end: {error}")
         except NotSentError as error:
             return RunResult(Ending.NOT_RUN, str(error))
         except EncodeError as error:
@@ -94,33 +105,43 @@
             return RunResult(ending, str(error))
 
 
+class _TooLargeError(Exception):
+    """An answer that has to be held until it is whole is too large."""
+
+
 async def _deliver(
     request: RoutedRequest,
     answers: AsyncIterator[ForwardAnswer],
     sink: AnswerSink,
     progress: StreamProgress,
+    share: BodyShare,
 ) -> RunResult:
-    """Pass an answer on; one that is not a stream is held until it is whole."""
+    """Pass an answer on; one that is not a stream is held until it is whole.
+
+    Raises ``_TooLargeError`` and ``EventTooLargeError``.
+    """
     is_stream = request.route.kind is RequestKind.STREAM
     progress.splitter.restart()
     head: ForwardHead | None = None
-    parts: list[bytes] = []
+    body = bytearray()
     async for answer in answers:
         if isinstance(answer, ForwardHead):
             head = answer
             is_stream = is_stream and 200 <= head.status < 300
         elif isinstance(answer, ForwardChunk):
             if not is_stream or head is None:
-                parts.append(answer.data)
+                body += answer.data
+                if len(body) > MAX_WHOLE_BYTES or not share.grow(len(answer.data)):
+                    raise _TooLargeError(f"{len(body)} B")
                 continue
-            if not sink.started:
-                await sink.start(head.status, _headers(head))
             events = progress.splitter.feed(answer.data)
             if events:
+                if not sink.started:
+                    await sink.start(head.status, _headers(head))
                 progress.resumes = True
                 await sink.write(events)
         else:
-            return await _end(answer, head, b"".join(parts), is_stream, sink, progress)
+            return await _end(answer, head, bytes(body), is_stream, sink, progress)
     return RunResult(Ending.BROKEN_OFF if sink.started else Ending.UNKNOWN, "answer without end")
 
 
@@ -133,9 +154,14 @@
     progress: StreamProgress,
 ) -> RunResult:
     if not end.complete or head is None:
-        ending = Ending.BROKEN_OFF if sink.started else ENDING_BY_WORD.get(end.execution)
+        ending = ENDING_BY_WORD.get(end.execution, Ending.UNKNOWN)
+        if sink.started:
+            ending = Ending.BROKEN_OFF
+        elif ending is Ending.BROKEN_OFF:
+            # The other VM passed on a part of which nothing has reached the caller.
+            ending = Ending.UNKNOWN
         retry_after_s = end.retry_after_ms / MS_PER_S if end.retry_after_ms else None
-        return RunResult(ending or Ending.UNKNOWN, end.reason, retry_after_s=retry_after_s)
+        return RunResult(ending, end.reason, retry_after_s=retry_after_s)
     if not is_stream:
         await sink.whole(head.status, _headers(head), body)
         return RunResult(Ending.DELIVERED, status=head.status)
