--- a/src/mangosaddle/rollouts/_exposure.py
+++ b/src/mangosaddle/rollouts/_exposure.py
@@ -29,9 +29,9 @@
     """Part of the bound that may be used before the full share."""
     held_share: float = 0.02
     """Share while the part is used up."""
-    part_on_probation: float = 0.7
+    part_on_probation: float = 0.8
     """Part of the bound beyond which the full share needs answers to requests at the full share."""
-    probation_answers: int = 20
+    probation_answers: int = 10
 
     def bound(self, seen: SeenRequests, elapsed_s: float, duration_s: float) -> float:
         """Return the requests that a bad version may get, for the traffic seen so far."""
--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -4,8 +4,13 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from ._evidence import BUCKETS_PER_DOUBLING, Counter
-from ._verdict import Comparison, Fault, Finding, RouteEvidence, find_fault
+from ._evidence import Counter
+from ._verdict import Fault, Finding, RouteEvidence, find_fault
+
+RECENT_WINDOWS = 2
+SLOW_BUCKETS = 3
+"""Buckets between the old version's median and the bound: a factor of 1.7 to 2."""
+SLOW = "slower than 1.7x the median of the old version"
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,11 +39,11 @@
 
     alpha: float = 1e-4
     """Probability that one comparison vetoes a version at the margin."""
-    failures: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 0.5, 20.0, 150.0)
-    slow: ExcessBounds = ExcessBounds(0.2, 0.3, 5, 1.0, 10.0, 60.0)
-    failures_at_full: ExcessBounds = ExcessBounds(0.05, 0.15, 4, 0.5, 20.0, 100.0)
+    failures: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 2.0, 100.0, 250.0)
+    slow: ExcessBounds = ExcessBounds(0.25, 0.4, 6, 1.5, 30.0, 80.0)
+    failures_at_full: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 2.0, 100.0, 200.0)
     """Bounds against earlier counts of the old version; the fleet may have changed since."""
-    slow_at_full: ExcessBounds = ExcessBounds(0.35, 0.5, 6, 1.0, 10.0, 40.0)
+    slow_at_full: ExcessBounds = ExcessBounds(0.35, 0.5, 6, 1.5, 30.0, 60.0)
     stratum_prior: float = 4.0
     """Answers of the old version in all strata that are assumed in each of them."""
 
@@ -53,6 +58,15 @@
     size_old: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Pair:
+    """Counters to compare, and the old version's latest ones."""
+
+    new: Counter
+    old: Counter
+    past: Counter | None
+
+
 @find_fault.register
 def _find_fault_of_order(rules: OrderRules, by_route: Mapping[str, RouteEvidence]) -> str | None:
     for route, evidence in sorted(by_route.items()):
@@ -64,27 +78,41 @@
 
 
 def _find(rules: OrderRules, routes: Sequence[RouteEvidence]) -> Finding | None:
-    """Return the fault on the routes together: below the full share, else at it."""
-    pairs = [(route, pair) for route in routes for pair in route.comparisons]
-    found = _failures(rules, [pair for _, pair in pairs], rules.failures)
-    if found is None:
-        strata = [_slow_stratum(pair, route.past) for route, pair in pairs]
-        found = _slow(rules, strata, rules.slow)
-    for windows in (2, None):
-        full = [
-            Comparison(_sum(route.full[:windows]), route.past)
-            for route in routes
-            if route.past is not None
-        ]
-        found = found or _failures(rules, full, rules.failures_at_full)
-        at_full = [_slow_stratum(pair, pair.old) for pair in full]
-        found = found or _slow(rules, at_full, rules.slow_at_full)
-    return found
-
-
-def _failures(
-    rules: OrderRules, pairs: Sequence[Comparison], bounds: ExcessBounds
-) -> Finding | None:
+    """Return the fault on the routes together.
+
+    The newest counts alone show a fault that began late, all of them one that is rare. Those at the
+    full share stand beside the latest ones of the old version.
+    """
+    below = [
+        _Pair(pair.new, pair.old, route.past)
+        for route in routes
+        for pair in route.comparisons
+        if pair.new.requests or pair.old.requests
+    ]
+    recent, full = (_at_full(routes, windows) for windows in (RECENT_WINDOWS, None))
+    for pairs, failures, slow in (
+        (below, rules.failures, rules.slow),
+        (recent, rules.failures_at_full, rules.slow_at_full),
+        (below + full if full else [], rules.failures_at_full, rules.slow_at_full),
+    ):
+        found = _failures(rules, pairs, failures) or _slow(rules, pairs, slow)
+        if found is not None:
+            return found
+    return None
+
+
+def _at_full(routes: Sequence[RouteEvidence], windows: int | None) -> list[_Pair]:
+    pairs = []
+    for route in routes:
+        new = Counter()
+        for counter in route.full[:windows]:
+            new.add(counter)
+        if new.requests and route.past is not None:
+            pairs.append(_Pair(new, route.past, route.past))
+    return pairs
+
+
+def _failures(rules: OrderRules, pairs: Sequence[_Pair], bounds: ExcessBounds) -> Finding | None:
     strata = [
         _Stratum(pair.new.failures, pair.new.requests, pair.old.failures, pair.old.requests)
         for pair in pairs
@@ -94,10 +122,11 @@
     return Finding(Fault.FAILURES, _figures(strata, "failed"))
 
 
-def _slow(rules: OrderRules, strata: Sequence[_Stratum], bounds: ExcessBounds) -> Finding | None:
+def _slow(rules: OrderRules, pairs: Sequence[_Pair], bounds: ExcessBounds) -> Finding | None:
+    strata = [_slow_stratum(pair) for pair in pairs]
     if not _exceeds(rules, strata, bounds):
         return None
-    return Finding(Fault.LATENCY, _figures(strata, "slower than 2x the median of the old version"))
+    return Finding(Fault.LATENCY, _figures(strata, SLOW))
 
 
 def _figures(strata: Sequence[_Stratum], what: str) -> str:
@@ -106,16 +135,16 @@
     return f"{hits_new} of {size_new} {what}, of the old version {hits_old} of {size_old}"
 
 
-def _slow_stratum(pair: Comparison, past: Counter | None) -> _Stratum:
-    """Count answers above twice the median of the old version, its latest one where few ended."""
+def _slow_stratum(pair: _Pair) -> _Stratum:
+    """Count answers above a multiple of the old version's median, the higher one of both counts."""
     medians = [
         median
-        for old in (pair.old, past)
+        for old in (pair.old, pair.past)
         if old is not None and (median := old.median_bucket()) is not None
     ]
     if not medians:
         return _Stratum(0, 0, 0, 0)
-    bound = max(medians) + BUCKETS_PER_DOUBLING
+    bound = max(medians) + SLOW_BUCKETS
     new, old = pair.new, pair.old
     return _Stratum(
         new.answers_above(bound), new.answers(), old.answers_above(bound), old.answers()
@@ -165,10 +194,3 @@
 
 def _log_beta(a: float, b: float) -> float:
     return math.lgamma(a) + math.lgamma(b) - math.lgamma(a + b)
-
-
-def _sum(counters: Sequence[Counter]) -> Counter:
-    total = Counter()
-    for counter in counters:
-        total.add(counter)
-    return total
