--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -91,6 +91,11 @@
         item = self._items.get(key)
         return base64.b64decode(item["value"]) if item is not None else None
 
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key's last change, or 0."""
+        item = self._items.get(key)
+        return int(item["revision"]) if item is not None else 0
+
     def keys(self, prefix: str = "") -> list[str]:
         """Return the keys below a prefix."""
         return sorted(key for key in self._items if key.startswith(prefix))
--- /dev/null
+++ b/tests/platform_standins/_traffic.py
@@ -0,0 +1,81 @@
+"""A steady stream of requests to all VMs of a fleet."""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from mangosaddle.entry import EntryProcess
+from mangosaddle.http11 import HttpError
+
+from ._fleet import Fleet
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request as its caller saw it; times are those of the event loop."""
+
+    path: str
+    vm: str
+    at_s: float
+    ended_s: float
+    status: int
+    """Status of the answer; 0 without a whole one."""
+    body: bytes
+
+
+class Traffic:
+    """Sends requests at a steady rate, each on a connection of its own."""
+
+    def __init__(self, fleet: Fleet, weights_by_prefix: Mapping[str, float], per_s: float) -> None:
+        """Create the callers; ``per_s`` is the rate of all routes together."""
+        self.calls: list[Call] = []
+        self._fleet = fleet
+        self._prefixes = list(weights_by_prefix)
+        self._weights = list(weights_by_prefix.values())
+        self._per_s = per_s
+        self._rng = random.Random(per_s)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._sender: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._sender = asyncio.create_task(self._send())
+
+    async def stop(self) -> None:
+        """Send nothing more and wait for the answers."""
+        if self._sender is not None:
+            self._sender.cancel()
+            await asyncio.gather(self._sender, return_exceptions=True)
+        await asyncio.gather(*self._tasks)
+
+    async def _send(self) -> None:
+        clock = asyncio.get_running_loop().time
+        due_s = clock()
+        number = 0
+        while True:
+            due_s += self._rng.uniform(0.5, 1.5) / self._per_s
+            await asyncio.sleep(max(0.0, due_s - clock()))
+            vms = [vm for vm in self._fleet.vms.values() if vm.is_ready()]
+            (prefix,) = self._rng.choices(self._prefixes, self._weights)
+            number += 1
+            call = self._call(self._rng.choice(vms), f"{prefix}{number}")
+            self._tasks.append(asyncio.create_task(call))
+
+    async def _call(self, vm: EntryProcess, path: str) -> None:
+        clock = asyncio.get_running_loop().time
+        at_s = clock()
+        status, body = 0, b""
+        headers = {
+            "Model": "m",
+            "Token-Counts": "100,28",
+            "Prompt-Prefix": f"{self._rng.randrange(8):x}:80,f{path.rpartition('/')[2]}:20",
+        }
+        try:
+            answer = await self._fleet.call(
+                vm, path, method="POST", body=b"question", extra=headers
+            )
+            status, body = answer.status, answer.body
+        except (HttpError, TimeoutError):
+            pass
+        self.calls.append(Call(path, vm.settings.vm, at_s, clock(), status, body))
