Log an order for a service that is not configured

It is followed once the service is configured; until then nothing shows why it has no effect. test_an_order_that_cannot_be_followed_is_logged[op/rollout/nothing] fails without it (assert False).

--- a/src/mangosaddle/entry/_sources.py
+++ b/src/mangosaddle/entry/_sources.py
@@ -95,7 +95,13 @@
                 extra={"key": item.key, "findings": [decoded.failure()]},
             )
             return
-        self._rollouts.ordered(decoded.unwrap(), is_new=is_new)
+        order = decoded.unwrap()
+        catalogue = self._catalogue.current
+        if catalogue is not None and order.service not in catalogue.services_by_name:
+            logger.warning(
+                "rollout of a service that is not configured is ordered", extra={"key": item.key}
+            )
+        self._rollouts.ordered(order, is_new=is_new)
 
     def _publish(self, item: Item) -> None:
         """Bring an encoded configuration into force if it is newer."""
