Bound the framing of requests and what callers send ahead

Finding: the limit of a request's body counted its data only. Extensions of chunks were free, chunks of 2 B were held as one object each, and all buffered chunks were parsed in one turn of the event loop. The bytes that a caller sends ahead were bounded for each request anew, so that a caller which is answered slowly could add 256 KiB with each of its requests.

Ruled out: head, body and trailers without end (bounded by header_bytes, body_bytes and absolute times; these tests are guards: 431, 431, 413).

Change: bounds of framing and parts as for responses (module _framing), refused with 413; other tasks run after 64 parts; bytes sent ahead count together with those that still wait.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -8,6 +8,12 @@
 
 import h11
 
+from ._framing import (
+    PARTS_PER_TURN,
+    WHOLE_PART_BYTES,
+    has_too_many_parts,
+    has_too_much_framing,
+)
 from ._headers import HeaderList, HeaderView
 from ._sockets import set_liveness
 
@@ -186,6 +192,8 @@
         self.close_after = False
         self.task = asyncio.current_task()
         self._reader = reader
+        self._wire_bytes = 0
+        """Bytes received since the head of the request."""
         self._clock = asyncio.get_running_loop().time
         header_bytes = server.limits().header_bytes
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
@@ -248,8 +256,9 @@
         self.reading = False
         self.request_began_s = self._clock()
         request: h11.Request | None = None
-        parts: list[bytes] = []
-        size_bytes = 0
+        body = bytearray()
+        parts = 0
+        self._wire_bytes = 0
         deadline_s = self._clock() + limits.idle_timeout_s
         while True:
             try:
@@ -259,18 +268,26 @@
             if isinstance(event, h11.Request):
                 self._check(event, limits)
                 request = event
+                self._wire_bytes = 0
                 deadline_s = self._clock() + max(limits.idle_timeout_s, limits.header_timeout_s)
             elif isinstance(event, h11.Data):
-                size_bytes += len(event.data)
-                if size_bytes > limits.body_bytes:
+                parts += 1
+                body += event.data
+                if len(body) > limits.body_bytes:
                     raise _RequestRefusedError(413, "body is too large")
-                parts.append(bytes(event.data))
+                if has_too_many_parts(parts, len(body), WHOLE_PART_BYTES):
+                    raise _RequestRefusedError(413, "body has too many parts")
+                if parts % PARTS_PER_TURN == 0:
+                    # Other connections get their turn while buffered bytes are parsed.
+                    await asyncio.sleep(0)
             elif isinstance(event, h11.EndOfMessage):
                 assert request is not None
-                return ServerExchange(self, request, b"".join(parts))
+                return ServerExchange(self, request, bytes(body))
             elif event is h11.NEED_DATA:
                 if self._parser.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
+                if request is not None and has_too_much_framing(self._wire_bytes, len(body)):
+                    raise _RequestRefusedError(413, "body has too much framing")
                 if not await self._receive(deadline_s, request):
                     return None
                 if not self.reading:
@@ -306,6 +323,7 @@
             return False
         if not data:
             return False
+        self._wire_bytes += len(data)
         self._parser.receive_data(data)
         return True
 
@@ -329,7 +347,8 @@
 
     async def _watch(self, task: "asyncio.Future[None]") -> None:
         """Wait for the handler; cancel it when the client leaves or sends far too much."""
-        ahead_bytes = 0
+        ahead, _ = self._parser.trailing_data
+        ahead_bytes = len(ahead)
         while not task.done():
             reading = asyncio.ensure_future(self._reader.read(READ_BYTES))
             waited: set[asyncio.Future[Any]] = {task, reading}
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -16,6 +16,13 @@
     RequestTimeoutError,
     ResponseBrokenError,
 )
+from ._framing import (
+    PART_BYTES,
+    PARTS_PER_TURN,
+    WHOLE_PART_BYTES,
+    has_too_many_parts,
+    has_too_much_framing,
+)
 from ._head_guard import HEAD_BYTES, HeadGuard
 from ._headers import HeaderList, HeaderView
 from ._sockets import set_liveness
@@ -35,19 +42,8 @@
 """Largest body of a late response that is skipped; a new connection is cheaper beyond it."""
 SKIP_S = 1.0
 """Longest time from the head of a late response to its end: it was complete before."""
-FRAMING_BYTES = 64 * 1024
-FRAMING_PER_BYTE = 16
-"""Bytes of framing that a body may have beside its data: these, and a multiple of the data. A
-chunk of one byte has five."""
-FREE_PARTS = 4096
-PART_BYTES = 4
-WHOLE_PART_BYTES = 64
-"""Parts in which a body may arrive: these, and one for so many bytes. Streams are written in
-smaller parts than bodies that were complete before."""
 BODY_RATE = 64 * 1024
 """Bytes of a body per second that prolong a bound on its time."""
-EVENTS_PER_TURN = 64
-"""Parts of a response that are parsed before other tasks get their turn."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +102,7 @@
         """Bytes of the body as received."""
         self._data_bytes = 0
         self._data_parts = 0
-        self._events_in_turn = 0
+        self._parts_in_turn = 0
 
     @classmethod
     async def open(cls, host: str, port: int, timeout_s: float) -> Self:
@@ -330,14 +326,14 @@
             await self._feed()
 
     def _check_parts(self, part_bytes: int) -> None:
-        if self._data_parts > FREE_PARTS + self._data_bytes / part_bytes:
+        if has_too_many_parts(self._data_parts, self._data_bytes, part_bytes):
             raise self._endless(f"{self._data_bytes} B of a body in {self._data_parts} parts")
 
     async def _take_turns(self) -> None:
         """Let other tasks run now and then while buffered bytes are parsed."""
-        self._events_in_turn += 1
-        if self._events_in_turn >= EVENTS_PER_TURN:
-            self._events_in_turn = 0
+        self._parts_in_turn += 1
+        if self._parts_in_turn >= PARTS_PER_TURN:
+            self._parts_in_turn = 0
             await asyncio.sleep(0)
 
     async def _feed(self) -> None:
@@ -362,7 +358,7 @@
         try:
             async with asyncio.timeout_at(self._head_deadline_s):
                 while not self._received and not self._ended:
-                    self._events_in_turn = 0
+                    self._parts_in_turn = 0
                     self._wake.clear()
                     await self._wake.wait()
         except TimeoutError as error:
@@ -388,9 +384,7 @@
 
     def _count_framing(self, size_bytes: int) -> None:
         """Note bytes of the body; whatever came before them has been parsed."""
-        if self._wire_bytes - self._data_bytes > FRAMING_BYTES + FRAMING_PER_BYTE * (
-            self._data_bytes
-        ):
+        if has_too_much_framing(self._wire_bytes, self._data_bytes):
             raise self._endless(f"{self._wire_bytes} B for {self._data_bytes} B of a body")
         self._wire_bytes += size_bytes
 
--- a/tests/http11/endless_peers.py
+++ b/tests/http11/endless_peers.py
@@ -54,6 +54,7 @@
         """Connect a protocol."""
         super().__init__()
         self.sent_bytes = 0
+        self.written = bytearray()
         self.aborted_at_s: float | None = None
         self._protocol = cast(asyncio.Protocol, protocol)
         self._resumed = asyncio.Event()
@@ -79,7 +80,15 @@
         return default
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Take the request."""
+        """Take bytes of the product."""
+        self.written += data
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Do nothing: all bytes are taken at once."""
+
+    def can_write_eof(self) -> bool:
+        """Return that only the whole connection ends."""
+        return False
 
     def is_closing(self) -> bool:
         """Return whether the connection has ended."""
--- /dev/null
+++ b/tests/http11/test_endless_requests.py
@@ -0,0 +1,114 @@
+"""Callers that send without end."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from endless_peers import PeerTransport, run_virtually
+
+from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
+
+CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+END = b"0\r\n\r\n"
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+AHEAD_BYTES = 512 * 1024
+"""Bytes of later requests that one caller may let a VM hold."""
+
+
+class _Caller:
+    """A caller's connection to a server with one handler."""
+
+    def __init__(self, handler: Callable[[ServerExchange], Awaitable[None]]) -> None:
+        self.server = HttpServer(handler, ServerLimits)
+        self.reader = asyncio.StreamReader(limit=64 * 1024)
+        protocol = asyncio.StreamReaderProtocol(self.reader)
+        self.transport = PeerTransport(protocol)
+        loop = asyncio.get_running_loop()
+        self.writer = asyncio.StreamWriter(self.transport, protocol, self.reader, loop)
+
+    async def served(self) -> bytes:
+        """Return what the server writes until it closes."""
+        await self.server._accepted(self.reader, self.writer)
+        return bytes(self.transport.written)
+
+
+async def _answer(exchange: ServerExchange) -> None:
+    await exchange.respond(200, [], str(len(exchange.body)).encode())
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"1\r\nx\r\n" * 4000 + END, b"200"),
+        (b"400\r\n" + b"x" * 1024 + b"\r\n" + END, b"200"),
+        (b"40\r\n" + b"x" * 64 + b"\r\n" + END, b"200"),
+        (b"2\r\nxy\r\n" * 20_000, b"413"),
+        ((b"1;" + b"e" * 4096 + b"\r\ny\r\n") * 200, b"413"),
+        (b"1;" + b"e" * 200_000, b"431"),
+        (b"0\r\n" + b"T: x\r\n" * 40_000, b"431"),
+        ((b"2000\r\n" + b"x" * 8192 + b"\r\n") * 600, b"413"),
+    ],
+)
+def test_a_body_without_end_is_refused(body: bytes, status: bytes) -> None:
+    """Guards against bytes of a caller that carry no data, and against bounds for sound ones."""
+
+    async def _main() -> bytes:
+        caller = _Caller(_answer)
+        serving = asyncio.create_task(caller.served())
+        caller.reader.feed_data(CHUNKED)
+        for start in range(0, len(body), 65_536):
+            if not caller.transport.is_closing():
+                caller.reader.feed_data(body[start : start + 65_536])
+            await asyncio.sleep(0.01)
+        caller.transport.close()
+        return await serving
+
+    assert run_virtually(_main()).startswith(b"HTTP/1.1 " + status)
+
+
+def test_a_body_of_tiny_chunks_lets_others_run() -> None:
+    """Guards against an event loop that stands still while one request is parsed."""
+    turns = 0
+
+    async def _others() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await asyncio.sleep(0)
+
+    async def _main() -> None:
+        caller = _Caller(_answer)
+        caller.reader.feed_data(CHUNKED + b"1\r\nx\r\n" * 4000 + END)
+        caller.reader.feed_eof()
+        others = asyncio.create_task(_others())
+        assert (await caller.served()).endswith(b"4000")
+        others.cancel()
+
+    run_virtually(_main())
+    assert turns >= 4000 // 100
+
+
+def test_requests_that_are_sent_ahead_are_bounded_together() -> None:
+    """Guards against a caller that sends faster than it is answered, a little each time."""
+
+    async def _main() -> int:
+        sent = 0
+
+        async def _send_ahead(exchange: ServerExchange) -> None:
+            nonlocal sent
+            data = GET * (200_000 // len(GET))
+            sent += len(data)
+            caller.reader.feed_data(data)
+            await asyncio.sleep(0.1)
+            await exchange.respond(200, [])
+
+        caller = _Caller(_send_ahead)
+        caller.reader.feed_data(GET)
+        serving = asyncio.create_task(caller.served())
+        while not caller.transport.is_closing() and sent < 4 * AHEAD_BYTES:
+            await asyncio.sleep(0.1)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        return sent
+
+    assert run_virtually(_main()) <= AHEAD_BYTES
