Bound what is read from the platform's store

Finding: reading a prefix went on for as long as the store said that more pages follow, also if it gave the same page again, and kept all items. An answer of lists nested 100,000 deep raised RecursionError past the client's errors.

Ruled out: answers without end (8 MiB and 1.5 s; the new case ENDLESS is a guard).

Change: a page that ends where an earlier one did, and more than 64 MiB of keys and values, mean that the store is unavailable; nested answers are not JSON.

Old code: tests/platform/test_store_faults.py -k "failed_call or pages", 2 of 9 failed ("RecursionError", no end within 5 s). The test of the size needs the new constant. New code: 24 passed. Open: the body of a watch may drip for up to 27 s.

--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -35,6 +35,9 @@
 """Time beyond the wait of a watch after which it counts as lost."""
 ANSWER_BYTES = 8 * 1024 * 1024
 """Largest answer: a page holds about 1 MB of values, encoded as base64."""
+SNAPSHOT_BYTES = 64 * 1024 * 1024
+"""Most keys and values below one prefix: 10,000 registrations and a large configuration take a
+tenth of it."""
 MS_PER_S = 1000.0
 
 logger = logging.getLogger(__name__)
@@ -54,14 +57,22 @@
         items: list[Item] = []
         revision: int | None = None
         query: dict[str, str] = {"prefix": prefix}
+        size_bytes = 0
+        ends: set[str] = set()
         while True:
             answer = await self._get("/api/kv-range", query)
             page = [_item(row) for row in _rows(answer, "items")]
+            if page and page[-1].key in ends:
+                raise StoreUnavailableError(f"pages of {prefix!r} do not go on")
             items += page
+            size_bytes += sum(len(item.key) + len(item.value) for item in page)
+            if size_bytes > SNAPSHOT_BYTES:
+                raise StoreUnavailableError(f"items of {prefix!r} exceed {SNAPSHOT_BYTES} B")
             revision = _number(answer, "store_revision") if revision is None else revision
             if not answer.get("more_pages") or not page:
                 return Snapshot(tuple(items), revision)
             query["after"] = page[-1].key
+            ends.add(page[-1].key)
 
     async def find(self, key: str) -> Item | None:
         """Return one item, or ``None``."""
@@ -173,7 +184,7 @@
 def _decoded(body: bytes) -> dict[str, Any] | None:
     try:
         answer = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return answer if isinstance(answer, dict) else None
 
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -15,7 +15,7 @@
     RevisionConflictError,
     StoreUnavailableError,
 )
-from mangosaddle.platform import PlatformStore
+from mangosaddle.platform import PlatformStore, _store
 from platform_standins import (
     Behaviour,
     Fleet,
@@ -50,6 +50,8 @@
         (StoreFault.RESET, StoreUnavailableError, OutcomeUnknownError, False),
         (StoreFault.ANSWER_LOST, StoreUnavailableError, OutcomeUnknownError, True),
         (StoreFault.NOT_JSON, StoreUnavailableError, OutcomeUnknownError, True),
+        (StoreFault.NESTED, StoreUnavailableError, OutcomeUnknownError, True),
+        (StoreFault.ENDLESS, StoreUnavailableError, OutcomeUnknownError, True),
     ],
 )
 def test_a_failed_call_says_whether_it_may_have_been_carried_out(
@@ -81,6 +83,35 @@
     _with_store(_body)
 
 
+def test_pages_that_do_not_go_on_are_an_error() -> None:
+    """Guards against reading and keeping the same page for ever."""
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        for number in range(8):
+            await store.put(f"servers/{number}", {"n": number})
+        await store.set_fault(StoreFault.SAME_PAGE)
+        async with asyncio.timeout(5.0):
+            with pytest.raises(StoreUnavailableError):
+                await client.read("servers/")
+
+    _with_store(_body)
+
+
+def test_items_without_end_are_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against memory that the number of pages decides about."""
+    monkeypatch.setattr(_store, "SNAPSHOT_BYTES", 100)
+
+    async def _body(store: StoreStandIn, client: PlatformStore) -> None:
+        for number in range(4):
+            await store.put(f"servers/{number}", {"n": number})
+        assert len((await client.read("servers/")).items) == 4
+        await store.put("servers/large", b"x" * 100)
+        with pytest.raises(StoreUnavailableError):
+            await client.read("servers/")
+
+    _with_store(_body)
+
+
 def test_a_watch_tells_changes_and_removals_in_order() -> None:
     """Guards against missed or reordered changes."""
 
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -27,6 +27,12 @@
     """Carries the call out and breaks the connection off."""
     NOT_JSON = "not_json"
     """Carries the call out and answers with other bytes."""
+    NESTED = "nested"
+    """Carries the call out and answers with lists in lists, deeper than can be read."""
+    ENDLESS = "endless"
+    """Carries the call out and answers without end."""
+    SAME_PAGE = "same_page"
+    """Answers each page of a range with the first one and says that more follow."""
 
 
 class StoreStandIn:
@@ -131,12 +137,20 @@
             exchange.abort()
             return
         fields = {name: values[0] for name, values in parse_qs(query).items()}
+        if fault is StoreFault.SAME_PAGE:
+            fields.pop("after", None)
         body = json.loads(exchange.body) if exchange.body else {}
         status, answer = await self._carry_out(exchange.method.decode(), path, fields, body)
         if fault is StoreFault.ANSWER_LOST:
             exchange.abort()
         elif fault is StoreFault.NOT_JSON:
             await exchange.respond(status, [], b"<html>")
+        elif fault is StoreFault.NESTED:
+            await exchange.respond(status, [], b"[" * 100_000)
+        elif fault is StoreFault.ENDLESS:
+            await exchange.start(status, [])
+            while True:
+                await exchange.write(b" " * 65_536)
         else:
             await exchange.respond(status, [], json.dumps(answer).encode())
 
