--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -1,6 +1,7 @@
 """A runner: answers as told, and counts what it runs."""
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -8,6 +9,8 @@
 
 import h11
 
+from ._version_fault import SOUND, VersionFault
+
 
 class Behaviour(StrEnum):
     """How a runner treats a request."""
@@ -48,9 +51,35 @@
     """Runs it and answers when ``release`` is set."""
     SILENT = "silent"
     """Runs it and says nothing."""
+    ENDLESS_HEAD = "endless_head"
+    """Runs it and sends headers without end, as the following send other bytes."""
+    ENDLESS_GARBAGE = "endless_garbage"
+    ENDLESS_HINTS = "endless_hints"
+    ENDLESS_BODY = "endless_body"
+    ENDLESS_REST = "endless_rest"
+    """The body has no length and would end with the connection."""
+    ENDLESS_EXTENSION = "endless_extension"
+    ENDLESS_TRAILER = "endless_trailer"
+    ENDLESS_LATE = "endless_late"
+    """The body of an answer to another request has no end."""
+    ENDLESS_UNSIGNED = "endless_unsigned"
+    ENDLESS_FAILURE = "endless_failure"
+    ENDLESS_REJECTION = "endless_rejection"
+    """The head states that the request has not run."""
+    DRIP_HEAD = "drip_head"
+    """Runs it and sends a header byte by byte, as the following send other bytes."""
+    DRIP_GARBAGE = "drip_garbage"
+    DRIP_BODY = "drip_body"
+    DRIP_FAILURE = "drip_failure"
+    DRIP_REJECTION = "drip_rejection"
+    DRIP_LATE = "drip_late"
+    DRIP_EVENT = "drip_event"
 
 
 SIGNATURE = b"3e1b.07.signature"
+DRIP_S = 0.1
+"""Pause between the bytes of an answer that drips."""
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
 
 @dataclass(slots=True)
@@ -63,6 +92,18 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class Arrival:
+    """A request that a runner began to work on; times are those of the event loop."""
+
+    request: str
+    target: str
+    at_s: float
+    bad: bool
+    """Whether its answer fails or is slow by a fault of the version."""
+    ended_s: float | None = None
+
+
 @dataclass(slots=True)
 class RunnerStandIn:
     """One runner on the loopback address."""
@@ -76,16 +117,33 @@
     cut_after: int = 2
     cold_ms: int = 0
     healthy: bool = True
+    version: str = "v1"
+    fault: VersionFault | None = None
+    """Fault of its version, shared by all runners of that version."""
+    work_s: float = 0.0
+    """Time until an answer begins, give or take three tenths."""
+    pace_s: float = 0.0
+    """Time before each event of a stream."""
     dark: bool = False
     """Whether it has lost power: connections stay open and nothing is said on them."""
     release: asyncio.Event = field(default_factory=asyncio.Event)
     seen: list[Seen] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
+    arrivals: list[Arrival] = field(default_factory=list)
+    busy: int = 0
+    """Requests in progress."""
     checks: int = 0
     cancelled: int = 0
+    endless_bytes: int = 0
+    """Bytes that were taken from it of answers without end."""
+    closed_after_s: list[float] = field(default_factory=list)
+    """Times after which the other side closed on an answer without end."""
+    endless_checks: bool = False
+    """Whether it answers health checks without end."""
     connections: int = 0
     running: asyncio.Event = field(default_factory=asyncio.Event)
     port: int = 0
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -112,7 +170,7 @@
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "cold_remaining_ms": 0,
@@ -170,10 +228,37 @@
             writer.write(b"\r\nContent-Length: 0\r\n\r\n")
             return True
         chosen = self.behaviour if isinstance(self.behaviour, Behaviour) else self.behaviour(seen)
-        return await self._answer(chosen, seen, reader, writer)
+        return await self._work(chosen, seen, reader, writer)
+
+    async def _work(
+        self,
+        behaviour: Behaviour,
+        seen: Seen,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        clock = asyncio.get_running_loop().time
+        self.busy += 1
+        effect = SOUND
+        if self.fault is not None:
+            effect = self.fault.effect(seen.target, self.busy, clock())
+        arrival = Arrival(
+            seen.headers.get("request-id", ""), seen.target, clock(), effect is not SOUND
+        )
+        self.arrivals.append(arrival)
+        chosen = Behaviour.FAIL if effect.fails else behaviour
+        try:
+            if self.work_s > 0:
+                await asyncio.sleep(self.work_s * self.rng.uniform(0.7, 1.3) * effect.slower)
+            return await self._answer(chosen, seen, reader, writer, self.pace_s * effect.slower)
+        finally:
+            self.busy -= 1
+            arrival.ended_s = clock()
 
     async def _health(self, writer: asyncio.StreamWriter) -> bool:
         self.checks += 1
+        if self.endless_checks:
+            return await self._endless(Behaviour.ENDLESS_BODY, "", writer)
         status = b"200 OK" if self.healthy else b"503 Unavailable"
         cold = f"Cold-Milliseconds: {self.cold_ms}\r\n".encode() if self.cold_ms else b""
         writer.write(b"HTTP/1.1 " + status + b"\r\nInstance-Id: " + self.id.encode())
@@ -186,6 +271,7 @@
         seen: Seen,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        pace_s: float,
     ) -> bool:
         request_id = seen.headers.get("request-id", "")
         if behaviour is Behaviour.FULL:
@@ -194,7 +280,9 @@
         self.runs[request_id] += 1
         self.running.set()
         if behaviour in (Behaviour.STREAM, Behaviour.CUT_STREAM, Behaviour.HOLD_STREAM):
-            return await self._stream(behaviour, seen, reader, writer)
+            return await self._stream(behaviour, seen, reader, writer, pace_s)
+        if behaviour.startswith(("endless", "drip")):
+            return await self._endless(behaviour, request_id, writer)
         size = len(self.body)
         own = _head(200, request_id, size) + self.body
         match behaviour:
@@ -238,18 +326,40 @@
                 return False
         return True
 
+    async def _endless(
+        self, behaviour: Behaviour, request_id: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        first, repeated = _without_end(behaviour, request_id)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        drips = behaviour.startswith("drip")
+        piece = repeated if drips else repeated * (65536 // len(repeated) + 1)
+        try:
+            writer.write(first)
+            while not writer.is_closing():
+                writer.write(piece)
+                self.endless_bytes += len(piece)
+                await writer.drain()
+                await asyncio.sleep(DRIP_S if drips else 0)
+        finally:
+            self.closed_after_s.append(loop.time() - began_s)
+        return False
+
     async def _stream(
         self,
         behaviour: Behaviour,
         seen: Seen,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        pace_s: float,
     ) -> bool:
         after = int(seen.headers.get("last-event-id", "0") or 0)
         extra = b"Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
         writer.write(_head(200, seen.headers.get("request-id", ""), None, extra))
         for number in range(after + 1, self.events + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if pace_s > 0:
+                await asyncio.sleep(pace_s)
             if self.dark:
                 await reader.read(1)
                 return False
@@ -293,6 +403,42 @@
     return b"\r\n".join(lines) + b"\r\n" + extra + b"\r\n"
 
 
+def _without_end(behaviour: Behaviour, request_id: str) -> tuple[bytes, bytes]:
+    """Return how an answer begins, and what follows again and again."""
+    unstated = _head(200, request_id, None)
+    chunked = _head(200, request_id, None, CHUNKED)
+    not_run = CHUNKED + b"Not-Run: 1\r\n"
+    letter = b"1\r\nx\r\n"
+    late = _head(200, "an-earlier-request", 1 << 40)
+    match behaviour:
+        case Behaviour.ENDLESS_HEAD:
+            return unstated[:-2], b"X-Noise: x\r\n"
+        case Behaviour.DRIP_HEAD:
+            return unstated[:-2] + b"X-Noise: ", b"x"
+        case Behaviour.ENDLESS_GARBAGE | Behaviour.DRIP_GARBAGE:
+            return b"z", b"z"
+        case Behaviour.ENDLESS_HINTS:
+            return b"HTTP/1.1 103 Early Hints\r\n\r\n", b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        case Behaviour.ENDLESS_REST:
+            return unstated, b"x"
+        case Behaviour.ENDLESS_EXTENSION:
+            return chunked, b"1;" + b"x" * 8192 + b"\r\ny\r\n"
+        case Behaviour.ENDLESS_TRAILER:
+            return chunked + b"0\r\n", b"X-Noise: x\r\n"
+        case Behaviour.ENDLESS_LATE | Behaviour.DRIP_LATE:
+            return late, b"x"
+        case Behaviour.ENDLESS_UNSIGNED:
+            return _head(200, request_id, None, CHUNKED, signed=False), letter
+        case Behaviour.ENDLESS_FAILURE | Behaviour.DRIP_FAILURE:
+            return _head(500, request_id, None, CHUNKED), letter
+        case Behaviour.ENDLESS_REJECTION | Behaviour.DRIP_REJECTION:
+            return _head(503, request_id, None, not_run, signed=False), letter
+        case Behaviour.ENDLESS_BODY:
+            return chunked, b"400\r\n" + b"x" * 1024 + b"\r\n"
+        case _:
+            return chunked, letter
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Reset the connection: closing it with a linger time of zero sends no end."""
     import socket
