Keep bounds on time out of the usual path of a response

Cause: each part of a response opened a time-out, also where bytes were there already.

Change: one deadline of the connection, which is looked at only while bytes are waited for. Tests of the bound on a body's time, which grows with its bytes, and of the shared memory (both are new interfaces).

Ran: tests/http11 tests/platform tests/entry tests/traffic, 264 passed.

--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -97,7 +97,8 @@
         self._seen_bytes = False
         self._framed = True
         self._guard = HeadGuard()
-        self._head_deadline_s: float | None = None
+        self._deadline_s: float | None = None
+        """Loop time up to which the next bytes are waited for; ``None`` without a bound."""
         self._wire_bytes = 0
         """Bytes of the body as received."""
         self._data_bytes = 0
@@ -219,7 +220,7 @@
 
     def _expect_head(self) -> None:
         self._guard = HeadGuard()
-        self._head_deadline_s = None
+        self._deadline_s = None
         self._wire_bytes = 0
         self._data_bytes = 0
         self._data_parts = 0
@@ -249,13 +250,10 @@
         """Read past a response that belongs to an earlier request."""
         if not self._framed:
             raise self._bad("response to another request without a length")
-        try:
-            async with asyncio.timeout(SKIP_S):
-                while not isinstance(await self._next_event(), h11.EndOfMessage):
-                    if self._data_bytes > SKIP_BYTES:
-                        raise self._endless(f"late response exceeds {SKIP_BYTES} B")
-        except TimeoutError as error:
-            raise self._endless(f"late response took longer than {SKIP_S} s") from error
+        self._deadline_s = asyncio.get_running_loop().time() + SKIP_S
+        while not isinstance(await self._next_event(), h11.EndOfMessage):
+            if self._data_bytes > SKIP_BYTES:
+                raise self._endless(f"late response exceeds {SKIP_BYTES} B")
         rest, _ = self._parser.trailing_data
         assert self._request is not None
         self._start(self._request)
@@ -288,18 +286,13 @@
         ``time_s`` and the time for its bytes at ``BODY_RATE``, and for one that finds no memory.
         """
         body = bytearray()
-        clock = asyncio.get_running_loop().time
-        began_s = clock()
+        began_s = asyncio.get_running_loop().time()
         while True:
-            deadline_s = None if time_s is None else began_s + time_s + len(body) / BODY_RATE
-            try:
-                async with asyncio.timeout_at(deadline_s):
-                    part = await self.body()
-            except TimeoutError as error:
-                raise self._endless(f"{len(body)} B of a body in {clock() - began_s:.1f} s") from (
-                    error
-                )
+            if time_s is not None:
+                self._deadline_s = began_s + time_s + len(body) / BODY_RATE
+            part = await self.body()
             if part is None:
+                self._deadline_s = None
                 return bytes(body)
             body += part
             self._check_parts(WHOLE_PART_BYTES)
@@ -321,7 +314,11 @@
                     self._data_parts += 1
                     self._data_bytes += len(event.data)
                     self._check_parts(PART_BYTES)
-                await self._take_turns()
+                self._parts_in_turn += 1
+                if self._parts_in_turn >= PARTS_PER_TURN:
+                    # Other tasks get their turn while buffered bytes are parsed.
+                    self._parts_in_turn = 0
+                    await asyncio.sleep(0)
                 return event
             await self._feed()
 
@@ -329,13 +326,6 @@
         if has_too_many_parts(self._data_parts, self._data_bytes, part_bytes):
             raise self._endless(f"{self._data_bytes} B of a body in {self._data_parts} parts")
 
-    async def _take_turns(self) -> None:
-        """Let other tasks run now and then while buffered bytes are parsed."""
-        self._parts_in_turn += 1
-        if self._parts_in_turn >= PARTS_PER_TURN:
-            self._parts_in_turn = 0
-            await asyncio.sleep(0)
-
     async def _feed(self) -> None:
         """Give the parser the next bytes, or the end of a response that ends with it."""
         if not await self._more():
@@ -355,14 +345,17 @@
 
     async def _more(self) -> bool:
         """Wait for bytes; returns False at the end of the connection."""
+        if self._received:
+            return True
         try:
-            async with asyncio.timeout_at(self._head_deadline_s):
+            async with asyncio.timeout_at(self._deadline_s):
                 while not self._received and not self._ended:
                     self._parts_in_turn = 0
                     self._wake.clear()
                     await self._wake.wait()
         except TimeoutError as error:
-            raise self._endless(f"head took longer than {HEAD_S} s") from error
+            part = "body" if self._guard.complete else "head"
+            raise self._endless(f"{part} takes too long") from error
         return bool(self._received)
 
     def _head_part(self, data: bytes) -> bytes:
@@ -377,9 +370,9 @@
         if size < len(data):
             self._received.appendleft(data[size:])
         if self._guard.complete:
-            self._head_deadline_s = None
-        elif self._head_deadline_s is None:
-            self._head_deadline_s = asyncio.get_running_loop().time() + HEAD_S
+            self._deadline_s = None
+        elif self._deadline_s is None:
+            self._deadline_s = asyncio.get_running_loop().time() + HEAD_S
         return data[:size]
 
     def _count_framing(self, size_bytes: int) -> None:
--- a/tests/http11/test_endless_responses.py
+++ b/tests/http11/test_endless_responses.py
@@ -7,7 +7,13 @@
 import pytest
 from endless_peers import PeerTransport, fast, run_virtually, slow
 
-from mangosaddle.http11 import BadResponseError, UpstreamConnection, UpstreamRequest
+from mangosaddle.http11 import (
+    BadResponseError,
+    BodyMemory,
+    EndlessResponseError,
+    UpstreamConnection,
+    UpstreamRequest,
+)
 
 LIMIT_BYTES = 1024 * 1024
 BUFFERED_BYTES = 512 * 1024
@@ -214,3 +220,40 @@
             await peer
 
     assert run_virtually(_main()) < 10 * 2 * chunks
+
+
+@pytest.mark.parametrize(("rate", "whole"), [(10, False), (32 * 1024, False), (128 * 1024, True)])
+def test_a_bound_on_the_time_of_a_body_grows_with_its_bytes(rate: int, whole: bool) -> None:
+    """Guards against bodies that drip, and against large ones that are taken for such."""
+    size, pause_s = 512 * 1024, 0.5
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+    pieces = _piecewise(b"x" * size, int(rate * pause_s))
+
+    async def _main() -> tuple[int, float]:
+        connection = UpstreamConnection()
+        transport = PeerTransport(connection)
+        connection.send(REQUEST)
+        peer = asyncio.create_task(transport.send([head, *pieces], pause_s))
+        await connection.head()
+        try:
+            body = await connection.whole_body(LIMIT_BYTES, time_s=1.0)
+        except EndlessResponseError:
+            body = b""
+        ended_s = asyncio.get_running_loop().time()
+        await peer
+        return len(body), ended_s
+
+    length, ended_s = run_virtually(_main())
+    assert length == (size if whole else 0)
+    assert ended_s <= (1.0 + size / (64 * 1024) if whole else 3.0)
+
+
+def test_bodies_that_are_held_share_a_bound_and_small_ones_pass() -> None:
+    """Guards against memory that stays taken, and against large bodies that end small ones."""
+    memory = BodyMemory(1024 * 1024)
+    with memory.share() as large, memory.share() as small:
+        assert large.grow(1024 * 1024)
+        assert not large.grow(1)
+        assert small.grow(64 * 1024)
+        assert not small.grow(1)
+    assert memory.held_bytes == 0
