Guard streams of events without end that nobody reads

Two tests and a behaviour of the runner stand-in (events without end): a caller that reads nothing bounds what is taken from the runner, and the request's time ends the runner's work.

--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mangosaddle.entry._attempt import HELD_BYTES
+from mangosaddle.http11 import ResponseBrokenError, UpstreamConnection
 from mangosaddle.traffic._health import EndpointHealth, Reach
 from platform_standins import Behaviour, Fleet, RunnerStandIn, Seen, run_scenario, until
 
@@ -171,6 +172,30 @@
     run_scenario(_body)
 
 
+@pytest.mark.parametrize("path", ["/review/x", "/chat/x"])
+def test_events_that_nobody_reads_are_not_taken_from_the_runner(path: str) -> None:
+    """Guards against memory for a caller that reads slowly, and work beyond its time."""
+
+    async def _body(fleet: Fleet) -> None:
+        engines = [fleet.runners["engine-1"], fleet.runners["engine-2"]]
+        for runner in engines:
+            runner.behaviour = Behaviour.ENDLESS_EVENTS
+        connection = await UpstreamConnection.open(*fleet.vms["vm-1"].settings.front, 1.0)
+        connection.send(
+            fleet.request(
+                path, "key-1", "POST", b"p", token_counts="100,28", deadline_milliseconds="1000"
+            )
+        )
+        assert (await connection.head()).status == 200
+        await until(lambda: any(runner.closed_after_s for runner in engines))
+        (faulty,) = [runner for runner in engines if runner.closed_after_s]
+        _judge(faulty)
+        with pytest.raises(ResponseBrokenError):
+            await connection.whole_body(1 << 30)
+
+    run_scenario(_body)
+
+
 def test_large_answers_share_a_bounded_memory() -> None:
     """Guards against a process that is ended because many answers have no end at once."""
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -59,6 +59,7 @@
     ENDLESS_TRAILER = "endless_trailer"
     ENDLESS_LATE = "endless_late"
     """The body of an answer to another request has no end."""
+    ENDLESS_EVENTS = "endless_events"
     ENDLESS_UNSIGNED = "endless_unsigned"
     ENDLESS_FAILURE = "endless_failure"
     ENDLESS_REJECTION = "endless_rejection"
@@ -378,6 +379,8 @@
             return _head(500, request_id, None, CHUNKED), letter
         case Behaviour.ENDLESS_REJECTION | Behaviour.DRIP_REJECTION:
             return _head(503, request_id, None, not_run, signed=False), letter
+        case Behaviour.ENDLESS_EVENTS:
+            return chunked, _chunk(b"data: " + b"x" * 1024 + b"\n\n")
         case Behaviour.ENDLESS_BODY:
             return chunked, b"400\r\n" + b"x" * 1024 + b"\r\n"
         case _:
