--- a/src/mangosaddle/rollouts/_exposure.py
+++ b/src/mangosaddle/rollouts/_exposure.py
@@ -25,13 +25,20 @@
 
     share: float
     slack: float
-    part_before_full: float = 0.35
-    """Part of the bound that may be used before the full share."""
+    evidence_requests: float = 20.0
+    part_before_full: float = 0.2
+    """Part of the bound that may be used before the full share beside ``evidence_requests``.
+
+    Half of the bound is always left for faults that show only at the full share.
+    """
     held_share: float = 0.02
     """Share while the part is used up."""
-    part_on_probation: float = 0.8
+    part_on_probation: float = 0.7
     """Part of the bound beyond which the full share needs answers to requests at the full share."""
-    probation_answers: int = 10
+    probation_answers: int = 14
+    """Answers to requests at the full share that end the probation, at least."""
+    probation_answers_part: float = 0.05
+    """Answers to requests at the full share that end the probation, as a part of the bound."""
 
     def bound(self, seen: SeenRequests, elapsed_s: float, duration_s: float) -> float:
         """Return the requests that a bad version may get, for the traffic seen so far."""
@@ -42,7 +49,9 @@
         self, seen: SeenRequests, elapsed_s: float, duration_s: float, full_s: float
     ) -> float:
         """Return the share that spends what is left evenly until the full share at ``full_s``."""
-        left = self.part_before_full * self.bound(seen, elapsed_s, duration_s) - seen.of_new
+        bound = self.bound(seen, elapsed_s, duration_s)
+        budget = min(bound / 2, self.evidence_requests + self.part_before_full * bound)
+        left = budget - seen.of_new
         rate = seen.of_both / max(elapsed_s, MIN_ELAPSED_S)
         coming = rate * max(full_s - elapsed_s, MIN_LEFT_S)
         return 1.0 if left >= coming else max(self.held_share, left / coming)
@@ -54,7 +63,9 @@
 
         It falls back until answers show how the version does at the full share.
         """
-        if seen.of_new < self.part_on_probation * self.bound(seen, elapsed_s, duration_s):
+        bound = self.bound(seen, elapsed_s, duration_s)
+        if seen.of_new < self.part_on_probation * bound:
             return 1.0
+        wanted = max(self.probation_answers, self.probation_answers_part * bound)
         answered = seen.answered_of_new - sent_before
-        return 1.0 if answered >= self.probation_answers else self.held_share
+        return 1.0 if answered >= wanted else self.held_share
--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from ._evidence import Counter
+from ._evidence import SHARE_STEPS, Counter
 from ._verdict import Fault, Finding, RouteEvidence, find_fault
 
 RECENT_WINDOWS = 2
@@ -37,7 +37,7 @@
 class OrderRules:
     """Comparison of failures, and of answers above twice the old version's median."""
 
-    alpha: float = 1e-4
+    alpha: float = 2e-3
     """Probability that one comparison vetoes a version at the margin."""
     failures: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 2.0, 100.0, 250.0)
     slow: ExcessBounds = ExcessBounds(0.25, 0.4, 6, 1.5, 30.0, 80.0)
@@ -83,32 +83,39 @@
     The newest counts alone show a fault that began late, all of them one that is rare. Those at the
     full share stand beside the latest ones of the old version.
     """
-    below = [
-        _Pair(pair.new, pair.old, route.past)
-        for route in routes
-        for pair in route.comparisons
-        if pair.new.requests or pair.old.requests
-    ]
-    recent, full = (_at_full(routes, windows) for windows in (RECENT_WINDOWS, None))
-    for pairs, failures, slow in (
+    below = _below_full(routes, None)
+    full = _at_full(routes, None)
+    looks = (
         (below, rules.failures, rules.slow),
-        (recent, rules.failures_at_full, rules.slow_at_full),
+        (_below_full(routes, RECENT_WINDOWS), rules.failures, rules.slow),
         (below + full if full else [], rules.failures_at_full, rules.slow_at_full),
-    ):
+        (_at_full(routes, RECENT_WINDOWS), rules.failures_at_full, rules.slow_at_full),
+    )
+    for pairs, failures, slow in looks:
         found = _failures(rules, pairs, failures) or _slow(rules, pairs, slow)
         if found is not None:
             return found
     return None
 
 
+def _below_full(routes: Sequence[RouteEvidence], windows: int | None) -> list[_Pair]:
+    count = None if windows is None else windows * SHARE_STEPS
+    return [
+        _Pair(pair.new, pair.old, route.past)
+        for route in routes
+        for pair in route.comparisons[:count]
+        if pair.new.requests or pair.old.requests
+    ]
+
+
 def _at_full(routes: Sequence[RouteEvidence], windows: int | None) -> list[_Pair]:
     pairs = []
     for route in routes:
         new = Counter()
         for counter in route.full[:windows]:
             new.add(counter)
-        if new.requests and route.past is not None:
-            pairs.append(_Pair(new, route.past, route.past))
+        if new.requests:
+            pairs.append(_Pair(new, route.past or Counter(), route.past))
     return pairs
 
 
@@ -123,7 +130,11 @@
 
 
 def _slow(rules: OrderRules, pairs: Sequence[_Pair], bounds: ExcessBounds) -> Finding | None:
-    strata = [_slow_stratum(pair) for pair in pairs]
+    of_old = Counter()
+    for pair in pairs:
+        of_old.add(pair.old)
+    median_of_all = of_old.median_bucket()
+    strata = [_slow_stratum(pair, median_of_all) for pair in pairs]
     if not _exceeds(rules, strata, bounds):
         return None
     return Finding(Fault.LATENCY, _figures(strata, SLOW))
@@ -135,16 +146,21 @@
     return f"{hits_new} of {size_new} {what}, of the old version {hits_old} of {size_old}"
 
 
-def _slow_stratum(pair: _Pair) -> _Stratum:
-    """Count answers above a multiple of the old version's median, the higher one of both counts."""
+def _slow_stratum(pair: _Pair, of_all: int | None) -> _Stratum:
+    """Count answers above a multiple of the old version's median.
+
+    The median is the higher one of those in the stratum and lately, and ``of_all`` strata where
+    neither exists.
+    """
     medians = [
         median
         for old in (pair.old, pair.past)
         if old is not None and (median := old.median_bucket()) is not None
     ]
-    if not medians:
+    median_bucket = max(medians, default=of_all)
+    if median_bucket is None:
         return _Stratum(0, 0, 0, 0)
-    bound = max(medians) + SLOW_BUCKETS
+    bound = median_bucket + SLOW_BUCKETS
     new, old = pair.new, pair.old
     return _Stratum(
         new.answers_above(bound), new.answers(), old.answers_above(bound), old.answers()
--- a/src/mangosaddle/rollouts/_policy.py
+++ b/src/mangosaddle/rollouts/_policy.py
@@ -22,7 +22,7 @@
 """Time from the order in which new endpoints register and answer slowly."""
 MAX_COLD_PART = 0.15
 COLD_SHARE = 0.04
-MIDDLE_SHARE = 0.5
+MIDDLE_SHARE = 0.7
 FULL_PART = 0.6
 """Part of the duration after which the whole share is due.
 
@@ -65,7 +65,7 @@
             ramp=((0.0, COLD_SHARE), (cold_part, MIDDLE_SHARE), (FULL_PART, 1.0)),
             hold_back=(),
             past_sample=60,
-            min_past=5,
+            min_past=1,
             exposure=ExposureLimit(exposure_share, exposure_slack),
             rules=OrderRules(),
         )
