--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -3,6 +3,17 @@
 from ._fleet import Fleet, running_fleet, until
 from ._operator import configuration, engine_service, plain_service, route, tenant
 from ._rollout_operator import PlacedOrder, RolloutOperator
+from ._rollout_play import (
+    OrderOutcome,
+    RolloutCase,
+    RolloutPlay,
+    cut_vm_off,
+    kill_vm,
+    order_what_cannot_be,
+    play_rollouts,
+    restart_vm,
+    take_store_out,
+)
 from ._runner import Arrival, Behaviour, RunnerStandIn, Seen
 from ._scenario import Scenario, run_fleet, run_scenario, usual_configuration
 from ._store import StoreFault, StoreStandIn
@@ -14,8 +25,11 @@
     "Behaviour",
     "Call",
     "Fleet",
+    "OrderOutcome",
     "PlacedOrder",
+    "RolloutCase",
     "RolloutOperator",
+    "RolloutPlay",
     "RunnerStandIn",
     "Scenario",
     "Seen",
@@ -24,12 +38,18 @@
     "Traffic",
     "VersionFault",
     "configuration",
+    "cut_vm_off",
     "engine_service",
+    "kill_vm",
+    "order_what_cannot_be",
     "plain_service",
+    "play_rollouts",
+    "restart_vm",
     "route",
     "run_fleet",
     "run_scenario",
     "running_fleet",
+    "take_store_out",
     "tenant",
     "until",
     "usual_configuration",
