Close the port of a stopping VM sooner, so that an idle one ends and returns sooner

A VM refuses requests from 3 s after its signal on, but its port stayed open until 4 s, and it could not end before.

Ruled out: ending before 3 s; callers keep answers of the directory for that long. Requests in progress; they are waited for as before.

Change: the port closes 3.2 s after the signal. Callers that come between 3.2 and 4 s with an old answer of the directory find a closed port instead of a refusal; both promise that nothing ran.

Before: test_an_idle_vm_ends_soon_after_it_refuses fails (TimeoutError). After: tests/platform/test_homes.py and test_front_contract.py pass.

--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -71,7 +71,7 @@
 REFUSE_AFTER_S = 3.0
 """Time after the signal to stop from which new requests are refused: callers have learnt of the
 stop by then, and what is taken before can end in the time of grace."""
-STOP_LISTENING_AFTER_S = 4.0
+STOP_LISTENING_AFTER_S = 3.2
 EXIT_MARGIN_S = 0.6
 """Time before the end of the grace at which the process ends in any case."""
 DRAIN_CHECK_S = 0.05
--- a/tests/platform/test_homes.py
+++ b/tests/platform/test_homes.py
@@ -120,3 +120,16 @@
         await draining
 
     run_fleet(_body)
+
+
+def test_an_idle_vm_ends_soon_after_it_refuses() -> None:
+    """Guards against a region that waits for its VM, which starts again once it has ended."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        draining = asyncio.create_task(vm.drain())
+        await until(lambda: vm.desk.refuses_new)
+        async with asyncio.timeout(0.8):
+            await draining
+
+    run_scenario(_body)
