Find versions that are far slower in a part of their answers

The verdict asked for an excess of 0.4 above 1.7 times the old median.

Ruled out: answers that the evidence does not see (they are counted where they run, without the way between regions); too few answers (37 and 25 on the two routes).

Change: answers above 2.8 times the old median have bounds of their own: an excess of 0.2, at the full share 0.25, and a probability of 2e-4 a comparison.

Before: 13 of 20 cases of test_a_version_that_is_slow_in_a_part_of_its_answers_is_vetoed fail. After: tests/rollouts passes. With 2e-3 a comparison 1 of 60 good versions (10% slow answers beside 5%) was vetoed, so the bounds have probabilities of their own.

--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -11,12 +11,17 @@
 SLOW_BUCKETS = 3
 """Buckets between the old version's median and the bound: a factor of 1.7 to 2."""
 SLOW = "slower than 1.7x the median of the old version"
+FAR_SLOWER_BUCKETS = 7
+"""The same for answers that are far slower: a factor of 2.8 to 3.4."""
+FAR_SLOWER = "slower than 2.8x the median of the old version"
 
 
 @dataclass(frozen=True, slots=True)
 class ExcessBounds:
     """How far the rate of one kind of bad answers may be above the old version's."""
 
+    alpha: float
+    """Probability that one comparison vetoes a version at the margin."""
     margin: float
     """Difference of rates that is no fault."""
     min_excess: float
@@ -35,15 +40,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderRules:
-    """Comparison of failures, and of answers above twice the old version's median."""
+    """Comparison of failures, and of answers above multiples of the old version's median."""
 
-    alpha: float = 2e-3
-    """Probability that one comparison vetoes a version at the margin."""
-    failures: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 2.0, 100.0, 250.0)
-    slow: ExcessBounds = ExcessBounds(0.25, 0.4, 6, 1.5, 30.0, 80.0)
-    failures_at_full: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 2.0, 100.0, 200.0)
+    failures: ExcessBounds = ExcessBounds(2e-3, 0.02, 0.1, 4, 2.0, 100.0, 250.0)
+    slow: ExcessBounds = ExcessBounds(2e-3, 0.25, 0.4, 6, 1.5, 30.0, 80.0)
+    failures_at_full: ExcessBounds = ExcessBounds(2e-3, 0.02, 0.1, 4, 2.0, 100.0, 200.0)
     """Bounds against earlier counts of the old version; the fleet may have changed since."""
-    slow_at_full: ExcessBounds = ExcessBounds(0.35, 0.5, 6, 1.5, 30.0, 60.0)
+    slow_at_full: ExcessBounds = ExcessBounds(2e-3, 0.35, 0.5, 6, 1.5, 30.0, 60.0)
+    far_slower: ExcessBounds = ExcessBounds(2e-4, 0.06, 0.2, 5, 1.0, 40.0, 120.0)
+    """Bounds of answers that are several times slower: a version may be slow in a part of them,
+    and one slow endpoint of a good version is given fewer requests than the others."""
+    far_slower_at_full: ExcessBounds = ExcessBounds(2e-4, 0.1, 0.25, 6, 1.0, 40.0, 100.0)
     stratum_prior: float = 4.0
     """Answers of the old version in all strata that are assumed in each of them."""
 
@@ -85,14 +92,20 @@
     """
     below = _below_full(routes, None)
     full = _at_full(routes, None)
+    below_bounds = (rules.failures, rules.slow, rules.far_slower)
+    full_bounds = (rules.failures_at_full, rules.slow_at_full, rules.far_slower_at_full)
     looks = (
-        (below, rules.failures, rules.slow),
-        (_below_full(routes, RECENT_WINDOWS), rules.failures, rules.slow),
-        (below + full if full else [], rules.failures_at_full, rules.slow_at_full),
-        (_at_full(routes, RECENT_WINDOWS), rules.failures_at_full, rules.slow_at_full),
+        (below, below_bounds),
+        (_below_full(routes, RECENT_WINDOWS), below_bounds),
+        (below + full if full else [], full_bounds),
+        (_at_full(routes, RECENT_WINDOWS), full_bounds),
     )
-    for pairs, failures, slow in looks:
-        found = _failures(rules, pairs, failures) or _slow(rules, pairs, slow)
+    for pairs, (failures, slow, far_slower) in looks:
+        found = (
+            _failures(rules, pairs, failures)
+            or _slow(rules, pairs, slow, SLOW_BUCKETS, SLOW)
+            or _slow(rules, pairs, far_slower, FAR_SLOWER_BUCKETS, FAR_SLOWER)
+        )
         if found is not None:
             return found
     return None
@@ -129,15 +142,17 @@
     return Finding(Fault.FAILURES, _figures(strata, "failed"))
 
 
-def _slow(rules: OrderRules, pairs: Sequence[_Pair], bounds: ExcessBounds) -> Finding | None:
+def _slow(
+    rules: OrderRules, pairs: Sequence[_Pair], bounds: ExcessBounds, buckets: int, what: str
+) -> Finding | None:
     of_old = Counter()
     for pair in pairs:
         of_old.add(pair.old)
     median_of_all = of_old.median_bucket()
-    strata = [_slow_stratum(pair, median_of_all) for pair in pairs]
+    strata = [_slow_stratum(pair, median_of_all, buckets) for pair in pairs]
     if not _exceeds(rules, strata, bounds):
         return None
-    return Finding(Fault.LATENCY, _figures(strata, SLOW))
+    return Finding(Fault.LATENCY, _figures(strata, what))
 
 
 def _figures(strata: Sequence[_Stratum], what: str) -> str:
@@ -146,7 +161,7 @@
     return f"{hits_new} of {size_new} {what}, of the old version {hits_old} of {size_old}"
 
 
-def _slow_stratum(pair: _Pair, of_all: int | None) -> _Stratum:
+def _slow_stratum(pair: _Pair, of_all: int | None, buckets: int) -> _Stratum:
     """Count answers above a multiple of the old version's median.
 
     The median is the higher one of those in the stratum and lately, and ``of_all`` strata where
@@ -160,7 +175,7 @@
     median_bucket = max(medians, default=of_all)
     if median_bucket is None:
         return _Stratum(0, 0, 0, 0)
-    bound = median_bucket + SLOW_BUCKETS
+    bound = median_bucket + buckets
     new, old = pair.new, pair.old
     return _Stratum(
         new.answers_above(bound), new.answers(), old.answers_above(bound), old.answers()
@@ -188,7 +203,7 @@
     if hits / size < mean + bounds.min_excess:
         return False
     known = min(size_old, bounds.max_size)
-    return excess_probability(hits, size, min(1.0, mean + bounds.margin), known) < rules.alpha
+    return excess_probability(hits, size, min(1.0, mean + bounds.margin), known) < bounds.alpha
 
 
 def excess_probability(hits: int, size: int, rate: float, known_from: float) -> float:
