--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -172,7 +172,8 @@
         ``lost_endpoint`` names the endpoint to which the connection was lost. The requests that
         are lost with one endpoint are one failure: as many they would condemn a good version.
         """
-        if model not in self._configuration.rollouts_by_model:
+        plan = self._configuration.rollouts_by_model.get(model)
+        if plan is None:
             return
         if latency_s is None and lost_endpoint is not None:
             loss = (lost_endpoint, version)
@@ -180,7 +181,7 @@
             self._last_loss_at[loss] = wall_time
             if wall_time - last < SAME_LOSS_S:
                 return
-        step = step_of(self.share(model, wall_time))
+        step = step_of(self._share_of_answer(plan, version, wall_time))
         key = EvidenceKey(self._window(wall_time), model, version, route, step)
         self._evidence.count(key, latency_s)
 
@@ -274,6 +275,17 @@
     def _planned(self, plan: RolloutPlan, wall_time: float) -> float:
         return share(plan, wall_time, self._policy.ramp)
 
+    def _share_of_answer(self, plan: RolloutPlan, version: VersionId, wall_time: float) -> float:
+        """Return the share that an answer counts at.
+
+        Most answers of the new version on probation are to requests at the full share.
+        """
+        now_share = self.share(plan.model, wall_time)
+        if self._policy.exposure is None or version != plan.new or not now_share:
+            return now_share
+        planned = self._planned(plan, wall_time)
+        return planned if planned >= 1.0 else now_share
+
     def _sample_limit(self, plan: RolloutPlan) -> float:
         sample = self._evidence.requests(plan.model, plan.new)
         return next((limit for size, limit in self._policy.hold_back if sample < size), 1.0)
--- a/src/mangosaddle/rollouts/_exposure.py
+++ b/src/mangosaddle/rollouts/_exposure.py
@@ -5,6 +5,10 @@
 MIN_ELAPSED_S = 1.0
 """Time since the start below which the rate of requests is taken to be that of this time."""
 MIN_LEFT_S = 0.1
+FEW_RUNNING = 3
+"""Requests without an answer yet that are not worth waiting for."""
+COUNTERS_AGE_S = 0.3
+"""Age of the counters of other VMs."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,17 +29,17 @@
 
     share: float
     slack: float
-    evidence_requests: float = 20.0
-    part_before_full: float = 0.2
+    evidence_requests: float = 25.0
+    part_before_full: float = 0.1
     """Part of the bound that may be used before the full share beside ``evidence_requests``.
 
     Half of the bound is always left for faults that show only at the full share.
     """
     held_share: float = 0.02
     """Share while the part is used up."""
-    part_on_probation: float = 0.7
+    part_on_probation: float = 0.8
     """Part of the bound beyond which the full share needs answers to requests at the full share."""
-    probation_answers: int = 14
+    probation_answers: int = 10
     """Answers to requests at the full share that end the probation, at least."""
     probation_answers_part: float = 0.05
     """Answers to requests at the full share that end the probation, as a part of the bound."""
@@ -64,8 +68,10 @@
         It falls back until answers show how the version does at the full share.
         """
         bound = self.bound(seen, elapsed_s, duration_s)
-        if seen.of_new < self.part_on_probation * bound:
+        unseen = seen.of_both / max(elapsed_s, MIN_ELAPSED_S) * COUNTERS_AGE_S
+        if seen.of_new + unseen < self.part_on_probation * bound:
             return 1.0
         wanted = max(self.probation_answers, self.probation_answers_part * bound)
         answered = seen.answered_of_new - sent_before
-        return 1.0 if answered >= wanted else self.held_share
+        running = seen.of_new - seen.answered_of_new
+        return 1.0 if answered >= wanted or running <= FEW_RUNNING else self.held_share
--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -17,6 +17,8 @@
 class ExcessBounds:
     """How far the rate of one kind of bad answers may be above the old version's."""
 
+    alpha: float
+    """Probability that one comparison vetoes a version at the margin."""
     margin: float
     """Difference of rates that is no fault."""
     min_excess: float
@@ -37,13 +39,11 @@
 class OrderRules:
     """Comparison of failures, and of answers above twice the old version's median."""
 
-    alpha: float = 2e-3
-    """Probability that one comparison vetoes a version at the margin."""
-    failures: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 2.0, 100.0, 250.0)
-    slow: ExcessBounds = ExcessBounds(0.25, 0.4, 6, 1.5, 30.0, 80.0)
-    failures_at_full: ExcessBounds = ExcessBounds(0.02, 0.1, 4, 2.0, 100.0, 200.0)
+    failures: ExcessBounds = ExcessBounds(1e-3, 0.02, 0.1, 4, 2.0, 100.0, 250.0)
+    slow: ExcessBounds = ExcessBounds(1e-4, 0.25, 0.4, 6, 1.5, 30.0, 80.0)
+    failures_at_full: ExcessBounds = ExcessBounds(1e-3, 0.02, 0.1, 4, 2.0, 100.0, 200.0)
     """Bounds against earlier counts of the old version; the fleet may have changed since."""
-    slow_at_full: ExcessBounds = ExcessBounds(0.35, 0.5, 6, 1.5, 30.0, 60.0)
+    slow_at_full: ExcessBounds = ExcessBounds(1e-3, 0.35, 0.5, 6, 1.5, 30.0, 60.0)
     stratum_prior: float = 4.0
     """Answers of the old version in all strata that are assumed in each of them."""
 
@@ -188,7 +188,7 @@
     if hits / size < mean + bounds.min_excess:
         return False
     known = min(size_old, bounds.max_size)
-    return excess_probability(hits, size, min(1.0, mean + bounds.margin), known) < rules.alpha
+    return excess_probability(hits, size, min(1.0, mean + bounds.margin), known) < bounds.alpha
 
 
 def excess_probability(hits: int, size: int, rate: float, known_from: float) -> float:
