--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -42,11 +42,11 @@
 class OrderRules:
     """Comparison of failures, and of answers above multiples of the old version's median."""
 
-    failures: ExcessBounds = ExcessBounds(2e-3, 0.02, 0.1, 4, 2.0, 100.0, 250.0)
-    slow: ExcessBounds = ExcessBounds(2e-3, 0.25, 0.4, 6, 1.5, 30.0, 80.0)
-    failures_at_full: ExcessBounds = ExcessBounds(2e-3, 0.02, 0.1, 4, 2.0, 100.0, 200.0)
+    failures: ExcessBounds = ExcessBounds(1e-3, 0.02, 0.1, 4, 2.0, 100.0, 250.0)
+    slow: ExcessBounds = ExcessBounds(1e-4, 0.25, 0.4, 6, 1.5, 30.0, 80.0)
+    failures_at_full: ExcessBounds = ExcessBounds(1e-3, 0.02, 0.1, 4, 2.0, 100.0, 200.0)
     """Bounds against earlier counts of the old version; the fleet may have changed since."""
-    slow_at_full: ExcessBounds = ExcessBounds(2e-3, 0.35, 0.5, 6, 1.5, 30.0, 60.0)
+    slow_at_full: ExcessBounds = ExcessBounds(1e-3, 0.35, 0.5, 6, 1.5, 30.0, 60.0)
     far_slower: ExcessBounds = ExcessBounds(2e-4, 0.06, 0.2, 5, 1.0, 40.0, 120.0)
     """Bounds of answers that are several times slower: a version may be slow in a part of them,
     and one slow endpoint of a good version is given fewer requests than the others."""
