Stop keeping the entry of a VM before its lease is ended

Finding: Presence.end() ended the lease while run() went on. Until the process was gone, run() renewed the ended lease, was told so, opened another one and wrote the entry again. The entry of a VM that no longer exists then lived for the 8 s of that lease.

Ruled out: a flag that run() reads between steps (a step that waits for an answer of the store would still write); waiting for that step (up to three calls of 1.5 s, out of the time of grace).

Change: end() cancels the task of run() and then ends the lease. A write that is under way names the lease that is ended, so it is refused if it is carried out later.

--- a/src/mangosaddle/coordination/_presence.py
+++ b/src/mangosaddle/coordination/_presence.py
@@ -61,7 +61,7 @@
     def __init__(
         self, store: CoordinationStore, key: str, record: VmRecord, rng: random.Random
     ) -> None:
-        """Create the entry of a VM; ``run`` works until it is cancelled."""
+        """Create the entry of a VM; ``run`` keeps it until ``end``."""
         self.record = record
         self.registered = asyncio.Event()
         """Set once the entry has been written for the first time."""
@@ -75,6 +75,8 @@
         self._lease = 0
         self._written: VmRecord | None = None
         self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        """Task that keeps the entry."""
 
     def leave(self) -> None:
         """Tell the others that this VM takes no new work."""
@@ -82,7 +84,8 @@
         self._wake.set()
 
     async def run(self) -> None:
-        """Keep the entry until cancelled."""
+        """Keep the entry until cancelled, by the caller or by ``end``."""
+        self._task = asyncio.current_task()
         while True:
             try:
                 await self._step()
@@ -128,7 +131,10 @@
         logger.info("own entry written", extra={"revision": revision, "leaving": record.leaving})
 
     async def end(self) -> None:
-        """Remove the entry; a failure leaves it to its lease."""
+        """Stop keeping the entry and remove it; a failure leaves it to its lease."""
+        # A write that is under way fails with its lease, or has been carried out before.
+        if self._task is not None:
+            self._task.cancel()
         if not self._lease:
             return
         try:
