Write the own entry again when a late write has replaced it

Finding: a write of a VM's former process whose answer was lost may be carried out seconds later, and then replaces the entry of the process that runs now. That one never looked at its key again: others took it for a leaving VM, and after the end of the former lease it had no entry at all.

Ruled out: conditions on the revision in each write (the first one needs a read, and an entry that was removed would still not be noticed); reading the key at each renewal (a call more per VM and 2 s).

Change: VmSource hands what it reads of the VM's own key, from the watch or relayed, to Presence. A foreign value is overwritten at once, but at the next renewal if it comes again within 8 s, so that two writers do not call the store without end. A removal waits for the next renewal. In steady state there is no call more than before. The stand-in of the store kept a key with a former lease after it had been written with another one; it now belongs to the last one only.

--- a/src/mangosaddle/coordination/_presence.py
+++ b/src/mangosaddle/coordination/_presence.py
@@ -5,11 +5,12 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, replace
 
 from .._identifiers import Incarnation, RegionName, VmId, ZoneName
 from ._exceptions import CoordinationError, LeaseEndedError, OutcomeUnknownError
-from ._store import CoordinationStore, Put
+from ._store import CoordinationStore, Item, Put, Removal
 
 LEASE_S = 8.0
 """Life of the entry without a renewal: longer than a usual outage of the store, shorter than the
@@ -56,10 +57,15 @@
 
 
 class Presence:
-    """Keeps the entry alive and writes it again when its lease has ended."""
+    """Keeps the entry alive and writes it again when it has ended or was replaced."""
 
     def __init__(
-        self, store: CoordinationStore, key: str, record: VmRecord, rng: random.Random
+        self,
+        store: CoordinationStore,
+        key: str,
+        record: VmRecord,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Create the entry of a VM; ``run`` keeps it until ``end``."""
         self.record = record
@@ -72,24 +78,58 @@
         self._store = store
         self._key = key
         self._rng = rng
+        self._clock = clock
         self._lease = 0
         self._written: VmRecord | None = None
+        self._written_revision = 0
+        self._shown: Item | Removal | None = None
+        """Latest change of the entry, by any writer."""
+        self._hurried_s: float | None = None
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
-        """Task that keeps the entry."""
+        """Task that keeps the entry, until it is ended."""
 
     def leave(self) -> None:
         """Tell the others that this VM takes no new work."""
         self.record = replace(self.record, leaving=True)
         self._wake.set()
 
+    def seen(self, event: Item | Removal) -> None:
+        """Take a change of the entry that the store shows.
+
+        A write of a former process may be carried out after those of this one. It is corrected at
+        once, but at the next renewal if it happens again within the life of a lease: writers that
+        replace each other's entry must not call the store without end.
+        """
+        if self._shown is not None and event.revision <= self._shown.revision:
+            return
+        self._shown = event
+        if not self.registered.is_set() or self._task is None or not self._is_replaced():
+            return
+        logger.warning(
+            "own entry was replaced",
+            extra={"revision": event.revision, "removed": isinstance(event, Removal)},
+        )
+        now = self._clock()
+        # Entries that lapse do so on many VMs at once: the renewals spread them over time.
+        is_due = self._hurried_s is None or now - self._hurried_s >= LEASE_S
+        if isinstance(event, Item) and is_due:
+            self._hurried_s = now
+            self._wake.set()
+
+    def _is_replaced(self) -> bool:
+        """Return whether the store shows something else than was last written."""
+        if self._shown is None or self._shown.revision <= self._written_revision:
+            return False
+        return isinstance(self._shown, Removal) or self._shown.value != self.record.encode()
+
     async def run(self) -> None:
         """Keep the entry until cancelled, by the caller or by ``end``."""
         self._task = asyncio.current_task()
         while True:
             try:
                 await self._step()
-                pause_s = RENEW_S
+                pause_s = RETRY_S if self._is_replaced() else RENEW_S
             except CoordinationError as error:
                 logger.warning("own entry was not written", extra={"cause": str(error)})
                 pause_s = RETRY_S
@@ -109,9 +149,9 @@
                 self._lease, self._written = 0, None
         if not self._lease:
             self._lease = await self._store.open_lease(LEASE_S)
-        if self._written != self.record:
+        if self._written != self.record or self._is_replaced():
             await self._write(self.record)
-        self.contact_at_s = time.monotonic()
+        self.contact_at_s = self._clock()
 
     async def _write(self, record: VmRecord) -> None:
         try:
@@ -124,7 +164,7 @@
             if item is None or item.value != record.encode():
                 raise
             revision = item.revision
-        self._written = record
+        self._written, self._written_revision = record, revision
         if not self.revision:
             self.revision = revision
             self.registered.set()
@@ -135,6 +175,7 @@
         # A write that is under way fails with its lease, or has been carried out before.
         if self._task is not None:
             self._task.cancel()
+            self._task = None
         if not self._lease:
             return
         try:
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -190,7 +190,19 @@
             self.endpoints,
             self._clock,
         )
-        self._vms = VmSource(VM_PREFIX, self._vms_changed, self._clock)
+        self._record = VmRecord(
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            region=settings.region,
+            zone=settings.zone,
+            host=settings.host,
+            peer_port=settings.peer_port,
+            front_port=settings.front[1],
+        )
+        self._presence = Presence(self._store, VM_PREFIX + settings.vm, self._record, self._rng)
+        self._vms = VmSource(
+            VM_PREFIX, settings.vm, self._presence.seen, self._vms_changed, self._clock
+        )
         self._relay = StoreRelay(self._rng)
         followed = (
             (parts.operator_prefix, self._relay.relayed(parts.operator_prefix, self._operator)),
@@ -216,16 +228,6 @@
         self._record_follower = Follower(
             self._store, prefix, self._relay.relayed(prefix, self._records), self._rng
         )
-        self._record = VmRecord(
-            vm=settings.vm,
-            incarnation=self._incarnation,
-            region=settings.region,
-            zone=settings.zone,
-            host=settings.host,
-            peer_port=settings.peer_port,
-            front_port=settings.front[1],
-        )
-        self._presence = Presence(self._store, VM_PREFIX + settings.vm, self._record, self._rng)
 
     def _assemble_servers(self) -> None:
         discovery = Discovery(
--- a/src/mangosaddle/entry/_sources.py
+++ b/src/mangosaddle/entry/_sources.py
@@ -207,13 +207,20 @@
     """Follows the entries of the entry VMs."""
 
     def __init__(
-        self, prefix: str, on_change: Callable[[], None], clock: Callable[[], float]
+        self,
+        prefix: str,
+        own: VmId,
+        on_own: Callable[[Item | Removal], None],
+        on_change: Callable[[], None],
+        clock: Callable[[], float],
     ) -> None:
-        """Create the listener."""
+        """Create the listener; ``on_own`` takes what is shown of the own VM's entry."""
         self.records_by_vm: dict[VmId, VmRecord] = {}
         self.revisions_by_vm: dict[VmId, int] = {}
         """Revision of the store at which each entry was written."""
         self._prefix = prefix
+        self._own_key = prefix + own
+        self._on_own = on_own
         self._on_change = on_change
         self._clock = clock
         self._remove_at_by_vm: dict[VmId, float] = {}
@@ -224,6 +231,8 @@
         The links tell whether their VMs live; entries that are not written again are dropped by
         ``remove_due``.
         """
+        own = next((item for item in snapshot.items if item.key == self._own_key), None)
+        self._on_own(own or Removal(self._own_key, snapshot.revision))
         records = dict(self.records_by_vm) if after_outage else {}
         present = {VmId(item.key.removeprefix(self._prefix)) for item in snapshot.items}
         remove_at_s = self._clock() + LEASE_S
@@ -241,6 +250,8 @@
 
     def changed(self, event: Item | Removal) -> None:
         """Take one change."""
+        if event.key == self._own_key:
+            self._on_own(event)
         vm = VmId(event.key.removeprefix(self._prefix))
         self._remove_at_by_vm.pop(vm, None)
         record = self._decode(event) if isinstance(event, Item) else None
--- a/tests/coordination/test_presence.py
+++ b/tests/coordination/test_presence.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import cast
 
 import pytest
@@ -12,9 +12,11 @@
 from mangosaddle._identifiers import Incarnation, RegionName, VmId, ZoneName
 from mangosaddle.coordination import (
     CoordinationStore,
+    Item,
     LeaseEndedError,
     Presence,
     Put,
+    Removal,
     VmRecord,
 )
 
@@ -22,6 +24,8 @@
 RECORD = VmRecord(
     VmId("vm-1"), Incarnation("new"), RegionName("b"), ZoneName("b-a"), "127.0.0.2", 7600, 8221
 )
+FORMER = replace(RECORD, incarnation=Incarnation("former"), leaving=True)
+FORMER_LEASE = 99
 ROUNDS = 50
 """Rounds of the event loop after which nothing moves without a timer."""
 
@@ -57,9 +61,14 @@
     async def write(self, puts: Sequence[Put]) -> int:
         await self._called("write")
         (put,) = puts
+        assert put.key == KEY
         self._check(put.lease)
-        self.values[put.key] = (put.value, put.lease)
-        return next(self._numbers)
+        return self.put(put.value, put.lease).revision
+
+    def put(self, value: bytes, lease: int) -> Item:
+        """Write the entry and return what a watch would tell."""
+        self.values[KEY] = (value, lease)
+        return Item(KEY, value, next(self._numbers))
 
     def lapse(self, lease: int) -> None:
         """End a lease and remove its entries."""
@@ -81,12 +90,15 @@
         await asyncio.sleep(0)
 
 
-def _with_presence(body: Callable[[_Store, Presence], Awaitable[None]]) -> None:
+def _with_presence(
+    body: Callable[[_Store, Presence], Awaitable[None]], clock: Callable[[], float] = lambda: 0.0
+) -> None:
     """Run ``body`` beside the work of a VM whose entry has been written."""
 
     async def _main() -> None:
         store = _Store()
-        presence = Presence(cast("CoordinationStore", store), KEY, RECORD, random.Random(1))
+        rng = random.Random(1)
+        presence = Presence(cast("CoordinationStore", store), KEY, RECORD, rng, clock)
         task = asyncio.create_task(presence.run())
         await presence.registered.wait()
         await _settle()
@@ -130,3 +142,77 @@
         assert not store.values
 
     _with_presence(_body)
+
+
+def test_a_late_write_of_a_former_process_is_corrected() -> None:
+    """Guards against a live VM that others take for a leaving one, and then for none."""
+
+    async def _body(store: _Store, presence: Presence) -> None:
+        presence.seen(store.put(FORMER.encode(), FORMER_LEASE))
+        await _settle()
+        value, lease = store.values[KEY]
+        assert VmRecord.decode(value) == RECORD
+        assert lease in store.leases
+        store.lapse(FORMER_LEASE)
+        assert store.values.keys() == {KEY}
+
+    _with_presence(_body)
+
+
+def test_a_late_write_that_is_seen_before_the_own_one_is_answered_is_corrected() -> None:
+    """Guards against an answer of the own write that hides what came after it."""
+
+    async def _body(store: _Store, presence: Presence) -> None:
+        written = store.write
+        late: list[Item] = []
+
+        async def _overtaken(puts: Sequence[Put]) -> int:
+            revision = await written(puts)
+            if not late:
+                late.append(store.put(FORMER.encode(), FORMER_LEASE))
+                presence.seen(late[0])
+            return revision
+
+        store.write = _overtaken  # type: ignore[method-assign]
+        presence.leave()
+        await _settle()
+        assert late
+        presence.leave()
+        await _settle()
+        assert VmRecord.decode(store.values[KEY][0]) == replace(RECORD, leaving=True)
+
+    _with_presence(_body)
+
+
+@pytest.mark.parametrize("kind", ["own", "older", "removed"])
+def test_an_entry_that_needs_no_hurry_costs_no_call(kind: str) -> None:
+    """Guards against calls of all VMs at once when their entries lapse in an outage."""
+
+    async def _body(store: _Store, presence: Presence) -> None:
+        before = list(store.calls)
+        if kind == "own":
+            presence.seen(Item(KEY, RECORD.encode(), 100))
+        elif kind == "older":
+            presence.seen(Item(KEY, FORMER.encode(), presence.revision - 1))
+        else:
+            presence.seen(Removal(KEY, 100))
+        await _settle()
+        assert store.calls == before
+
+    _with_presence(_body)
+
+
+def test_writers_that_replace_each_others_entry_do_not_call_the_store_without_end() -> None:
+    """Guards against a load of the store by two processes that run as the same VM."""
+    now = 0.0
+
+    async def _body(store: _Store, presence: Presence) -> None:
+        nonlocal now
+        before = store.calls.count("write")
+        for at_s, writes in ((0.0, 1), (0.1, 1), (7.9, 1), (8.1, 2), (8.2, 2)):
+            now = at_s
+            presence.seen(store.put(FORMER.encode(), FORMER_LEASE))
+            await _settle()
+            assert store.calls.count("write") - before == writes
+
+    _with_presence(_body, lambda: now)
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -280,3 +280,28 @@
         assert json.loads(value)["vm"] == "vm-1"
 
     run_scenario(_body)
+
+
+def test_a_late_write_of_a_former_process_does_not_hide_the_vm() -> None:
+    """Guards against a restarted VM that has no entry when the lease of its last process ends."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", usual_configuration())
+        vm = await fleet.add_vm("vm-1")
+        other = await fleet.add_vm("vm-2")
+        await fleet.ready()
+        key = "mangosaddle/vms/vm-1"
+        own = fleet.store.value(key)
+        assert own is not None
+        client = PlatformStore(fleet.store_address)
+        lease = await client.open_lease(8.0)
+        former = json.loads(own) | {"incarnation": "former", "leaving": True}
+        late = await client.write([Put(key, json.dumps(former).encode(), lease)])
+        await until(lambda: fleet.store.revision_of(key) > late)
+        assert fleet.store.value(key) == own
+        await client.end_lease(lease)
+        client.close()
+        assert fleet.store.value(key) == own
+        await until(lambda: vm.settings.vm in {live.vm for live in other.fleet.live()})
+
+    run_fleet(_body)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -232,6 +232,8 @@
         }
         self._items[key] = item
         self._history.append(item)
+        for keys in self._leases.values():
+            keys.discard(key)
         if lease:
             self._leases[lease].add(key)
 
