Keep the entry of a VM whose lease has ended while it is heard

Finding: the end of a lease took a VM out of the directory at once, also one that lives and serves but cannot renew because the store turns it away. The links knew that it lives.

Ruled out: the state that the links tell by itself (a VM that is killed in a region that is cut off is suspected by nobody on this side, and would be named for ever); open links as proof (no VM has links to all others).

Change: an entry that the store does not show any more is kept while the process that wrote it reports, directly or passed on, the last time at most 3 s ago, and is neither suspected nor leaving. A VM that ends has told before that it leaves, by its entry and over the links; its entry is dropped at once. No message and no call is added. Above 150 VMs reports come more rarely than every 3 s, and entries mostly end with their leases as before.

Before, on the old src: test_a_vm_that_the_store_turns_away_stays_named_while_it_serves fails ("assert _is_named()": False once the removal has been read). After: tests/coordination, tests/entry, test_store_faults.py and test_homes.py pass.

--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from .._entities import Vm
-from .._identifiers import RegionName, VmId
+from .._identifiers import Incarnation, RegionName, VmId
 from ..coordination import VmRecord
 from ..membership import VmState
 from ..peers import PeerNode
@@ -14,6 +14,8 @@
 LEAVING_FORWARDS_S = 2.0
 """Time for which the only VMs of a region take forwards after they have begun to leave; the rest
 of their time of grace is for the requests to end."""
+HEARD_S = 3.0
+"""Time for which a report of a VM proves that it lives."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,8 @@
         self._leaving_since_by_vm: dict[VmId, float] = {}
         self._records_by_vm: Mapping[VmId, VmRecord] = {}
         self._revisions_by_vm: Mapping[VmId, int] = {}
+        self._heard_by_vm: dict[VmId, tuple[Incarnation, float]] = {}
+        """Process and time of the last report of each VM."""
 
     def set_records(
         self, records_by_vm: Mapping[VmId, VmRecord], revisions_by_vm: Mapping[VmId, int]
@@ -51,6 +55,8 @@
         self._note_leaving(records_by_vm)
         self._records_by_vm = dict(records_by_vm)
         self._revisions_by_vm = dict(revisions_by_vm)
+        for vm in self._heard_by_vm.keys() - records_by_vm.keys():
+            del self._heard_by_vm[vm]
         if self.node is not None:
             self.node.update_vms(self.inventory())
 
@@ -68,6 +74,16 @@
         """Note that this VM begins to leave."""
         self._leaving_since_by_vm[self._own] = self._clock()
 
+    def heard(self, vm: VmId, incarnation: Incarnation) -> None:
+        """Note a report of a VM, which other VMs may have passed on."""
+        self._heard_by_vm[vm] = (incarnation, self._clock())
+
+    def is_heard(self, record: VmRecord) -> bool:
+        """Return whether the process that has written an entry reports and takes requests."""
+        incarnation, at_s = self._heard_by_vm.get(record.vm, (None, 0.0))
+        is_recent = incarnation == record.incarnation and self._clock() - at_s <= HEARD_S
+        return is_recent and self.is_usable(record)
+
     def inventory(self) -> dict[VmId, Vm]:
         """Return the VMs for the links, this one included."""
         return {
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -201,7 +201,12 @@
         )
         self._presence = Presence(self._store, VM_PREFIX + settings.vm, self._record, self._rng)
         self._vms = VmSource(
-            VM_PREFIX, settings.vm, self._presence.seen, self._vms_changed, self._clock
+            VM_PREFIX,
+            settings.vm,
+            self._presence.seen,
+            self._vms_changed,
+            self.fleet.is_heard,
+            self._clock,
         )
         self._relay = StoreRelay(self._rng)
         followed = (
@@ -341,6 +346,7 @@
             lambda vm, watching: self.watch_duty.heard(vm, watching=watching, now=self._clock()),
             self._clock,
         )
+        node.on_fact(VM_REPORT.name, lambda fact: self.fleet.heard(fact.origin, fact.incarnation))
         await node.start()
         self._node = self.fleet.node = node
         node.update_vms(self.fleet.inventory())
--- a/src/mangosaddle/entry/_sources.py
+++ b/src/mangosaddle/entry/_sources.py
@@ -212,9 +212,14 @@
         own: VmId,
         on_own: Callable[[Item | Removal], None],
         on_change: Callable[[], None],
+        is_heard: Callable[[VmRecord], bool],
         clock: Callable[[], float],
     ) -> None:
-        """Create the listener; ``on_own`` takes what is shown of the own VM's entry."""
+        """Create the listener.
+
+        ``on_own`` takes what is shown of the own VM's entry; ``is_heard`` tells whether the links
+        prove that the process of an entry lives and takes requests.
+        """
         self.records_by_vm: dict[VmId, VmRecord] = {}
         self.revisions_by_vm: dict[VmId, int] = {}
         """Revision of the store at which each entry was written."""
@@ -222,21 +227,26 @@
         self._own_key = prefix + own
         self._on_own = on_own
         self._on_change = on_change
+        self._is_heard = is_heard
         self._clock = clock
         self._remove_at_by_vm: dict[VmId, float] = {}
+        """Times at which entries that the store does not show are dropped, unless heard."""
 
     def snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
-        """Take all entries; after an outage, missing ones may only have lapsed and are kept.
+        """Take all entries; missing ones may only have lapsed after an outage or of VMs heard.
 
-        The links tell whether their VMs live; entries that are not written again are dropped by
-        ``remove_due``.
+        These are kept until ``remove_due``.
         """
         own = next((item for item in snapshot.items if item.key == self._own_key), None)
         self._on_own(own or Removal(self._own_key, snapshot.revision))
-        records = dict(self.records_by_vm) if after_outage else {}
+        now = self._clock()
         present = {VmId(item.key.removeprefix(self._prefix)) for item in snapshot.items}
-        remove_at_s = self._clock() + LEASE_S
-        self._remove_at_by_vm = dict.fromkeys(records.keys() - present, remove_at_s)
+        missing = {vm: row for vm, row in self.records_by_vm.items() if vm not in present}
+        if not after_outage:
+            missing = {vm: row for vm, row in missing.items() if self._is_heard(row)}
+        remove_at_s = now + LEASE_S if after_outage else now
+        self._remove_at_by_vm = dict.fromkeys(missing, remove_at_s)
+        records = dict(missing)
         for item in snapshot.items:
             record = self._decode(item)
             if record is not None:
@@ -254,11 +264,20 @@
             self._on_own(event)
         vm = VmId(event.key.removeprefix(self._prefix))
         self._remove_at_by_vm.pop(vm, None)
+        old = self.records_by_vm.get(vm)
+        if isinstance(event, Removal) and old is not None and self._is_heard(old):
+            # A VM that removes its entry itself has told before that it leaves.
+            self._remove_at_by_vm[vm] = self._clock()
+            logger.info(
+                "VM entry has lapsed",
+                extra={"vm": vm, "incarnation": old.incarnation, "revision": event.revision},
+            )
+            return
         record = self._decode(event) if isinstance(event, Item) else None
         self.revisions_by_vm.pop(vm, None)
         if record is not None:
             self.revisions_by_vm[vm] = event.revision
-        if record == self.records_by_vm.get(vm):
+        if record == old:
             return
         if record is None:
             del self.records_by_vm[vm]
@@ -276,9 +295,13 @@
         self._on_change()
 
     def remove_due(self) -> None:
-        """Drop entries that were not written again after an outage."""
+        """Drop entries that were not written again and whose VMs are not heard."""
         now = self._clock()
-        due = [vm for vm, at_s in self._remove_at_by_vm.items() if at_s <= now]
+        due = [
+            vm
+            for vm, at_s in self._remove_at_by_vm.items()
+            if at_s <= now and not ((row := self.records_by_vm.get(vm)) and self._is_heard(row))
+        ]
         for vm in due:
             del self._remove_at_by_vm[vm]
             self.revisions_by_vm.pop(vm, None)
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -305,3 +305,32 @@
         await until(lambda: vm.settings.vm in {live.vm for live in other.fleet.live()})
 
     run_fleet(_body)
+
+
+def test_a_vm_that_the_store_turns_away_stays_named_while_it_serves() -> None:
+    """Guards against callers led away from a region whose VMs serve, but cannot renew."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", usual_configuration())
+        vm = await fleet.add_vm("vm-1")
+        cut_off = (await fleet.add_vm("vm-2", "west-a", await fleet.store.start())).settings.vm
+        await fleet.ready()
+
+        def _is_named() -> bool:
+            return cut_off in {live.vm for live in vm.fleet.live()}
+
+        await until(lambda: cut_off in vm.watch_duty._heard_at_by_vm)
+        assert _is_named()
+        await fleet.store.set_fault(StoreFault.RESET, port=1)
+        lapsed = fleet.store.revision
+        await fleet.store.end_leases()
+        # Changes come in order: the own entry that is written again comes after both removals.
+        await until(lambda: vm._vms.revisions_by_vm.get(vm.settings.vm, 0) > lapsed + 2)
+        assert f"mangosaddle/vms/{cut_off}" not in fleet.store.keys("mangosaddle/")
+        assert _is_named()
+        await fleet.kill_vm(cut_off)
+        async with asyncio.timeout(vm.settings.bounds.contact_s):
+            await until(lambda: not _is_named())
+        await until(lambda: cut_off not in vm.fleet.all_vms())
+
+    run_fleet(_body)
