Refuse numbers of thousands of digits with 400; ignore a cold time without end

Finding (by the work on bytes without end): Last-Event-Id, Token-Counts or Prompt-Prefix with 400 to 5,000 digits raised out of the handler, and the caller's connection was closed without an answer. A runner's Cold-Milliseconds of "inf" would have kept it out of work for ever.

Change: whole numbers of headers have 18 digits at most; a cold time has to be finite.

Before: three new cases of test_what_is_admitted fail ("connection ended: closed").

--- a/src/mangosaddle/platform/_requests.py
+++ b/src/mangosaddle/platform/_requests.py
@@ -58,6 +58,8 @@
     }
 )
 """Headers of a caller that never reach a runner as the caller sent them."""
+NUMBER_DIGITS = 18
+"""Longest whole number of a header: it fits into 64 bits."""
 NOT_RUN_STATUSES = frozenset({421})
 """Statuses by which a runner says on their own that it has not run a request."""
 
@@ -125,18 +127,22 @@
     raw = view.first(name)
     if raw is None or not raw.strip():
         return None
-    if not raw.strip().isdigit():
-        findings.append(_finding(name, "is not a whole number"))
+    if not _is_number(raw.strip()):
+        findings.append(_finding(name, f"is not a whole number of {NUMBER_DIGITS} digits or less"))
         return None
     return int(raw)
 
 
+def _is_number(text: bytes) -> bool:
+    return text.isdigit() and len(text) <= NUMBER_DIGITS
+
+
 def _decode_prompt(view: HeaderView, findings: list[Finding]) -> Prompt | None:
     counts = view.first(TOKEN_COUNTS)
     if counts is None:
         return None
     numbers = [part.strip() for part in counts.split(b",")]
-    if len(numbers) != 2 or not all(part.isdigit() for part in numbers):
+    if len(numbers) != 2 or not all(_is_number(part) for part in numbers):
         findings.append(_finding(TOKEN_COUNTS, "is not two whole numbers"))
         return None
     prompt_tokens, output_tokens = int(numbers[0]), int(numbers[1])
@@ -144,7 +150,7 @@
     parts = []
     for entry in filter(None, (view.first(PROMPT_PARTS) or b"").split(b",")):
         id_, separator, tokens = entry.strip().partition(b":")
-        if not separator or not tokens.isdigit():
+        if not separator or not _is_number(tokens):
             findings.append(_finding(PROMPT_PARTS, "is not a list of id:tokens"))
             break
         parts.append(PromptPart(_text(id_), int(tokens)))
@@ -217,11 +223,16 @@
 
 def _cold_s(view: HeaderView) -> float | None:
     raw = view.first(COLD_MS)
+    if raw is None:
+        return None
     try:
-        return float(raw) / MS_PER_S if raw is not None else None
+        milliseconds = float(raw)
     except ValueError:
+        milliseconds = math.nan
+    if not math.isfinite(milliseconds):
         logger.warning("cold time cannot be read and counts as none", extra={"value": repr(raw)})
         return None
+    return milliseconds / MS_PER_S
 
 
 def encode_health_check(path: str, registration: Registration) -> UpstreamRequest:
--- a/tests/platform/test_front_contract.py
+++ b/tests/platform/test_front_contract.py
@@ -36,6 +36,9 @@
         ("/read/x", "key-1", {"token_counts": "1,2,3"}, 400),
         ("/read/x", "key-1", {"token_counts": "1,2", "prompt_prefix": "a"}, 400),
         ("/read/x", "key-1", {"last_event_id": "x"}, 400),
+        ("/read/x", "key-1", {"last_event_id": "9" * 5000}, 400),
+        ("/read/x", "key-1", {"token_counts": "9" * 400 + ",2"}, 400),
+        ("/read/x", "key-1", {"token_counts": "1,2", "prompt_prefix": "a:" + "9" * 5000}, 400),
     ],
 )
 def test_what_is_admitted(path: str, key: str | None, changes: dict[str, str], status: int) -> None:
