Lead callers nowhere for 10 s when all homes of bound requests are emptied

Finding: when no home of a host had a live VM, the directory named all live VMs, which are foreign to the bound requests: these are refused there, and their bodies should not have come. Planned restarts bring a VM back after 4 to 8 s.

Change: if no home lives, the leaving VMs of a home are named while they serve. After that nobody is named until 10 s after the last VM of a home has gone, and then the live VMs. FleetView notes twice a second which regions are served; for a process that has just started the time counts from its start. The log line tells the reason and the live VMs by region, and mangosaddle_directory_answers_total{kind} counts the answers.

Before, on the old src: test_callers_of_bound_requests_are_led_nowhere_while_their_homes_restart fails (the directory names the VM in the east while the home's VM leaves). After: tests/entry, tests/traffic, tests/coordination and tests/platform without test_rollouts.py pass (366).

--- a/src/mangosaddle/entry/_discovery.py
+++ b/src/mangosaddle/entry/_discovery.py
@@ -2,8 +2,12 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from enum import StrEnum
+
+import prometheus_client
 
 from .._identifiers import RegionName
 from ..traffic import Catalogue, HomeDemand
@@ -23,10 +27,42 @@
 LEAVING_MARGIN_S = 0.3
 """Time before a leaving VM refuses requests from which no caller should use it."""
 MIN_LIFE_S = 0.2
+HOMES_RETURN_S = 10.0
+"""Time without a VM at any home of a host after which its callers are led elsewhere: longer than a
+planned restart takes."""
+MOSTLY_BOUND = 0.5
+"""Part of a host's requests that are bound to homes above which its callers wait for these."""
 
 logger = logging.getLogger(__name__)
 
 
+class AnswerKind(StrEnum):
+    """Where an answer leads a caller."""
+
+    OWN_REGION = "own_region"
+    LEAVING = "leaving"
+    """To VMs of the own region, or of a home, that have begun to leave."""
+    HOME = "home"
+    ELSEWHERE = "elsewhere"
+    NONE = "none"
+
+
+class AnswerReason(StrEnum):
+    """Why a caller is led where it is."""
+
+    REGION_SERVES = "region_serves"
+    REGION_LEAVES = "region_leaves"
+    NO_CONFIGURATION = "no_configuration"
+    HOME_LIVES = "home_lives"
+    HOMES_TIE = "homes_tie"
+    """Several regions are home to as many requests."""
+    HOMES_LEAVE = "homes_leave"
+    HOMES_RESTART = "homes_restart"
+    """No home has a VM, for as long as a planned restart may take."""
+    NO_HOME_LIVES = "no_home_lives"
+    NOTHING_BOUND = "nothing_bound"
+
+
 @dataclass(frozen=True, slots=True)
 class DiscoveryAnswer:
     """VMs for a caller."""
@@ -34,6 +70,8 @@
     vms: list[LiveVm]
     life_s: float
     """Time after which the caller should ask again."""
+    kind: AnswerKind
+    reason: AnswerReason
 
 
 class Discovery:
@@ -48,6 +86,7 @@
         clock: Callable[[], float],
         max_life_s: float,
         leaving_serves_s: float,
+        registry: prometheus_client.CollectorRegistry,
     ) -> None:
         """Create the discovery of a VM.
 
@@ -61,6 +100,12 @@
         self._clock = clock
         self._life_s = max_life_s * LIFE_SHARE
         self._leaving_serves_s = leaving_serves_s
+        self._answers = prometheus_client.Counter(
+            "mangosaddle_directory_answers",
+            "Answers of the directory by where they lead",
+            ["kind"],
+            registry=registry,
+        )
 
     def answer(self, host: str, region: RegionName | None) -> DiscoveryAnswer:
         """Return the VMs of the caller's region, or if there are none those of its homes.
@@ -72,29 +117,52 @@
         live = self._fleet.live()
         chosen = [vm for vm in live if vm.region == region]
         if chosen:
-            return self._answer(chosen, self._life_s)
-        answer = self._leaving(region)
-        catalogue = self._catalogue()
-        if answer is None:
-            chosen = self._vms_at_homes(catalogue, host, live) if catalogue is not None else []
-            answer = self._answer(chosen, min(self._life_s, AWAY_LIFE_S))
-        logger.info(
-            "caller's region has no VM",
-            extra={
-                "host": host,
-                "region": region,
-                "vms": [vm.vm for vm in answer.vms],
-                "life_s": round(answer.life_s, 2),
-                "configuration": catalogue.version if catalogue is not None else None,
-            },
-        )
+            kind, reason = AnswerKind.OWN_REGION, AnswerReason.REGION_SERVES
+            answer = self._answer(chosen, self._life_s, kind, reason)
+        else:
+            leaving = self._leaving(region, AnswerReason.REGION_LEAVES)
+            answer = leaving or self._without_own_region(host, live)
+            self._log(host, region, live, answer)
+        self._answers.labels(answer.kind).inc()
         return answer
 
-    def _answer(self, vms: list[LiveVm], life_s: float) -> DiscoveryAnswer:
-        self._rng.shuffle(vms)
-        return DiscoveryAnswer(vms[:MAX_VMS], life_s)
+    def _without_own_region(self, host: str, live: list[LiveVm]) -> DiscoveryAnswer:
+        """Return the VMs of the region that is home to most requests that are bound to homes.
 
-    def _leaving(self, region: RegionName | None) -> DiscoveryAnswer | None:
+        Which route and organisation a caller will use is not known yet.
+        """
+        catalogue = self._catalogue()
+        if catalogue is None:
+            return self._away([], AnswerKind.NONE, AnswerReason.NO_CONFIGURATION)
+        now = self._clock()
+        weights = self._demand.by_region(catalogue, host, now)
+        homes = {home: weight for home, weight in weights.items() if weight > 0.0}
+        if not homes:
+            return self._away(live, AnswerKind.ELSEWHERE, AnswerReason.NOTHING_BOUND)
+        most = max((homes.get(vm.region, 0.0) for vm in live), default=0.0)
+        if most > 0.0:
+            chosen = [vm for vm in live if homes.get(vm.region, 0.0) >= most * (1.0 - TIE)]
+            is_tie = len({vm.region for vm in chosen}) > 1
+            reason = AnswerReason.HOMES_TIE if is_tie else AnswerReason.HOME_LIVES
+            return self._away(chosen, AnswerKind.HOME, reason)
+        is_mostly_bound = self._demand.bound_share(catalogue, host, now) > MOSTLY_BOUND
+        return self._without_homes(homes, live, is_mostly_bound=is_mostly_bound)
+
+    def _without_homes(
+        self, homes: Mapping[RegionName, float], live: list[LiveVm], *, is_mostly_bound: bool
+    ) -> DiscoveryAnswer:
+        """Return what remains when no home has a live VM; ``homes`` has requests by region."""
+        for home in sorted(homes, key=lambda region: (-homes[region], region)):
+            leaving = self._leaving(home, AnswerReason.HOMES_LEAVE)
+            if leaving is not None:
+                return leaving
+        unserved_s = min(self._fleet.unserved_s(home) for home in homes)
+        if is_mostly_bound and unserved_s < HOMES_RETURN_S:
+            # Bound requests would be refused there; callers keep the answer that they have.
+            return self._away([], AnswerKind.NONE, AnswerReason.HOMES_RESTART)
+        return self._away(live, AnswerKind.ELSEWHERE, AnswerReason.NO_HOME_LIVES)
+
+    def _leaving(self, region: RegionName | None, reason: AnswerReason) -> DiscoveryAnswer | None:
         """Return the region's leaving VMs while those who keep the answer longest are served."""
         lives_by_vm = {
             vm: (self._leaving_serves_s - LEAVING_MARGIN_S - left_s) / KEPT_FACTOR
@@ -103,13 +171,31 @@
         serving = [vm for vm, life_s in lives_by_vm.items() if life_s >= MIN_LIFE_S]
         if not serving:
             return None
-        return self._answer(serving, min(self._life_s, *(lives_by_vm[vm] for vm in serving)))
+        life_s = min(self._life_s, *(lives_by_vm[vm] for vm in serving))
+        return self._answer(serving, life_s, AnswerKind.LEAVING, reason)
 
-    def _vms_at_homes(self, catalogue: Catalogue, host: str, live: list[LiveVm]) -> list[LiveVm]:
-        """Return the VMs of the region that is home to most requests that are bound to homes.
+    def _away(self, vms: list[LiveVm], kind: AnswerKind, reason: AnswerReason) -> DiscoveryAnswer:
+        return self._answer(vms, min(self._life_s, AWAY_LIFE_S), kind, reason)
 
-        Which route and organisation a caller will use is not known yet.
-        """
-        weights = self._demand.by_region(catalogue, host, self._clock())
-        most = max((weights.get(vm.region, 0.0) for vm in live), default=0.0)
-        return [vm for vm in live if weights.get(vm.region, 0.0) >= most * (1.0 - TIE)]
+    def _answer(
+        self, vms: list[LiveVm], life_s: float, kind: AnswerKind, reason: AnswerReason
+    ) -> DiscoveryAnswer:
+        self._rng.shuffle(vms)
+        return DiscoveryAnswer(vms[:MAX_VMS], life_s, kind if vms else AnswerKind.NONE, reason)
+
+    def _log(
+        self, host: str, region: RegionName | None, live: list[LiveVm], answer: DiscoveryAnswer
+    ) -> None:
+        catalogue = self._catalogue()
+        logger.info(
+            "caller's region has no VM",
+            extra={
+                "host": host,
+                "region": region,
+                "vms": [vm.vm for vm in answer.vms],
+                "life_s": round(answer.life_s, 2),
+                "reason": answer.reason,
+                "live_by_region": dict(Counter(vm.region for vm in live)),
+                "configuration": catalogue.version if catalogue is not None else None,
+            },
+        )
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -47,6 +47,8 @@
         self._revisions_by_vm: Mapping[VmId, int] = {}
         self._heard_by_vm: dict[VmId, tuple[Incarnation, float]] = {}
         """Process and time of the last report of each VM."""
+        self._served_at_by_region: dict[RegionName, float] = {}
+        self._began_s = clock()
 
     def set_records(
         self, records_by_vm: Mapping[VmId, VmRecord], revisions_by_vm: Mapping[VmId, int]
@@ -147,6 +149,16 @@
         """Return the live VMs of a region."""
         return [live.vm for live in self.live() if live.region == region]
 
+    def note_regions(self) -> None:
+        """Note which regions have a VM that serves; to be called twice a second."""
+        now = self._clock()
+        serving = self.live() + [vm for vm, _ in self._all_leaving()]
+        self._served_at_by_region.update((vm.region, now) for vm in serving)
+
+    def unserved_s(self, region: RegionName) -> float:
+        """Return the time for which no VM of a region has served, at most that since the start."""
+        return self._clock() - self._served_at_by_region.get(region, self._began_s)
+
     def vms_elsewhere(self, region: RegionName) -> dict[RegionName, list[VmId]]:
         """Return the VMs of all other regions that take forwards.
 
--- a/src/mangosaddle/entry/_node.py
+++ b/src/mangosaddle/entry/_node.py
@@ -243,6 +243,7 @@
             self._clock,
             self.settings.bounds.discovery_ttl_s,
             min(REFUSE_AFTER_S, self.settings.bounds.grace_s - EXIT_MARGIN_S),
+            self.registry,
         )
         interfaces = self._parts.interfaces(discovery, self.is_ready)
         own_limits = ServerLimits()
@@ -461,6 +462,7 @@
         now = self._clock()
         self._registrations.remove_due()
         self._vms.remove_due()
+        self.fleet.note_regions()
         self._pool.sweep()
         for view in self.endpoints.views():
             view.load.overdue(now)
--- a/tests/entry/test_fleet_view.py
+++ b/tests/entry/test_fleet_view.py
@@ -99,3 +99,26 @@
     vms = fleet.vms_elsewhere(RegionName("a"))
     assert vms.get(RECORD.region, []) == expected
     assert fleet.vms_elsewhere(RECORD.region) == {}
+
+
+def test_the_time_without_a_vm_begins_when_the_last_one_has_gone() -> None:
+    """Guards against callers led abroad before a restart that has just begun has ended."""
+    now = 10.0
+    fleet = FleetView(OWN, lambda: True, lambda: now)
+    now = 12.0
+    fleet.note_regions()
+    assert fleet.unserved_s(RECORD.region) == 2.0
+    leaving = replace(RECORD, leaving=True)
+    for at_s, record in ((20.0, RECORD), (23.0, leaving), (24.0, leaving)):
+        now = at_s
+        records = {OTHER: record}
+        fleet.set_records(records, {})
+        fleet.note_regions()
+        assert fleet.unserved_s(RECORD.region) == 0.0
+    fleet.set_records({}, {})
+    now = 30.0
+    fleet.note_regions()
+    assert fleet.unserved_s(RECORD.region) == 6.0
+    fleet.set_records({OTHER: replace(RECORD, incarnation=NEW)}, {})
+    fleet.note_regions()
+    assert fleet.unserved_s(RECORD.region) == 0.0
--- a/tests/platform/test_homes.py
+++ b/tests/platform/test_homes.py
@@ -10,6 +10,7 @@
 from platform_standins import (
     Fleet,
     RunnerStandIn,
+    route,
     run_fleet,
     run_scenario,
     tenant,
@@ -120,3 +121,35 @@
         await draining
 
     run_fleet(_body)
+
+
+def test_callers_of_bound_requests_are_led_nowhere_while_their_homes_restart() -> None:
+    """Guards against bound requests in foreign regions when all homes are emptied in turn."""
+
+    async def _body(fleet: Fleet) -> None:
+        routes = [route("/west/", "safe", "desk", home_regions=["west"])]
+        await fleet.store.put("op/config", usual_configuration(routes=routes))
+        east = await fleet.add_vm("vm-east", "east-a")
+        west = await fleet.add_vm("vm-west", "west-a")
+        await fleet.ready()
+        discovery, target = east.settings.discovery, f"/api/resolve?name={HOST}&region=north"
+        assert discovery is not None
+        front = f"{west.settings.host}:8221"
+        answer = await fleet.get(discovery, target)
+        assert json.loads(answer.body)["addresses"] == [front]
+        now = asyncio.get_running_loop().time
+        began_s = now()
+        draining = asyncio.create_task(west.drain())
+        await until(lambda: east.fleet.leaving(RegionName("west")))
+        answer = await fleet.get(discovery, target)
+        assert json.loads(answer.body)["addresses"] == [front]
+        await draining
+        await until(lambda: not east.fleet.leaving(RegionName("west")))
+        assert (await fleet.get(discovery, target)).status == 503
+        assert east.fleet.unserved_s(RegionName("west")) < now() - began_s
+        metrics = (east.settings.host, east.settings.metrics_port)
+        page = (await fleet.get(metrics, "/metrics")).body.decode()
+        assert 'mangosaddle_directory_answers_total{kind="leaving"} 1.0' in page
+        assert 'mangosaddle_directory_answers_total{kind="none"} 1.0' in page
+
+    run_fleet(_body)
--- a/tests/traffic/test_home_demand.py
+++ b/tests/traffic/test_home_demand.py
@@ -100,6 +100,41 @@
     assert weights == pytest.approx({k: v * ASSUMED_REQUESTS for k, v in expected.items()})
 
 
+@pytest.mark.parametrize(
+    ("routes", "sent", "expected"),
+    [
+        ([()], [], 0.0),
+        ([("a",)], [], 1.0),
+        ([("a",), (), ()], [], 1 / 3),
+        ([("a",), ()], ["a"] * 4, 6 / 8),
+        ([("a",), ()], [None] * 4, 2 / 8),
+        ([("a",), ()], [""] * 4, 1 / 2),
+        ([("a",)], [None] * 4, 1.0),
+        ([()], ["a"] * 4, 0.0),
+    ],
+    ids=[
+        "nothing bound",
+        "all bound",
+        "without traffic",
+        "bound traffic",
+        "unbound traffic",
+        "traffic without a home in common",
+        "unbound under another version",
+        "bound under another version",
+    ],
+)
+def test_the_part_of_a_host_that_is_bound_follows_its_traffic(
+    routes: list[tuple[str, ...]], sent: list[str | None], expected: float
+) -> None:
+    """Guards against unbound requests that wait for homes which they do not have."""
+    known = catalogue([route(f"/r{n}/", homes) for n, homes in enumerate(routes)])
+    demand = HomeDemand()
+    for homes in sent:
+        demand.noted(HOST, homes_of(homes) if homes is not None else None, 0.0)
+    assert demand.bound_share(known, HOST.upper(), 0.0) == pytest.approx(expected)
+    assert demand.bound_share(known, "elsewhere.test", 0.0) == 0.0
+
+
 def test_an_open_route_is_bound_by_an_organisation_only_if_a_caller_names_it() -> None:
     """Guards against homes of organisations on routes that are used without a key."""
     known = catalogue([route("/r/", is_open=True)], [organisation("o", "a")])
