--- a/tests/http11/test_endless_responses.py
+++ b/tests/http11/test_endless_responses.py
@@ -5,9 +5,15 @@
 from collections.abc import Iterable
 
 import pytest
-from endless_peers import PeerTransport, fast, run_virtually, slow
-
-from mangosaddle.http11 import BadResponseError, UpstreamConnection, UpstreamRequest
+from endless_peers import PeerTransport, VirtualLoop, fast, run_virtually, slow
+
+from mangosaddle.http11 import (
+    BadResponseError,
+    BodyMemory,
+    EndlessResponseError,
+    UpstreamConnection,
+    UpstreamRequest,
+)
 
 LIMIT_BYTES = 1024 * 1024
 BUFFERED_BYTES = 512 * 1024
@@ -153,6 +159,28 @@
     run_virtually(_main())
 
 
+def test_a_response_that_arrives_while_the_own_process_stands_still_is_read() -> None:
+    """Guards against a pause of this process that is taken for one of the peer."""
+
+    async def _main() -> None:
+        connection = UpstreamConnection()
+        PeerTransport(connection)
+        connection.send(REQUEST)
+        connection.data_received(OK[:20])
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+
+        def _stand_still() -> None:
+            loop.now_s += 60.0
+            loop.call_soon(connection.data_received, OK[20:])
+
+        loop.call_later(0.1, _stand_still)
+        assert (await connection.head()).status == 200
+        assert await connection.whole_body(10, time_s=1.0) == b"ok"
+
+    run_virtually(_main())
+
+
 def test_hints_between_which_a_server_works_are_waited_for() -> None:
     """Guards against a bound on the time of a head that also counts the work before it."""
 
@@ -214,3 +242,40 @@
             await peer
 
     assert run_virtually(_main()) < 10 * 2 * chunks
+
+
+@pytest.mark.parametrize(("rate", "whole"), [(10, False), (32 * 1024, False), (128 * 1024, True)])
+def test_a_bound_on_the_time_of_a_body_grows_with_its_bytes(rate: int, whole: bool) -> None:
+    """Guards against bodies that drip, and against large ones that are taken for such."""
+    size, pause_s = 512 * 1024, 0.5
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+    pieces = _piecewise(b"x" * size, int(rate * pause_s))
+
+    async def _main() -> tuple[int, float]:
+        connection = UpstreamConnection()
+        transport = PeerTransport(connection)
+        connection.send(REQUEST)
+        peer = asyncio.create_task(transport.send([head, *pieces], pause_s))
+        await connection.head()
+        try:
+            body = await connection.whole_body(LIMIT_BYTES, time_s=1.0)
+        except EndlessResponseError:
+            body = b""
+        ended_s = asyncio.get_running_loop().time()
+        await peer
+        return len(body), ended_s
+
+    length, ended_s = run_virtually(_main())
+    assert length == (size if whole else 0)
+    assert ended_s <= (1.0 + size / (64 * 1024) if whole else 3.0)
+
+
+def test_bodies_that_are_held_share_a_bound_and_small_ones_pass() -> None:
+    """Guards against memory that stays taken, and against large bodies that end small ones."""
+    memory = BodyMemory(1024 * 1024)
+    with memory.share() as large, memory.share() as small:
+        assert large.grow(1024 * 1024)
+        assert not large.grow(1)
+        assert small.grow(64 * 1024)
+        assert not small.grow(1)
+    assert memory.held_bytes == 0
