--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -11,9 +11,9 @@
 SLOW_BUCKETS = 3
 """Buckets between the old version's median and the bound: a factor of 1.7 to 2."""
 SLOW = "slower than 1.7x the median of the old version"
-FAR_SLOWER_BUCKETS = 7
-"""The same for answers that are far slower: a factor of 2.8 to 3.4."""
-FAR_SLOWER = "slower than 2.8x the median of the old version"
+FAR_SLOWER_BUCKETS = 5
+"""The same for answers that are far slower: a factor of 2 to 2.4."""
+FAR_SLOWER = "slower than 2x the median of the old version"
 
 
 @dataclass(frozen=True, slots=True)
