Show what the VMs logged when a test of a roll-out fails

Finding: a failed case told when a state was read, not why it was written. Change: the play hands over the log lines about orders, and the checks of states show them.

--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -99,8 +99,8 @@
 ) -> None:
     """Guards against a good version that is held back, and against one that is taken back."""
     order = plays.order(name, service, number)
-    assert "rolled_back" not in order.read_after_s
-    assert "completed" in order.read_after_s
+    assert "rolled_back" not in order.read_after_s, plays.find(name).log
+    assert "completed" in order.read_after_s, plays.find(name).log
     assert order.read_after_s["completed"] <= order.duration_s
 
 
@@ -120,8 +120,8 @@
 ) -> None:
     """Guards against a bad version that nobody notices."""
     order = plays.order(name, service, number)
-    assert "completed" not in order.read_after_s
-    assert "rolled_back" in order.read_after_s
+    assert "completed" not in order.read_after_s, plays.find(name).log
+    assert "rolled_back" in order.read_after_s, plays.find(name).log
     assert order.read_after_s["rolled_back"] <= order.duration_s
 
 
--- a/tests/platform_standins/_rollout_play.py
+++ b/tests/platform_standins/_rollout_play.py
@@ -23,6 +23,8 @@
 OUTAGE_S = 3.0
 REFUSED_S = 1.0
 """Time for which nothing is ordered after orders that cannot be followed."""
+SHOWN = ("service", "order", "state", "elapsed_s", "share", "reason", "cause")
+"""Fields of log lines about orders."""
 PER_S = 40.0
 DURATION_S = 8.0
 PREFIXES_BY_SERVICE = {"desk": ("/read/", "/order/"), "engine": ("/chat/", "/review/")}
@@ -80,6 +82,8 @@
     """State of a service before it was first ordered what can be followed."""
     warned_of: list[str]
     """Fields of the warnings that the VMs logged."""
+    log: list[str]
+    """What the VMs logged about orders, to be shown when a test fails."""
 
 
 async def kill_vm(fleet: Fleet) -> None:
@@ -123,7 +127,7 @@
 
 
 async def _play(case: RolloutCase) -> RolloutPlay:
-    with _warnings() as records:
+    with _records() as records:
         async with running_fleet() as fleet:
             await _build(fleet)
             prefixes = [row for rows in PREFIXES_BY_SERVICE.values() for row in rows]
@@ -150,7 +154,19 @@
                 },
                 {name: _lost(traffic.calls, fleet.killed_at_s, name) for name in services},
                 refused_status,
-                [str(value) for record in records for value in vars(record).values()],
+                [
+                    str(value)
+                    for record in records
+                    if record.levelno >= logging.WARNING
+                    for value in vars(record).values()
+                ],
+                [
+                    " ".join(
+                        [str(row["msg"]), *(f"{key}={row[key]}" for key in SHOWN if key in row)]
+                    )
+                    for row in map(vars, records)
+                    if "order" in row
+                ],
             )
 
 
@@ -203,13 +219,16 @@
 
 
 @contextmanager
-def _warnings() -> Iterator[list[logging.LogRecord]]:
+def _records() -> Iterator[list[logging.LogRecord]]:
     records: list[logging.LogRecord] = []
-    handler = logging.Handler(logging.WARNING)
+    handler = logging.Handler(logging.INFO)
     handler.emit = records.append  # type: ignore[method-assign, assignment]
     logger = logging.getLogger("mangosaddle")
+    level = logger.level
     logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
     try:
         yield records
     finally:
         logger.removeHandler(handler)
+        logger.setLevel(level)
