Note served regions by one VM of each

Finding: note_regions asked for all live VMs twice a second, 8.1 ms of processor time each with 2,000 entries, which is 1.6% of a core of the 2.5% that a VM may use.

Change: it stops asking for a region at the first VM that serves.

After: tests/entry, tests/coordination, test_homes.py, test_store_faults.py and test_home_demand.py pass.

--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -151,9 +151,12 @@
 
     def note_regions(self) -> None:
         """Note which regions have a VM that serves; to be called twice a second."""
-        now = self._clock()
-        serving = self.live() + [vm for vm, _ in self._all_leaving()]
-        self._served_at_by_region.update((vm.region, now) for vm in serving)
+        served = {vm.region for vm, _ in self._all_leaving()}
+        for record in self._records_by_vm.values():
+            # One VM of a region is enough: in a large fleet, asking for all costs milliseconds.
+            if record.region not in served and self.is_usable(record):
+                served.add(record.region)
+        self._served_at_by_region.update(dict.fromkeys(served, self._clock()))
 
     def unserved_s(self, region: RegionName) -> float:
         """Return the time for which no VM of a region has served, at most that since the start."""
