--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from .._entities import Vm
-from .._identifiers import RegionName, VmId
+from .._identifiers import Incarnation, RegionName, VmId
 from ..coordination import VmRecord
 from ..membership import VmState
 from ..peers import PeerNode
@@ -14,6 +14,8 @@
 LEAVING_FORWARDS_S = 2.0
 """Time for which the only VMs of a region take forwards after they have begun to leave; the rest
 of their time of grace is for the requests to end."""
+HEARD_S = 3.0
+"""Time for which a report of a VM proves that it lives."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +45,10 @@
         self._leaving_since_by_vm: dict[VmId, float] = {}
         self._records_by_vm: Mapping[VmId, VmRecord] = {}
         self._revisions_by_vm: Mapping[VmId, int] = {}
+        self._heard_by_vm: dict[VmId, tuple[Incarnation, float]] = {}
+        """Process and time of the last report of each VM."""
+        self._served_at_by_region: dict[RegionName, float] = {}
+        self._began_s = clock()
 
     def set_records(
         self, records_by_vm: Mapping[VmId, VmRecord], revisions_by_vm: Mapping[VmId, int]
@@ -51,6 +57,8 @@
         self._note_leaving(records_by_vm)
         self._records_by_vm = dict(records_by_vm)
         self._revisions_by_vm = dict(revisions_by_vm)
+        for vm in self._heard_by_vm.keys() - records_by_vm.keys():
+            del self._heard_by_vm[vm]
         if self.node is not None:
             self.node.update_vms(self.inventory())
 
@@ -68,6 +76,16 @@
         """Note that this VM begins to leave."""
         self._leaving_since_by_vm[self._own] = self._clock()
 
+    def heard(self, vm: VmId, incarnation: Incarnation) -> None:
+        """Note a report of a VM, which other VMs may have passed on."""
+        self._heard_by_vm[vm] = (incarnation, self._clock())
+
+    def is_heard(self, record: VmRecord) -> bool:
+        """Return whether the process that has written an entry reports and takes requests."""
+        incarnation, at_s = self._heard_by_vm.get(record.vm, (None, 0.0))
+        is_recent = incarnation == record.incarnation and self._clock() - at_s <= HEARD_S
+        return is_recent and self.is_usable(record)
+
     def inventory(self) -> dict[VmId, Vm]:
         """Return the VMs for the links, this one included."""
         return {
@@ -131,6 +149,19 @@
         """Return the live VMs of a region."""
         return [live.vm for live in self.live() if live.region == region]
 
+    def note_regions(self) -> None:
+        """Note which regions have a VM that serves; to be called twice a second."""
+        served = {vm.region for vm, _ in self._all_leaving()}
+        for record in self._records_by_vm.values():
+            # One VM of a region is enough: in a large fleet, asking for all costs milliseconds.
+            if record.region not in served and self.is_usable(record):
+                served.add(record.region)
+        self._served_at_by_region.update(dict.fromkeys(served, self._clock()))
+
+    def unserved_s(self, region: RegionName) -> float:
+        """Return the time for which no VM of a region has served, at most that since the start."""
+        return self._clock() - self._served_at_by_region.get(region, self._began_s)
+
     def vms_elsewhere(self, region: RegionName) -> dict[RegionName, list[VmId]]:
         """Return the VMs of all other regions that take forwards.
 
