--- a/tests/platform/test_homes.py
+++ b/tests/platform/test_homes.py
@@ -153,3 +153,16 @@
         assert 'mangosaddle_directory_answers_total{kind="none"} 1.0' in page
 
     run_fleet(_body)
+
+
+def test_an_idle_vm_ends_soon_after_it_refuses() -> None:
+    """Guards against a region that waits for its VM, which starts again once it has ended."""
+
+    async def _body(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        draining = asyncio.create_task(vm.drain())
+        await until(lambda: vm.desk.refuses_new)
+        async with asyncio.timeout(0.8):
+            await draining
+
+    run_scenario(_body)
