Count a call from the choice of its VM in the stand-in of traffic

Cause: a call whose VM was killed between its choice and its task began "after" the kill, so it counted as lost by the fleet (/review/132 at the killed vm-2, over after 64 ms). Ruled out: the machine standing still (longest stall 0.14 s). Change: the call's time is that of the choice.

--- a/tests/platform_standins/_traffic.py
+++ b/tests/platform_standins/_traffic.py
@@ -59,12 +59,12 @@
             vms = [vm for vm in self._fleet.vms.values() if vm.is_ready()]
             (prefix,) = self._rng.choices(self._prefixes, self._weights)
             number += 1
-            call = self._call(self._rng.choice(vms), f"{prefix}{number}")
+            # The time of the choice: the VM may be killed before the task begins.
+            call = self._call(self._rng.choice(vms), f"{prefix}{number}", clock())
             self._tasks.append(asyncio.create_task(call))
 
-    async def _call(self, vm: EntryProcess, path: str) -> None:
+    async def _call(self, vm: EntryProcess, path: str, at_s: float) -> None:
         clock = asyncio.get_running_loop().time
-        at_s = clock()
         status, body = 0, b""
         headers = {
             "Model": "m",
