--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -183,7 +183,8 @@
                 return
         step = step_of(self._share_of_answer(plan, version, wall_time))
         key = EvidenceKey(self._window(wall_time), model, version, route, step)
-        self._evidence.count(key, latency_s)
+        timed = version != plan.new or wall_time >= plan.start_s + self._policy.untimed_s
+        self._evidence.count(key, latency_s, timed=timed)
 
     def judge(self, wall_time: float) -> tuple[Veto, ...]:
         """Compare the versions of all plans, veto the bad ones and return the new vetoes.
--- a/src/mangosaddle/rollouts/_evidence.py
+++ b/src/mangosaddle/rollouts/_evidence.py
@@ -118,15 +118,15 @@
         self._requests: dict[tuple[ModelName, VersionId], int] = {}
         self._started: dict[tuple[ModelName, VersionId], int] = {}
 
-    def count(self, key: EvidenceKey, latency_s: float | None) -> None:
-        """Count a request; ``latency_s`` is ``None`` for a failure."""
+    def count(self, key: EvidenceKey, latency_s: float | None, *, timed: bool = True) -> None:
+        """Count a request; ``latency_s`` is ``None`` for a failure and ignored if not ``timed``."""
         self._sequence += 1
         self._count_overall(replace(key, window=ALL_TIME, step=ENDED))
         counter = self._own.setdefault(key, Counter())
         counter.requests += 1
         if latency_s is None:
             counter.failures += 1
-        else:
+        elif timed:
             bucket = bucket_of(latency_s)
             counter.buckets[bucket] = counter.buckets.get(bucket, 0) + 1
 
--- a/src/mangosaddle/rollouts/_exposure.py
+++ b/src/mangosaddle/rollouts/_exposure.py
@@ -39,7 +39,7 @@
     """Share while the part is used up."""
     part_on_probation: float = 0.8
     """Part of the bound beyond which the full share needs answers to requests at the full share."""
-    probation_answers: int = 10
+    probation_answers: int = 8
     """Answers to requests at the full share that end the probation, at least."""
     probation_answers_part: float = 0.05
     """Answers to requests at the full share that end the probation, as a part of the bound."""
--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -8,6 +8,8 @@
 from ._verdict import Fault, Finding, RouteEvidence, find_fault
 
 RECENT_WINDOWS = 2
+MIN_HITS_AGAINST_PRIOR = 3
+"""Bad answers of the old version from which on a rate above the assumed one is believed."""
 SLOW_BUCKETS = 3
 """Buckets between the old version's median and the bound: a factor of 1.7 to 2."""
 SLOW = "slower than 1.7x the median of the old version"
@@ -179,7 +181,10 @@
     if hits < bounds.min_hits:
         return False
     size_old = bounds.prior_size + sum(stratum.size_old for stratum in strata)
-    rate_old = (bounds.prior_hits + sum(stratum.hits_old for stratum in strata)) / size_old
+    hits_old = sum(stratum.hits_old for stratum in strata)
+    rate_old = (bounds.prior_hits + hits_old) / size_old
+    if hits_old >= MIN_HITS_AGAINST_PRIOR:
+        rate_old = max(rate_old, hits_old / (size_old - bounds.prior_size))
     weight = rules.stratum_prior
     mean = sum(
         s.size_new * (s.hits_old + weight * rate_old) / (s.size_old + weight) for s in strata
--- a/src/mangosaddle/rollouts/_policy.py
+++ b/src/mangosaddle/rollouts/_policy.py
@@ -21,9 +21,12 @@
 COLD_START_S = 2.0
 """Time from the order in which new endpoints register and answer slowly."""
 MAX_COLD_PART = 0.15
+UNTIMED_S = 3.0
+"""Time from the order in which answers that are slow show nothing about the version."""
+MAX_UNTIMED_PART = 0.2
 COLD_SHARE = 0.04
 MIDDLE_SHARE = 0.7
-FULL_PART = 0.6
+FULL_PART = 0.55
 """Part of the duration after which the whole share is due.
 
 The rest is for faults that show only then, and for requests that still run at the old version.
@@ -45,6 +48,8 @@
     """Latest requests of the old version that a version at the full share is compared with."""
     min_past: int = PAST_SAMPLE
     """Requests of the old version without which there is no such comparison."""
+    untimed_s: float = 0.0
+    """Time from the start in which latencies of the new version do not count."""
     exposure: ExposureLimit | None = None
     """Bound on requests of the new version, ``None`` for none but the ramp."""
     rules: TailRules | OrderRules = field(default_factory=TailRules)
@@ -57,6 +62,8 @@
 
         A bad version may get ``exposure_share`` of all requests until the deadline, and
         ``exposure_slack`` requests. No sample size holds a good version back: traffic may be thin.
+        With a few requests a second a bad version is not always found before the deadline; it then
+        stays within the bound. Latencies have to be multiples of those expected.
         """
         cold_part = min(MAX_COLD_PART, COLD_START_S / duration_s)
         return cls(
@@ -66,6 +73,7 @@
             hold_back=(),
             past_sample=60,
             min_past=1,
+            untimed_s=min(UNTIMED_S, MAX_UNTIMED_PART * duration_s),
             exposure=ExposureLimit(exposure_share, exposure_slack),
             rules=OrderRules(),
         )
