Divide the bound of route comparisons of orders by the routes; describe orders

Cause: test_a_good_version_is_moved_in_time[good, old fails 10%-30-21] failed with 'failures on chat: 5 of 8 failed, of the old version 4 of 45' (false veto; the only failure of the 97 simulated orders and scenarios). Ruled out: the prior alone (drawn up to the observed rate, same veto). Change: alpha of a route is divided by the number of routes. After: the selection run (37 tests: one route, old fails 10% at 30 s, bad versions at 21 requests/s, 10 requests/s) passes.

--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ._evidence import SHARE_STEPS, Counter
 from ._verdict import Fault, Finding, RouteEvidence, find_fault
@@ -72,15 +72,15 @@
 @find_fault.register
 def _find_fault_of_order(rules: OrderRules, by_route: Mapping[str, RouteEvidence]) -> str | None:
     for route, evidence in sorted(by_route.items()):
-        finding = _find(rules, [evidence])
+        finding = _find(rules, [evidence], len(by_route))
         if finding is not None:
             return f"{finding.fault} on {route}: {finding.reason}"
-    finding = _find(rules, list(by_route.values())) if len(by_route) > 1 else None
+    finding = _find(rules, list(by_route.values()), 1) if len(by_route) > 1 else None
     return None if finding is None else f"{finding.fault} on all routes: {finding.reason}"
 
 
-def _find(rules: OrderRules, routes: Sequence[RouteEvidence]) -> Finding | None:
-    """Return the fault on the routes together.
+def _find(rules: OrderRules, routes: Sequence[RouteEvidence], comparisons: int) -> Finding | None:
+    """Return the fault on the routes together, one of as many ``comparisons``.
 
     The newest counts alone show a fault that began late, all of them one that is rare. Those at the
     full share stand beside the latest ones of the old version.
@@ -94,6 +94,8 @@
         (_at_full(routes, RECENT_WINDOWS), rules.failures_at_full, rules.slow_at_full),
     )
     for pairs, failures, slow in looks:
+        failures = replace(failures, alpha=failures.alpha / comparisons)
+        slow = replace(slow, alpha=slow.alpha / comparisons)
         found = _failures(rules, pairs, failures) or _slow(rules, pairs, slow)
         if found is not None:
             return found
