--- a/src/mangosaddle/entry/_patience.py
+++ b/src/mangosaddle/entry/_patience.py
@@ -37,7 +37,7 @@
         self._usual_s_by_route[name] = (waited_s if usual_s is None else usual_s) + change
 
     def first_byte_s(self, request: RoutedRequest, left_s: float) -> float | None:
-        """Return the wait for the first byte; ``None`` for all the time that is left."""
+        """Return the wait for the head of an answer; ``None`` for all the time that is left."""
         usual_s = self._usual_s_by_route.get(request.route.name)
         if usual_s is None or not request.route.name or not request.route.repeatable:
             return None
@@ -46,7 +46,7 @@
         return bound_s if bound_s <= left_s / 2 else None
 
     def next_byte_s(self, request: RoutedRequest) -> float | None:
-        """Return the wait between the parts of a stream; ``None`` for all its time."""
+        """Return the wait between whole events of a stream; ``None`` for all its time."""
         if not request.route.resumable or request.route.gap_target_s <= 0:
             return None
         return max(MIN_STREAM_S, GAP_FACTOR * request.route.gap_target_s)
