Relay removals that no VM saw, and bound what foreign CBOR and zlib can do

Cause: a VM that reads a prefix again relayed the items that exist, not that others are gone. VMs that do not watch kept an endpoint whose removal fell into lost history or a restart of the watchers. Items whose relay delay ended before the links existed were never relayed. Deeply nested CBOR raised RecursionError in rollout evidence, and a compressed item could expand to any size.

--- a/src/mangosaddle/entry/_crash_reports.py
+++ b/src/mangosaddle/entry/_crash_reports.py
@@ -2,9 +2,11 @@
 
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import cbor2
 
+from .._cbor import decode_cbor
 from .._quarantine import CRASH_REPORT_TTL_S, CrashReport, Quarantine
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import PeerNode
@@ -38,12 +40,17 @@
         self._node.publish(fact)
 
     def _on_fact(self, fact: Fact) -> None:
-        try:
-            rows = cbor2.loads(fact.payload)
-            reports = [CrashReport(fact.key, str(row[0]), float(row[1])) for row in rows]
-        except (ValueError, TypeError, IndexError, cbor2.CBORDecodeError) as error:
-            logger.warning(
-                "cannot decode crash reports", extra={"vm": fact.origin, "cause": str(error)}
-            )
+        reports = decode_crash_reports(fact.key, fact.payload)
+        if reports is None:
+            logger.warning("cannot decode crash reports", extra={"vm": fact.origin})
             return
         self._quarantine.merge(reports, self._wall_clock())
+
+
+def decode_crash_reports(fingerprint: str, payload: bytes) -> list[CrashReport] | None:
+    """Return the reports about one request, or ``None`` if they cannot be decoded."""
+    try:
+        rows: Any = decode_cbor(payload)
+        return [CrashReport(fingerprint, str(row[0]), float(row[1])) for row in rows]
+    except (ValueError, TypeError, LookupError, OverflowError):
+        return None
--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -16,6 +16,11 @@
 these facts."""
 MAX_RELAY_DELAY_S = 0.3
 """Maximum random delay before an item is relayed: by then another VM has usually relayed it."""
+LAPSE_RELAY_DELAY_S = 2.3
+"""Time after an outage of the store before lapsed keys are relayed as removed: endpoints that are
+alive register again within two seconds."""
+MAX_VALUE_BYTES = 4 * 1024 * 1024
+"""Maximum size of a relayed value after decompression; the store holds values of up to 1 MiB."""
 PRESENT, ABSENT = b"\x01", b"\x00"
 """First byte of the payload: whether the key exists."""
 
@@ -38,31 +43,55 @@
         self._node: PeerNode | None = None
         self._followed_by_prefix: dict[str, _FollowedPrefix] = {}
         self._revisions_by_key: dict[str, int] = {}
+        self._unsent_by_key: dict[str, Item | Removal] = {}
+        """Latest change of each key whose relay delay has ended before there were links."""
 
     def wrap_listener(self, prefix: str, listener: PrefixListener) -> PrefixListener:
         """Return a follower listener that relays what it reads and passes it to ``listener``."""
         followed = self._followed_by_prefix[prefix] = _FollowedPrefix(listener)
-        return _RelayingListener(self, followed)
+        return _RelayingListener(self, prefix, followed)
 
     def connect(self, node: PeerNode) -> None:
         """Use the links of a peer node.
 
-        Items that were read before and whose relay delay is still running are published as well.
+        Changes that were read before are published as well.
         """
         self._node = node
         node.on_fact(STORE_ITEM.name, self._on_fact)
+        unsent, self._unsent_by_key = self._unsent_by_key, {}
+        for event in unsent.values():
+            self._schedule(event, 0.0)
 
     def relay_if_new(self, event: Item | Removal) -> bool:
         """Schedule the relay of a change read from the store; return whether it is new."""
         if event.revision <= self._revisions_by_key.get(event.key, 0):
             return False
         self._revisions_by_key[event.key] = event.revision
-        delay_s = self._rng.uniform(0.0, MAX_RELAY_DELAY_S)
-        asyncio.get_running_loop().call_later(delay_s, self._publish, event)
+        self._schedule(event, 0.0)
         return True
 
+    def relay_missing(self, prefix: str, snapshot: Snapshot, *, after_outage: bool) -> None:
+        """Schedule the relay of removals that no VM may have seen as a change.
+
+        These are the keys known from the links that the snapshot does not contain. After an outage
+        they may only have lapsed, so their owners get time to write them again.
+        """
+        if self._node is None:
+            return
+        present = {item.key for item in snapshot.items}
+        for fact in self._node.facts.facts(STORE_ITEM.name):
+            is_missing = fact.key.startswith(prefix) and fact.key not in present
+            if is_missing and fact.version < snapshot.revision and fact.payload[:1] == PRESENT:
+                removal = Removal(fact.key, snapshot.revision)
+                self._schedule(removal, LAPSE_RELAY_DELAY_S if after_outage else 0.0)
+
+    def _schedule(self, event: Item | Removal, min_delay_s: float) -> None:
+        delay_s = min_delay_s + self._rng.uniform(0.0, MAX_RELAY_DELAY_S)
+        asyncio.get_running_loop().call_later(delay_s, self._publish, event)
+
     def _publish(self, event: Item | Removal) -> None:
         if self._node is None:
+            self._unsent_by_key[event.key] = event
             return
         known = self._node.facts.find(STORE_ITEM.name, event.key)
         if known is not None and known.version >= event.revision:
@@ -98,8 +127,9 @@
 
 
 class _RelayingListener:
-    def __init__(self, relay: StoreRelay, followed: _FollowedPrefix) -> None:
+    def __init__(self, relay: StoreRelay, prefix: str, followed: _FollowedPrefix) -> None:
         self._relay = relay
+        self._prefix = prefix
         self._followed = followed
 
     def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
@@ -107,6 +137,7 @@
         self._followed.snapshot_revision = max(self._followed.snapshot_revision, snapshot.revision)
         for item in snapshot.items:
             self._relay.relay_if_new(item)
+        self._relay.relay_missing(self._prefix, snapshot, after_outage=after_outage)
         self._followed.listener.handle_snapshot(snapshot, after_outage=after_outage)
 
     def handle_change(self, event: Item | Removal) -> None:
@@ -119,10 +150,21 @@
     if fact.payload[:1] == ABSENT:
         return Removal(fact.key, fact.version)
     try:
-        return Item(fact.key, zlib.decompress(fact.payload[1:]), fact.version)
-    except zlib.error as error:
+        return Item(fact.key, _decompress(fact.payload), fact.version)
+    except (ValueError, zlib.error) as error:
         logger.warning(
             "cannot decode relayed store item",
             extra={"key": fact.key, "from_vm": fact.origin, "cause": str(error)},
         )
         return None
+
+
+def _decompress(payload: bytes) -> bytes:
+    """Return the value of an existing key; raises ``ValueError`` and ``zlib.error``."""
+    if payload[:1] != PRESENT:
+        raise ValueError(f"unknown format {payload[:1]!r}")
+    decompressor = zlib.decompressobj()
+    value = decompressor.decompress(payload[1:], MAX_VALUE_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"incomplete, or larger than {MAX_VALUE_BYTES} B")
+    return value
--- a/src/mangosaddle/rollouts/_evidence.py
+++ b/src/mangosaddle/rollouts/_evidence.py
@@ -8,9 +8,11 @@
 import bisect
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 import cbor2
 
+from .._cbor import decode_cbor
 from .._exceptions import MangosaddleError
 from .._identifiers import ModelName, VersionId, VmId
 
@@ -269,11 +271,12 @@
     if len(payload) > MAX_PAYLOAD_BYTES:
         raise EvidenceError(f"evidence of {len(payload)} bytes exceeds {MAX_PAYLOAD_BYTES}")
     try:
-        version, sequence, rows = cbor2.loads(payload)
+        content: Any = decode_cbor(payload)
+        version, sequence, rows = content
         if version != PAYLOAD_VERSION:
             raise EvidenceError(f"unknown evidence format {version!r}")
         return _non_negative_int(sequence), dict(_parse_row(row) for row in rows)
-    except (cbor2.CBORDecodeError, AttributeError, TypeError, ValueError) as error:
+    except (AttributeError, TypeError, ValueError) as error:
         raise EvidenceError(f"invalid evidence payload: {error}") from error
 
 
--- a/src/mangosaddle/rollouts/_ordered_rollout.py
+++ b/src/mangosaddle/rollouts/_ordered_rollout.py
@@ -3,9 +3,11 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 from hashlib import blake2b
+from typing import Any
 
 import cbor2
 
+from .._cbor import decode_cbor
 from .._identifiers import EndpointId, ModelName, VersionId, VmId
 from ..configuration import Configuration, RolloutPlan
 from ._control import RolloutControl, RolloutState, Veto
@@ -170,10 +172,13 @@
         Raises ``EvidenceError`` for an invalid payload.
         """
         try:
-            revision, elapsed_ms, is_at_full_share, old_running, evidence = cbor2.loads(payload)
+            content: Any = decode_cbor(payload)
+            revision, elapsed_ms, is_at_full_share, old_running, evidence = content
             progress = VmProgress(bool(is_at_full_share), int(old_running), now)
             elapsed_s = int(elapsed_ms) / 1000
-        except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+            if not isinstance(evidence, bytes):
+                raise TypeError("evidence is not bytes")
+        except (TypeError, ValueError, OverflowError) as error:
             raise EvidenceError(f"invalid progress payload: {error}") from error
         if revision != self.order.revision:
             return
--- /dev/null
+++ b/tests/entry/test_store_relay.py
@@ -0,0 +1,155 @@
+"""Relay of store changes to VMs that do not read the store themselves."""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+from typing import Any, cast
+
+import pytest
+
+from mangosaddle._identifiers import Incarnation, VmId
+from mangosaddle.coordination import Item, Removal, Snapshot
+from mangosaddle.entry._store_listeners import LAPSE_GRACE_S
+from mangosaddle.entry._store_relay import (
+    ABSENT,
+    MAX_RELAY_DELAY_S,
+    MAX_VALUE_BYTES,
+    PRESENT,
+    STORE_ITEM,
+    StoreRelay,
+)
+from mangosaddle.membership import Fact, FactTable
+
+PREFIX = "servers/"
+KEY, OTHER_KEY = "servers/a", "servers/b"
+
+
+class _Listener:
+    def __init__(self) -> None:
+        self.events: list[Item | Removal] = []
+
+    def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
+        pass
+
+    def handle_change(self, event: Item | Removal) -> None:
+        self.events.append(event)
+
+
+class _Node:
+    """A VM's fact table whose publications reach the other nodes at once."""
+
+    def __init__(self) -> None:
+        self.facts = FactTable([STORE_ITEM])
+        self.others: list[_Node] = []
+        self.listener: Callable[[Fact], None] | None = None
+
+    def on_fact(self, _kind: str, listener: Callable[[Fact], None]) -> None:
+        self.listener = listener
+
+    def new_fact(self, kind: str, key: str, version: int, payload: bytes) -> Fact:
+        return Fact(kind, key, VmId("vm"), Incarnation("i"), 1, version, payload, 1e12)
+
+    def publish(self, fact: Fact) -> None:
+        for node in (self, *self.others):
+            if node.facts.merge([fact], 0.0) and node.listener is not None:
+                node.listener(fact)
+
+
+def _relay(node: _Node | None = None) -> tuple[StoreRelay, Any, _Listener]:
+    relay, listener = StoreRelay(random.Random(1)), _Listener()
+    relaying = relay.wrap_listener(PREFIX, listener)
+    if node is not None:
+        relay.connect(cast(Any, node))
+    return relay, relaying, listener
+
+
+def _item(key: str, revision: int) -> Item:
+    return Item(key, b"value", revision)
+
+
+def test_items_whose_delay_ends_before_the_links_exist_are_published() -> None:
+    """Guards against VMs that never learn what this VM read before it had links."""
+
+    async def _main() -> None:
+        node = _Node()
+        relay, relaying, _ = _relay()
+        relaying.handle_change(_item(KEY, 5))
+        await asyncio.sleep(2 * MAX_RELAY_DELAY_S)
+        relay.connect(cast(Any, node))
+        await asyncio.sleep(2 * MAX_RELAY_DELAY_S)
+        assert node.facts.find(STORE_ITEM.name, KEY) is not None
+
+    asyncio.run(_main())
+
+
+@pytest.mark.parametrize("after_outage", [False, True])
+def test_keys_missing_from_a_snapshot_are_removed_at_all_vms(
+    monkeypatch: pytest.MonkeyPatch, after_outage: bool
+) -> None:
+    """Guards against VMs that use an endpoint whose removal no VM saw as a change.
+
+    The reading VM missed the change because the history was dropped, or because it was not running.
+    """
+    monkeypatch.setattr("mangosaddle.entry._store_relay.LAPSE_RELAY_DELAY_S", 0.1)
+
+    async def _main() -> None:
+        reading, other = _Node(), _Node()
+        reading.others = [other]
+        _, relaying, _ = _relay(reading)
+        _, _, listener = _relay(other)
+        reading.publish(reading.new_fact(STORE_ITEM.name, KEY, 5, PRESENT + zlib.compress(b"v")))
+        relaying.handle_snapshot(Snapshot((_item(OTHER_KEY, 4),), 9), after_outage=after_outage)
+        await asyncio.sleep(0.1 + 2 * MAX_RELAY_DELAY_S)
+        assert Removal(KEY, 9) in listener.events
+        assert [event.key for event in listener.events if isinstance(event, Removal)] == [KEY]
+
+    asyncio.run(_main())
+
+
+def test_lapsed_keys_that_return_after_an_outage_are_not_removed() -> None:
+    """Guards against endpoints that are dropped while they register again after an outage."""
+
+    async def _main() -> None:
+        reading, other = _Node(), _Node()
+        reading.others = [other]
+        _, relaying, _ = _relay(reading)
+        _, _, listener = _relay(other)
+        reading.publish(reading.new_fact(STORE_ITEM.name, KEY, 5, PRESENT + zlib.compress(b"v")))
+        relaying.handle_snapshot(Snapshot((), 9), after_outage=True)
+        relaying.handle_change(_item(KEY, 10))
+        await asyncio.sleep(LAPSE_GRACE_S + 2 * MAX_RELAY_DELAY_S)
+        assert not any(isinstance(event, Removal) for event in listener.events)
+
+    asyncio.run(_main())
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [b"", b"\x07", PRESENT, PRESENT + b"no zlib", PRESENT + zlib.compress(b"v")[:-3]],
+)
+def test_undecodable_item_is_ignored(payload: bytes) -> None:
+    """Guards against a relayed item of another version that stops the relay or empties a key."""
+
+    async def _main() -> None:
+        node = _Node()
+        _, _, listener = _relay(node)
+        node.publish(node.new_fact(STORE_ITEM.name, KEY, 5, payload))
+        assert listener.events == []
+        node.publish(node.new_fact(STORE_ITEM.name, KEY, 6, ABSENT))
+        assert listener.events == [Removal(KEY, 6)]
+
+    asyncio.run(_main())
+
+
+def test_compressed_item_cannot_take_more_memory_than_the_store_holds() -> None:
+    """Guards against a small message that expands to hundreds of megabytes."""
+
+    async def _main() -> None:
+        node = _Node()
+        _, _, listener = _relay(node)
+        bomb = zlib.compress(b"\0" * (MAX_VALUE_BYTES + 1))
+        node.publish(node.new_fact(STORE_ITEM.name, KEY, 5, PRESENT + bomb))
+        assert listener.events == []
+
+    asyncio.run(_main())
