Sum up load and demand reports by zone, and keep one allowance bucket per zone

Cause: each VM published its load to its region and its demand to the fleet, and the interval grew by 0.02 s a VM: at 65 VMs a region loads were 1.3 s old, at 195 VMs demand and waits 3.9 s, beyond the age at which they count. Links that join zones and regions carried each of these facts. A placement read 65 reports of each endpoint. Change: in zones of six VMs or more one VM collects the reports and publishes sums each 0.2 s (region) and 0.5 s (fleet), at any size; smaller zones publish as before. A VM subtracts its own part by the number of its report. Shares of allowances are divided by zone, and one VM of the zone keeps the bucket of an organisation, with a deputy: 1/195 of a small rate is less than a request. Live VMs are listed at most each 0.1 s. Reports of a wrong type are logged.

--- a/src/mangosaddle/entry/_caller_requests.py
+++ b/src/mangosaddle/entry/_caller_requests.py
@@ -14,7 +14,6 @@
 from .._quarantine import Quarantine, fingerprint
 from ..http11 import ServerExchange
 from ..traffic import (
-    AllowanceLimiter,
     Catalogue,
     HomeDemand,
     OpaqueRequest,
@@ -23,6 +22,7 @@
     RoutedRequest,
     allowed_regions,
 )
+from ._allowance_calls import AllowanceCalls
 from ._catalogue_holder import CatalogueHolder
 from ._results import Ending, RunResult
 from ._runner import RequestRunner
@@ -61,7 +61,7 @@
         self,
         wire: WireFormat,
         catalogue: CatalogueHolder,
-        allowances: AllowanceLimiter,
+        allowances: AllowanceCalls,
         quarantine: Quarantine,
         home_demand: HomeDemand,
         runner: RequestRunner,
@@ -103,7 +103,7 @@
             await self._refuse(exchange, request_id, problem, "")
             return
         opaque = decoded.unwrap()
-        admitted = self._admit(opaque, exchange.received_at_s)
+        admitted = await self._admit(opaque, exchange.received_at_s)
         if isinstance(admitted, Problem):
             await self._refuse(exchange, opaque.id, admitted, "")
             return
@@ -111,7 +111,7 @@
 
     # Admission
 
-    def _admit(self, opaque: OpaqueRequest, began_s: float) -> AdmittedRequest | Problem:
+    async def _admit(self, opaque: OpaqueRequest, began_s: float) -> AdmittedRequest | Problem:
         catalogue = self._catalogue.current
         if self.refuses_new_requests:
             return _unavailable("shutting-down", "this entry VM is about to stop", 0.0)
@@ -130,7 +130,7 @@
         if self._quarantine.is_quarantined(request.fingerprint, self._wall_clock()):
             detail = "this request stopped two endpoints and is not tried again"
             return Problem(503, "quarantined", detail)
-        return self._charge_allowance(request, organisation)
+        return await self._charge_allowance(request, organisation)
 
     @staticmethod
     def _authenticate(
@@ -179,15 +179,14 @@
         weights = [share.weight for share in route.shares]
         return self._rng.choices(services, weights)[0]
 
-    def _charge_allowance(
+    async def _charge_allowance(
         self, request: RoutedRequest, organisation: Organisation | None
     ) -> AdmittedRequest | Problem:
         if organisation is None:
             return AdmittedRequest(request, None, 0.0)
         tokens = request.prompt.total_tokens if request.prompt is not None else None
         cost = organisation.cost(tokens)
-        now = asyncio.get_running_loop().time()
-        refusal = self._allowances.admit(organisation.id, cost, now)
+        refusal = await self._allowances.admit(organisation.id, cost)
         if refusal is None:
             return AdmittedRequest(request, organisation, cost)
         detail = f"the allowance of {organisation.id} is used up"
@@ -206,8 +205,7 @@
             self._record_end(request, RunResult(Ending.TRUNCATED, "caller has gone"), "caller_gone")
             raise
         if result.ending is Ending.NOT_RUN and admitted.organisation is not None:
-            now = asyncio.get_running_loop().time()
-            self._allowances.refund(admitted.organisation.id, admitted.cost, now)
+            self._allowances.refund(admitted.organisation.id, admitted.cost)
         self._record_end(request, result, result.ending.value)
         if result.ending is Ending.DELIVERED:
             return
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -35,6 +35,7 @@
     PlacementPolicy,
     RegionReports,
 )
+from ._allowance_calls import AllowanceCalls
 from ._attempt import EndpointClient
 from ._caller_requests import CallerRequestHandler
 from ._catalogue_holder import CatalogueHolder
@@ -42,7 +43,7 @@
 from ._discovery import Discovery
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
-from ._load_reports import ENDPOINT_LOAD, LOAD_INTERVAL_S, REPORT_INTERVAL_S, VM_REPORT, LoadReports
+from ._load_reports import ENDPOINT_LOAD, FLEET_REPORT, LOAD_INTERVAL_S, LoadReports
 from ._platform_adapter import PlatformAdapter
 from ._prober import CHECK_INTERVAL_S, Prober
 from ._rollout_records import RolloutRecords
@@ -128,6 +129,7 @@
             settings.bounds.allowance_slack * BURST_SLACK_SHARE,
             first_start=settings.first_start,
         )
+        self.allowance_calls = AllowanceCalls(settings.vm, self.allowances)
         self.home_demand = HomeDemand()
         self.watch_policy = WatchPolicy(settings.vm, settings.region)
         self.rollouts = RolloutTracker(
@@ -158,7 +160,7 @@
         self.request_handler = CallerRequestHandler(
             self._adapter.wire,
             self.catalogue,
-            self.allowances,
+            self.allowance_calls,
             self.quarantine,
             self.home_demand,
             self.runner,
@@ -327,7 +329,7 @@
         node = PeerNode(
             peer_settings,
             self.fleet.inventory(),
-            (STORE_ITEM, ENDPOINT_LOAD, VM_REPORT, CRASHES, ROLLOUT_PROGRESS, ROLLOUT_VETO),
+            (STORE_ITEM, ENDPOINT_LOAD, FLEET_REPORT, CRASHES, ROLLOUT_PROGRESS, ROLLOUT_VETO),
             self.registry,
             self._rng,
         )
@@ -346,36 +348,29 @@
         node.on_forward(forwarded.handle)
         self._relay.connect(node)
         self.rollouts.connect(node)
+        self.allowance_calls.connect(node)
         crashes = CrashReports(node, self.quarantine, time.time)
         self.runner.on_quarantine = crashes.publish
         reports = LoadReports(
             self.settings.vm,
+            self._incarnation,
+            self.settings.region,
+            self.settings.zone,
             node,
+            self.fleet,
             self.endpoints,
             self.allowances,
             self.regions,
-            self.fleet.region_of,
+            self.watch_policy,
             self._service_names,
             lambda: all(follower.is_watching for follower in self._followers),
-            lambda vm, watching: self.watch_policy.record_report(
-                vm, watching=watching, now=self._clock()
-            ),
             self._clock,
         )
-        node.on_fact(
-            VM_REPORT.name, lambda fact: self.fleet.record_report(fact.origin, fact.incarnation)
-        )
         await node.start()
         self._node = self.fleet.node = node
         node.update_vms(self.fleet.inventory())
         self.runner.forwarder = forwarder
-        region = self.settings.region
-        self._tasks.run_periodically(
-            LOAD_INTERVAL_S, lambda: reports.publish_loads(len(self.fleet.region_vms(region)))
-        )
-        self._tasks.run_periodically(
-            REPORT_INTERVAL_S, lambda: reports.publish_report(len(self.fleet.all_vms()))
-        )
+        self._tasks.run_periodically(LOAD_INTERVAL_S, reports.publish)
         logger.info("joined the fleet", extra={"incarnation": self._incarnation})
 
     async def _peer_secret(self) -> bytes:
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -1,14 +1,16 @@
 """The live VMs of the fleet, as seen by one VM."""
 
+import math
 import time
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from .._entities import Vm
-from .._identifiers import Incarnation, RegionName, VmId
+from .._identifiers import RegionName, VmId, ZoneName
 from ..coordination import VmRecord
 from ..membership import VmState
 from ..peers import PeerNode
+from ._vm_reports import identity_hash
 
 UNUSABLE_STATES = (VmState.SUSPECTED, VmState.LEAVING, VmState.GONE)
 ACCEPTS_FORWARDS_WHILE_LEAVING_S = 2.0
@@ -16,6 +18,8 @@
 the rest of their grace period is for running requests to end."""
 REPORT_VALID_S = 3.0
 """Time for which a report proves that the VM that sent it is alive."""
+LIVE_VALID_S = 0.1
+"""Time for which the list of live VMs is reused: less than a heartbeat takes to show a change."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +49,12 @@
         self._leaving_since_by_vm: dict[VmId, float] = {}
         self._records_by_vm: Mapping[VmId, VmRecord] = {}
         self._revisions_by_vm: Mapping[VmId, int] = {}
-        self._last_report_by_vm: dict[VmId, tuple[Incarnation, float]] = {}
-        """Incarnation and monotonic time of the latest report of each VM."""
+        self._vms_by_identity: dict[int, VmId] = {}
+        """VMs by the hash that stands for their incarnation in reports."""
+        self._reported_at_by_identity: dict[int, float] = {}
+        """Monotonic time of the latest report of each process."""
+        self._live_by_region: dict[RegionName, list[VmId]] = {}
+        self._live_valid_until_s = -math.inf
         self._served_at_by_region: dict[RegionName, float] = {}
         self._began_s = clock()
 
@@ -57,8 +65,13 @@
         self._record_leaving(records_by_vm)
         self._records_by_vm = dict(records_by_vm)
         self._revisions_by_vm = dict(revisions_by_vm)
-        for vm in self._last_report_by_vm.keys() - records_by_vm.keys():
-            del self._last_report_by_vm[vm]
+        self._vms_by_identity = {
+            identity_hash(record.vm, record.incarnation): record.vm
+            for record in records_by_vm.values()
+        }
+        for identity in self._reported_at_by_identity.keys() - self._vms_by_identity.keys():
+            del self._reported_at_by_identity[identity]
+        self._live_valid_until_s = -math.inf
         if self.node is not None:
             self.node.update_vms(self.inventory())
 
@@ -77,17 +90,25 @@
 
     def start_leaving(self) -> None:
         """Record that this VM begins to leave."""
+        self._live_valid_until_s = -math.inf
         self._leaving_since_by_vm[self._own] = self._clock()
 
-    def record_report(self, vm: VmId, incarnation: Incarnation) -> None:
-        """Record a report of a VM, which may have arrived through other VMs."""
-        self._last_report_by_vm[vm] = (incarnation, self._clock())
+    def record_reports(self, identities: Iterable[int]) -> None:
+        """Record that processes have reported, possibly through other VMs."""
+        now = self._clock()
+        for identity in identities:
+            if identity in self._vms_by_identity:
+                self._reported_at_by_identity[identity] = now
+
+    def vm_of_identity(self, identity: int) -> VmId | None:
+        """Return the VM whose entry belongs to the process that reports with this hash."""
+        return self._vms_by_identity.get(identity)
 
     def is_reporting(self, record: VmRecord) -> bool:
         """Return whether the process that wrote an entry reports and accepts requests."""
-        incarnation, at_s = self._last_report_by_vm.get(record.vm, (None, 0.0))
-        is_recent = incarnation == record.incarnation and self._clock() - at_s <= REPORT_VALID_S
-        return is_recent and self.is_usable(record)
+        identity = identity_hash(record.vm, record.incarnation)
+        at_s = self._reported_at_by_identity.get(identity, -math.inf)
+        return self._clock() - at_s <= REPORT_VALID_S and self.is_usable(record)
 
     def inventory(self) -> dict[VmId, Vm]:
         """Return the VMs for the links, including this one."""
@@ -155,8 +176,20 @@
         ]
 
     def region_vms(self, region: RegionName) -> Collection[VmId]:
-        """Return the live VMs of a region."""
-        return [live.vm for live in self.live() if live.region == region]
+        """Return the live VMs of a region, which may be ``LIVE_VALID_S`` old."""
+        return self._current_live().get(region, [])
+
+    def zone_vms(self, region: RegionName, zone: ZoneName) -> Collection[VmId]:
+        """Return the live VMs of a zone, which may be ``LIVE_VALID_S`` old."""
+        return [vm for vm in self.region_vms(region) if self._records_by_vm[vm].zone == zone]
+
+    def _current_live(self) -> dict[RegionName, list[VmId]]:
+        """Return the live VMs by region; looking at all VMs takes long in a large fleet."""
+        now = self._clock()
+        if now >= self._live_valid_until_s:
+            self._live_by_region = _by_region(self.live())
+            self._live_valid_until_s = now + LIVE_VALID_S
+        return self._live_by_region
 
     def record_served_regions(self) -> None:
         """Record which regions have a serving VM; must be called twice a second."""
@@ -179,13 +212,12 @@
 
         These are the live VMs or, if a region has none, those that began to leave only recently.
         """
-        vms = _by_region(self.live())
         leaving = [
             vm
             for vm, leaving_for_s in self._all_leaving()
             if leaving_for_s < ACCEPTS_FORWARDS_WHILE_LEAVING_S
         ]
-        vms = _by_region(leaving) | vms
+        vms = _by_region(leaving) | self._current_live()
         vms.pop(region, None)
         return vms
 
--- a/src/mangosaddle/entry/_load_reports.py
+++ b/src/mangosaddle/entry/_load_reports.py
@@ -1,14 +1,13 @@
-"""Load reports between VMs: endpoint load within a region, demand and waits across regions."""
+"""Exchange of load and demand between VMs, summed up by zone."""
 
 import logging
-from collections.abc import Callable, Collection
-from typing import Any
+from collections import deque
+from collections.abc import Callable, Collection, Mapping, Sequence
+from dataclasses import dataclass
 
-import cbor2
-
-from .._identifiers import EndpointId, OrganisationId, RegionName, ServiceName, VmId
+from .._identifiers import Incarnation, RegionName, ServiceName, VmId, ZoneName
 from ..membership import PER_ORIGIN, Fact, FactKind
-from ..peers import PeerNode
+from ..peers import PeerNode, register
 from ..traffic import (
     MIN_FREE_SLOT_SHARE,
     AllowanceLimiter,
@@ -19,18 +18,38 @@
     ReportedLoad,
     Work,
 )
+from ._fleet_view import FleetView
+from ._vm_reports import (
+    FleetSummary,
+    LoadRow,
+    LoadSummary,
+    ReportError,
+    ServiceWait,
+    VmReport,
+    decode_fleet_summary,
+    decode_load_summary,
+    decode_vm_report,
+    identity_hash,
+)
+from ._watch_policy import WatchPolicy
+from ._zone_collector import (
+    MIN_COLLECTED_ZONE_VMS,
+    CollectorChoice,
+    ZoneCollector,
+    sum_demand,
+    sum_loads,
+)
 
-REPORT_LIFETIME_S = 60.0
-"""Lifetime of a report by the wall clock: much longer than it is used for, so that a jump of the
-clock does not make it expire."""
+REPORT_LIFETIME_S = 24 * 3600.0
+"""Lifetime of a report by the wall clock: longer than any jump of a VM's clock. Receivers bound the
+age of reports by their own monotonic clock."""
 ENDPOINT_LOAD = FactKind(
     "endpoint_load", PER_ORIGIN, lifetime_s=REPORT_LIFETIME_S, regional=True, reconciled=False
 )
-VM_REPORT = FactKind("vm_report", PER_ORIGIN, lifetime_s=REPORT_LIFETIME_S, reconciled=False)
+"""Load of a zone's VMs on the endpoints of their region."""
+FLEET_REPORT = FactKind("fleet_report", PER_ORIGIN, lifetime_s=REPORT_LIFETIME_S, reconciled=False)
+"""Demand of a zone's VMs and the waits of their region."""
 US_PER_S = 1_000_000
-MAX_LOGGED_ENTRY_CHARACTERS = 80
-"""Characters of an undecodable entry that are logged; the limit keeps another VM from flooding the
-log."""
 FULL_WAIT_S = 3.0
 """Wait in seconds reported for an engine that accepts no more requests: longer than any target, so
 that other regions choose another one."""
@@ -40,174 +59,274 @@
 REPORT_INTERVAL_S = 0.5
 """Interval of reports to all VMs: the slack of allowances covers reports of this age at the highest
 request rate."""
-INTERVAL_PER_VM_S = 0.02
-"""Interval per receiving VM, which applies where it results in a longer interval: a VM then
-receives about 50 reports of each kind per second, whatever the size of the fleet."""
+KEPT_OWN_REPORTS = 32
+"""Own reports that are remembered, to take this VM's part out of the sums of its zone."""
+SUPERSEDED_AFTER_S = 1.0
+"""Silence of a collector after which sums of another one for the same VMs replace its own."""
+NO_LOAD = LoadRow(0, 0, 0, 0)
 
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class VmReportMessage:
+    """Report of a VM to the collector of its zone."""
+
+    payload: bytes
+
+
+register("vm-report", VmReportMessage)
+
+
+@dataclass(frozen=True, slots=True)
+class _Source:
+    identities: frozenset[int]
+    at_s: float
+
+
+class _Sources:
+    """Collectors whose sums are in use."""
+
+    def __init__(self) -> None:
+        self._sources_by_vm: dict[VmId, _Source] = {}
+
+    def update(self, vm: VmId, identities: Collection[int], now: float) -> list[VmId]:
+        """Record the sums of a collector; return the collectors whose sums they replace."""
+        included = frozenset(identities)
+        self._sources_by_vm[vm] = _Source(included, now)
+        superseded = [
+            other
+            for other, source in self._sources_by_vm.items()
+            if other != vm
+            and now - source.at_s > SUPERSEDED_AFTER_S
+            and not included.isdisjoint(source.identities)
+        ]
+        for other in superseded:
+            del self._sources_by_vm[other]
+        return superseded
+
+
 class LoadReports:
-    """Publishes the reports of this VM and applies those of other VMs."""
+    """Publishes the reports of this VM and its zone, and applies those of other zones."""
 
     def __init__(
         self,
         own: VmId,
+        incarnation: Incarnation,
+        region: RegionName,
+        zone: ZoneName,
         node: PeerNode,
+        fleet: FleetView,
         endpoints: Endpoints,
         allowances: AllowanceLimiter,
         regions: RegionReports,
-        region_of: Callable[[VmId], RegionName | None],
+        watch_policy: WatchPolicy,
         services: Callable[[], Collection[ServiceName]],
         is_watching: Callable[[], bool],
-        on_watch_state: Callable[[VmId, bool], None],
         clock: Callable[[], float],
     ) -> None:
         """Create the reports of a VM and subscribe to those of other VMs."""
         self._own = own
+        self._identity = identity_hash(own, incarnation)
+        self._region = region
+        self._zone = zone
         self._node = node
+        self._fleet = fleet
         self._endpoints = endpoints
         self._allowances = allowances
         self._regions = regions
-        self._region_of = region_of
+        self._watch_policy = watch_policy
         self._services = services
         self._is_watching = is_watching
-        self._on_watch_state = on_watch_state
         self._clock = clock
-        self._last_number_by_kind: dict[str, int] = {}
-        self._due_at_by_kind: dict[str, float] = {}
-        self._last_payload_by_kind: dict[str, bytes] = {}
-        node.on_fact(ENDPOINT_LOAD.name, self._on_load_report)
-        node.on_fact(VM_REPORT.name, self._on_vm_report)
-
-    def publish_loads(self, region_vms: int) -> None:
-        """Report this VM's load on the endpoints to the VMs of its region, if due."""
-        if not self._is_due(ENDPOINT_LOAD.name, LOAD_INTERVAL_S, region_vms):
+        self._collector = ZoneCollector(clock)
+        self._choice = CollectorChoice(own, zone, clock)
+        self._own_reports: deque[VmReport] = deque(maxlen=KEPT_OWN_REPORTS)
+        self._next_number = 1
+        self._next_fact_number = 1
+        self._fleet_report_due_at_s = 0.0
+        self._has_published_load = False
+        self._load_sources = _Sources()
+        self._fleet_sources = _Sources()
+        node.on_message(VmReportMessage, self._on_vm_report)
+        node.on_fact(ENDPOINT_LOAD.name, self._on_load_fact)
+        node.on_fact(FLEET_REPORT.name, self._on_fleet_fact)
+
+    def publish(self) -> None:
+        """Report this VM's state, and publish the sums if this VM collects reports.
+
+        Must be called every ``LOAD_INTERVAL_S``.
+        """
+        now = self._clock()
+        report = self._new_report(now)
+        zone_vms = self._fleet.zone_vms(self._region, self._zone)
+        collector = self._choice.choose(zone_vms)
+        is_collected = len(zone_vms) >= MIN_COLLECTED_ZONE_VMS
+        self._allowances.set_group(zone_vms if is_collected else (), now)
+        if collector == self._own:
+            self._collector.add(self._own, report)
+        else:
+            self._node.send(collector, VmReportMessage(report.encode()))
+        reports = self._collector.current()
+        if not reports:
             return
+        self._publish_loads(reports)
+        if now >= self._fleet_report_due_at_s:
+            # Due half a tick early, so that timer jitter does not skip the tick.
+            self._fleet_report_due_at_s = now + REPORT_INTERVAL_S - LOAD_INTERVAL_S / 2
+            self._publish_fleet_report(reports, now)
+
+    def _new_report(self, now: float) -> VmReport:
         loads = {}
-        now = self._clock()
         for view in self._endpoints.views():
-            own = view.load.own_load()
-            if own[0]:
-                time_per_token_s = view.load.own_time_per_token_s(now)
-                loads[view.id] = (
-                    *own,
-                    0 if time_per_token_s is None else round(time_per_token_s * US_PER_S),
-                )
-        self._publish(ENDPOINT_LOAD.name, cbor2.dumps(loads))
-
-    def publish_report(self, fleet_vms: int) -> None:
-        """Report demand, the region's waits and the watch state to all VMs, if due."""
-        if not self._is_due(VM_REPORT.name, REPORT_INTERVAL_S, fleet_vms):
+            running, unread_tokens, memory_tokens = view.load.own_load()
+            if running:
+                pace_s = view.load.own_time_per_token_s(now)
+                pace_us = 0 if pace_s is None else round(pace_s * US_PER_S)
+                loads[view.id] = LoadRow(running, unread_tokens, memory_tokens, pace_us)
+        report = VmReport(
+            self._next_number,
+            self._identity,
+            loads,
+            self._allowances.demand(now),
+            self._is_watching(),
+        )
+        self._next_number += 1
+        self._own_reports.append(report)
+        return report
+
+    def _publish_loads(self, reports: Sequence[VmReport]) -> None:
+        loads = sum_loads(reports)
+        if not loads and not self._has_published_load:
             return
-        now = self._clock()
+        self._has_published_load = bool(loads)
+        summary = LoadSummary(_numbers(reports), loads)
+        self._publish(ENDPOINT_LOAD, summary.encode())
+        if len(reports) > 1 or reports[0].identity != self._identity:
+            self._apply_loads(self._own, summary)
+
+    def _publish_fleet_report(self, reports: Collection[VmReport], now: float) -> None:
         waits = {}
         for service in self._services():
             views = self._endpoints.usable(service)
             if views:
-                waits[service] = _region_report(views, now)
-        demand = {id: round(rate) for id, rate in self._allowances.announce(now).items()}
-        payload = cbor2.dumps([demand, waits, self._is_watching()])
-        self._publish(VM_REPORT.name, payload, always=True)
+                waits[service] = _service_wait(views, now)
+        watching = frozenset(report.identity for report in reports if report.is_watching)
+        summary = FleetSummary(_numbers(reports), sum_demand(reports), waits, watching)
+        self._publish(FLEET_REPORT, summary.encode())
+        self._apply_fleet_report(self._own, summary)
 
-    def _is_due(self, kind: str, interval_s: float, vms: int) -> bool:
-        now = self._clock()
-        if now < self._due_at_by_kind.get(kind, 0.0):
-            return False
-        spread_s = max(interval_s, vms * INTERVAL_PER_VM_S)
-        # Due half a tick early, so that timer jitter does not skip the tick.
-        self._due_at_by_kind[kind] = now + spread_s - interval_s / 2
-        return True
-
-    def _publish(self, kind: str, payload: bytes, *, always: bool = False) -> None:
-        if not always and self._last_payload_by_kind.get(kind) == payload and len(payload) == 1:
+    def _publish(self, kind: FactKind, payload: bytes) -> None:
+        number, self._next_fact_number = self._next_fact_number, self._next_fact_number + 1
+        self._node.publish(self._node.new_fact(kind.name, self._own, number, payload))
+
+    # Reports of other VMs
+
+    def _on_vm_report(self, vm: VmId, message: VmReportMessage) -> None:
+        try:
+            report = decode_vm_report(message.payload)
+        except ReportError as error:
+            logger.warning("cannot decode VM report", extra={"vm": vm, "cause": str(error)})
             return
-        self._last_payload_by_kind[kind] = payload
-        number = self._last_number_by_kind[kind] = self._last_number_by_kind.get(kind, 0) + 1
-        self._node.publish(self._node.new_fact(kind, self._own, number, payload))
+        self._collector.add(vm, report)
 
-    def _on_load_report(self, fact: Fact) -> None:
+    def _on_load_fact(self, fact: Fact) -> None:
         if fact.origin == self._own:
             return
-        loads = _decode(fact, dict)
+        try:
+            summary = decode_load_summary(fact.payload)
+        except ReportError as error:
+            _log_undecodable(fact, error)
+            return
+        self._apply_loads(fact.origin, summary)
+
+    def _apply_loads(self, collector: VmId, summary: LoadSummary) -> None:
         now = self._clock()
+        own = self._own_part(collector, summary.numbers_by_identity)
+        superseded = self._load_sources.update(collector, summary.numbers_by_identity, now)
         for view in self._endpoints.views():
-            entry = loads.get(view.id) if loads is not None else None
-            running, unread, memory, pace_us = _parse_load_entry(fact.origin, view.id, entry)
-            time_per_token_s = pace_us / US_PER_S if pace_us else None
-            load = ReportedLoad(running, unread, memory, time_per_token_s, now)
-            view.load.set_report(fact.origin, load)
+            row = summary.loads_by_endpoint.get(view.id, NO_LOAD)
+            if own is not None:
+                row = row.without(own.loads_by_endpoint.get(view.id, NO_LOAD))
+            pace_s = row.time_per_token_us / US_PER_S if row.time_per_token_us else None
+            load = ReportedLoad(row.running, row.unread_tokens, row.memory_tokens, pace_s, now)
+            view.load.set_report(collector, load)
+            for other in superseded:
+                view.load.drop_report(other)
 
-    def _on_vm_report(self, fact: Fact) -> None:
+    def _own_part(self, collector: VmId, numbers_by_identity: Mapping[int, int]) -> VmReport | None:
+        """Return this VM's report that the sums of a collector include, if any.
+
+        If the report is too old to be remembered, the oldest remembered one stands for it.
+        """
+        number = numbers_by_identity.get(self._identity)
+        if number is None:
+            return None
+        self._choice.record_summary(collector)
+        return next((report for report in self._own_reports if report.number >= number), None)
+
+    def _on_fleet_fact(self, fact: Fact) -> None:
         if fact.origin == self._own:
             return
-        parts = _decode(fact, list)
-        if parts is None or len(parts) != 3:
-            return
-        demand, waits, watching = parts
-        self._on_watch_state(fact.origin, bool(watching))
-        self._allowances.set_reported_demand(
-            fact.origin, {OrganisationId(id): float(rate) for id, rate in demand.items()}
-        )
-        region = self._region_of(fact.origin)
-        if region is None or region == self._endpoints.own_region:
+        try:
+            summary = decode_fleet_summary(fact.payload)
+        except ReportError as error:
+            _log_undecodable(fact, error)
             return
+        self._apply_fleet_report(fact.origin, summary)
+
+    def _apply_fleet_report(self, collector: VmId, summary: FleetSummary) -> None:
         now = self._clock()
-        for service, (wait_s, endpoints, pace_us, running) in waits.items():
-            time_per_token_s = pace_us / US_PER_S
-            report = RegionReport(
-                float(wait_s), int(endpoints), time_per_token_s, int(running), now
-            )
-            self._regions.set_report(ServiceName(service), region, report)
+        self._fleet.record_reports(summary.numbers_by_identity)
+        self._record_watching(summary, now)
+        self._apply_demand(collector, summary, now)
+        region = self._fleet.region_of(collector)
+        if region is None or region == self._region:
+            return
+        for service, wait in summary.waits_by_service.items():
+            time_per_token_s = wait.time_per_token_us / US_PER_S
+            report = RegionReport(wait.wait_s, wait.endpoints, time_per_token_s, wait.running, now)
+            self._regions.set_report(service, region, report)
+
+    def _record_watching(self, summary: FleetSummary, now: float) -> None:
+        for identity in summary.numbers_by_identity:
+            vm = self._fleet.vm_of_identity(identity)
+            if vm is not None and vm != self._own:
+                watching = identity in summary.watching
+                self._watch_policy.record_report(vm, watching=watching, now=now)
+
+    def _apply_demand(self, collector: VmId, summary: FleetSummary, now: float) -> None:
+        identities = summary.numbers_by_identity
+        if self._own_part(collector, identities) is not None:
+            self._allowances.confirm_reported(summary.demand_by_organisation)
+            return
+        for other in self._fleet_sources.update(collector, identities, now):
+            self._allowances.drop_report(other)
+        members = {self._fleet.vm_of_identity(identity) for identity in identities}
+        known = frozenset(vm for vm in members if vm is not None)
+        self._allowances.set_reported_demand(collector, summary.demand_by_organisation, known)
 
 
-def _region_report(views: list[EndpointView], now: float) -> tuple[float, int, int, int]:
-    """Return wait in seconds, number of endpoints, pace in microseconds and running requests.
+def _numbers(reports: Collection[VmReport]) -> dict[int, int]:
+    return {report.identity: report.number for report in reports}
 
-    Apart from the number of endpoints, the values are those of the endpoint with the shortest wait,
-    which a request from another region would get.
+
+def _log_undecodable(fact: Fact, error: ReportError) -> None:
+    extra = {"kind": fact.kind, "vm": fact.origin, "cause": str(error)}
+    logger.warning("cannot decode report", extra=extra)
+
+
+def _service_wait(views: list[EndpointView], now: float) -> ServiceWait:
+    """Return the wait at the endpoint with the shortest one.
+
+    That is the endpoint which a request from another region would get.
     """
     best = min(views, key=lambda view: (_wait_s(view, now), view.load.running(now)))
     pace_us = round(best.load.time_per_token_s(now) * US_PER_S)
-    return round(_wait_s(best, now), 3), len(views), pace_us, best.load.running(now)
+    return ServiceWait(round(_wait_s(best, now), 3), len(views), pace_us, best.load.running(now))
 
 
 def _wait_s(view: EndpointView, now: float) -> float:
     """Return the wait in seconds that other regions should expect at an endpoint."""
     full_s = FULL_WAIT_S if view.load.free_slot_share(now) <= MIN_FREE_SLOT_SHARE else 0.0
     return view.load.forecast_s(Work(0, 0), now) + full_s
-
-
-def _decode(fact: Fact, kind: type[Any]) -> Any:  # noqa: ANN401
-    """Return the content of a report, or ``None`` if it cannot be decoded.
-
-    Another version of the program may have written it.
-    """
-    try:
-        content = cbor2.loads(fact.payload)
-    except (ValueError, cbor2.CBORDecodeError) as error:
-        logger.warning("cannot decode report", extra={"vm": fact.origin, "cause": str(error)})
-        return None
-    return content if isinstance(content, kind) else None
-
-
-def _parse_load_entry(
-    origin: VmId, endpoint: EndpointId, entry: object
-) -> tuple[int, int, int, int]:
-    """Return running requests, unread tokens, memory tokens and pace of a load entry.
-
-    An endpoint without an entry has no load from the reporting VM.
-    """
-    if entry is None:
-        return 0, 0, 0, 0
-    if isinstance(entry, list) and len(entry) == 4 and all(isinstance(n, int) for n in entry):
-        return entry[0], entry[1], entry[2], entry[3]
-    logger.warning(
-        "cannot decode load entry, treated as no load",
-        extra={
-            "vm": origin,
-            "endpoint": endpoint,
-            "entry": repr(entry)[:MAX_LOGGED_ENTRY_CHARACTERS],
-        },
-    )
-    return 0, 0, 0, 0
--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterator
 
-from .._identifiers import EndpointId, RegionName, ServiceName, VmId
+from .._identifiers import EndpointId, RegionName, ServiceName
 from ._catalogue import Catalogue, ServiceSpec
 from ._cold_start import ColdStartLimiter
 from ._health import EndpointHealth, Reachability
-from ._load import EndpointLoad, ReportedLoad
+from ._load import EndpointLoad
 from ._prompt_cache import PromptCacheEstimate
 from ._registry import EndpointRegistry, Registration
 
@@ -51,7 +51,6 @@
         self.registry = EndpointRegistry()
         self._views_by_id: dict[EndpointId, EndpointView] = {}
         self._catalogue: Catalogue | None = None
-        self._early_reports: dict[EndpointId, dict[VmId, ReportedLoad]] = {}
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Apply a new configuration; endpoints whose service has not changed keep their state."""
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Requests that another VM has in flight at an endpoint."""
+    """Requests that one or more other VMs have in flight at an endpoint."""
 
     running: int
     unread_tokens: int
@@ -150,9 +150,13 @@
         self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
 
     def set_report(self, vm: VmId, report: ReportedLoad) -> None:
-        """Store the latest report of another VM."""
+        """Store the latest report of another VM, about itself or about several VMs."""
         self._reports_by_vm[vm] = report
 
+    def drop_report(self, vm: VmId) -> None:
+        """Drop the report of a VM, because another one covers the same VMs."""
+        self._reports_by_vm.pop(vm, None)
+
     def own_load(self) -> tuple[int, int, int]:
         """Return this VM's requests in flight, their tokens to prefill, and their memory tokens."""
         entries = self._in_flight_by_id.values()
--- /dev/null
+++ b/tests/decoders/test_foreign_bytes.py
@@ -0,0 +1,188 @@
+"""Decoders of bytes from outside: any bytes give a value or the decoder's own error."""
+
+import contextlib
+import json
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Result
+
+from mangosaddle._identifiers import Incarnation, RegionName, ServiceName, VersionId, VmId, ZoneName
+from mangosaddle.coordination import VmRecord
+from mangosaddle.entry._crash_reports import decode_crash_reports
+from mangosaddle.entry._vm_reports import (
+    ReportError,
+    decode_fleet_summary,
+    decode_load_summary,
+    decode_vm_report,
+)
+from mangosaddle.platform import parse_settings
+from mangosaddle.platform._configuration import decode_configuration
+from mangosaddle.platform._registrations import decode_registration
+from mangosaddle.platform._rollouts import decode_order, decode_status
+from mangosaddle.rollouts import EvidenceError, OrderedRollout, RolloutOrder, RolloutPolicy
+
+REGIONS_BY_ZONE = {ZoneName("east-a"): RegionName("east")}
+ORDER = RolloutOrder(ServiceName("engine"), VersionId("v2"), 10.0, 7)
+
+
+def _result(decoded: Result[Any, Any]) -> None:
+    assert not isinstance(decoded, Failure) or decoded.failure()
+
+
+def _decode_vm_record(data: bytes) -> None:
+    try:
+        record = VmRecord.decode(data)
+    except ValueError:
+        return
+    assert type(record.peer_port) is int
+    assert type(record.front_port) is int
+
+
+def _decode_progress(data: bytes) -> None:
+    policy = RolloutPolicy.for_order(10.0, 0.1, 50.0)
+    rollout = OrderedRollout(VmId("own"), ORDER, policy, 0.0, is_new=True)
+    try:
+        rollout.merge_progress(VmId("vm"), "i", data, 1.0)
+    except EvidenceError:
+        return
+
+
+def _report(decode: Callable[[bytes], object]) -> Callable[[bytes], None]:
+    def _decode(data: bytes) -> None:
+        with contextlib.suppress(ReportError):
+            decode(data)
+
+    return _decode
+
+
+DECODERS: dict[str, Callable[[bytes], object]] = {
+    "settings": lambda data: _result(parse_settings("f", data.decode("utf-8", "replace"))),
+    "configuration": lambda data: _result(decode_configuration(data)),
+    "registration": lambda data: _result(decode_registration("servers/x", data, REGIONS_BY_ZONE)),
+    "rollout_order": lambda data: _result(decode_order("op/rollout/engine", data, 1)),
+    "rollout_status": lambda data: _result(decode_status("status/rollout/e", data)),
+    "vm_record": _decode_vm_record,
+    "rollout_progress": _decode_progress,
+    "vm_report": _report(decode_vm_report),
+    "load_summary": _report(decode_load_summary),
+    "fleet_summary": _report(decode_fleet_summary),
+    "crash_reports": lambda data: decode_crash_reports("f", data),
+}
+JSON_DECODERS = ("configuration", "registration", "rollout_order", "rollout_status", "vm_record")
+
+scalars = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=8), st.binary(max_size=8)
+)
+FIELDS = [
+    "version",
+    "routes",
+    "services",
+    "tenants",
+    "limits",
+    "service",
+    "address",
+    "zone",
+    "slots",
+    "state",
+    "target",
+    "duration_s",
+    "peer_port",
+    "front_port",
+    "leaving",
+    "born",
+]
+names = st.one_of(st.sampled_from(FIELDS), st.text(max_size=4))
+plain_scalars = st.one_of(st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=8))
+
+
+def _trees(leaves: st.SearchStrategy[Any]) -> st.SearchStrategy[Any]:
+    return st.recursive(
+        leaves,
+        lambda inner: st.one_of(st.lists(inner, max_size=5), st.dictionaries(names, inner)),
+        max_leaves=12,
+    )
+
+
+documents = st.one_of(
+    st.binary(max_size=200),
+    _trees(plain_scalars).map(lambda tree: json.dumps(tree).encode()),
+    _trees(scalars).map(cbor2.dumps),
+)
+
+
+@pytest.mark.parametrize("name", DECODERS)
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(data=documents)
+def test_any_bytes_give_a_value_or_the_decoders_own_error(name: str, data: bytes) -> None:
+    """Guards against one malformed message that ends the task or the process that reads it."""
+    DECODERS[name](data)
+
+
+@pytest.mark.parametrize("name", DECODERS)
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[" * 100_000,
+        b'{"a":' * 100_000,
+        b"a = " + b"[" * 50_000,
+        b"\x81" * 100_000,
+        b"9" * 100_000,
+        b'{"version":' + b"9" * 10_000 + b"}",
+        cbor2.dumps([{"o": float("nan")}, {}, True]),
+        cbor2.dumps([{"o": "x"}, {"s": 4}, True]),
+        cbor2.dumps([{"o": 1.0}, {"s": [1, 2, 3]}, True]),
+        cbor2.dumps({"e": [1, 2, 3, True]}),
+        cbor2.dumps([["e", "soon"]]),
+    ],
+    ids=range(11),
+)
+def test_deep_or_mistyped_documents_are_rejected(name: str, data: bytes) -> None:
+    """Guards against recursion, huge numbers and wrong types that the decoders did not expect."""
+    DECODERS[name](data)
+
+
+@pytest.mark.parametrize("number", ["Infinity", "NaN", "1e999"])
+@pytest.mark.parametrize(
+    ("name", "document"),
+    [
+        ("configuration", '{"version": 1, "services": [{"name": "s", "cold_per_s": NUMBER}]}'),
+        ("configuration", '{"version": 1, "tenants": [{"name": "t", "rate_per_s": NUMBER}]}'),
+        ("configuration", '{"version": 1, "limits": {"idle_timeout_ms": NUMBER}}'),
+        (
+            "registration",
+            '{"service": "s", "address": "10.0.0.1:80", "zone": "east-a", "version": "1", '
+            '"slots": 1, "state": "ready", "cold_remaining_ms": NUMBER}',
+        ),
+    ],
+)
+def test_numbers_that_are_not_finite_are_rejected(name: str, document: str, number: str) -> None:
+    """Guards against endpoints that stay cold for ever and limits that compare with nothing."""
+    data = document.replace("NUMBER", number).encode()
+    decoded = (
+        decode_configuration(data)
+        if name == "configuration"
+        else decode_registration("servers/x", data, REGIONS_BY_ZONE)
+    )
+    assert isinstance(decoded, Failure)
+
+
+@pytest.mark.parametrize("port", [True, False, "80", 0.5])
+def test_port_of_a_vm_record_must_be_an_integer(port: object) -> None:
+    """Guards against ``true``, which Python takes for the number 1."""
+    record = VmRecord(
+        VmId("vm"),
+        Incarnation("i"),
+        RegionName("east"),
+        ZoneName("east-a"),
+        "127.0.0.1",
+        7600,
+        8221,
+    )
+    fields = json.loads(record.encode()) | {"peer_port": port}
+    with pytest.raises(ValueError, match="peer_port"):
+        VmRecord.decode(json.dumps(fields).encode())
--- a/tests/entry/test_vm_entry_listener.py
+++ b/tests/entry/test_vm_entry_listener.py
@@ -10,6 +10,7 @@
 from mangosaddle.coordination import Item, Removal, Snapshot, VmRecord
 from mangosaddle.entry._fleet_view import FleetView
 from mangosaddle.entry._store_listeners import VmEntryListener
+from mangosaddle.entry._vm_reports import identity_hash
 from mangosaddle.membership import MembershipTable, VmIdentity, VmState, VmStatus
 from mangosaddle.peers import PeerNode
 
@@ -97,7 +98,7 @@
     observer.listener.handle_change(Item(KEY, replace(RECORD, leaving=leaving).encode(), 6))
     observer.report_state(state)
     if reporter is not None:
-        observer.fleet.record_report(OTHER, reporter)
+        observer.fleet.record_reports([identity_hash(OTHER, reporter)])
     observer.now += age_s
     if by_snapshot:
         observer.listener.handle_snapshot(Snapshot((), 9), after_outage=False)
@@ -111,7 +112,7 @@
 def test_kept_entry_is_removed_when_its_vm_falls_silent() -> None:
     """Guards against a killed VM that is named to callers for too long."""
     observer = _observer()
-    observer.fleet.record_report(OTHER, OLD)
+    observer.fleet.record_reports([identity_hash(OTHER, OLD)])
     observer.listener.handle_change(Removal(KEY, 9))
     killed_at_s = observer.now
     while observer.named_vms():
@@ -123,7 +124,7 @@
 def test_kept_entry_that_is_written_again_stays() -> None:
     """Guards against removing a VM long after it has renewed its entry."""
     observer = _observer()
-    observer.fleet.record_report(OTHER, OLD)
+    observer.fleet.record_reports([identity_hash(OTHER, OLD)])
     observer.listener.handle_change(Removal(KEY, 9))
     observer.listener.handle_change(Item(KEY, RECORD.encode(), 10))
     observer.now += 60.0
--- a/tests/traffic/test_allowance_limiter.py
+++ b/tests/traffic/test_allowance_limiter.py
@@ -75,7 +75,8 @@
             limiter.rebalance(self.now)
             if name in self.cut_off:
                 continue
-            report = limiter.announce(self.now)
+            report = limiter.demand(self.now)
+            limiter.confirm_reported(report)
             for other in self.names:
                 if other != name and other not in self.cut_off and self.rng.random() > 0.05:
                     at_s = self.now + self.rng.uniform(0.08, 0.3)
