Judge versions without the stalls of this VM, and do not complete a suspect one

A good version was rolled back beside load: while the event loop stands still, answers are read late, and at the full share all of them are the new version's, while the old version's counts are from before. Change: the old endpoints are not given up while the evidence is 30 times weaker than a veto needs; a few more answers decide, and shortly before the deadline it is completed as before. Also: progress of rollouts no longer expires by a jump of the wall clock.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -317,6 +317,9 @@
         self._tasks.run_periodically(CHECK_INTERVAL_S, self._prober.check)
         self._tasks.run_periodically(HOUSEKEEPING_INTERVAL_S, self._housekeeping)
         self._tasks.run_periodically(TICK_S, self._tick_rollouts)
+        self._tasks.spawn(
+            self.rollouts.loop_stalls.run(lambda: bool(self.rollouts.active()), TICK_S)
+        )
 
     async def _join_fleet(self) -> None:
         """Open the links to the other VMs once this one is registered."""
--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -27,9 +27,10 @@
     VersionChoice,
 )
 from ._attempt import AttemptEnd, AttemptResult
+from ._loop_stalls import LoopStalls
 from ._settings import FleetBounds
 
-ROLLOUT_PROGRESS = FactKind("rollout_progress", PER_ORIGIN, lifetime_s=60.0, reconciled=False)
+ROLLOUT_PROGRESS = FactKind("rollout_progress", PER_ORIGIN, lifetime_s=86_400.0, reconciled=False)
 """Evidence and progress of one VM; the key is the service."""
 ROLLOUT_VETO = FactKind("rollout_veto", GROW_ONLY, lifetime_s=3600.0)
 """A rejection of the target version of an order; the key names service, version and order."""
@@ -62,12 +63,19 @@
     """Expected time to first byte at the usual speed."""
     tokens: int
     """Number of tokens that are expected to be generated."""
+    stalled_before_s: float = 0.0
+    """Time for which this process had stood still when the attempt began."""
     is_counted: bool = False
     """Whether the outcome is already part of the evidence."""
 
-    def slowness(self, tokens: int, now: float) -> float:
-        """Return the elapsed time as a multiple of the time expected for ``tokens`` tokens."""
-        return (now - self.sent_at_s) / (
+    def slowness(self, tokens: int, now: float, stalled_s: float) -> float:
+        """Return the elapsed time as a multiple of the time expected for ``tokens`` tokens.
+
+        The time for which this process stood still in the meantime, of ``stalled_s`` in all, is
+        left out.
+        """
+        elapsed_s = now - self.sent_at_s - (stalled_s - self.stalled_before_s)
+        return max(0.0, elapsed_s) / (
             self.expected_first_byte_s + tokens * DEFAULT_TIME_PER_TOKEN_S
         )
 
@@ -88,6 +96,8 @@
         wall_clock: Callable[[], float],
     ) -> None:
         """Create without orders; ``connect`` adds the links to other VMs."""
+        self.loop_stalls = LoopStalls()
+        """Stalls of this process, which are no fault of any version."""
         self._own = own
         self._endpoints = endpoints
         self._bounds = bounds
@@ -211,6 +221,7 @@
             now,
             view.load.nominal_forecast_s(place.work, now),
             request.prompt.expected_tokens if request.prompt is not None else 0,
+            self.loop_stalls.total_s,
         )
         self._running[request.service, version] += 1
         rollout = self._rollouts_by_service.get(request.service)
@@ -234,7 +245,7 @@
             return
         status = result.answer.status if result.answer is not None else FAILURE_STATUS
         is_failure = result.end is not AttemptEnd.DELIVERED and status >= FAILURE_STATUS
-        slowness = None if is_failure else attempt.slowness(tokens, now)
+        slowness = None if is_failure else attempt.slowness(tokens, now, self.loop_stalls.total_s)
         lost_endpoint = attempt.endpoint if result.connection_lost else None
         rollout.record_answer(attempt.version, attempt.route, slowness, lost_endpoint, now)
 
@@ -244,7 +255,7 @@
             rollout = self._rollouts_by_service.get(attempt.service)
             if rollout is None or rollout.end is not None or attempt.is_counted:
                 continue
-            slowness = attempt.slowness(attempt.tokens, now)
+            slowness = attempt.slowness(attempt.tokens, now, self.loop_stalls.total_s)
             if slowness >= OVERDUE_FACTOR:
                 attempt.is_counted = True
                 rollout.record_answer(attempt.version, attempt.route, slowness, None, now)
--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -18,10 +18,11 @@
     window_of,
 )
 from ._exposure import RequestCounts
+from ._order_verdict import OrderRules
 from ._plan import planned_share
 from ._policy import SAMPLE_SHARE_LIMITS as SAMPLE_SHARE_LIMITS
 from ._policy import RolloutPolicy
-from ._verdict import Comparison, RouteEvidence, find_fault
+from ._verdict import Comparison, RouteEvidence, TailRules, find_fault
 
 LOSS_GROUPING_S = 1.0
 """Lost connections to one endpoint that follow each other within this time count as one failure."""
@@ -203,12 +204,20 @@
         for plan in self._configuration.rollouts_by_model.values():
             if wall_time < plan.start_s or self._is_vetoed(plan.model, plan.new):
                 continue
-            reason = self._find_fault(plan, window)
+            reason = self._find_fault(plan, window, self._policy.rules)
             if reason is not None:
                 new_vetoes.append(Veto(plan.model, plan.new, reason, self._own, wall_time))
         self.merge_vetoes(new_vetoes)
         return tuple(new_vetoes)
 
+    def is_suspect(self, model: ModelName, wall_time: float) -> bool:
+        """Return whether the evidence against the new version is strong, but not enough to veto."""
+        plan = self._configuration.rollouts_by_model.get(model)
+        rules = self._policy.suspicion_rules
+        if plan is None or rules is None:
+            return False
+        return self._find_fault(plan, self._window(wall_time), rules) is not None
+
     def vetoes(self) -> tuple[Veto, ...]:
         """Return all vetoes, sorted by model and version."""
         return tuple(veto for _, veto in sorted(self._vetoes.items()))
@@ -328,7 +337,9 @@
         allowed = [version for version in versions if not self._is_vetoed(model, version)]
         return next(iter(allowed or versions), None)
 
-    def _find_fault(self, plan: RolloutPlan, window: int) -> str | None:
+    def _find_fault(
+        self, plan: RolloutPlan, window: int, rules: TailRules | OrderRules
+    ) -> str | None:
         merged = self._evidence.merged_counters(plan.model)
         windows = range(window, window - self._policy.kept_windows, -1)
         routes = {key.route for key in merged if key.window > ALL_TIME}
@@ -346,7 +357,7 @@
             )
             for route in routes
         }
-        return find_fault(self._policy.rules, by_route)
+        return find_fault(rules, by_route)
 
     def _comparisons(
         self,
--- a/src/mangosaddle/rollouts/_order_verdict.py
+++ b/src/mangosaddle/rollouts/_order_verdict.py
@@ -10,6 +10,10 @@
 RECENT_WINDOWS = 2
 MIN_BAD_ANSWERS_AGAINST_PRIOR = 3
 """Minimum bad answers of the old version for its observed rate to override a lower prior."""
+SUSPICION_FACTOR = 30.0
+"""How many times more likely a good version may be suspected than vetoed."""
+MAX_SUSPICION_ALPHA = 0.05
+MIN_SUSPICION_HITS = 3
 SLOW_BUCKETS = 3
 """Buckets between the old version's median and the bound for slow answers: a factor of 1.7 to 2."""
 SLOW = "slower than 1.7x the median of the old version"
@@ -59,6 +63,26 @@
     stratum_prior: float = 4.0
     """Weight, in answers, of the old version's overall rate in the rate of each stratum."""
 
+    def for_suspicion(self) -> "OrderRules":
+        """Return the rules that find a version suspect which these rules do not veto yet."""
+        return OrderRules(
+            _suspicion_bounds(self.failures),
+            _suspicion_bounds(self.slow),
+            _suspicion_bounds(self.failures_at_full),
+            _suspicion_bounds(self.slow_at_full),
+            _suspicion_bounds(self.far_slower),
+            _suspicion_bounds(self.far_slower_at_full),
+            self.stratum_prior,
+        )
+
+
+def _suspicion_bounds(bounds: ExcessBounds) -> ExcessBounds:
+    return replace(
+        bounds,
+        alpha=min(MAX_SUSPICION_ALPHA, bounds.alpha * SUSPICION_FACTOR),
+        min_hits=max(MIN_SUSPICION_HITS, bounds.min_hits - 1),
+    )
+
 
 @dataclass(frozen=True, slots=True)
 class _Stratum:
--- a/src/mangosaddle/rollouts/_ordered_rollout.py
+++ b/src/mangosaddle/rollouts/_ordered_rollout.py
@@ -229,8 +229,8 @@
     def _is_complete(self, others: Collection[VmId], old_running: int, now: float) -> bool:
         """Return whether the rollout can be completed.
 
-        The target must have had all traffic for long enough, and no request may run at another
-        version, unless the deadline is close.
+        The target must have had all traffic for long enough without being suspect, and no request
+        may run at another version, unless the deadline is close.
         """
         if self._full_share_since_s is None:
             return False
@@ -240,7 +240,10 @@
             return True
         if now - self._full_share_since_s < OBSERVATION_FRACTION * duration_s:
             return False
-        return old_running == 0 and all(self._has_finished(vm, now) for vm in others)
+        if old_running or not all(self._has_finished(vm, now) for vm in others):
+            return False
+        # The end of the old endpoints cannot be undone: a few more answers may show a fault.
+        return not self.control.is_suspect(self._model, self._plan_time(now))
 
     def _has_finished(self, vm: VmId, now: float) -> bool:
         progress = self._progress_by_vm.get(vm)
--- a/src/mangosaddle/rollouts/_policy.py
+++ b/src/mangosaddle/rollouts/_policy.py
@@ -61,6 +61,8 @@
     exposure: ExposureLimit | None = None
     """Limit on requests of the new version; ``None`` if only the ramp limits them."""
     rules: TailRules | OrderRules = field(default_factory=TailRules)
+    suspicion_rules: OrderRules | None = None
+    """Rules for findings that delay the completion of a rollout; ``None`` for no delay."""
 
     @classmethod
     def for_order(
@@ -89,6 +91,7 @@
             latency_grace_s=min(LATENCY_GRACE_S, MAX_LATENCY_GRACE_FRACTION * duration_s),
             exposure=ExposureLimit(exposure_share, exposure_slack),
             rules=OrderRules(),
+            suspicion_rules=OrderRules().for_suspicion(),
         )
 
     def full_share_fraction(self) -> float:
--- a/tests/rollouts/test_ordered_rollout.py
+++ b/tests/rollouts/test_ordered_rollout.py
@@ -183,3 +183,26 @@
     assert rollout.share(FULL_SHARE_S) == share
     assert rollout.is_rejected is (state is RolloutState.REVERTED)
     assert _state(rollout, FULL_SHARE_S) is None
+
+
+@pytest.mark.parametrize(("failures", "state"), [(0, RolloutState.COMPLETED), (6, None)])
+def test_suspect_version_is_not_completed_before_the_deadline_is_close(
+    make_rollout: MakeRollout, failures: int, state: RolloutState | None
+) -> None:
+    """A version that fails on one route must not be completed just before it would be vetoed.
+
+    It was lucky so far: 6 of 24 answers failed, which is a little too few for a veto.
+    """
+    rollout = make_rollout()
+    rollout.record = _record(RolloutState.IN_PROGRESS)
+    for number in range(60):
+        rollout.record_answer("v1", "review", 1.0, None, START_S + 4.0 + number * 0.01)
+    _state(rollout, FULL_SHARE_S)
+    for number in range(24):
+        slowness = None if number < failures else 1.0
+        rollout.record_answer(TARGET, "review", slowness, None, START_S + 5.0 + number * 0.1)
+    now = FULL_SHARE_S + DURATION_S * 0.16
+    assert rollout.evaluate(now) == ()
+    _deliver_progress(rollout, make_rollout(OTHER), now)
+    assert _state(rollout, now) is state
+    assert _state(rollout, START_S + DURATION_S - 0.9) is RolloutState.COMPLETED
