Learn how fast engines read prompts

The forecast reads prompts at 25,000 tokens/s; the engines there read 157,000, and the observed slowness is bounded at 0.5, so a prompt of 30,000 tokens was late by its own size. Change: the prefill time per token is observed for each endpoint; forecasts, costs and forwards use it. Nominal forecasts, by which versions are judged, keep the constant.

--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -6,7 +6,7 @@
 from ._catalogue import Catalogue, ServiceSpec
 from ._cold_start import ColdStartLimiter
 from ._health import EndpointHealth, Reachability
-from ._load import EndpointLoad
+from ._load import PREFILL_TOKENS_PER_S, EndpointLoad
 from ._prompt_cache import PromptCacheEstimate
 from ._registry import EndpointRegistry, Registration
 
@@ -116,6 +116,14 @@
         rates = [view.health.failure_rate for view in self.usable(service)]
         return min(rates, default=0.0)
 
+    def prefill_s_per_token(self, service: ServiceName) -> float:
+        """Return the time in which a service's endpoints read a prompt token, on average.
+
+        Other regions are assumed to have equal endpoints.
+        """
+        times = [view.load.prefill_s_per_token for view in self.usable(service)]
+        return sum(times) / len(times) if times else 1.0 / PREFILL_TOKENS_PER_S
+
     def spec(self, service: ServiceName) -> ServiceSpec | None:
         """Return the configuration of a service, or ``None``."""
         return self._spec(service)
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -6,8 +6,15 @@
 from .._identifiers import VmId
 
 PREFILL_TOKENS_PER_S = 25_000.0
-"""Assumed prefill speed of an engine before it is corrected by the observed slowness. Below the
-36,000 to 57,000 of current engines, because prefill is interleaved with running requests."""
+"""Assumed prefill speed of an engine from which nothing was observed yet. Below the 36,000 to
+157,000 of current engines, because prefill is interleaved with running requests."""
+MIN_OBSERVED_PREFILL_TOKENS = 1_000
+"""Prompt tokens below which the time to the first event says little about the prefill speed."""
+PREFILL_SPEED_WEIGHT = 0.1
+"""Weight of a new observation in the moving average of the prefill time per token."""
+MAX_PREFILL_TOKENS_PER_S = 400_000.0
+MIN_PREFILL_TOKENS_PER_S = 5_000.0
+"""Bounds of the observed prefill speed."""
 FIRST_EVENT_S = 0.03
 """Time from the end of the prefill to the first event."""
 REPORT_MAX_AGE_S = 3.0
@@ -42,6 +49,8 @@
     work: Work
     sent_s: float
     forecast_s: float
+    prefill_tokens: int = 0
+    """Prompt tokens to be read before its first event, including those queued before it."""
     has_started: bool = False
     last_event_at_s: float = 0.0
     tokens: int = 0
@@ -73,6 +82,8 @@
         self._in_flight_by_id: dict[str, _InFlight] = {}
         self._reports_by_vm: dict[VmId, ReportedLoad] = {}
         self._full_until_s = 0.0
+        self.prefill_s_per_token = 1.0 / PREFILL_TOKENS_PER_S
+        """Observed time to read a prompt token."""
         self._time_per_token_s = DEFAULT_TIME_PER_TOKEN_S
         self._last_tokens_at_s = 0.0
 
@@ -82,7 +93,8 @@
 
     def record_sent(self, request_id: str, work: Work, forecast_s: float, now: float) -> None:
         """Add a request that is sent to the requests in flight."""
-        self._in_flight_by_id[request_id] = _InFlight(work, now, forecast_s)
+        prefill_tokens = self.unread_tokens(now) + work.unread_tokens
+        self._in_flight_by_id[request_id] = _InFlight(work, now, forecast_s, prefill_tokens)
 
     def record_first_byte(self, request_id: str, now: float) -> None:
         """Update the slowness at the first event or byte of an answer."""
@@ -92,6 +104,8 @@
         entry.has_started = True
         if entry.forecast_s > 0:
             self._observe_slowness((now - entry.sent_s) / entry.forecast_s)
+        if entry.prefill_tokens >= MIN_OBSERVED_PREFILL_TOKENS:
+            self._observe_prefill((now - entry.sent_s - FIRST_EVENT_S) / entry.prefill_tokens)
 
     def record_tokens(self, request_id: str, tokens: int, now: float) -> None:
         """Update the time per token at an event of a stream that holds ``tokens`` tokens."""
@@ -149,6 +163,10 @@
         bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, factor * self.slowness))
         self.slowness += SLOWNESS_WEIGHT * (bounded - self.slowness)
 
+    def _observe_prefill(self, s_per_token: float) -> None:
+        bounded = min(1 / MIN_PREFILL_TOKENS_PER_S, max(1 / MAX_PREFILL_TOKENS_PER_S, s_per_token))
+        self.prefill_s_per_token += PREFILL_SPEED_WEIGHT * (bounded - self.prefill_s_per_token)
+
     def set_report(self, vm: VmId, report: ReportedLoad) -> None:
         """Store the latest report of another VM, about itself or about several VMs."""
         self._reports_by_vm[vm] = report
@@ -176,18 +194,20 @@
 
     def forecast_s(self, work: Work, now: float) -> float:
         """Return the expected time to the first byte of the answer in seconds."""
-        return self._forecast_s(work, now, self.slowness)
+        return self._forecast_s(work, now, self.slowness, self.prefill_s_per_token)
 
     def nominal_forecast_s(self, work: Work, now: float) -> float:
-        """Return the forecast for an endpoint of nominal speed, ignoring the slowness."""
-        return self._forecast_s(work, now, 1.0)
+        """Return the forecast for an endpoint of nominal speed, ignoring what was observed."""
+        return self._forecast_s(work, now, 1.0, 1.0 / PREFILL_TOKENS_PER_S)
 
     def tokens_of(self, request_id: str) -> int:
         """Return the number of tokens generated so far for a request in flight."""
         entry = self._in_flight_by_id.get(request_id)
         return entry.tokens if entry is not None else 0
 
-    def _forecast_s(self, work: Work, now: float, slowness: float) -> float:
+    def _forecast_s(
+        self, work: Work, now: float, slowness: float, prefill_s_per_token: float
+    ) -> float:
         running = self.running(now)
         full_s = max(0.0, self._full_until_s - now)
         if self.memory_tokens is None:
@@ -195,7 +215,7 @@
             # An endpoint that is faster than expected has no more capacity and is not preferred.
             return full_s + max(1.0, slowness) * FIRST_EVENT_S * (1 + queued / self.slots)
         queued_tokens = self.unread_tokens(now)
-        prefill_s = (queued_tokens + work.unread_tokens) / PREFILL_TOKENS_PER_S
+        prefill_s = (queued_tokens + work.unread_tokens) * prefill_s_per_token
         wait_s = full_s + self._memory_wait_s(work, running, now)
         return wait_s + slowness * (prefill_s + FIRST_EVENT_S)
 
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -14,7 +14,7 @@
 from .._affinity import combine_hashes, hash64
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
 from ._endpoints import Endpoints, EndpointView
-from ._load import DEFAULT_TIME_PER_TOKEN_S, PREFILL_TOKENS_PER_S, Work
+from ._load import DEFAULT_TIME_PER_TOKEN_S, Work
 from ._requests import RoutedRequest
 from ._versions import ANY_VERSION, VersionChoice
 
@@ -293,7 +293,7 @@
             work = work_of(request, view)
             forecast_s = view.load.forecast_s(work, now)
             time_per_token_s = view.load.time_per_token_s(now)
-            prefill_s = work.unread_tokens / PREFILL_TOKENS_PER_S
+            prefill_s = work.unread_tokens * view.load.prefill_s_per_token
             cost_s = forecast_s + _load_cost_s(
                 request, time_per_token_s, prefill_s, view.load.running(now)
             )
@@ -319,13 +319,13 @@
             return None
         best: RemotePlacement | None = None
         serving = self._endpoints.registry.regions(request.service, version)
+        prefill_s = _unshared_tokens(request) * self._endpoints.prefill_s_per_token(request.service)
         for region in reachable:
             if region not in serving or not request.allows(region):
                 continue
             report = self._regions.find(request.service, region, now)
             if report is None:
                 continue
-            prefill_s = _prefill_s(request)
             forecast_s = report.wait_s + REGION_ROUND_TRIP_S + prefill_s
             load_cost_s = _load_cost_s(request, report.time_per_token_s, prefill_s, report.running)
             candidate = RemotePlacement(
@@ -354,14 +354,12 @@
     return generation_s * GENERATION_WEIGHT + prefill_s * running * RUNNING_DELAY_WEIGHT
 
 
-def _prefill_s(request: RoutedRequest) -> float:
-    """Return the prefill time of the prompt's last part, which no other prompt shares."""
-    if request.prompt is None:
-        return 0.0
-    unshared_tokens = (
-        request.prompt.parts[-1].tokens if request.prompt.parts else request.prompt.prompt_tokens
-    )
-    return unshared_tokens / PREFILL_TOKENS_PER_S
+def _unshared_tokens(request: RoutedRequest) -> int:
+    """Return the tokens of the prompt's last part, which no other prompt shares."""
+    prompt = request.prompt
+    if prompt is None:
+        return 0
+    return prompt.parts[-1].tokens if prompt.parts else prompt.prompt_tokens
 
 
 def _preferred_by_hash(
--- a/tests/traffic/test_placement.py
+++ b/tests/traffic/test_placement.py
@@ -28,6 +28,7 @@
     ServiceShare,
     ServiceSpec,
     VersionChoice,
+    Work,
 )
 
 ENGINE = ServiceName("engine")
@@ -276,3 +277,23 @@
         placement.decide(_request(), [OWN], [WEST], (), NOW, (old,)), PlacementRefusal
     )
     assert isinstance(placement.decide(_request(), [OWN], [WEST], (), NOW), RemotePlacement)
+
+
+def test_large_prompt_is_not_refused_for_a_speed_that_the_engine_exceeds(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Guards against refusing the largest prompts of a deployment with fast engines.
+
+    At the assumed speed such a prompt would start late by its own size; the engines are observed to
+    read several times as fast.
+    """
+    request = _request(prompt_tokens=45_000)
+    assert isinstance(_decide(endpoints, regions, request), PlacementRefusal)
+    for view in endpoints.views():
+        for number in range(60):
+            work = Work(10_000, 100)
+            forecast_s = view.load.forecast_s(work, NOW)
+            view.load.record_sent(f"r{number}", work, forecast_s, NOW)
+            view.load.record_first_byte(f"r{number}", NOW + 0.03 + 10_000 / 157_000)
+            view.load.record_end(f"r{number}")
+    assert isinstance(_decide(endpoints, regions, request), LocalPlacement)
