Renew what a VM knows after a pause, and send nothing after a deadline

Operators of similar systems report processes that acted on permissions which had run out while they were paused. Here a VM whose watch connection was lost in the pause went on with endpoints that had left, withdrawn keys and saved tokens; a suspended machine does not even notice, as the monotonic clock stands still. Change: the boot clock shows a pause of more than 1 s; the store is read again before the next request is admitted, forwarded or sent, for 1 s at most (an outage stops nothing), and saved tokens are dropped.

--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -64,6 +64,8 @@
         self._retry_pause_s = MIN_RETRY_PAUSE_S
         self._enabled = asyncio.Event()
         self._enabled.set()
+        self._watch_call: asyncio.Task[Changes] | None = None
+        self._must_read_again = False
 
     @property
     def is_watching(self) -> bool:
@@ -108,16 +110,40 @@
                 logger.exception("watch failed", extra={"prefix": self.prefix})
                 await self._handle_failure(error)
 
+    def read_again(self) -> None:
+        """Read the whole prefix now, without waiting for the end of a pending watch call."""
+        self._must_read_again = True
+        if self._watch_call is not None:
+            self._watch_call.cancel()
+
+    async def _watch(self, revision: int) -> Changes | None:
+        """Return the next changes, or ``None`` if the prefix has to be read again."""
+        call = asyncio.create_task(self._store.watch(self.prefix, revision, WATCH_TIMEOUT_S))
+        self._watch_call = call
+        try:
+            return await call
+        except asyncio.CancelledError:
+            call.cancel()
+            if self._must_read_again:
+                return None
+            raise
+        finally:
+            self._watch_call = None
+
     async def _read_or_watch(self) -> None:
+        if self._must_read_again:
+            self._must_read_again = False
+            self._revision = None
         if self._revision is None:
             snapshot = await self._store.read(self.prefix)
             after_outage = self._record_success()
             self._revision = snapshot.revision
             self._listener.handle_snapshot(snapshot, after_outage=after_outage)
             return
-        changes = await self._store.watch(self.prefix, self._revision, WATCH_TIMEOUT_S)
-        self._record_success()
-        self._apply(changes)
+        changes = await self._watch(self._revision)
+        if changes is not None:
+            self._record_success()
+            self._apply(changes)
 
     def _apply(self, changes: Changes) -> None:
         assert self._revision is not None
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -59,6 +60,8 @@
     DELIVERED = "delivered"
     NOT_SENT = "not_sent"
     """No connection was made, so nothing has reached the endpoint."""
+    WITHHELD = "withheld"
+    """Nothing was sent, because of the state of this VM or the deadline of the request."""
     REJECTED = "rejected"
     """The endpoint states that it has not run the request."""
     FAILED = "failed"
@@ -91,9 +94,19 @@
 class EndpointClient:
     """Sends requests to endpoints and passes the answers on to sinks."""
 
-    def __init__(self, wire: WireFormat, pool: ConnectionPool) -> None:
-        """Create the client; connections are reused through the pool."""
+    def __init__(
+        self,
+        wire: WireFormat,
+        pool: ConnectionPool,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Create the client; connections are reused through the pool.
+
+        ``may_send`` tells directly before a request is sent whether the choice of its endpoint may
+        still be relied upon.
+        """
         self._wire = wire
+        self._may_send = may_send
         self._pool = pool
         self.connections_opened = 0
         self._timeouts = AttemptTimeouts()
@@ -122,6 +135,10 @@
             self.connections_opened += 1
         resume_after = progress.splitter.last_id if progress.must_resume else None
         left_s = request.left_s(clock())
+        if left_s < DEADLINE_MARGIN_S or not self._may_send():
+            # A process that was paused or busy gets here before its timers have cancelled it.
+            self._pool.give_back(address, connection)
+            return AttemptResult(AttemptEnd.WITHHELD, "too late to send")
         encoded = self._wire.encode_request(
             opaque,
             view.registration,
--- a/src/mangosaddle/entry/_caller_requests.py
+++ b/src/mangosaddle/entry/_caller_requests.py
@@ -24,6 +24,7 @@
 )
 from ._allowance_calls import AllowanceCalls
 from ._catalogue_holder import CatalogueHolder
+from ._pause_guard import PauseGuard
 from ._results import Ending, RunResult
 from ._runner import RequestRunner
 from ._sinks import CallerSink
@@ -65,6 +66,7 @@
         quarantine: Quarantine,
         home_demand: HomeDemand,
         runner: RequestRunner,
+        pause_guard: PauseGuard,
         registry: CollectorRegistry,
         rng: random.Random,
         wall_clock: Callable[[], float],
@@ -78,6 +80,7 @@
         self._quarantine = quarantine
         self._home_demand = home_demand
         self._runner = runner
+        self._pause_guard = pause_guard
         self._rng = rng
         self._wall_clock = wall_clock
         self._requests = Counter(
@@ -103,6 +106,7 @@
             await self._refuse(exchange, request_id, problem, "")
             return
         opaque = decoded.unwrap()
+        await self._pause_guard.wait_until_current()
         admitted = await self._admit(opaque, exchange.received_at_s)
         if isinstance(admitted, Problem):
             await self._refuse(exchange, opaque.id, admitted, "")
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -44,6 +44,8 @@
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
 from ._load_reports import ENDPOINT_LOAD, FLEET_REPORT, LOAD_INTERVAL_S, LoadReports
+from ._pause_guard import CHECK_INTERVAL_S as PAUSE_CHECK_INTERVAL_S
+from ._pause_guard import PauseGuard
 from ._platform_adapter import PlatformAdapter
 from ._prober import CHECK_INTERVAL_S, Prober
 from ._rollout_records import RolloutRecords
@@ -120,6 +122,7 @@
     def _assemble_state(self) -> None:
         settings = self.settings
         self.catalogue = CatalogueHolder(self._clock)
+        self.pause_guard = PauseGuard(lambda: self.allowances.empty_buckets(self._clock()))
         self.endpoints = Endpoints(settings.region)
         self.fleet = FleetView(settings.vm, self.is_ready)
         self.regions = RegionReports()
@@ -144,7 +147,9 @@
 
     def _assemble_traffic(self) -> None:
         placement = PlacementPolicy(self.settings.vm, self.endpoints, self.regions)
-        self._endpoint_client = EndpointClient(self._adapter.wire, self._pool)
+        self._endpoint_client = EndpointClient(
+            self._adapter.wire, self._pool, self.pause_guard.is_current
+        )
         self.runner = RequestRunner(
             self.settings.vm,
             self.endpoints,
@@ -164,6 +169,7 @@
             self.quarantine,
             self.home_demand,
             self.runner,
+            self.pause_guard,
             self.registry,
             self._rng,
             time.time,
@@ -231,6 +237,7 @@
         self._followers = [
             PrefixWatcher(self._store, prefix, listener, self._rng) for prefix, listener in followed
         ]
+        self.pause_guard.watch(self._followers)
         self._rollout_records = RolloutRecords(
             settings.vm,
             self._store,
@@ -314,6 +321,7 @@
         self._tasks.spawn(self._rollout_record_follower.run())
         self._tasks.spawn(self._presence.run())
         self._tasks.spawn(self._join_fleet())
+        self._tasks.run_periodically(PAUSE_CHECK_INTERVAL_S, self.pause_guard.check)
         self._tasks.run_periodically(CHECK_INTERVAL_S, self._prober.check)
         self._tasks.run_periodically(HOUSEKEEPING_INTERVAL_S, self._housekeeping)
         self._tasks.run_periodically(TICK_S, self._tick_rollouts)
@@ -347,6 +355,7 @@
             self.runner,
             self.settings.region,
             lambda: self.catalogue.current,
+            self.pause_guard,
         )
         node.on_forward(forwarded.handle)
         self._relay.connect(node)
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -33,6 +33,7 @@
     allowed_regions,
 )
 from ._attempt import MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_BYTES, StreamProgress
+from ._pause_guard import PauseGuard
 from ._results import AnswerSink, Ending, RunResult
 from ._runner import RequestRunner
 from ._sinks import LinkSink
@@ -219,8 +220,10 @@
         runner: RequestRunner,
         region: RegionName,
         catalogue: Callable[[], Catalogue | None],
+        pause_guard: PauseGuard,
     ) -> None:
         """Create the handler of forwarded requests for a VM of ``region``."""
+        self._pause_guard = pause_guard
         self._wire = wire
         self._runner = runner
         self._region = region
@@ -231,6 +234,7 @@
         if forward.opaque is None:
             yield ForwardEnd(False, Ending.NOT_RUN.value, "only opaque requests run here")
             return
+        await self._pause_guard.wait_until_current()
         route = self._find_route(forward, forward.opaque)
         if route is not None and not self._may_run_here(forward, route):
             extra = {"request_id": forward.request_id, "from_vm": vm}
--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -241,7 +241,7 @@
         rollout = self._rollouts_by_service.get(attempt.service)
         if rollout is None or result is None or attempt.is_counted:
             return
-        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.REJECTED):
+        if result.end in (AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD, AttemptEnd.REJECTED):
             return
         status = result.answer.status if result.answer is not None else FAILURE_STATUS
         is_failure = result.end is not AttemptEnd.DELIVERED and status >= FAILURE_STATUS
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -185,6 +185,8 @@
                 )
         elif result.end is AttemptEnd.REJECTED:
             self._record_rejection(view, result, now)
+        elif result.end is AttemptEnd.WITHHELD:
+            return
         elif result.end is AttemptEnd.BROKEN:
             view.health.record_broken_answer()
             if result.connection_lost:
@@ -272,7 +274,8 @@
         self._tried.add(view.id)
         if result.end is AttemptEnd.FAILED:
             self._failure = result
-        proven_not_run = result.end in (AttemptEnd.NOT_SENT, AttemptEnd.REJECTED)
+        was_sent = result.end not in (AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD)
+        proven_not_run = not was_sent or result.end is AttemptEnd.REJECTED
         if not proven_not_run:
             self._possible_runs += 1
         repeatable = request.route.repeatable
@@ -283,7 +286,7 @@
             and self._placements < MAX_PLACEMENTS
             and left_s > MIN_ATTEMPT_S
         )
-        if allowed and result.end is not AttemptEnd.NOT_SENT:
+        if allowed and was_sent:
             allowed = self._runner.try_spend_retry(
                 request, sent=not proven_not_run, repeatable=repeatable
             )
--- a/src/mangosaddle/traffic/_allowance_limiter.py
+++ b/src/mangosaddle/traffic/_allowance_limiter.py
@@ -146,6 +146,12 @@
             self._deputy_buckets_by_id.clear()
             self.rebalance(now)
 
+    def empty_buckets(self, now: float) -> None:
+        """Forget the saved tokens: other VMs may have taken over this VM's shares meanwhile."""
+        for buckets in (self._buckets_by_id, self._deputy_buckets_by_id):
+            for bucket in buckets.values():
+                bucket.level, bucket.updated_s = min(0.0, bucket.level), now
+
     def keepers_of(self, organisation: OrganisationId) -> tuple[VmId, ...]:
         """Return the owner of an organisation's bucket and, unless it is alone, its deputy."""
         keepers = self._keepers_by_id.get(organisation)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -40,6 +40,8 @@
 
     def __init__(self) -> None:
         self.calls: list[str] = []
+        self.hold_watches = False
+        """While set, watches bring no changes, as on connections that have gone silent."""
         self._faults: dict[int, StoreFault] = {}
         self.revision = 1
         self._items: dict[str, dict[str, Any]] = {}
@@ -196,7 +198,10 @@
             try:
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait_for(
-                        lambda: bool(_events()) or after < self._oldest_kept_revision - 1
+                        lambda: (
+                            not self.hold_watches
+                            and (bool(_events()) or after < self._oldest_kept_revision - 1)
+                        )
                     )
             except TimeoutError:
                 pass
