Answer a request that arrives while idle connections are closed

Cause: during a planned stop a connection counts as idle until its task has seen the next request. Bytes that were read from the socket just before were dropped with the connection: a request that the process had read got no answer. Change: the connection's own task closes it, after a last look at the bytes that have been read. tests/http11/test_planned_stop.py failed before.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -148,8 +148,7 @@
     def close_idle(self) -> None:
         """Close the connections that are idle between requests."""
         for connection in list(self._connections):
-            if not connection.request_started and not connection.busy:
-                connection.writer.close()
+            connection.end_idle_wait()
 
     def abort_connections(self) -> None:
         """Abort all connections, including those with requests in progress."""
@@ -203,6 +202,8 @@
         self.close_after_response = False
         self.task = asyncio.current_task()
         self._reader = reader
+        self._idle_wait: asyncio.Timeout | None = None
+        """Time limit of the wait for the next request, while there is one."""
         self._wire_bytes = 0
         """Bytes received after the head of the request."""
         self._clock = asyncio.get_running_loop().time
@@ -219,6 +220,11 @@
         if data:
             self.writer.write(data)
 
+    def end_idle_wait(self) -> None:
+        """Close the connection unless a part of a request has arrived."""
+        if self._idle_wait is not None:
+            self._idle_wait.reschedule(self._clock())
+
     async def run(self) -> None:
         """Handle requests until the connection ends."""
         while True:
@@ -325,19 +331,30 @@
     async def _receive(self, deadline_s: float, request: h11.Request | None) -> bool:
         """Feed more bytes to the parser; return False if the connection has ended or was idle."""
         try:
-            async with asyncio.timeout_at(deadline_s):
+            async with asyncio.timeout_at(deadline_s) as wait:
+                self._idle_wait = None if self.request_started else wait
                 data = await self._reader.read(READ_CHUNK_BYTES)
         except TimeoutError as error:
             if self.request_started:
                 what = "body" if request is not None else "headers"
                 raise _RequestRejectedError(408, f"{what} took too long") from error
-            return False
+            data = await self._read_buffered()
+        finally:
+            self._idle_wait = None
         if not data:
             return False
         self._wire_bytes += len(data)
         self._parser.receive_data(data)
         return True
 
+    async def _read_buffered(self) -> bytes:
+        """Return bytes that arrived just when the wait for them ended, if any."""
+        try:
+            async with asyncio.timeout(0):
+                return await self._reader.read(READ_CHUNK_BYTES)
+        except TimeoutError:
+            return b""
+
     async def _handle(self, exchange: ServerExchange) -> None:
         """Run the handler, and cancel it if the client disconnects."""
         task = asyncio.ensure_future(self.server.handler(exchange))
--- /dev/null
+++ b/tests/http11/test_planned_stop.py
@@ -0,0 +1,80 @@
+"""Requests that arrive while a server closes its idle connections."""
+
+import asyncio
+
+from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+MAX_ANSWER_S = 2.0
+SETTLE_S = 0.01
+"""Time after an answer in which the connection begins to wait for the next request."""
+
+
+async def _answer(exchange: ServerExchange) -> None:
+    await exchange.respond(200, [], b"x")
+
+
+async def _read_response(reader: asyncio.StreamReader) -> bytes:
+    """Return a complete response, or what arrives before the end of the connection."""
+    data = b""
+    while not data.endswith(b"\r\n\r\nx"):
+        part = await reader.read(4096)
+        if not part:
+            break
+        data += part
+    return data
+
+
+def test_request_that_the_process_has_read_is_answered() -> None:
+    """Guards against a request that is cut off because its connection looked idle.
+
+    Its bytes have been read from the socket, but the task that parses them has not run yet.
+    """
+
+    async def _main() -> None:
+        server = HttpServer(_answer, ServerLimits)
+        host, port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(REQUEST)
+        assert (await _read_response(reader)).endswith(b"x")
+        await asyncio.sleep(SETTLE_S)
+        (connection,) = server._connections
+        feed_data = connection._reader.feed_data
+
+        def _feed_and_close_idle(data: bytes) -> None:
+            feed_data(data)
+            server.close_idle()
+
+        connection._reader.feed_data = _feed_and_close_idle  # type: ignore[method-assign]
+        writer.write(REQUEST)
+        async with asyncio.timeout(MAX_ANSWER_S):
+            assert (await _read_response(reader)).endswith(b"x")
+        await server.stop()
+
+    asyncio.run(_main())
+
+
+def test_idle_connections_are_closed_and_running_requests_are_not() -> None:
+    """Guards against a stop that waits for idle callers, or cuts off a request in progress."""
+    release = asyncio.Event()
+
+    async def _hold(exchange: ServerExchange) -> None:
+        await release.wait()
+        await exchange.respond(200, [], b"x")
+
+    async def _main() -> None:
+        server = HttpServer(_hold, ServerLimits)
+        host, port = await server.start("127.0.0.1", 0)
+        idle_reader, _ = await asyncio.open_connection(host, port)
+        busy_reader, busy_writer = await asyncio.open_connection(host, port)
+        busy_writer.write(REQUEST)
+        while not server.active_requests:
+            await asyncio.sleep(0.001)
+        server.close_idle()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            assert await idle_reader.read() == b""
+            release.set()
+            assert (await _read_response(busy_reader)).endswith(b"x")
+        await server.stop()
+
+    asyncio.run(_main())
