--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -25,15 +25,9 @@
 and charged for."""
 REPORT_MAX_AGE_S = 4.0
 """Age at which a region's report expires; several report intervals."""
-MIN_AFFINITY_BONUS_S = 0.02
+AFFINITY_BONUS_S = 0.02
 """Cost reduction for the endpoint with the highest hash for a prompt's shared parts, so that VMs
 that have not seen the prompt before choose the same endpoint."""
-CACHED_ELSEWHERE_SHARE = 0.7
-"""Share of the shared parts that the endpoint named by the hash is expected to have cached when
-nearly all earlier requests were sent by other VMs."""
-WELL_KNOWN_REGION_VMS = 4
-"""Number of VMs in a region up to which a VM sends enough of the requests itself to know what the
-endpoints have cached."""
 MIN_FREE_SLOT_SHARE_URGENT = 0.0
 MIN_FREE_SLOT_SHARE = 0.1
 """An engine whose fraction of free slots is at or below this value gets no more requests; the
@@ -304,7 +298,7 @@
                 request, time_per_token_s, prefill_s, view.load.running(now)
             )
             if view is preferred:
-                cost_s -= _affinity_bonus_s(request, work, view, len(region_vms))
+                cost_s -= AFFINITY_BONUS_S
             candidate = LocalPlacement(view, work, forecast_s, cost_s, time_per_token_s)
             (faulty if view.health.is_faulty(baseline, now) else healthy).append(candidate)
         # Ties go to the endpoint with the oldest last request.
@@ -360,20 +354,6 @@
     return generation_s * GENERATION_WEIGHT + prefill_s * running * RUNNING_DELAY_WEIGHT
 
 
-def _affinity_bonus_s(
-    request: RoutedRequest, work: Work, view: EndpointView, region_vms: int
-) -> float:
-    """Return the prefill time that is expected to be saved at the endpoint named by the hash.
-
-    In a large region a VM has sent few of the requests for a prompt, so it does not know that the
-    others, which use the same hash, have had its shared parts cached there.
-    """
-    unseen_share = max(0.0, 1.0 - WELL_KNOWN_REGION_VMS / max(1, region_vms))
-    shared_tokens = max(0, work.unread_tokens - _unshared_tokens(request))
-    expected_tokens = CACHED_ELSEWHERE_SHARE * unseen_share * shared_tokens
-    return max(MIN_AFFINITY_BONUS_S, expected_tokens * view.load.prefill_s_per_token)
-
-
 def _unshared_tokens(request: RoutedRequest) -> int:
     """Return the tokens of the prompt's last part, which no other prompt shares."""
     prompt = request.prompt
