Drop saved tokens only after pauses in which others take over

A busy event loop can be late by more than a second without any other VM noticing; the tokens are dropped from 2.5 s on. The group of an allowance and the choice of the collector use the same set of VMs.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -72,6 +72,8 @@
 ISOLATED_AFTER_S = 8.0
 """Time without contact to the store and to other VMs after which those may have taken over this
 VM's share of the allowances."""
+TAKEN_OVER_AFTER_S = 2.5
+"""Pause after which other VMs may have suspected this one and taken over its buckets."""
 HOUSEKEEPING_INTERVAL_S = 0.5
 SECRET_RETRY_S = 0.3
 """Pause between attempts to read the peer secret."""
@@ -122,7 +124,7 @@
     def _assemble_state(self) -> None:
         settings = self.settings
         self.catalogue = CatalogueHolder(self._clock)
-        self.pause_guard = PauseGuard(lambda: self.allowances.empty_buckets(self._clock()))
+        self.pause_guard = PauseGuard(self._on_pause)
         self.endpoints = Endpoints(settings.region)
         self.fleet = FleetView(settings.vm, self.is_ready)
         self.regions = RegionReports()
@@ -460,6 +462,10 @@
 
     # Changes
 
+    def _on_pause(self, pause_s: float) -> None:
+        if pause_s > TAKEN_OVER_AFTER_S:
+            self.allowances.empty_buckets(self._clock())
+
     def _on_catalogue_change(self, catalogue: Catalogue) -> None:
         now = self._clock()
         self.endpoints.set_catalogue(catalogue)
--- a/src/mangosaddle/entry/_load_reports.py
+++ b/src/mangosaddle/entry/_load_reports.py
@@ -159,7 +159,7 @@
         """
         now = self._clock()
         report = self._new_report(now)
-        zone_vms = self._fleet.zone_vms(self._region, self._zone)
+        zone_vms = {self._own, *self._fleet.zone_vms(self._region, self._zone)}
         collector = self._choice.choose(zone_vms)
         is_collected = len(zone_vms) >= MIN_COLLECTED_ZONE_VMS
         self._allowances.set_group(zone_vms if is_collected else (), now)
--- a/src/mangosaddle/entry/_pause_guard.py
+++ b/src/mangosaddle/entry/_pause_guard.py
@@ -33,11 +33,11 @@
 
     def __init__(
         self,
-        on_pause: Callable[[], None],
+        on_pause: Callable[[float], None],
         clock: Callable[[], float] = time.monotonic,
         boot_clock: Callable[[], float] = _boot_time_s,
     ) -> None:
-        """Create the guard; ``on_pause`` is called when a pause has ended."""
+        """Create the guard; ``on_pause`` gets the length in seconds of a pause that has ended."""
         self._on_pause = on_pause
         self._clock = clock
         self._boot_clock = boot_clock
@@ -62,7 +62,7 @@
         for watcher in self._watchers:
             watcher.set_enabled(True)
             watcher.read_again()
-        self._on_pause()
+        self._on_pause(pause_s)
 
     def is_current(self) -> bool:
         """Return whether this VM may act on what it knows."""
--- a/tests/entry/test_pauses.py
+++ b/tests/entry/test_pauses.py
@@ -83,15 +83,15 @@
 def test_a_short_delay_does_not_cause_store_calls() -> None:
     """Guards against reading the store again whenever a VM is busy for a moment."""
     now, boot = [100.0], [100.0]
-    paused = []
-    guard = PauseGuard(lambda: paused.append(1), lambda: now[0], lambda: boot[0])
+    paused: list[float] = []
+    guard = PauseGuard(paused.append, lambda: now[0], lambda: boot[0])
     for delay_s in (0.25, 0.5, 1.0, 1.2):
         boot[0] += delay_s
         assert guard.is_current()
     assert paused == []
     boot[0] += 1.5
     guard.check()
-    assert paused == [1]
+    assert paused == [1.25]
 
 
 def test_a_paused_vm_forgets_its_saved_allowance() -> None:
@@ -101,6 +101,9 @@
         clock = await _start(fleet)
         vm = fleet.vms["vm-1"]
         assert any(bucket.level > 0.0 for bucket in vm.allowances._buckets_by_id.values())
+        clock.suspended_s += 1.5
+        vm.pause_guard.check()
+        assert any(bucket.level > 0.0 for bucket in vm.allowances._buckets_by_id.values())
         clock.suspended_s += 3.0
         vm.pause_guard.check()
         assert all(bucket.level <= 0.0 for bucket in vm.allowances._buckets_by_id.values())
