--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,12 +1,16 @@
 """Short soak with fixed seeds; run longer ones manually with ``python -m soak_harness``."""
 
 import asyncio
+import os
 from pathlib import Path
 
 import pytest
 
 from soak_harness import FAULT_KINDS, FAULT_PHASE_S, run_seed, schedule
 
+LOOPBACK_NETWORK = f"127.{200 + os.getpid() // 250 % 50}.{os.getpid() % 250}"
+"""Loopback network of this process. Test runs in other processes use the same ports and so need
+other addresses."""
 REGRESSION_SEEDS = {
     3: "VMs restarted in sequence granted an organisation's burst a second time",
 }
@@ -24,4 +28,4 @@
 @pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
 def test_guarantees_hold_under_faults(seed: int, tmp_path: Path) -> None:
     """Guards against broken guarantees when processes are killed, paused, stopped or isolated."""
-    assert asyncio.run(run_seed(seed, tmp_path, "127.90.0")) == []
+    assert asyncio.run(run_seed(seed, tmp_path, LOOPBACK_NETWORK)) == []
