Wait for both crashes before a request counts as quarantined

The test waited for the first crash report; the second one follows when another health check has failed, and a request in between reaches a third runner. With the second check delayed by 0.3 s the test failed each time before, and passes now. What it checks is unchanged.

--- a/tests/platform/test_front_contract.py
+++ b/tests/platform/test_front_contract.py
@@ -272,7 +272,8 @@
             runner.behaviour = Behaviour.CRASH
         first = await fleet.call(vm, "/read/deadly", method="POST", body=b"deadly")
         assert first.status == 502
-        await wait_until(lambda: vm.quarantine.active_reports(0.0))
+        # Each of the two crashes is known once a health check has shown it.
+        await wait_until(lambda: len(vm.quarantine.active_reports(0.0)) == 2)
         for _ in range(3):
             later = await fleet.call(vm, "/read/deadly", method="POST", body=b"deadly")
             assert later.status == 503
