--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -298,6 +298,8 @@
                 "end": result.end.value,
                 "cause": result.cause,
                 "again": allowed,
+                "answer_began": self._progress.must_resume,
+                "prompt_parts": _part_ids(request),
             },
         )
         return allowed
@@ -372,3 +374,8 @@
             }
         fields["left_ms"] = round(request.left_s(asyncio.get_running_loop().time()) * 1000)
         logger.info("placed", extra=fields)
+
+
+def _part_ids(request: RoutedRequest) -> list[str]:
+    """Return the ids of the parts of a request's prompt, for the log."""
+    return [part.id for part in request.prompt.parts] if request.prompt is not None else []
