Test that different requests with a crashing prompt part stop reaching engines

Two VMs, two engines, distinct requests that share one part; sound requests with the same caller and first part must go on.

--- /dev/null
+++ b/tests/platform/test_crashing_prompt_parts.py
@@ -0,0 +1,80 @@
+"""Prompt parts that crash the engines that begin an answer on them."""
+
+import asyncio
+
+from mangosaddle.entry import EntryProcess
+from platform_standins import (
+    Behaviour,
+    Fleet,
+    ReceivedRequest,
+    RunnerStandIn,
+    default_configuration,
+    run_on_empty_fleet,
+    wait_until,
+)
+
+DEADLY_PART = "dead"
+MAX_LATE_ARRIVALS = 3
+"""Requests with a deadly part that may reach engines after the fifth crash is known."""
+
+
+def _crash_on_deadly_part(request: ReceivedRequest) -> Behaviour:
+    deadly = f",{DEADLY_PART}:" in request.headers["prompt-prefix"]
+    return Behaviour.CRASH if deadly else Behaviour.STREAM
+
+
+async def _start(fleet: Fleet) -> None:
+    await fleet.store.put("op/config", default_configuration())
+    for number, zone in enumerate(("east-a", "west-a")):
+        engine = RunnerStandIn(f"engine-{number}", "engine", zone)
+        engine.behaviour = _crash_on_deadly_part
+        await fleet.add_runner(engine)
+        await fleet.add_vm(f"vm-{number}", zone)
+    await fleet.wait_until_ready()
+    for vm in fleet.vms.values():
+        await fleet.wait_for_endpoints(vm, *fleet.runners)
+
+
+async def _ask(fleet: Fleet, vm: EntryProcess, middle_part: str, number: int) -> int:
+    prefix = f"5eed:80,{middle_part}:40,f{number:x}:20"
+    extra = {"Model": "m", "Token-Counts": "140,28", "Prompt-Prefix": prefix}
+    body = f"question {number}".encode()
+    return (await fleet.call(vm, f"/chat/{number}", method="POST", body=body, extra=extra)).status
+
+
+def _deadly_arrivals(fleet: Fleet) -> int:
+    received = [r for runner in fleet.runners.values() for r in runner.received_requests]
+    return sum(_crash_on_deadly_part(request) is Behaviour.CRASH for request in received)
+
+
+async def _restart_crashed(fleet: Fleet) -> None:
+    for runner in fleet.runners.values():
+        if not runner.is_listening:
+            await runner.start(runner.port)
+    for vm in fleet.vms.values():
+        await wait_until(lambda vm=vm: len(vm.endpoints.usable("engine")) == 1)
+
+
+def test_different_requests_with_a_crashing_prompt_part_stop_reaching_engines() -> None:
+    """Guards against engines that crash one after the other by requests that share a part."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _start(fleet)
+        vms = list(fleet.vms.values())
+        number = 0
+        for crash in range(5):
+            for middle_part in ("50fa", DEADLY_PART):
+                number += 1
+                await _ask(fleet, vms[crash % 2], middle_part, number)
+            await _restart_crashed(fleet)
+        await asyncio.sleep(1.0)
+        before = _deadly_arrivals(fleet)
+        assert before <= 5
+        for number in range(100, 112):
+            await _ask(fleet, vms[number % 2], DEADLY_PART, number)
+            await _restart_crashed(fleet)
+        assert _deadly_arrivals(fleet) - before <= MAX_LATE_ARRIVALS
+        for number in range(200, 212):
+            assert await _ask(fleet, vms[number % 2], "50fa", number) == 200
+
+    run_on_empty_fleet(_scenario)
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -162,6 +162,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    @property
+    def is_listening(self) -> bool:
+        """Return whether the runner accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     @property
     def key(self) -> str:
         """Return the key of the runner's entry in the store."""
