Treat an unframed stream that ends inside an event as broken off

What callers saw: a stream without a length and without chunks that ended inside an event, or before its first one, was delivered as complete, with the partial event at its end; with a resumable route it was not resumed.

Cause: without framing the end of the connection counted as the end of the stream, and the bytes after the last event were passed on. Class: the end of a connection taken as the end of the message.

Change: such a stream is broken off unless it ends after a complete event. Framed streams pass on what follows the last event, as before.

Failed before: 4 of 4 new cases (200 with b'id: 1\nd', or no error). A whole unframed stream passed before and passes now.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -229,7 +229,9 @@
         if answer.succeeded and not answer.genuine:
             return AttemptResult(AttemptEnd.BROKEN, "answer is not the endpoint's own")
         if answer.succeeded and request.route.kind is RequestKind.STREAM:
-            return await self._receive_stream(request, connection, view, answer, progress, sink)
+            return await self._receive_stream(
+                request, connection, head, view, answer, progress, sink
+            )
         if not answer.succeeded:
             body = await connection.whole_body(
                 MAX_FAILURE_BODY_BYTES, base_timeout_s=FAILURE_BODY_TIMEOUT_S
@@ -247,6 +249,7 @@
         self,
         request: RoutedRequest,
         connection: UpstreamConnection,
+        head: ResponseHead,
         view: EndpointView,
         answer: EndpointAnswer,
         progress: StreamProgress,
@@ -279,6 +282,13 @@
                 await sink.write(events)
                 event_at_s = clock()
         tail = progress.splitter.take_remainder()
+        if not head.self_delimited and (tail or progress.attempt_began_at_s is None):
+            connection.abort()
+            raise ResponseBrokenError(
+                "connection ended: no event, or a partial one",
+                response_started=True,
+                by_server=True,
+            )
         await _ensure_started(sink, answer.status, answer.headers)
         if tail:
             await sink.write(tail)
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -169,6 +169,50 @@
     run_on_default_fleet(_scenario)
 
 
+@pytest.mark.parametrize("cut_after", [0, 2])
+@pytest.mark.parametrize("path", ["/chat/x", "/review/x"])
+def test_a_stream_without_framing_that_ends_early_does_not_look_complete(
+    path: str, cut_after: int
+) -> None:
+    """Guards against passing on a stream that ended inside an event, or without any, as whole."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        _set_behaviour(
+            fleet,
+            lambda seen: (
+                Behaviour.STREAM if "last-event-id" in seen.headers else Behaviour.CUT_STREAM
+            ),  # type: ignore[arg-type]
+        )
+        for runner in fleet.runners.values():
+            runner.unframed_streams = True
+            runner.cut_after = cut_after
+        call = fleet.call(fleet.vms["vm-1"], path, method="POST", body=b"p", token_counts="100,28")
+        if path == "/review/x" and cut_after:
+            assert (await call).body == _events(1, 4)
+        elif cut_after:
+            with pytest.raises(HttpError):
+                await call
+        else:
+            assert (await call).status == 502
+
+    run_on_default_fleet(_scenario)
+
+
+def test_a_whole_stream_without_framing_is_delivered() -> None:
+    """Guards against refusing streams that end with their connection."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        _set_behaviour(fleet, Behaviour.STREAM)
+        for runner in fleet.runners.values():
+            runner.unframed_streams = True
+        answer = await fleet.call(
+            fleet.vms["vm-1"], "/chat/x", method="POST", body=b"p", token_counts="100,28"
+        )
+        assert answer.body == _events(1, 4)
+
+    run_on_default_fleet(_scenario)
+
+
 def test_a_disconnected_caller_cancels_its_request_at_the_runner() -> None:
     """Guards against runners that work for callers that are gone."""
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -128,6 +128,8 @@
     """Mean delay before a response; varies by up to 30 percent."""
     event_interval_s: float = 0.0
     """Delay before each event of a stream."""
+    unframed_streams: bool = False
+    """If set, streams have neither a length nor chunks and end with their connection."""
     has_lost_power: bool = False
     """If set, connections stay open but nothing is sent on them."""
     release: asyncio.Event = field(default_factory=asyncio.Event)
@@ -370,7 +372,9 @@
         event_interval_s: float,
     ) -> bool:
         after = int(request.headers.get("last-event-id", "0") or 0)
-        extra = b"Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
+        framing = b"" if self.unframed_streams else CHUNKED
+        encode = bytes if self.unframed_streams else _chunk
+        extra = framing + b"Content-Type: text/event-stream\r\n"
         writer.write(_head(200, request.headers.get("request-id", ""), None, extra))
         for number in range(after + 1, self.event_count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
@@ -380,14 +384,16 @@
                 await reader.read(1)
                 return False
             if behaviour is Behaviour.CUT_STREAM and number > self.cut_after:
-                writer.write(_chunk(event[:7]))
+                writer.write(encode(event[:7]))
                 await writer.drain()
                 return False
             held = behaviour is Behaviour.HOLD_STREAM and number > self.cut_after
             if held and await self._caller_left_before_release(reader):
                 return False
-            writer.write(_chunk(event))
+            writer.write(encode(event))
             await writer.drain()
+        if self.unframed_streams:
+            return False
         writer.write(b"0\r\n\r\n")
         return True
 
