Quarantine crashing prompt prefixes in the product's own router

Cause: the same as on the opaque path. Router counted crashes by organisation, model and body only, so different requests with a crashing prefix kept crashing engines.

Change: the router records lost prompts by their prefix digests in the same quarantine and refuses with 422 prompt-quarantined; the exchange of evidence is one module for both products. A quarantine needs two different processes: requests with a prefix go to one engine by preference, which may be faulty itself. Unlike the opaque path, the router has no health check between a lost connection and a crash.

--- a/src/mangosaddle/_prompt_quarantine.py
+++ b/src/mangosaddle/_prompt_quarantine.py
@@ -11,6 +11,8 @@
 
 MIN_CRASHES = 3
 """Number of separate crashes with a part among the suspects that quarantine the part."""
+MIN_CRASHED_PROCESSES = 2
+"""Number of different processes among them: one that keeps crashing may be faulty itself."""
 SAME_CRASH_S = 3.0
 """Reports of VMs about the loss of one process within this time are about one crash."""
 SEPARATE_CRASHES_S = 0.3
@@ -154,10 +156,14 @@
             crashes_by_part = self._crashes_by_part(unexplained)
             part, crashes = max(
                 crashes_by_part.items(),
-                key=lambda item: (_separate(item[1]), len(item[1]), item[0]),
+                key=lambda item: (
+                    _processes(item[1]) >= MIN_CRASHED_PROCESSES,
+                    _separate(item[1]),
+                    item[0],
+                ),
                 default=("", []),
             )
-            if _separate(crashes) < MIN_CRASHES:
+            if _separate(crashes) < MIN_CRASHES or _processes(crashes) < MIN_CRASHED_PROCESSES:
                 break
             expires_at_s = crashes[-MIN_CRASHES].at_s + PROMPT_CRASH_TTL_S
             patterns.append(_Pattern(self._with_companions(part, crashes), expires_at_s))
@@ -193,6 +199,10 @@
     )
 
 
+def _processes(crashes: list[_Crash]) -> int:
+    return len({crash.process for crash in crashes})
+
+
 def _separate(crashes: list[_Crash]) -> int:
     """Return the number of crashes that are far enough apart; the input is sorted by time."""
     count, last_at_s = 0, float("-inf")
--- a/src/mangosaddle/daemon/_load_service.py
+++ b/src/mangosaddle/daemon/_load_service.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from .._identifiers import EndpointId, RegionName, VmId
+from .._prompt_crash_exchange import PromptCrashExchange
 from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Endpoint, EndpointKind, ModelVersion
 from ..gateway import TargetSelector
@@ -117,6 +118,10 @@
         self._tasks.spawn(self._report_region())
         self._tasks.run_periodically(RELEASE_INTERVAL_S, self._target_selector.release)
         self._target_selector.on_connection_lost = self._publish_crashes
+        router = self._target_selector.router
+        exchange = PromptCrashExchange(self._peers, router.prompts, time.time)
+        router.on_prompt_crash = exchange.publish_prompt_crash
+        router.on_sound_parts = exchange.publish_sound_parts
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Use the endpoints of a configuration and drop clients of removed or moved engines."""
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -11,6 +11,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from .._identifiers import Incarnation, ModelName, VersionId
+from .._prompt_crash_exchange import PROMPT_CRASHES, SOUND_PARTS
 from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Vm
 from ..gateway import (
@@ -77,6 +78,8 @@
     ENGINE_VERSIONS_KIND,
     REGION_LOAD_KIND,
     CRASH_KIND,
+    PROMPT_CRASHES,
+    SOUND_PARTS,
     SLOTS_VACATED_KIND,
 )
 
--- a/src/mangosaddle/entry/_crash_tracker.py
+++ b/src/mangosaddle/entry/_crash_tracker.py
@@ -2,9 +2,9 @@
 
 import logging
 from collections.abc import Callable
-from typing import Protocol
 
 from .._identifiers import EndpointId
+from .._prompt_crash_exchange import PromptCrashExchange, record_prompt_crash
 from .._prompt_quarantine import (
     MAX_SUSPECT_PARTS,
     MAX_SUSPECTS,
@@ -15,7 +15,7 @@
 )
 from .._quarantine import Quarantine
 from ..traffic import EndpointView, RoutedRequest
-from ._crash_reports import record_prompt_crash
+from ._crash_reports import CrashReports
 
 SOUND_STREAM_S = 0.5
 """Time for which an answer has to stream before its prompt is no longer suspected: an endpoint may
@@ -24,22 +24,6 @@
 logger = logging.getLogger(__name__)
 
 
-class CrashExchange(Protocol):
-    """Passes evidence about crashes on to the other VMs."""
-
-    def publish(self, fingerprint: str) -> None:
-        """Publish the crash reports of a request that has just been quarantined."""
-        ...
-
-    def publish_prompt_crash(self, crash: PromptCrash) -> None:
-        """Publish the prompts that were lost with an endpoint."""
-        ...
-
-    def publish_sound_parts(self, parts: Parts) -> None:
-        """Publish suspect prompt parts on which an answer has been completed."""
-        ...
-
-
 class CrashTracker:
     """Records crashes and answers, and tells which requests must not run."""
 
@@ -49,8 +33,9 @@
         prompts: PromptQuarantine,
         wall_clock: Callable[[], float],
     ) -> None:
-        """Create the tracker; ``exchange`` is set once links to other VMs exist."""
-        self.exchange: CrashExchange | None = None
+        """Create the tracker; the exchanges are set once links to other VMs exist."""
+        self.reports: CrashReports | None = None
+        self.prompt_exchange: PromptCrashExchange | None = None
         self._quarantine = quarantine
         self._prompts = prompts
         self._wall_clock = wall_clock
@@ -109,8 +94,8 @@
         self._quarantine.record_crash(fingerprint, endpoint, now)
         if not was_quarantined and self._quarantine.is_quarantined(fingerprint, now):
             logger.warning("request quarantined", extra={"fingerprint": fingerprint})
-            if self.exchange is not None:
-                self.exchange.publish(fingerprint)
+            if self.reports is not None:
+                self.reports.publish(fingerprint)
 
     def _record_prompt_crash(self, view: EndpointView) -> None:
         now = self._wall_clock()
@@ -120,13 +105,13 @@
             extra={"endpoint": view.id, "suspect_prompts": len(crash.suspects)},
         )
         record_prompt_crash(self._prompts, crash, now)
-        if self.exchange is not None:
-            self.exchange.publish_prompt_crash(crash)
+        if self.prompt_exchange is not None:
+            self.prompt_exchange.publish_prompt_crash(crash)
 
     def _clear_parts(self, parts: Parts, now: float) -> None:
         cleared = self._prompts.record_answer(parts, now)
-        if cleared and self.exchange is not None:
-            self.exchange.publish_sound_parts(cleared)
+        if cleared and self.prompt_exchange is not None:
+            self.prompt_exchange.publish_sound_parts(cleared)
 
 
 def _shared_parts(request: RoutedRequest) -> Parts:
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -11,6 +11,7 @@
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
 from .._identifiers import Incarnation, ServiceName, VmId
+from .._prompt_crash_exchange import PROMPT_CRASHES, SOUND_PARTS, PromptCrashExchange
 from .._prompt_quarantine import PromptQuarantine
 from .._quarantine import Quarantine
 from .._retry_budget import RetryBudget, reserve_per_vm
@@ -40,7 +41,7 @@
 from ._attempt import EndpointClient
 from ._caller_requests import CallerRequestHandler
 from ._catalogue_holder import CatalogueHolder
-from ._crash_reports import CRASHES, PROMPT_CRASHES, SOUND_PARTS, CrashReports
+from ._crash_reports import CRASHES, CrashReports
 from ._crash_tracker import CrashTracker
 from ._discovery import Discovery
 from ._fleet_view import FleetView
@@ -375,9 +376,8 @@
         self._relay.connect(node)
         self.rollouts.connect(node)
         self.allowance_calls.connect(node)
-        self.crashes.exchange = CrashReports(
-            node, self.quarantine, self.prompt_quarantine, time.time
-        )
+        self.crashes.reports = CrashReports(node, self.quarantine, time.time)
+        self.crashes.prompt_exchange = PromptCrashExchange(node, self.prompt_quarantine, time.time)
         reports = LoadReports(
             self.settings.vm,
             self._incarnation,
--- a/src/mangosaddle/gateway/_refusals.py
+++ b/src/mangosaddle/gateway/_refusals.py
@@ -23,6 +23,7 @@
     RefusalReason.REGION_UNREACHABLE: 503,
     RefusalReason.NO_ENDPOINT: 503,
     RefusalReason.QUARANTINED: 422,
+    RefusalReason.PROMPT_QUARANTINED: 422,
     RefusalReason.QUEUE_FULL: 503,
     RefusalReason.QUEUE_TIMEOUT: 503,
 }
@@ -33,6 +34,9 @@
     RefusalReason.REGION_UNREACHABLE: "the regions that may serve this cannot be reached",
     RefusalReason.NO_ENDPOINT: "no endpoint can serve this now",
     RefusalReason.QUARANTINED: "this request stopped two endpoints and is not tried again",
+    RefusalReason.PROMPT_QUARANTINED: (
+        "requests that share the beginning of this prompt stopped several endpoints"
+    ),
     RefusalReason.QUEUE_FULL: "all endpoints and their queue are full",
     RefusalReason.QUEUE_TIMEOUT: "no endpoint had room in time",
 }
--- a/src/mangosaddle/routing/_requests.py
+++ b/src/mangosaddle/routing/_requests.py
@@ -39,6 +39,7 @@
     REGION_UNREACHABLE = "region-unreachable"
     NO_ENDPOINT = "no-endpoint"
     QUARANTINED = "quarantined"
+    PROMPT_QUARANTINED = "prompt-quarantined"
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
 
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -5,11 +5,12 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from .._entities import Configuration
 from .._identifiers import EndpointId, ModelName, OrganisationId, RegionName, VersionId, VmId
+from .._prompt_quarantine import MAX_SUSPECT_PARTS, Parts, PromptCrash, PromptQuarantine
 from .._quarantine import CrashReport, Quarantine
 from .._retry_budget import RetryBudget
 from ._endpoint_state import EndpointState
@@ -67,12 +68,17 @@
         self._wall_offset_s = wall_offset_s
         self._local_region = LocalRegion()
         self._vetoed_versions: set[tuple[ModelName, VersionId]] = set()
-        self._fingerprint_by_attempt: dict[_Attempt, str] = {}
+        self._request_by_attempt: dict[_Attempt, RouteRequest] = {}
         self._spill_share_by_target: dict[str, SpillShare] = {}
         self._queue_by_target: dict[str, FairQueue] = {}
         self._remote_regions = RemoteRegions()
         self._retry_budget = RetryBudget()
         self._quarantine = Quarantine()
+        self.prompts = PromptQuarantine()
+        self.on_prompt_crash: Callable[[PromptCrash], None] | None = None
+        """Called with the prompt of each request whose connection was lost."""
+        self.on_sound_parts: Callable[[Parts], object] | None = None
+        """Called with the suspect prompt prefixes on which an answer was completed."""
 
     @classmethod
     def from_configuration(
@@ -142,9 +148,9 @@
         """Count an attempt as in flight; ``choose`` does this already, and repeats are ignored."""
         attempt = _Attempt(request.request_id, endpoint)
         state = self._local_region.state(endpoint)
-        if state is None or attempt in self._fingerprint_by_attempt:
+        if state is None or attempt in self._request_by_attempt:
             return
-        self._fingerprint_by_attempt[attempt] = request.fingerprint
+        self._request_by_attempt[attempt] = request
         state.record_start(now)
         if self._endpoints_crashed_by(request, now):
             state.crash_suspect_ids.add(request.request_id)
@@ -154,10 +160,15 @@
         ended = self._end_attempt(request_id, endpoint, now)
         if ended is None:
             return
-        fingerprint, state = ended
+        request, state = ended
         state.record_success(now)
-        if fingerprint:
-            self._quarantine.record_answer(fingerprint, now + self._wall_offset_s)
+        wall_s = now + self._wall_offset_s
+        if request.fingerprint:
+            self._quarantine.record_answer(request.fingerprint, wall_s)
+        if self.prompts.has_crashes:
+            cleared = self.prompts.record_answer(_prompt_parts(request), wall_s)
+            if cleared and self.on_sound_parts is not None:
+                self.on_sound_parts(cleared)
 
     def record_failure(
         self, request_id: str, endpoint: EndpointId, kind: FailureKind, now: float
@@ -166,7 +177,7 @@
         ended = self._end_attempt(request_id, endpoint, now)
         if ended is None:
             return
-        fingerprint, state = ended
+        request, state = ended
         if kind is FailureKind.CANCELLED:
             state.abandon_probe()
             return
@@ -174,8 +185,17 @@
             self.record_connection_refused(endpoint, now)
             return
         state.record_failure(now, connection_refused=False)
-        if kind is FailureKind.CONNECTION_LOST and fingerprint:
-            self._quarantine.record_crash(fingerprint, endpoint, now + self._wall_offset_s)
+        if kind is FailureKind.CONNECTION_LOST:
+            self._record_crash(request, endpoint, now + self._wall_offset_s)
+
+    def _record_crash(self, request: RouteRequest, endpoint: EndpointId, wall_s: float) -> None:
+        if request.fingerprint:
+            self._quarantine.record_crash(request.fingerprint, endpoint, wall_s)
+        if request.prefix_digests:
+            crash = PromptCrash(endpoint, wall_s, frozenset((_prompt_parts(request),)))
+            self.prompts.record_crash(crash, wall_s)
+            if self.on_prompt_crash is not None:
+                self.on_prompt_crash(crash)
 
     def record_load_report(
         self,
@@ -241,18 +261,18 @@
 
     def _end_attempt(
         self, request_id: str, endpoint: EndpointId, now: float
-    ) -> tuple[str, EndpointState] | None:
-        """End an attempt and return its fingerprint and endpoint state.
+    ) -> tuple[RouteRequest, EndpointState] | None:
+        """End an attempt and return its request and endpoint state.
 
         Returns ``None`` if the attempt is not in flight or the endpoint is not local.
         """
-        fingerprint = self._fingerprint_by_attempt.pop(_Attempt(request_id, endpoint), None)
+        request = self._request_by_attempt.pop(_Attempt(request_id, endpoint), None)
         state = self._local_region.state(endpoint)
-        if fingerprint is None or state is None:
+        if request is None or state is None:
             return None
         state.record_end(now)
         state.crash_suspect_ids.discard(request_id)
-        return fingerprint, state
+        return request, state
 
     def _enqueue(self, request: RouteRequest, now: float) -> Queued | Refused:
         queue = self._queue_by_target.setdefault(request.target(), FairQueue())
@@ -319,6 +339,9 @@
         if request.fingerprint and self._quarantine.is_quarantined(request.fingerprint, wall_s):
             wait_s = self._quarantine.retry_after_s(request.fingerprint, wall_s)
             return Refused(RefusalReason.QUARANTINED, wait_s)
+        prompt_wait_s = self.prompts.retry_after_s(_prompt_parts(request), wall_s)
+        if prompt_wait_s is not None:
+            return Refused(RefusalReason.PROMPT_QUARANTINED, prompt_wait_s)
         return None
 
     def _endpoints_crashed_by(self, request: RouteRequest, now: float) -> frozenset[str]:
@@ -356,3 +379,8 @@
 def with_tried_endpoint(request: RouteRequest, endpoint: EndpointId) -> RouteRequest:
     """Return a copy of the request that excludes an endpoint at which an attempt failed."""
     return replace(request, tried_endpoints=request.tried_endpoints | {endpoint})
+
+
+def _prompt_parts(request: RouteRequest) -> Parts:
+    """Return the prefixes of the prompt by which crashing prompts are compared."""
+    return frozenset(digest.hex() for digest in request.prefix_digests[:MAX_SUSPECT_PARTS])
--- a/tests/decoders/test_foreign_bytes.py
+++ b/tests/decoders/test_foreign_bytes.py
@@ -12,8 +12,9 @@
 from returns.result import Failure, Result
 
 from mangosaddle._identifiers import Incarnation, RegionName, ServiceName, VersionId, VmId, ZoneName
+from mangosaddle._prompt_crash_exchange import decode_prompt_crash, decode_sound_at_s
 from mangosaddle.coordination import VmRecord
-from mangosaddle.entry._crash_reports import decode_crash_reports, decode_prompt_crash
+from mangosaddle.entry._crash_reports import decode_crash_reports
 from mangosaddle.entry._vm_reports import (
     ReportError,
     decode_fleet_summary,
@@ -73,6 +74,7 @@
     "fleet_summary": _report(decode_fleet_summary),
     "crash_reports": lambda data: decode_crash_reports("f", data),
     "prompt_crash": decode_prompt_crash,
+    "sound_at": decode_sound_at_s,
 }
 JSON_DECODERS = ("configuration", "registration", "rollout_order", "rollout_status", "vm_record")
 
--- a/tests/routing/test_routing_overload.py
+++ b/tests/routing/test_routing_overload.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -239,6 +240,35 @@
     assert quarantined == {"bad"}
 
 
+def lose_prompt(north: Router, number: int, endpoint: str, now: float, *prefix: bytes) -> None:
+    """Simulate the loss of an endpoint while a request with these prefixes is in flight there."""
+    lost = replace(request(number, fingerprint=f"f{number}"), prefix_digests=prefix)
+    north.record_start(lost, EndpointId(endpoint), now)
+    north.record_failure(str(number), EndpointId(endpoint), FailureKind.CONNECTION_LOST, now)
+
+
+def test_different_requests_with_a_crashing_prompt_prefix_are_refused() -> None:
+    """Guards against endpoints that crash one after the other by requests that share a prefix."""
+    endpoints = [engine(f"n{number}") for number in range(6)]
+    north, other = router(*endpoints), router(*endpoints)
+    north.on_prompt_crash = lambda crash: other.prompts.record_crash(crash, crash.at_s)
+    north.on_sound_parts = lambda parts: other.prompts.record_answer(parts, 20.0)
+    for number in range(5):
+        lose_prompt(north, number, f"n{number}", 2.0 * number, b"a", b"dead", b"%d" % number)
+    later = replace(request(9, fingerprint="f9"), prefix_digests=(b"a", b"dead", b"9"))
+    sound = replace(request(10, fingerprint="f10"), prefix_digests=(b"a", b"sound"))
+    for vm in (north, other):
+        refused = vm.choose(later, 20.0, rng())
+        assert isinstance(refused, Refused)
+        assert refused.reason is RefusalReason.PROMPT_QUARANTINED
+        assert isinstance(vm.choose(sound, 20.0, rng()), ChosenEndpoint)
+    north.record_start(later, EndpointId("n5"), 20.0)
+    north.record_success("9", EndpointId("n5"), 20.0)
+    for vm in (north, other):
+        again = replace(later, request_id="11")
+        assert isinstance(vm.choose(again, 20.0, rng()), ChosenEndpoint)
+
+
 def test_imported_crash_reports_expire_despite_wrong_clocks() -> None:
     """Guards against a permanent quarantine caused by a wrong clock on another VM."""
     quarantine = Quarantine()
