Share the evidence about crashing requests at the first crash

What callers saw: one request could crash an endpoint for each VM that it came to, and a second one there, before any VM refused it.

Cause: a VM published its crash reports only once it had seen two crashes itself, and under a key for which only one VM's reports are kept. Class: evidence that adds up in each VM instead of in the fleet; found while the prompt quarantine was traced.

Change: reports go out with the crash, one fact for all requests lost with the endpoint, kept for each VM. A request without a fingerprint leaves no evidence.

Failed before: test_crashes_that_different_vms_have_seen_add_up (200 instead of 503 for the third run).

--- a/src/mangosaddle/entry/_crash_reports.py
+++ b/src/mangosaddle/entry/_crash_reports.py
@@ -1,24 +1,27 @@
 """Exchange between VMs of reports about requests that crash endpoints."""
 
+import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import cbor2
 
 from .._cbor import decode_cbor
 from .._quarantine import CRASH_REPORT_TTL_S, CrashReport, Quarantine
-from ..membership import HIGHEST_VERSION, Fact, FactKind
+from ..membership import PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
 
-CRASHES = FactKind("crashes", HIGHEST_VERSION, lifetime_s=CRASH_REPORT_TTL_S)
-"""Crash reports of one request; the key is its fingerprint, the version the number of endpoints."""
+CRASHES = FactKind("crashes", PER_ORIGIN, lifetime_s=CRASH_REPORT_TTL_S)
+"""Requests that one VM lost with an endpoint; the key numbers the reports of a VM."""
+MAX_REPORTED_REQUESTS = 256
+"""Maximum number of requests in one fact; the evidence about further ones stays on this VM."""
 
 logger = logging.getLogger(__name__)
 
 
 class CrashReports:
-    """Publishes reports of quarantined requests and includes those of other VMs."""
+    """Publishes which requests were lost with an endpoint and includes reports of other VMs."""
 
     def __init__(
         self, node: PeerNode, quarantine: Quarantine, wall_clock: Callable[[], float]
@@ -27,30 +30,30 @@
         self._node = node
         self._quarantine = quarantine
         self._wall_clock = wall_clock
+        self._report_numbers = itertools.count(1)
         node.on_fact(CRASHES.name, self._on_fact)
 
-    def publish(self, fingerprint: str) -> None:
-        """Publish the crash reports of a request that has just been quarantined."""
-        reports = [
-            (report.endpoint, report.expires_at_s)
-            for report in self._quarantine.active_reports(self._wall_clock())
-            if report.fingerprint == fingerprint
+    def publish(self, reports: Sequence[CrashReport]) -> None:
+        """Publish reports at once: another VM may already have seen the request's other crash."""
+        rows = [
+            (report.fingerprint, report.endpoint, report.expires_at_s)
+            for report in reports[:MAX_REPORTED_REQUESTS]
         ]
-        fact = self._node.new_fact(CRASHES.name, fingerprint, len(reports), cbor2.dumps(reports))
-        self._node.publish(fact)
+        key = str(next(self._report_numbers))
+        self._node.publish(self._node.new_fact(CRASHES.name, key, 1, cbor2.dumps(rows)))
 
     def _on_fact(self, fact: Fact) -> None:
-        reports = decode_crash_reports(fact.key, fact.payload)
+        reports = decode_crash_reports(fact.payload)
         if reports is None:
             logger.warning("cannot decode crash reports", extra={"vm": fact.origin})
             return
         self._quarantine.merge(reports, self._wall_clock())
 
 
-def decode_crash_reports(fingerprint: str, payload: bytes) -> list[CrashReport] | None:
-    """Return the reports about one request, or ``None`` if they cannot be decoded."""
+def decode_crash_reports(payload: bytes) -> list[CrashReport] | None:
+    """Return the reports of a fact, or ``None`` if they cannot be decoded."""
     try:
         rows: Any = decode_cbor(payload)
-        return [CrashReport(fingerprint, str(row[0]), float(row[1])) for row in rows]
+        return [CrashReport(str(row[0]), str(row[1]), float(row[2])) for row in rows]
     except (ValueError, TypeError, LookupError, OverflowError):
         return None
--- a/src/mangosaddle/entry/_crash_tracker.py
+++ b/src/mangosaddle/entry/_crash_tracker.py
@@ -13,7 +13,7 @@
     PromptQuarantine,
     part_digests,
 )
-from .._quarantine import Quarantine
+from .._quarantine import CRASH_REPORT_TTL_S, CrashReport, Quarantine
 from ..traffic import EndpointView, RoutedRequest
 from ._crash_reports import CrashReports
 
@@ -64,7 +64,8 @@
         A crashing process closes its connections; one that only falls silent has lost its machine,
         for which no prompt is to blame.
         """
-        view.crash_suspect_fingerprints.add(request.fingerprint)
+        if request.fingerprint:
+            view.crash_suspect_fingerprints.add(request.fingerprint)
         parts = _shared_parts(request)
         had_begun = streamed_s is not None and streamed_s >= SOUND_STREAM_S
         if not parts or had_begun or not ended_by_endpoint:
@@ -82,20 +83,23 @@
 
     def record_endpoint_loss(self, view: EndpointView) -> None:
         """Record a crash for each request whose connection was lost with the endpoint."""
-        for fingerprint in view.crash_suspect_fingerprints:
+        reports = [
             self._record_crash(fingerprint, view.id)
+            for fingerprint in view.crash_suspect_fingerprints
+        ]
+        if reports and self.reports is not None:
+            self.reports.publish(reports)
         if view.crash_suspect_prompts:
             self._record_prompt_crash(view)
         view.clear_crash_suspects()
 
-    def _record_crash(self, fingerprint: str, endpoint: EndpointId) -> None:
+    def _record_crash(self, fingerprint: str, endpoint: EndpointId) -> CrashReport:
         now = self._wall_clock()
         was_quarantined = self._quarantine.is_quarantined(fingerprint, now)
         self._quarantine.record_crash(fingerprint, endpoint, now)
         if not was_quarantined and self._quarantine.is_quarantined(fingerprint, now):
             logger.warning("request quarantined", extra={"fingerprint": fingerprint})
-            if self.reports is not None:
-                self.reports.publish(fingerprint)
+        return CrashReport(fingerprint, endpoint, now + CRASH_REPORT_TTL_S)
 
     def _record_prompt_crash(self, view: EndpointView) -> None:
         now = self._wall_clock()
--- a/tests/decoders/test_foreign_bytes.py
+++ b/tests/decoders/test_foreign_bytes.py
@@ -72,7 +72,7 @@
     "vm_report": _report(decode_vm_report),
     "load_summary": _report(decode_load_summary),
     "fleet_summary": _report(decode_fleet_summary),
-    "crash_reports": lambda data: decode_crash_reports("f", data),
+    "crash_reports": decode_crash_reports,
     "prompt_crash": decode_prompt_crash,
     "sound_at": decode_sound_at_s,
 }
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -125,6 +125,28 @@
     run_on_empty_fleet(_scenario)
 
 
+def test_crashes_that_different_vms_have_seen_add_up() -> None:
+    """Guards against a crashing request that gets the full number of crashes from each VM."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _start_two_regions(fleet)
+        await fleet.add_runner(RunnerStandIn("desk-east", "desk", "east-a"))
+        vms = (fleet.vms["vm-east"], fleet.vms["vm-west"])
+        await fleet.wait_for_endpoints(vms[0], "desk-east")
+        for vm, desk in zip(vms, ("desk-east", "desk-west"), strict=True):
+            fleet.runners[desk].behaviour = Behaviour.CRASH
+            assert (await fleet.call(vm, "/order/x", method="POST", body=b"deadly")).status == 502
+            await wait_until(lambda vm=vm: vm.quarantine.active_reports(0.0))
+        await fleet.add_runner(RunnerStandIn("desk-new", "desk", "east-a"))
+        await fleet.wait_for_endpoints(vms[0], "desk-new")
+        await asyncio.sleep(0.5)
+        for vm in vms:
+            assert (await fleet.call(vm, "/order/x", method="POST", body=b"deadly")).status == 503
+        assert not fleet.runners["desk-new"].runs_by_request_id
+
+    run_on_empty_fleet(_scenario)
+
+
 def test_a_request_whose_link_breaks_is_not_reported_as_not_run() -> None:
     """Guards against reporting "not run" for a request that runs in a disconnected region."""
 
