Test that an endpoint gets no more requests than the limit that it names

Callers must still be served by the other endpoint, and the limit must end with the answers that name it.

--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -130,6 +130,8 @@
     """Delay before each event of a stream."""
     unframed_streams: bool = False
     """If set, streams have neither a length nor chunks and end with their connection."""
+    limit_per_s: float | None = None
+    """Requests a second that the runner names as its limit in all answers."""
     has_lost_power: bool = False
     """If set, connections stay open but nothing is sent on them."""
     release: asyncio.Event = field(default_factory=asyncio.Event)
@@ -293,7 +295,8 @@
     ) -> bool:
         request_id = request.headers.get("request-id", "")
         if behaviour is Behaviour.REJECT:
-            writer.write(_head(503, request_id, 0, b"Not-Run: 1\r\n", signed=False))
+            extra = b"Not-Run: 1\r\n" + _limit_header(self.limit_per_s)
+            writer.write(_head(503, request_id, 0, extra, signed=False))
             return True
         self.runs_by_request_id[request_id] += 1
         self.request_started.set()
@@ -302,7 +305,8 @@
         if behaviour.startswith(("endless", "drip")):
             return await self._send_endlessly(behaviour, request_id, writer)
         size = len(self.body)
-        full_response = _head(200, request_id, size) + self.body
+        limit = _limit_header(self.limit_per_s)
+        full_response = _head(200, request_id, size, limit) + self.body
         match behaviour:
             case Behaviour.SLOW:
                 await self.release.wait()
@@ -310,7 +314,7 @@
             case Behaviour.OK:
                 writer.write(full_response)
             case Behaviour.FAIL:
-                writer.write(_head(500, request_id, 6) + b"failed")
+                writer.write(_head(500, request_id, 6, limit) + b"failed")
             case Behaviour.CRASH:
                 await self.stop()
                 return False
@@ -374,7 +378,7 @@
         after = int(request.headers.get("last-event-id", "0") or 0)
         framing = b"" if self.unframed_streams else CHUNKED
         encode = bytes if self.unframed_streams else _chunk
-        extra = framing + b"Content-Type: text/event-stream\r\n"
+        extra = framing + b"Content-Type: text/event-stream\r\n" + _limit_header(self.limit_per_s)
         writer.write(_head(200, request.headers.get("request-id", ""), None, extra))
         for number in range(after + 1, self.event_count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
@@ -410,6 +414,10 @@
         return has_left
 
 
+def _limit_header(limit_per_s: float | None) -> bytes:
+    return b"" if limit_per_s is None else f"Server-Limit: {limit_per_s}\r\n".encode()
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
