--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -219,6 +219,7 @@
         now = asyncio.get_running_loop().time()
         view.health.last_data_at_s = now
         answer = self._wire.decode_answer(head)
+        self._record_limit(view, answer, now)
         if request.route.kind is not RequestKind.STREAM:
             view.load.record_first_byte(request.id, now)
         if answer.proves_not_run:
@@ -245,6 +246,16 @@
             await sink.send_whole(answer.status, answer.headers, body)
         return AttemptResult(AttemptEnd.DELIVERED, answer=answer)
 
+    @staticmethod
+    def _record_limit(view: EndpointView, answer: EndpointAnswer, now: float) -> None:
+        """Record the limit that the endpoint states, or that it states none any more."""
+        states_no_limit = answer.limit_per_s is None and answer.genuine
+        if answer.wrong_instance or not (states_no_limit or answer.limit_per_s is not None):
+            return
+        if view.stated_limit.record(answer.limit_per_s, now):
+            extra = {"endpoint": view.id, "limit_per_s": answer.limit_per_s}
+            logger.warning("endpoint changed its limit", extra=extra)
+
     async def _receive_stream(
         self,
         request: RoutedRequest,
--- a/src/mangosaddle/platform/_requests.py
+++ b/src/mangosaddle/platform/_requests.py
@@ -35,6 +35,8 @@
 RESPONSE_STAMP_HEADER = b"response-stamp"
 NOT_RUN_HEADER = b"not-run"
 COLD_MS_HEADER = b"cold-milliseconds"
+SERVER_LIMIT_HEADER = b"server-limit"
+"""Requests a second that a runner accepts from the whole system, as a decimal number."""
 MS_PER_S = 1000.0
 MAX_URGENCY = 9
 
@@ -219,6 +221,7 @@
         wrong_instance=head.status == 421,
         genuine=view.count(RESPONSE_STAMP_HEADER) == 1 and not encoding,
         cold_s=_decode_cold_s(view),
+        limit_per_s=_decode_limit(view),
     )
 
 
@@ -236,6 +239,20 @@
     return milliseconds / MS_PER_S
 
 
+def _decode_limit(view: HeaderView) -> float | None:
+    raw = view.first(SERVER_LIMIT_HEADER)
+    if raw is None:
+        return None
+    try:
+        limit_per_s = float(raw)
+    except ValueError:
+        limit_per_s = math.nan
+    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+        logger.warning("invalid limit ignored", extra={"value": repr(raw)})
+        return None
+    return limit_per_s
+
+
 def encode_health_check(path: str, registration: Registration) -> UpstreamRequest:
     """Return the health check request for a runner."""
     headers = [
--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -9,6 +9,7 @@
 from ._health import EndpointHealth, Reachability
 from ._load import PREFILL_TOKENS_PER_S, EndpointLoad
 from ._prompt_cache import PromptCacheEstimate
+from ._rate_limit import StatedLimit
 from ._registry import EndpointRegistry, Registration
 
 
@@ -30,6 +31,7 @@
         self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
         self.cold_limiter = ColdStartLimiter(registration.id)
         """Bounds the requests to the endpoint while its caches are cold."""
+        self.stated_limit = StatedLimit()
         self.prefixes = PromptCacheEstimate(engine.memory_tokens if engine is not None else 0)
 
     def is_silent(self, now: float) -> bool:
@@ -73,6 +75,7 @@
             if old is None or old.services_by_name.get(name) != self._spec(name):
                 fresh = EndpointView(view.registration, self._spec(name))
                 fresh.health, fresh.cold_limiter = view.health, view.cold_limiter
+                fresh.stated_limit = view.stated_limit
                 self._views_by_id[endpoint] = fresh
 
     def register(self, registration: Registration, now: float) -> None:
--- a/src/mangosaddle/traffic/_opaque.py
+++ b/src/mangosaddle/traffic/_opaque.py
@@ -43,6 +43,8 @@
     """Whether the answer comes from the endpoint itself and its body is not encoded."""
     cold_s: float | None
     """Remaining cold phase that the endpoint announces, or ``None``."""
+    limit_per_s: float | None = None
+    """Requests a second that the endpoint accepts from all VMs together, or ``None``."""
 
     @property
     def succeeded(self) -> bool:
