Leave an engine alone for the time that its refusal asks for

An engine or service of the product's own interface that refused with 429 or 503 and Retry-After counted as one failure, and was sent its usual share until its third.

Change: the refusal carries the time, bounded like an ejection, and the router places elsewhere until then; if all endpoints of a pool are out, they are used as before. The own interface has no statement of a rate; load reports state capacity.

Failed before: test_an_engine_that_asks_for_time_gets_no_request_before (with the check switched off: 'runner-1' chosen again before 5 s).

--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -12,6 +12,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from ..providers import parse_retry_after
 from ._exceptions import EndpointCutError, EndpointRefusedError, EndpointTimeoutError, NotSentError
 
 CONNECT_TIMEOUT_S = 1.0
@@ -20,6 +21,8 @@
 ANSWER_TIMEOUT_S = 30.0
 """Time in which a whole answer must arrive, whatever the pauses between its bytes."""
 REQUEST_ID_HEADER = "X-Request-Id"
+BACK_OFF_STATUSES = frozenset({429, 503})
+"""Statuses whose ``Retry-After`` asks for a time without requests."""
 MAX_ERROR_BODY_BYTES = 2_048
 MAX_ANSWER_BYTES = 1_048_576
 
@@ -99,7 +102,7 @@
         response = connection.getresponse()
         if response.status != 200:
             detail = response.read(MAX_ERROR_BODY_BYTES).decode("utf-8", "replace")
-            raise EndpointRefusedError(response.status, detail[:200])
+            raise EndpointRefusedError(response.status, detail[:200], _retry_after_s(response))
     except TimeoutError as error:
         raise EndpointTimeoutError(f"no answer from {connection.host}:{connection.port}") from error
     except (urllib3.exceptions.HTTPError, HTTPException, OSError) as error:
@@ -107,6 +110,13 @@
     return _take_socket(endpoint_socket, response)
 
 
+def _retry_after_s(response: urllib3.BaseHTTPResponse) -> float:
+    """Return the seconds for which a refusal asks to send nothing, 0 if it does not."""
+    if response.status not in BACK_OFF_STATUSES or "Retry-After" not in response.headers:
+        return 0.0
+    return parse_retry_after(response.headers, time.time())
+
+
 def _take_socket(
     endpoint_socket: socket.socket, response: urllib3.BaseHTTPResponse
 ) -> EndpointStream:
--- a/src/mangosaddle/gateway/_exceptions.py
+++ b/src/mangosaddle/gateway/_exceptions.py
@@ -25,7 +25,11 @@
 class EndpointRefusedError(EndpointError):
     """The endpoint responded with an error status; it did accept the connection."""
 
-    def __init__(self, status: int, detail: str) -> None:
-        """Create the error; ``detail`` is the start of the response body."""
+    def __init__(self, status: int, detail: str, retry_after_s: float = 0.0) -> None:
+        """Create the error; ``detail`` is the start of the response body.
+
+        ``retry_after_s`` is the time in seconds for which the endpoint wants no request.
+        """
         super().__init__(f"endpoint answered {status}: {detail}")
         self.status = status
+        self.retry_after_s = retry_after_s
--- a/src/mangosaddle/gateway/_target_selector.py
+++ b/src/mangosaddle/gateway/_target_selector.py
@@ -150,6 +150,8 @@
         """Record a failed attempt and return the kind of failure."""
         kind = KIND_BY_ERROR.get(type(error), FailureKind.CONNECTION_LOST)
         self.router.record_failure(request.request_id, target.endpoint, kind, self._clock())
+        if isinstance(error, EndpointRefusedError) and error.retry_after_s > 0:
+            self.router.record_back_off(target.endpoint, error.retry_after_s, self._clock())
         if kind is FailureKind.CONNECTION_LOST and self.on_connection_lost is not None:
             self.on_connection_lost()
         self.release()
--- a/src/mangosaddle/routing/_endpoint_state.py
+++ b/src/mangosaddle/routing/_endpoint_state.py
@@ -44,6 +44,7 @@
         self._ejected_until: float | None = None
         self._probing = False
         self._refused_at: float | None = None
+        self._backs_off_until = 0.0
 
     def capacity(self) -> float:
         """Return the number of requests that the endpoint runs concurrently, at least 1."""
@@ -127,11 +128,17 @@
         """End a probe without a result, for example because the caller disconnected."""
         self._probing = False
 
+    def record_back_off(self, wait_s: float, now: float) -> None:
+        """Record that the endpoint wants no request for a time in seconds."""
+        self._backs_off_until = max(self._backs_off_until, now + min(wait_s, MAX_EJECTION_S))
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the endpoint must get no request.
 
         When the ejection time is over, one probe at a time is allowed.
         """
+        if now < self._backs_off_until:
+            return True
         return self._ejected_until is not None and (now < self._ejected_until or self._probing)
 
     def restart_warm_up(self, now: float) -> None:
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -226,6 +226,12 @@
         """Eject an endpoint that refuses connections, because it is leaving or down."""
         self._local_region.record_connection_refused(endpoint, now)
 
+    def record_back_off(self, endpoint: EndpointId, wait_s: float, now: float) -> None:
+        """Send an endpoint nothing for ``wait_s`` seconds, because it has asked for that."""
+        state = self._local_region.state(endpoint)
+        if state is not None:
+            state.record_back_off(wait_s, now)
+
     def veto_version(self, model: ModelName, version: VersionId) -> None:
         """Use a version, whose rollout was rolled back, only for requests that accept no other.
 
--- a/tests/gateway/test_target_selector.py
+++ b/tests/gateway/test_target_selector.py
@@ -27,6 +27,34 @@
     return replace(configuration, endpoints_by_id=endpoints)
 
 
+def test_an_engine_that_asks_for_time_gets_no_request_before() -> None:
+    """Guards against sending an engine its usual share after it has asked to be left alone."""
+    router = Router.from_configuration(VmId("addis-1"), _both_versions_everywhere())
+    now_s = [1000.0]
+    selector = TargetSelector(router, random.Random(1), lambda: now_s[0])
+
+    def _choose(number: int) -> ChosenEndpoint:
+        request = RouteRequest(
+            request_id=RequestId(f"r{number}"),
+            organisation=OrganisationId("tower-trust"),
+            request_class=RequestClass.INTERACTIVE,
+            model=MODEL,
+            versions=(NEW,),
+        )
+        target = asyncio.run(selector.choose(request))
+        assert isinstance(target, ChosenEndpoint)
+        if number == 0:
+            selector.record_failure(request, target, EndpointRefusedError(503, "busy", 5.0))
+        else:
+            selector.record_success(request, target)
+        return target
+
+    busy = _choose(0).endpoint
+    assert busy not in {_choose(number).endpoint for number in range(1, 40)}
+    now_s[0] += 5.1
+    assert busy in {_choose(number).endpoint for number in range(40, 120)}
+
+
 @pytest.mark.parametrize(
     ("versions", "after_one", "after_two"),
     [((NEW, OLD), (NEW, OLD), (OLD,)), ((OLD,), (OLD,), (OLD,)), ((NEW,), (NEW,), (NEW,))],
