--- a/tests/platform/test_crashing_prompt_parts.py
+++ b/tests/platform/test_crashing_prompt_parts.py
@@ -86,5 +86,9 @@
         assert _deadly_arrivals(fleet) - before <= MAX_LATE_ARRIVALS
         for number in range(200, 212):
             assert await _ask(fleet, vms[number % 2], "50fa", number) == 200
+        restarted = await fleet.restart_vm(await fleet.kill_vm("vm-0"))
+        await fleet.wait_until_ready()
+        await wait_until(lambda: restarted.prompt_quarantine.has_crashes)
+        assert await _ask(fleet, restarted, DEADLY_PART, 300) == 503
 
     run_on_empty_fleet(_scenario)
