Keep the evidence of a prompt quarantine when many endpoints are lost otherwise

Cause: of the crashes kept, the oldest was dropped, so that a quarantine ended once enough endpoints had been lost for other reasons; and each answer searched all crashes. Change: the oldest crash that no quarantine rests on is dropped; the latest crash of each suspect part is kept by part.

Test: test_many_other_crashes_do_not_end_a_quarantine (384 other crashes).

--- a/src/mangosaddle/_prompt_quarantine.py
+++ b/src/mangosaddle/_prompt_quarantine.py
@@ -20,8 +20,8 @@
 their zone, say nothing about the requests that ran there."""
 PROMPT_CRASH_TTL_S = 600.0
 """Lifetime of a crash, in seconds; an expired crash no longer counts."""
-MAX_CRASHES = 64
-"""Maximum number of crashes kept; above it, the oldest is dropped."""
+MAX_CRASHES = 128
+"""Maximum number of crashes kept; above it, the oldest that no quarantine rests on is dropped."""
 MAX_SUSPECTS = 64
 """Maximum number of suspects kept of one crash."""
 MAX_SUSPECT_PARTS = 32
@@ -76,6 +76,8 @@
         """Create a quarantine without crashes."""
         self._crashes: list[_Crash] = []
         self._sound_at_s: dict[str, float] = {}
+        self._suspected_at_s: dict[str, float] = {}
+        """Time of the latest crash with a part among the suspects."""
         self._patterns: tuple[_Pattern, ...] = ()
 
     @property
@@ -94,7 +96,8 @@
             crash = _Crash(report.process, at_s)
             self._crashes.append(crash)
             self._crashes.sort(key=lambda known: known.at_s)
-            del self._crashes[:-MAX_CRASHES]
+            if len(self._crashes) > MAX_CRASHES:
+                self._drop_crash()
         for parts in suspects:
             if len(crash.suspects) < MAX_SUSPECTS:
                 crash.suspects.add(parts)
@@ -105,8 +108,11 @@
 
         A part that crashes endpoints never gets one, so earlier crashes had another cause.
         """
+        never_s = float("-inf")
         cleared = frozenset(
-            part for part in parts if any(self._is_suspect(part, c) for c in self._crashes)
+            part
+            for part in parts
+            if self._suspected_at_s.get(part, never_s) > self._sound_at_s.get(part, never_s)
         )
         for part in cleared:
             self._sound_at_s.pop(part, None)
@@ -137,6 +143,15 @@
                 return crash
         return None
 
+    def _drop_crash(self) -> None:
+        """Drop the oldest crash that no quarantine rests on, or else the oldest one."""
+        patterns = self.patterns()
+        for crash in self._crashes:
+            if not any(pattern <= parts for pattern in patterns for parts in crash.suspects):
+                self._crashes.remove(crash)
+                return
+        del self._crashes[0]
+
     def _is_suspect(self, part: str, crash: _Crash) -> bool:
         sound_at_s = self._sound_at_s.get(part)
         if sound_at_s is not None and sound_at_s >= crash.at_s:
@@ -150,6 +165,11 @@
         suspects of the same crashes.
         """
         self._crashes = [c for c in self._crashes if c.at_s > wall_time - PROMPT_CRASH_TTL_S]
+        self._suspected_at_s = {
+            part: crash.at_s
+            for crash in self._crashes
+            for part in frozenset().union(*crash.suspects)
+        }
         unexplained = list(self._crashes)
         patterns = []
         while True:
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -250,7 +250,7 @@
             wait_s = self._runner.prompt_retry_after_s(self._request)
             if wait_s is not None:
                 # Another VM, or an attempt of this request, has completed the evidence.
-                return await self._finish_undelivered("prompt quarantined", wait_s)
+                return await self._finish_undelivered("prompt_quarantined", wait_s)
             decision = self._runner.decide(self._request, self._tried, self._tried_regions)
             self._log_decision(decision)
             if isinstance(decision, PlacementRefusal):
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -345,9 +345,10 @@
         if request.fingerprint and self._quarantine.is_quarantined(request.fingerprint, wall_s):
             wait_s = self._quarantine.retry_after_s(request.fingerprint, wall_s)
             return Refused(RefusalReason.QUARANTINED, wait_s)
-        prompt_wait_s = self.prompts.retry_after_s(_prompt_parts(request), wall_s)
-        if prompt_wait_s is not None:
-            return Refused(RefusalReason.PROMPT_QUARANTINED, prompt_wait_s)
+        if self.prompts.has_crashes:
+            prompt_wait_s = self.prompts.retry_after_s(_prompt_parts(request), wall_s)
+            if prompt_wait_s is not None:
+                return Refused(RefusalReason.PROMPT_QUARANTINED, prompt_wait_s)
         return None
 
     def _endpoints_crashed_by(self, request: RouteRequest, now: float) -> frozenset[str]:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mangosaddle._prompt_quarantine import (
+    MAX_CRASHES,
     MIN_CRASHES,
     PROMPT_CRASH_TTL_S,
     Parts,
@@ -75,6 +76,17 @@
     assert not quarantine.is_quarantined(DEADLY, 11.0)
 
 
+def test_many_other_crashes_do_not_end_a_quarantine() -> None:
+    """Guards against a quarantine whose evidence is pushed out by endpoints lost otherwise."""
+    quarantine = quarantine_after(*(crash(n, 2.0 * n, DEADLY) for n in range(MIN_CRASHES)))
+    for n in range(3 * MAX_CRASHES):
+        lost = frozenset(("shared", f"session-{n}"))
+        quarantine.record_crash(crash(100 + n, 10.0 + n, lost), 10.0 + n)
+        quarantine.record_answer(frozenset(("shared",)), 10.5 + n)
+    assert quarantine.is_quarantined(DEADLY, 10.0 + 3 * MAX_CRASHES)
+    assert not quarantine.is_quarantined(SOUND, 10.0 + 3 * MAX_CRASHES)
+
+
 @pytest.mark.parametrize("requests_per_s", [8.0, 100.0])
 @pytest.mark.parametrize("share", [0.02, 0.05, 0.08])
 @pytest.mark.parametrize("seed", range(20))
