--- a/src/mangosaddle/_prompt_crash_exchange.py
+++ b/src/mangosaddle/_prompt_crash_exchange.py
@@ -10,7 +10,7 @@
 
 from ._cbor import decode_cbor
 from ._prompt_quarantine import (
-    MAX_SOUND_PARTS,
+    MAX_CLEARED_PARTS,
     PROMPT_CRASH_TTL_S,
     Parts,
     PromptCrash,
@@ -21,9 +21,9 @@
 
 PROMPT_CRASHES = FactKind("prompt-crashes", PER_ORIGIN, lifetime_s=PROMPT_CRASH_TTL_S)
 """Prompts that one VM lost with an endpoint; the key numbers the reports of a VM."""
-SOUND_PARTS = FactKind("sound-parts", HIGHEST_VERSION, lifetime_s=PROMPT_CRASH_TTL_S)
+CLEARED_PARTS = FactKind("cleared-parts", HIGHEST_VERSION, lifetime_s=PROMPT_CRASH_TTL_S)
 """Time of a complete answer on a suspect prompt part; the key is the part's digest."""
-SOUND_PART_INTERVAL_S = 5.0
+CLEARED_PART_INTERVAL_S = 5.0
 """Minimum time between two reports about a part: all VMs see answers on a part in common use, and
 one report is enough."""
 
@@ -41,10 +41,10 @@
         self._prompts = prompts
         self._wall_clock = wall_clock
         self._report_numbers = itertools.count(1)
-        self._sound_slot_by_part: dict[str, int] = {}
+        self._reported_slot_by_part: dict[str, int] = {}
         """Interval of the latest report about a part, counted since the epoch."""
         node.on_fact(PROMPT_CRASHES.name, self._on_prompt_crash)
-        node.on_fact(SOUND_PARTS.name, self._on_sound_part)
+        node.on_fact(CLEARED_PARTS.name, self._on_cleared_part)
 
     def publish_prompt_crash(self, crash: PromptCrash) -> None:
         """Publish the prompts that were lost with an endpoint."""
@@ -53,13 +53,13 @@
         number = next(self._report_numbers)
         self._node.publish(self._node.new_fact(PROMPT_CRASHES.name, str(number), 1, payload))
 
-    def publish_sound_parts(self, parts: Parts) -> None:
+    def publish_cleared_parts(self, parts: Parts) -> None:
         """Publish suspect parts on which an answer has been completed, unless this is known."""
-        slot = int(self._wall_clock() // SOUND_PART_INTERVAL_S)
+        slot = int(self._wall_clock() // CLEARED_PART_INTERVAL_S)
         for part in parts:
-            if self._sound_slot_by_part.get(part, 0) < slot:
+            if self._reported_slot_by_part.get(part, 0) < slot:
                 payload = cbor2.dumps(self._wall_clock())
-                self._node.publish(self._node.new_fact(SOUND_PARTS.name, part, slot, payload))
+                self._node.publish(self._node.new_fact(CLEARED_PARTS.name, part, slot, payload))
 
     def _on_prompt_crash(self, fact: Fact) -> None:
         crash = decode_prompt_crash(fact.payload)
@@ -68,14 +68,14 @@
             return
         record_prompt_crash(self._prompts, crash, self._wall_clock())
 
-    def _on_sound_part(self, fact: Fact) -> None:
-        at_s = decode_sound_at_s(fact.payload)
+    def _on_cleared_part(self, fact: Fact) -> None:
+        at_s = decode_cleared_at_s(fact.payload)
         if at_s is None:
-            logger.warning("cannot decode a sound part", extra={"vm": fact.origin})
+            logger.warning("cannot decode a cleared part", extra={"vm": fact.origin})
             return
-        if len(self._sound_slot_by_part) > MAX_SOUND_PARTS:
-            self._sound_slot_by_part.clear()
-        self._sound_slot_by_part[fact.key] = fact.version
+        if len(self._reported_slot_by_part) > MAX_CLEARED_PARTS:
+            self._reported_slot_by_part.clear()
+        self._reported_slot_by_part[fact.key] = fact.version
         self._prompts.record_answer(frozenset((fact.key,)), min(at_s, self._wall_clock()))
 
 
@@ -100,7 +100,7 @@
     return crash if math.isfinite(crash.at_s) else None
 
 
-def decode_sound_at_s(payload: bytes) -> float | None:
+def decode_cleared_at_s(payload: bytes) -> float | None:
     """Return the wall-clock time of an answer in seconds, or ``None`` if it cannot be decoded."""
     try:
         encoded: Any = decode_cbor(payload)
--- a/src/mangosaddle/_prompt_quarantine.py
+++ b/src/mangosaddle/_prompt_quarantine.py
@@ -1,6 +1,6 @@
 """Quarantine of prompt parts that crash the endpoints that begin an answer on them.
 
-No two of the requests need to be equal, and sound requests share the other parts with them. A
+No two of the requests need to be equal, and healthy requests share the other parts with them. A
 single crash therefore says little: all requests whose answers had not begun are suspects. The part
 that is to blame occurs in every crash, and no answer on it is ever completed.
 """
@@ -26,7 +26,7 @@
 """Maximum number of suspects kept of one crash."""
 MAX_SUSPECT_PARTS = 32
 """Maximum number of parts kept of one suspect."""
-MAX_SOUND_PARTS = 4096
+MAX_CLEARED_PARTS = 4096
 """Maximum number of parts whose last complete answer is remembered."""
 PART_DIGEST_BYTES = 8
 
@@ -75,7 +75,7 @@
     def __init__(self) -> None:
         """Create a quarantine without crashes."""
         self._crashes: list[_Crash] = []
-        self._sound_at_s: dict[str, float] = {}
+        self._cleared_at_s: dict[str, float] = {}
         self._suspected_at_s: dict[str, float] = {}
         """Time of the latest crash with a part among the suspects."""
         self._patterns: tuple[_Pattern, ...] = ()
@@ -112,13 +112,13 @@
         cleared = frozenset(
             part
             for part in parts
-            if self._suspected_at_s.get(part, never_s) > self._sound_at_s.get(part, never_s)
+            if self._suspected_at_s.get(part, never_s) > self._cleared_at_s.get(part, never_s)
         )
         for part in cleared:
-            self._sound_at_s.pop(part, None)
-            self._sound_at_s[part] = wall_time
-        while len(self._sound_at_s) > MAX_SOUND_PARTS:
-            del self._sound_at_s[next(iter(self._sound_at_s))]
+            self._cleared_at_s.pop(part, None)
+            self._cleared_at_s[part] = wall_time
+        while len(self._cleared_at_s) > MAX_CLEARED_PARTS:
+            del self._cleared_at_s[next(iter(self._cleared_at_s))]
         if cleared:
             self._update(wall_time)
         return cleared
@@ -153,8 +153,8 @@
         del self._crashes[0]
 
     def _is_suspect(self, part: str, crash: _Crash) -> bool:
-        sound_at_s = self._sound_at_s.get(part)
-        if sound_at_s is not None and sound_at_s >= crash.at_s:
+        cleared_at_s = self._cleared_at_s.get(part)
+        if cleared_at_s is not None and cleared_at_s >= crash.at_s:
             return False
         return any(part in parts for parts in crash.suspects)
 
--- a/src/mangosaddle/daemon/_load_service.py
+++ b/src/mangosaddle/daemon/_load_service.py
@@ -121,7 +121,7 @@
         router = self._target_selector.router
         exchange = PromptCrashExchange(self._peers, router.prompts, time.time)
         router.on_prompt_crash = exchange.publish_prompt_crash
-        router.on_sound_parts = exchange.publish_sound_parts
+        router.on_cleared_parts = exchange.publish_cleared_parts
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Use the endpoints of a configuration and drop clients of removed or moved engines."""
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -11,7 +11,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from .._identifiers import Incarnation, ModelName, VersionId
-from .._prompt_crash_exchange import PROMPT_CRASHES, SOUND_PARTS
+from .._prompt_crash_exchange import CLEARED_PARTS, PROMPT_CRASHES
 from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Vm
 from ..gateway import (
@@ -79,7 +79,7 @@
     REGION_LOAD_KIND,
     CRASH_KIND,
     PROMPT_CRASHES,
-    SOUND_PARTS,
+    CLEARED_PARTS,
     SLOTS_VACATED_KIND,
 )
 
--- a/src/mangosaddle/entry/_crash_tracker.py
+++ b/src/mangosaddle/entry/_crash_tracker.py
@@ -17,7 +17,7 @@
 from ..traffic import EndpointView, RoutedRequest
 from ._crash_reports import CrashReports
 
-SOUND_STREAM_S = 0.5
+HEALTHY_STREAM_S = 0.5
 """Time for which an answer has to stream before its prompt is no longer suspected: an endpoint may
 send a first event in the moment in which it crashes."""
 
@@ -67,7 +67,7 @@
         if request.fingerprint:
             view.crash_suspect_fingerprints.add(request.fingerprint)
         parts = _shared_parts(request)
-        had_begun = streamed_s is not None and streamed_s >= SOUND_STREAM_S
+        had_begun = streamed_s is not None and streamed_s >= HEALTHY_STREAM_S
         if not parts or had_begun or not ended_by_endpoint:
             return
         if len(view.crash_suspect_prompts) < MAX_SUSPECTS:
@@ -115,7 +115,7 @@
     def _clear_parts(self, parts: Parts, now: float) -> None:
         cleared = self._prompts.record_answer(parts, now)
         if cleared and self.prompt_exchange is not None:
-            self.prompt_exchange.publish_sound_parts(cleared)
+            self.prompt_exchange.publish_cleared_parts(cleared)
 
 
 def _shared_parts(request: RoutedRequest) -> Parts:
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -11,7 +11,7 @@
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
 from .._identifiers import Incarnation, ServiceName, VmId
-from .._prompt_crash_exchange import PROMPT_CRASHES, SOUND_PARTS, PromptCrashExchange
+from .._prompt_crash_exchange import CLEARED_PARTS, PROMPT_CRASHES, PromptCrashExchange
 from .._prompt_quarantine import PromptQuarantine
 from .._quarantine import Quarantine
 from .._retry_budget import RetryBudget, reserve_per_vm
@@ -67,7 +67,7 @@
     FLEET_REPORT,
     CRASHES,
     PROMPT_CRASHES,
-    SOUND_PARTS,
+    CLEARED_PARTS,
     ROLLOUT_PROGRESS,
     ROLLOUT_VETO,
 )
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -77,7 +77,7 @@
         self.prompts = PromptQuarantine()
         self.on_prompt_crash: Callable[[PromptCrash], None] | None = None
         """Called with the prompt of each request whose connection was lost."""
-        self.on_sound_parts: Callable[[Parts], object] | None = None
+        self.on_cleared_parts: Callable[[Parts], object] | None = None
         """Called with the suspect prompt prefixes on which an answer was completed."""
 
     @classmethod
@@ -167,8 +167,8 @@
             self._quarantine.record_answer(request.fingerprint, wall_s)
         if self.prompts.has_crashes:
             cleared = self.prompts.record_answer(_prompt_parts(request), wall_s)
-            if cleared and self.on_sound_parts is not None:
-                self.on_sound_parts(cleared)
+            if cleared and self.on_cleared_parts is not None:
+                self.on_cleared_parts(cleared)
 
     def record_failure(
         self, request_id: str, endpoint: EndpointId, kind: FailureKind, now: float
--- a/tests/decoders/test_foreign_bytes.py
+++ b/tests/decoders/test_foreign_bytes.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result
 
 from mangosaddle._identifiers import Incarnation, RegionName, ServiceName, VersionId, VmId, ZoneName
-from mangosaddle._prompt_crash_exchange import decode_prompt_crash, decode_sound_at_s
+from mangosaddle._prompt_crash_exchange import decode_cleared_at_s, decode_prompt_crash
 from mangosaddle.coordination import VmRecord
 from mangosaddle.entry._crash_reports import decode_crash_reports
 from mangosaddle.entry._endpoint_limits import decode_limit
@@ -80,7 +80,7 @@
     "fleet_summary": _report(decode_fleet_summary),
     "crash_reports": decode_crash_reports,
     "prompt_crash": decode_prompt_crash,
-    "sound_at": decode_sound_at_s,
+    "cleared_at": decode_cleared_at_s,
     "endpoint_limit": _decode_limit,
 }
 JSON_DECODERS = ("configuration", "registration", "rollout_order", "rollout_status", "vm_record")
--- a/tests/platform/test_crashing_prompt_parts.py
+++ b/tests/platform/test_crashing_prompt_parts.py
@@ -13,20 +13,20 @@
     wait_until,
 )
 
-DEADLY_PART = "dead"
+CRASHING_PART = "dead"
 RESTART_S = 0.6
 MAX_LATE_ARRIVALS = 3
-"""Requests with a deadly part that may reach engines after the fifth crash is known."""
+"""Requests with a crashing part that may reach engines after the fifth crash is known."""
 
 
-def _crash_on_deadly_part(request: ReceivedRequest) -> Behaviour:
-    deadly = f",{DEADLY_PART}:" in request.headers["prompt-prefix"]
-    return Behaviour.CRASH if deadly else Behaviour.STREAM
+def _crash_on_part(request: ReceivedRequest) -> Behaviour:
+    crashes = f",{CRASHING_PART}:" in request.headers["prompt-prefix"]
+    return Behaviour.CRASH if crashes else Behaviour.STREAM
 
 
 async def _add_engine(fleet: Fleet, zone: str) -> None:
     engine = RunnerStandIn(f"engine-{len(fleet.runners)}", "engine", zone)
-    engine.behaviour = _crash_on_deadly_part
+    engine.behaviour = _crash_on_part
     await fleet.add_runner(engine)
 
 
@@ -47,9 +47,9 @@
     return (await fleet.call(vm, f"/chat/{number}", method="POST", body=body, extra=extra)).status
 
 
-def _deadly_arrivals(fleet: Fleet) -> int:
+def _crashing_arrivals(fleet: Fleet) -> int:
     received = [r for runner in fleet.runners.values() for r in runner.received_requests]
-    return sum(_crash_on_deadly_part(request) is Behaviour.CRASH for request in received)
+    return sum(_crash_on_part(request) is Behaviour.CRASH for request in received)
 
 
 async def _replace_crashed(fleet: Fleet) -> None:
@@ -73,22 +73,22 @@
         vms = list(fleet.vms.values())
         number = 0
         for crash in range(5):
-            for middle_part in ("50fa", DEADLY_PART):
+            for middle_part in ("50fa", CRASHING_PART):
                 number += 1
                 await _ask(fleet, vms[crash % 2], middle_part, number)
             await _replace_crashed(fleet)
         await asyncio.sleep(1.0)
-        before = _deadly_arrivals(fleet)
+        before = _crashing_arrivals(fleet)
         assert before <= 5
         for number in range(100, 112):
-            await _ask(fleet, vms[number % 2], DEADLY_PART, number)
+            await _ask(fleet, vms[number % 2], CRASHING_PART, number)
             await _replace_crashed(fleet)
-        assert _deadly_arrivals(fleet) - before <= MAX_LATE_ARRIVALS
+        assert _crashing_arrivals(fleet) - before <= MAX_LATE_ARRIVALS
         for number in range(200, 212):
             assert await _ask(fleet, vms[number % 2], "50fa", number) == 200
         restarted = await fleet.restart_vm(await fleet.kill_vm("vm-0"))
         await fleet.wait_until_ready()
         await wait_until(lambda: restarted.prompt_quarantine.has_crashes)
-        assert await _ask(fleet, restarted, DEADLY_PART, 300) == 503
+        assert await _ask(fleet, restarted, CRASHING_PART, 300) == 503
 
     run_on_empty_fleet(_scenario)
--- a/tests/routing/test_routing_overload.py
+++ b/tests/routing/test_routing_overload.py
@@ -252,16 +252,16 @@
     endpoints = [engine(f"n{number}") for number in range(6)]
     north, other = router(*endpoints), router(*endpoints)
     north.on_prompt_crash = lambda crash: other.prompts.record_crash(crash, crash.at_s)
-    north.on_sound_parts = lambda parts: other.prompts.record_answer(parts, 20.0)
+    north.on_cleared_parts = lambda parts: other.prompts.record_answer(parts, 20.0)
     for number in range(5):
         lose_prompt(north, number, f"n{number}", 2.0 * number, b"a", b"dead", b"%d" % number)
     later = replace(request(9, fingerprint="f9"), prefix_digests=(b"a", b"dead", b"9"))
-    sound = replace(request(10, fingerprint="f10"), prefix_digests=(b"a", b"sound"))
+    healthy = replace(request(10, fingerprint="f10"), prefix_digests=(b"a", b"other"))
     for vm in (north, other):
         refused = vm.choose(later, 20.0, rng())
         assert isinstance(refused, Refused)
         assert refused.reason is RefusalReason.PROMPT_QUARANTINED
-        assert isinstance(vm.choose(sound, 20.0, rng()), ChosenEndpoint)
+        assert isinstance(vm.choose(healthy, 20.0, rng()), ChosenEndpoint)
     north.record_start(later, EndpointId("n5"), 20.0)
     north.record_success("9", EndpointId("n5"), 20.0)
     for vm in (north, other):
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -16,8 +16,8 @@
 
 CONTACT_S = 6.0
 """Time after the fifth crash from which a part is expected to reach no more engines."""
-DEADLY = frozenset(("shared", "deadly"))
-SOUND = frozenset(("shared", "sound"))
+CRASHING = frozenset(("shared", "crashing"))
+HEALTHY = frozenset(("shared", "healthy"))
 
 
 def crash(process: int, at_s: float, *suspects: Parts) -> PromptCrash:
@@ -33,18 +33,20 @@
     return quarantine
 
 
-def test_sound_requests_with_the_same_first_part_are_not_refused() -> None:
+def test_healthy_requests_with_the_same_first_part_are_not_refused() -> None:
     """Guards against refusing all requests that share a part with the crashing ones."""
-    quarantine = quarantine_after(*(crash(n, 2.0 * n, DEADLY, SOUND) for n in range(MIN_CRASHES)))
-    quarantine.record_answer(SOUND, 10.0)
-    assert quarantine.is_quarantined(DEADLY, 10.0)
-    assert not quarantine.is_quarantined(SOUND, 10.0)
+    quarantine = quarantine_after(
+        *(crash(n, 2.0 * n, CRASHING, HEALTHY) for n in range(MIN_CRASHES))
+    )
+    quarantine.record_answer(HEALTHY, 10.0)
+    assert quarantine.is_quarantined(CRASHING, 10.0)
+    assert not quarantine.is_quarantined(HEALTHY, 10.0)
     assert not quarantine.is_quarantined(frozenset(("shared", "other")), 10.0)
 
 
 def test_a_part_that_always_accompanies_the_crashing_one_may_run_without_it() -> None:
-    """Guards against refusing sound requests for a part that only happened to be there."""
-    companions = frozenset(("shared", "companion", "deadly"))
+    """Guards against refusing healthy requests for a part that only happened to be there."""
+    companions = frozenset(("shared", "companion", "crashing"))
     quarantine = quarantine_after(*(crash(n, 2.0 * n, companions) for n in range(MIN_CRASHES)))
     assert quarantine.is_quarantined(companions, 10.0)
     assert not quarantine.is_quarantined(frozenset(("shared", "companion")), 10.0)
@@ -53,38 +55,38 @@
 @pytest.mark.parametrize(
     "crashes",
     [
-        [crash(n, 0.02 * n, DEADLY) for n in range(15)],
-        [crash(1, 0.4 * n, DEADLY) for n in range(6)],
-        [crash(n, 2.0 * n, DEADLY) for n in range(MIN_CRASHES - 1)],
+        [crash(n, 0.02 * n, CRASHING) for n in range(15)],
+        [crash(1, 0.4 * n, CRASHING) for n in range(6)],
+        [crash(n, 2.0 * n, CRASHING) for n in range(MIN_CRASHES - 1)],
         [crash(n, 2.0 * n) for n in range(8)],
     ],
     ids=["endpoints lost together", "one crash reported often", "too few", "no suspects"],
 )
 def test_crashes_that_say_little_quarantine_nothing(crashes: list[PromptCrash]) -> None:
     """Guards against quarantine after a lost zone, or after reports of many VMs."""
-    assert not quarantine_after(*crashes).is_quarantined(DEADLY, 20.0)
+    assert not quarantine_after(*crashes).is_quarantined(CRASHING, 20.0)
 
 
 def test_expired_crashes_and_answers_end_a_quarantine() -> None:
     """Guards against parts that are refused for good."""
-    crashes = [crash(n, 2.0 * n, DEADLY) for n in range(MIN_CRASHES)]
+    crashes = [crash(n, 2.0 * n, CRASHING) for n in range(MIN_CRASHES)]
     quarantine = quarantine_after(*crashes)
-    wait_s = quarantine.retry_after_s(DEADLY, 10.0) or 0.0
+    wait_s = quarantine.retry_after_s(CRASHING, 10.0) or 0.0
     assert wait_s == pytest.approx(PROMPT_CRASH_TTL_S - 10.0)
-    assert not quarantine.is_quarantined(DEADLY, 10.0 + wait_s)
-    quarantine.record_answer(DEADLY, 11.0)
-    assert not quarantine.is_quarantined(DEADLY, 11.0)
+    assert not quarantine.is_quarantined(CRASHING, 10.0 + wait_s)
+    quarantine.record_answer(CRASHING, 11.0)
+    assert not quarantine.is_quarantined(CRASHING, 11.0)
 
 
 def test_many_other_crashes_do_not_end_a_quarantine() -> None:
     """Guards against a quarantine whose evidence is pushed out by endpoints lost otherwise."""
-    quarantine = quarantine_after(*(crash(n, 2.0 * n, DEADLY) for n in range(MIN_CRASHES)))
+    quarantine = quarantine_after(*(crash(n, 2.0 * n, CRASHING) for n in range(MIN_CRASHES)))
     for n in range(3 * MAX_CRASHES):
         lost = frozenset(("shared", f"session-{n}"))
         quarantine.record_crash(crash(100 + n, 10.0 + n, lost), 10.0 + n)
         quarantine.record_answer(frozenset(("shared",)), 10.5 + n)
-    assert quarantine.is_quarantined(DEADLY, 10.0 + 3 * MAX_CRASHES)
-    assert not quarantine.is_quarantined(SOUND, 10.0 + 3 * MAX_CRASHES)
+    assert quarantine.is_quarantined(CRASHING, 10.0 + 3 * MAX_CRASHES)
+    assert not quarantine.is_quarantined(HEALTHY, 10.0 + 3 * MAX_CRASHES)
 
 
 @pytest.mark.parametrize("requests_per_s", [8.0, 100.0])
@@ -97,32 +99,32 @@
     rng = random.Random(f"{share} {seed}")
     fifth_crash_at_s = math.inf
     quarantine = PromptQuarantine()
-    crashes, now, late_deadly = 0, 0.0, 0
-    refused_sound = sound = 0
+    crashes, now, late_crashing = 0, 0.0, 0
+    refused_healthy = healthy = 0
     running: list[Parts] = []
     while now < 60.0:
         now += rng.expovariate(requests_per_s)
         first = rng.choice(("first-1", "first-1", "first-2", "first-3"))
         middle = f"middle-{int(rng.paretovariate(0.7)) % 40}"
-        is_deadly = rng.random() < share
-        parts = frozenset((first, "deadly" if is_deadly else middle))
+        is_crashing = rng.random() < share
+        parts = frozenset((first, "crashing" if is_crashing else middle))
         refused = quarantine.is_quarantined(parts, now)
-        if not is_deadly:
-            sound += 1
-            refused_sound += refused
+        if not is_crashing:
+            healthy += 1
+            refused_healthy += refused
         if refused:
             continue
-        if not is_deadly:
+        if not is_crashing:
             running.append(parts)
             if len(running) > 6:
                 quarantine.record_answer(running.pop(0), now)
             continue
         crashes += 1
-        late_deadly += now > fifth_crash_at_s + CONTACT_S
+        late_crashing += now > fifth_crash_at_s + CONTACT_S
         if crashes == 5:
             fifth_crash_at_s = now
         lost = [other for other in running if rng.random() < 0.5]
         running = [other for other in running if other not in lost]
         quarantine.record_crash(crash(crashes, now, parts, *lost), now)
-    assert late_deadly <= 3
-    assert refused_sound <= 0.02 * sound
+    assert late_crashing <= 3
+    assert refused_healthy <= 0.02 * healthy
