Give the new crash reports a fact kind of their own name

Cause: the reports have another merge rule and payload than before under the same name. While builds are mixed, the digests of that kind would differ for good and start an exchange at each heartbeat. Facts of unknown kinds are ignored.

--- a/src/mangosaddle/entry/_crash_reports.py
+++ b/src/mangosaddle/entry/_crash_reports.py
@@ -12,7 +12,7 @@
 from ..membership import PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
 
-CRASHES = FactKind("crashes", PER_ORIGIN, lifetime_s=CRASH_REPORT_TTL_S)
+CRASHES = FactKind("request-crashes", PER_ORIGIN, lifetime_s=CRASH_REPORT_TTL_S)
 """Requests that one VM lost with an endpoint; the key numbers the reports of a VM."""
 MAX_REPORTED_REQUESTS = 256
 """Maximum number of requests in one fact; the evidence about further ones stays on this VM."""
