--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -64,7 +64,8 @@
 
     def relay_if_new(self, event: Item | Removal) -> bool:
         """Schedule the relay of a change read from the store; return whether it is new."""
-        if event.revision <= self._revisions_by_key.get(event.key, 0):
+        known = self._revisions_by_key.get(event.key, 0)
+        if event.revision <= known:
             return False
         self._revisions_by_key[event.key] = event.revision
         self._schedule(event, 0.0)
@@ -144,6 +145,11 @@
         """Relay a change and pass it on if it is new."""
         if self._relay.relay_if_new(event):
             self._followed.listener.handle_change(event)
+        else:
+            # Usually another VM has relayed the change before.
+            logger.info(
+                "store change is not newer", extra={"key": event.key, "revision": event.revision}
+            )
 
 
 def _decode(fact: Fact) -> Item | Removal | None:
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -24,6 +24,7 @@
     ConnectFailedError,
     ConnectionPool,
     HttpError,
+    ResponseHead,
     UpstreamConnection,
     UpstreamRequest,
 )
@@ -40,6 +41,9 @@
 """Maximum total size of the keys and values below one prefix. 10,000 registrations and a large
 configuration take a tenth of it."""
 MS_PER_S = 1000.0
+MAX_ERA_DIGITS = 9
+ERA_HEADER = b"store-era"
+"""Header of each response: a number that rises by one when the store is restored from a copy."""
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +53,8 @@
 
     def __init__(self, address: tuple[str, int]) -> None:
         """Create a client of the store at ``address``; connections are opened on demand."""
+        self.era = 0
+        """Era of the store according to its latest response; 0 if it states none."""
         self._address = address
         self._pool = ConnectionPool()
         self._host = f"{address[0]}:{address[1]}".encode()
@@ -165,6 +171,7 @@
                 raise StoreUnavailableError(f"{method} {target}: {error}") from error
             raise OutcomeUnknownError(f"{method} {target}: {error}") from error
         self._pool.give_back(self._address, connection)
+        self._record_era(_decode_era(head))
         decoded = _decode_object(response)
         if decoded is None and head.status == 200:
             if method == "GET":
@@ -172,6 +179,12 @@
             raise OutcomeUnknownError(f"{method} {target}: response is not a JSON object")
         return head.status, decoded or {}
 
+    def _record_era(self, era: int) -> None:
+        if era > self.era:
+            if self.era:
+                logger.warning("store was restored", extra={"era": era, "previous": self.era})
+            self.era = era
+
     async def _connection(self) -> UpstreamConnection:
         connection = self._pool.take(self._address)
         if connection is not None:
@@ -182,6 +195,11 @@
             raise StoreUnavailableError(str(error)) from error
 
 
+def _decode_era(head: ResponseHead) -> int:
+    value = head.view.first(ERA_HEADER) or b""
+    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
+
+
 def _decode_object(body: bytes) -> dict[str, Any] | None:
     try:
         response = json.loads(body)
