--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -16,7 +16,7 @@
 from ._rollout_operator import PlacedOrder, RolloutOperator
 from ._runner import Arrival, Behaviour, ReceivedRequest, RunnerStandIn
 from ._scenario import Scenario, default_configuration, run_on_default_fleet, run_on_empty_fleet
-from ._store import StoreFault, StoreStandIn
+from ._store import StoreCopy, StoreFault, StoreStandIn
 from ._traffic import Call, Traffic
 from ._version_fault import VersionFault
 
@@ -33,6 +33,7 @@
     "RolloutOperator",
     "RunnerStandIn",
     "Scenario",
+    "StoreCopy",
     "StoreFault",
     "StoreStandIn",
     "Traffic",
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import base64
+import copy
 import json
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 from urllib.parse import parse_qs
@@ -35,6 +37,16 @@
     """Returns the first page for each page of a range read."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """State of the store at one moment, from which it can be restored."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    leases: dict[int, set[str]]
+    next_lease: int
+
+
 class StoreStandIn:
     """Implements the HTTP calls of the platform's store; each port can have its own fault."""
 
@@ -44,6 +56,8 @@
         """While set, watches bring no changes, as on connections that have gone silent."""
         self._faults: dict[int, StoreFault] = {}
         self.revision = 1
+        self.era = 1
+        """Number that each response states; it rises by one with each restore."""
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._oldest_kept_revision = 1
@@ -115,6 +129,32 @@
             self._oldest_kept_revision = self.revision + 1
             self._changed.notify_all()
 
+    def copy_state(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(
+            self.revision,
+            copy.deepcopy(self._items),
+            copy.deepcopy(self._leases),
+            self._next_lease,
+        )
+
+    async def restore(self, state: StoreCopy) -> None:
+        """Go back to a copy: what was written since is gone, and its numbers are given out again.
+
+        Connections break, and watches from revisions that do not exist any more get status 410.
+        """
+        async with self._changed:
+            self.era += 1
+            self.revision = state.revision
+            self._items = copy.deepcopy(state.items)
+            self._leases = copy.deepcopy(state.leases)
+            self._next_lease = state.next_lease
+            self._history.clear()
+            self._oldest_kept_revision = self.revision + 1
+            for server in self._servers:
+                server.abort_connections()
+            self._changed.notify_all()
+
     async def expire_all_leases(self) -> None:
         """End all leases and remove their keys."""
         async with self._changed:
@@ -137,8 +177,9 @@
     async def _handle(self, exchange: ServerExchange, fault: StoreFault) -> None:
         path, _, query = exchange.target.decode().partition("?")
         self.calls.append(f"{exchange.method.decode()} {path}")
+        era = [(b"Store-Era", str(self.era).encode())]
         if fault in (StoreFault.BUSY, StoreFault.RATE_LIMITED):
-            await exchange.respond(503 if fault is StoreFault.BUSY else 429, [])
+            await exchange.respond(503 if fault is StoreFault.BUSY else 429, era)
             return
         if fault is StoreFault.RESET:
             exchange.abort()
@@ -148,18 +189,19 @@
             parameters.pop("after", None)
         body = json.loads(exchange.body) if exchange.body else {}
         status, answer = await self._execute(exchange.method.decode(), path, parameters, body)
+        era = [(b"Store-Era", str(self.era).encode())]
         if fault is StoreFault.ANSWER_LOST:
             exchange.abort()
         elif fault is StoreFault.NOT_JSON:
-            await exchange.respond(status, [], b"<html>")
+            await exchange.respond(status, era, b"<html>")
         elif fault is StoreFault.DEEPLY_NESTED:
-            await exchange.respond(status, [], b"[" * 100_000)
+            await exchange.respond(status, era, b"[" * 100_000)
         elif fault is StoreFault.ENDLESS:
-            await exchange.start(status, [])
+            await exchange.start(status, era)
             while True:
                 await exchange.write(b" " * 65_536)
         else:
-            await exchange.respond(status, [], json.dumps(answer).encode())
+            await exchange.respond(status, era, json.dumps(answer).encode())
 
     async def _execute(
         self, method: str, path: str, parameters: dict[str, str], body: dict[str, Any]
@@ -200,15 +242,18 @@
                     await self._changed.wait_for(
                         lambda: (
                             not self.hold_watches
-                            and (bool(_events()) or after < self._oldest_kept_revision - 1)
+                            and (bool(_events()) or not self._keeps_history_since(after))
                         )
                     )
             except TimeoutError:
                 pass
-            if after < self._oldest_kept_revision - 1:
+            if not self._keeps_history_since(after):
                 return 410, {}
             return 200, {"events": _events(), "store_revision": self.revision}
 
+    def _keeps_history_since(self, revision: int) -> bool:
+        return self._oldest_kept_revision - 1 <= revision <= self.revision
+
     def _modify(self, method: str, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if path == "/api/kv-lease":
             self._next_lease += 1
