Order revisions and leases of the store across restores

Cause: the relay keeps the highest revision of each key, and the store gives revisions out again after a restore. Class: the store's numbers were taken as ever growing. The same held for watches (a number that exists again hides the changes before it), conditional writes, leases (another VM's lease was renewed or ended) and the order of a VM's processes.

Change: inside the product a revision or lease is composed of the store's era and its number, so that it only grows. The adapter composes and takes apart; what refers to an earlier era has ended: history, expected revision, lease.

items has a new name, since former builds cannot compare the revisions.

The stand-in's direct access now returns revisions as the product sees them, so that the tests which compare them check the same as before.

--- a/src/mangosaddle/coordination/__init__.py
+++ b/src/mangosaddle/coordination/__init__.py
@@ -9,11 +9,13 @@
     StoreUnavailableError,
 )
 from ._prefix_watcher import PrefixListener, PrefixWatcher
+from ._revisions import NUMBER_BITS, compose, era_of, number_of, start_order
 from ._store import Changes, CoordinationStore, Item, Put, Removal, Snapshot
 from ._vm_registration import LEASE_TTL_S, VmRecord, VmRegistration
 
 __all__ = [
     "LEASE_TTL_S",
+    "NUMBER_BITS",
     "Changes",
     "CoordinationError",
     "CoordinationStore",
@@ -30,4 +32,8 @@
     "StoreUnavailableError",
     "VmRecord",
     "VmRegistration",
+    "compose",
+    "era_of",
+    "number_of",
+    "start_order",
 ]
--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from ._exceptions import CoordinationError, HistoryLostError
+from ._revisions import era_of
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
 WATCH_TIMEOUT_S = 25.0
@@ -31,7 +32,7 @@
         """Replace all known items; a key that is not in the snapshot does not exist any more.
 
         ``after_outage`` tells that keys may be missing only because their leases expired during an
-        outage of the store.
+        outage of the store, or because it was restored.
         """
         ...
 
@@ -60,6 +61,8 @@
         self._rng = rng
         self._clock = clock
         self._revision: int | None = None
+        self._era: int | None = None
+        """Era of the latest snapshot."""
         self._failing_since_s: float | None = None
         self._retry_pause_s = MIN_RETRY_PAUSE_S
         self._enabled = asyncio.Event()
@@ -136,9 +139,11 @@
             self._revision = None
         if self._revision is None:
             snapshot = await self._store.read(self.prefix)
-            after_outage = self._record_success()
+            ended_outage = self._record_success()
             self._revision = snapshot.revision
-            self._listener.handle_snapshot(snapshot, after_outage=after_outage)
+            era, self._era = self._era, era_of(snapshot.revision)
+            was_restored = era is not None and era != self._era
+            self._listener.handle_snapshot(snapshot, after_outage=ended_outage or was_restored)
             return
         changes = await self._watch(self._revision)
         if changes is not None:
--- a/src/mangosaddle/coordination/_store.py
+++ b/src/mangosaddle/coordination/_store.py
@@ -1,4 +1,7 @@
-"""Interface of the key-value store, implemented by an adapter."""
+"""Interface of the key-value store, implemented by an adapter.
+
+Revisions and leases are composed of the store's own numbers and its era (``_revisions``).
+"""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -52,7 +55,15 @@
 
 
 class CoordinationStore(Protocol):
-    """Calls to the store; each raises ``CoordinationError`` or a subclass when it fails."""
+    """Calls to the store; each raises ``CoordinationError`` or a subclass when it fails.
+
+    What refers to an earlier era does not exist any more: a watch from such a revision raises
+    ``HistoryLostError``, a write that expects one ``RevisionConflictError``, and the use of such a
+    lease ``LeaseEndedError``.
+    """
+
+    era: int
+    """Era of the store according to its latest response."""
 
     async def read(self, prefix: str) -> Snapshot:
         """Return all items below a prefix, at least as recent as the call."""
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -24,6 +24,7 @@
     RevisionConflictError,
     VmRecord,
     VmRegistration,
+    start_order,
 )
 from ..http11 import ConnectionPool, HttpServer, ServerExchange, ServerLimits
 from ..membership import VmIdentity
@@ -354,7 +355,8 @@
         """Open the links to the other VMs once this one is registered."""
         await self._presence.registered.wait()
         secret = await self._peer_secret()
-        identity = VmIdentity(self.settings.vm, self._incarnation, self._presence.revision)
+        order = start_order(self._presence.revision)
+        identity = VmIdentity(self.settings.vm, self._incarnation, order)
         peer_settings = PeerSettings(
             identity, FLEET, secret, self.settings.host, self.settings.peer_port, PEER_TIMINGS
         )
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -7,7 +7,7 @@
 
 from .._entities import Vm
 from .._identifiers import RegionName, VmId, ZoneName
-from ..coordination import VmRecord
+from ..coordination import VmRecord, start_order
 from ..membership import VmState
 from ..peers import PeerNode
 from ._vm_reports import identity_hash
@@ -149,7 +149,8 @@
         if identity is None or identity.incarnation == record.incarnation:
             return membership.state_of(record.vm)
         # Incarnations are ordered by the store revision at which each first wrote its entry.
-        is_newer_record = self._revisions_by_vm.get(record.vm, 0) > identity.started_ms
+        order = start_order(self._revisions_by_vm.get(record.vm, 0))
+        is_newer_record = order > identity.started_ms
         return VmState.UNKNOWN if is_newer_record else membership.state_of(record.vm)
 
     def live(self) -> list[LiveVm]:
--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -10,7 +10,7 @@
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import EncodeError, PeerNode
 
-STORE_ITEM = FactKind("store_item", HIGHEST_VERSION, lifetime_s=3600.0)
+STORE_ITEM = FactKind("stored_item", HIGHEST_VERSION, lifetime_s=3600.0)
 """A store key as one VM has read it; the fact's version is the store revision. The lifetime bounds
 the size of the fact table when many endpoints come and go; VMs that reach the store do not need
 these facts."""
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -5,10 +5,12 @@
 import json
 import logging
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
 from ..coordination import (
+    NUMBER_BITS,
     Changes,
     HistoryLostError,
     Item,
@@ -19,6 +21,9 @@
     RevisionConflictError,
     Snapshot,
     StoreUnavailableError,
+    compose,
+    era_of,
+    number_of,
 )
 from ..http11 import (
     ConnectFailedError,
@@ -48,6 +53,26 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class _Response:
+    """Decoded response of the store; its accessors raise ``StoreUnavailableError``."""
+
+    status: int
+    era: int
+    fields: dict[str, Any]
+
+    def objects(self, name: str) -> list[dict[str, Any]]:
+        """Return a field that is a list of objects."""
+        rows = self.fields.get(name)
+        if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
+            raise StoreUnavailableError(f"response has no list of objects {name!r}")
+        return rows
+
+    def composed(self, name: str) -> int:
+        """Return a revision or lease, composed with the era."""
+        return compose(self.era, _integer(self.fields, name))
+
+
 class PlatformStore:
     """Implements ``CoordinationStore`` over the store's HTTP calls."""
 
@@ -68,37 +93,41 @@
         last_keys_seen: set[str] = set()
         while True:
             response = await self._get("/api/kv-range", query)
-            page = [_decode_item(row) for row in _object_list(response, "items")]
+            page = [_decode_item(row, response.era) for row in response.objects("items")]
+            if revision is not None and era_of(revision) != response.era:
+                raise StoreUnavailableError(f"restored between two pages of {prefix!r}")
             if page and page[-1].key in last_keys_seen:
                 raise StoreUnavailableError(f"a page of {prefix!r} was returned again")
             items += page
             size_bytes += sum(len(item.key) + len(item.value) for item in page)
             if size_bytes > MAX_SNAPSHOT_BYTES:
                 raise StoreUnavailableError(f"items of {prefix!r} exceed {MAX_SNAPSHOT_BYTES} B")
-            revision = _integer(response, "store_revision") if revision is None else revision
-            if not response.get("more_pages") or not page:
+            revision = response.composed("store_revision") if revision is None else revision
+            if not response.fields.get("more_pages") or not page:
                 return Snapshot(tuple(items), revision)
             query["after"] = page[-1].key
             last_keys_seen.add(page[-1].key)
 
     async def find(self, key: str) -> Item | None:
         """Return one item, or ``None``."""
-        status, response = await self._call("GET", "/api/kv-key?" + urlencode({"key": key}), None)
-        if status == 404:
+        response = await self._call("GET", "/api/kv-key?" + urlencode({"key": key}), None)
+        if response.status == 404:
             return None
-        _raise_unless_ok(status, response)
-        return _decode_item(response)
+        _raise_unless_ok(response)
+        return _decode_item(response.fields, response.era)
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
         """Wait for changes; see ``CoordinationStore``."""
-        query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * MS_PER_S)}
+        number = number_of(after)
+        query = {"prefix": prefix, "after": number, "wait_ms": int(wait_s * MS_PER_S)}
         target = "/api/kv-watch?" + urlencode(query)
-        status, response = await self._call("GET", target, None, wait_s + WATCH_TIMEOUT_MARGIN_S)
-        if status == 410:
-            raise HistoryLostError(f"changes after revision {after} are no longer available")
-        _raise_unless_ok(status, response)
-        events = tuple(_decode_event(row) for row in _object_list(response, "events"))
-        return Changes(events, _integer(response, "store_revision"))
+        response = await self._call("GET", target, None, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        # The number may have been given out again since, so that the store does not notice.
+        if response.status == 410 or response.era != era_of(after):
+            raise HistoryLostError(f"changes after revision {number} are no longer available")
+        _raise_unless_ok(response)
+        events = tuple(_decode_event(row, response.era) for row in response.objects("events"))
+        return Changes(events, response.composed("store_revision"))
 
     async def write(
         self,
@@ -108,51 +137,67 @@
         removed: Sequence[str] = (),
     ) -> int:
         """Write and remove keys in one transaction; see ``CoordinationStore``."""
+        if any(revision and era_of(revision) != self.era for _, revision in expected):
+            raise RevisionConflictError("a key is not at its expected revision: store was restored")
+        for put in puts:
+            self._check_lease(put.lease)
         body = {
-            "expected": [{"key": key, "revision": revision} for key, revision in expected],
+            "expected": [
+                {"key": key, "revision": number_of(revision)} for key, revision in expected
+            ],
             "set_keys": [_encode_put(put) for put in puts],
             "remove": list(removed),
         }
-        status, response = await self._call("POST", "/api/kv-txn", body)
-        if status == 412:
+        response = await self._call("POST", "/api/kv-txn", body)
+        if response.status == 412:
             raise RevisionConflictError("a key is not at its expected revision")
-        if status == 404:
+        if response.status == 404:
             raise LeaseEndedError("a lease in the transaction has ended")
-        _raise_unless_ok(status, response)
-        return _integer(response, "revision")
+        _raise_unless_ok(response)
+        return response.composed("revision")
 
     async def create_lease(self, ttl_s: float) -> int:
         """Create a lease that expires ``ttl_s`` seconds after its last renewal."""
-        status, response = await self._call("POST", "/api/kv-lease", {"ttl_ms": int(ttl_s * 1000)})
-        _raise_unless_ok(status, response)
-        return _integer(response, "lease")
+        response = await self._call("POST", "/api/kv-lease", {"ttl_ms": int(ttl_s * MS_PER_S)})
+        _raise_unless_ok(response)
+        return response.composed("lease")
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raises ``LeaseEndedError`` if it has ended."""
-        status, response = await self._call("POST", f"/api/kv-keep/{lease}", None)
-        if status == 404:
-            raise LeaseEndedError(f"lease {lease} has ended")
-        _raise_unless_ok(status, response)
+        self._check_lease(lease)
+        response = await self._call("POST", f"/api/kv-keep/{number_of(lease)}", None)
+        if response.status == 404:
+            raise LeaseEndedError(f"lease {number_of(lease)} has ended")
+        _raise_unless_ok(response)
+        # The store may have been restored since the last call, and have given the number to others.
+        self._check_lease(lease)
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease; does nothing if it has already ended."""
-        status, response = await self._call("DELETE", f"/api/kv-lease-end/{lease}", None)
-        if status != 404:
-            _raise_unless_ok(status, response)
+        if lease and era_of(lease) != self.era:
+            return
+        response = await self._call("DELETE", f"/api/kv-lease-end/{number_of(lease)}", None)
+        if response.status != 404:
+            _raise_unless_ok(response)
 
     def close(self) -> None:
         """Close idle connections."""
         self._pool.close()
 
-    async def _get(self, path: str, query: dict[str, str]) -> dict[str, Any]:
-        status, response = await self._call("GET", f"{path}?{urlencode(query)}", None)
-        _raise_unless_ok(status, response)
+    def _check_lease(self, lease: int) -> None:
+        """Raise ``LeaseEndedError`` for a lease of an earlier era; 0 stands for no lease."""
+        if lease and era_of(lease) != self.era:
+            raise LeaseEndedError(f"lease {number_of(lease)} has ended: store was restored")
+
+    async def _get(self, path: str, query: dict[str, str]) -> "_Response":
+        response = await self._call("GET", f"{path}?{urlencode(query)}", None)
+        _raise_unless_ok(response)
         return response
 
     async def _call(
         self, method: str, target: str, body: object | None, timeout_s: float = CALL_TIMEOUT_S
-    ) -> tuple[int, dict[str, Any]]:
-        """Send a request and return the status and the decoded body.
+    ) -> "_Response":
+        """Send a request and return the decoded response.
 
         Raises ``StoreUnavailableError`` if a read fails or no connection can be opened, and
         ``OutcomeUnknownError`` if a write was sent but its response is missing or invalid.
@@ -171,13 +216,14 @@
                 raise StoreUnavailableError(f"{method} {target}: {error}") from error
             raise OutcomeUnknownError(f"{method} {target}: {error}") from error
         self._pool.give_back(self._address, connection)
-        self._record_era(_decode_era(head))
+        era = _decode_era(head)
+        self._record_era(era)
         decoded = _decode_object(response)
         if decoded is None and head.status == 200:
             if method == "GET":
                 raise StoreUnavailableError(f"{method} {target}: response is not a JSON object")
             raise OutcomeUnknownError(f"{method} {target}: response is not a JSON object")
-        return head.status, decoded or {}
+        return _Response(head.status, era, decoded or {})
 
     def _record_era(self, era: int) -> None:
         if era > self.era:
@@ -208,26 +254,19 @@
     return response if isinstance(response, dict) else None
 
 
-def _raise_unless_ok(status: int, response: dict[str, Any]) -> None:
-    if status != 200:
-        raise StoreUnavailableError(f"status {status}: {str(response)[:200]}")
-
-
-def _object_list(response: dict[str, Any], name: str) -> list[dict[str, Any]]:
-    rows = response.get(name)
-    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
-        raise StoreUnavailableError(f"response has no list of objects {name!r}")
-    return rows
+def _raise_unless_ok(response: _Response) -> None:
+    if response.status != 200:
+        raise StoreUnavailableError(f"status {response.status}: {str(response.fields)[:200]}")
 
 
 def _integer(response: dict[str, Any], name: str) -> int:
     number = response.get(name)
-    if not isinstance(number, int) or isinstance(number, bool):
-        raise StoreUnavailableError(f"response has no integer {name!r}")
+    if type(number) is not int or not 0 <= number < 1 << NUMBER_BITS:
+        raise StoreUnavailableError(f"response has no valid number {name!r}")
     return number
 
 
-def _decode_item(row: dict[str, Any]) -> Item:
+def _decode_item(row: dict[str, Any], era: int) -> Item:
     key, value = row.get("key"), row.get("value")
     if not isinstance(key, str) or not isinstance(value, str):
         raise StoreUnavailableError("item has no key or no value")
@@ -238,18 +277,18 @@
         # other items stay usable.
         logger.warning("stored value is not base64", extra={"key": key})
         decoded = b""
-    return Item(key, decoded, _integer(row, "revision"))
+    return Item(key, decoded, compose(era, _integer(row, "revision")))
 
 
-def _decode_event(row: dict[str, Any]) -> Item | Removal:
+def _decode_event(row: dict[str, Any], era: int) -> Item | Removal:
     if row.get("removed"):
         key = row.get("key")
         if not isinstance(key, str):
             raise StoreUnavailableError("removal has no key")
-        return Removal(key, _integer(row, "revision"))
-    return _decode_item(row)
+        return Removal(key, compose(era, _integer(row, "revision")))
+    return _decode_item(row, era)
 
 
 def _encode_put(put: Put) -> dict[str, object]:
     value = base64.b64encode(put.value).decode()
-    return {"key": put.key, "value": value, "lease": put.lease}
+    return {"key": put.key, "value": value, "lease": number_of(put.lease)}
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -14,6 +14,7 @@
     Removal,
     RevisionConflictError,
     StoreUnavailableError,
+    number_of,
 )
 from mangosaddle.platform import PlatformStore, _store
 from platform_standins import (
@@ -158,6 +159,51 @@
     _run_with_store(_scenario)
 
 
+def test_numbers_given_out_again_after_a_restore_are_not_taken_for_former_ones() -> None:
+    """Guards against skipped changes, wrong writes and the lease of another VM."""
+
+    async def _scenario(store: StoreStandIn, client: PlatformStore) -> None:
+        state = store.copy_state()
+        written = await client.write([Put("own/a", b"1")])
+        lease = await client.create_lease(5.0)
+        await store.restore(state)
+        other = PlatformStore(client._address)
+        assert number_of(await other.write([Put("own/a", b"2")])) == number_of(written)
+        other_lease = await other.create_lease(5.0)
+        assert number_of(other_lease) == number_of(lease)
+        await other.write([Put("own/b", b"2", other_lease)])
+        with pytest.raises(HistoryLostError):
+            await client.watch("own/", written, 0.1)
+        with pytest.raises(RevisionConflictError):
+            await client.write([Put("own/a", b"3")], expected=[("own/a", written)])
+        with pytest.raises(LeaseEndedError):
+            await client.write([Put("own/a", b"3", lease)])
+        with pytest.raises(LeaseEndedError):
+            await client.renew_lease(lease)
+        await client.revoke_lease(lease)
+        assert store.keys("own/") == ["own/a", "own/b"]
+        assert (await client.read("own/")).items[0].revision > written
+        other.close()
+
+    _run_with_store(_scenario)
+
+
+def test_a_lease_of_another_vm_is_not_renewed_by_a_vm_that_has_not_heard_of_the_restore() -> None:
+    """Guards against a VM that believes in its entry while it renews the lease of another one."""
+
+    async def _scenario(store: StoreStandIn, client: PlatformStore) -> None:
+        state = store.copy_state()
+        lease = await client.create_lease(5.0)
+        await store.restore(state)
+        other = PlatformStore(client._address)
+        await other.create_lease(5.0)
+        other.close()
+        with pytest.raises(LeaseEndedError):
+            await client.renew_lease(lease)
+
+    _run_with_store(_scenario)
+
+
 def test_a_value_that_is_not_base64_does_not_hide_other_items() -> None:
     """Guards against one undecodable entry that blocks all others."""
 
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -9,6 +9,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+from mangosaddle.coordination import compose
 from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 
 ITEMS_PER_PAGE = 3
@@ -55,7 +56,8 @@
         self.hold_watches = False
         """While set, watches bring no changes, as on connections that have gone silent."""
         self._faults: dict[int, StoreFault] = {}
-        self.revision = 1
+        self._number = 1
+        """Store revision, as responses state it."""
         self.era = 1
         """Number that each response states; it rises by one with each restore."""
         self._items: dict[str, dict[str, Any]] = {}
@@ -102,6 +104,11 @@
             self._changed.notify_all()
         return self.revision
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the latest change as the product sees it."""
+        return compose(self.era, self._number)
+
     async def remove(self, key: str) -> None:
         """Remove a key like the operator or a runner."""
         async with self._changed:
@@ -114,9 +121,9 @@
         return base64.b64decode(item["value"]) if item is not None else None
 
     def revision_of(self, key: str) -> int:
-        """Return the revision of a key's last change, or 0."""
+        """Return the revision of a key's last change as the product sees it, or 0."""
         item = self._items.get(key)
-        return int(item["revision"]) if item is not None else 0
+        return compose(self.era, int(item["revision"])) if item is not None else 0
 
     def keys(self, prefix: str = "") -> list[str]:
         """Return the keys below a prefix."""
@@ -126,13 +133,13 @@
         """Discard the change history and wake pending watches."""
         async with self._changed:
             self._history.clear()
-            self._oldest_kept_revision = self.revision + 1
+            self._oldest_kept_revision = self._number + 1
             self._changed.notify_all()
 
     def copy_state(self) -> StoreCopy:
         """Return a copy of the current state."""
         return StoreCopy(
-            self.revision,
+            self._number,
             copy.deepcopy(self._items),
             copy.deepcopy(self._leases),
             self._next_lease,
@@ -145,12 +152,12 @@
         """
         async with self._changed:
             self.era += 1
-            self.revision = state.revision
+            self._number = state.revision
             self._items = copy.deepcopy(state.items)
             self._leases = copy.deepcopy(state.leases)
             self._next_lease = state.next_lease
             self._history.clear()
-            self._oldest_kept_revision = self.revision + 1
+            self._oldest_kept_revision = self._number + 1
             for server in self._servers:
                 server.abort_connections()
             self._changed.notify_all()
@@ -208,7 +215,7 @@
     ) -> tuple[int, dict[str, Any]]:
         if path == "/api/kv-key":
             item = self._items.get(parameters["key"])
-            return (404, {}) if item is None else (200, item | {"store_revision": self.revision})
+            return (404, {}) if item is None else (200, item | {"store_revision": self._number})
         if path == "/api/kv-range":
             return self._range(parameters)
         if path == "/api/kv-watch":
@@ -223,7 +230,7 @@
         keys = [key for key in self.keys(parameters["prefix"]) if key > after]
         page = [self._items[key] for key in keys[:ITEMS_PER_PAGE]]
         more = len(keys) > ITEMS_PER_PAGE
-        return 200, {"items": page, "more_pages": more, "store_revision": self.revision}
+        return 200, {"items": page, "more_pages": more, "store_revision": self._number}
 
     async def _watch(self, parameters: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after, prefix = int(parameters["after"]), parameters["prefix"]
@@ -249,10 +256,10 @@
                 pass
             if not self._keeps_history_since(after):
                 return 410, {}
-            return 200, {"events": _events(), "store_revision": self.revision}
+            return 200, {"events": _events(), "store_revision": self._number}
 
     def _keeps_history_since(self, revision: int) -> bool:
-        return self._oldest_kept_revision - 1 <= revision <= self.revision
+        return self._oldest_kept_revision - 1 <= revision <= self._number
 
     def _modify(self, method: str, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if path == "/api/kv-lease":
@@ -282,15 +289,15 @@
             self._put(row["key"], row["value"], row["lease"])
         for key in body["remove"]:
             self._remove(key)
-        return 200, {"revision": self.revision}
+        return 200, {"revision": self._number}
 
     def _put(self, key: str, value: str, lease: int) -> None:
-        self.revision += 1
-        created = self._items[key]["created"] if key in self._items else self.revision
+        self._number += 1
+        created = self._items[key]["created"] if key in self._items else self._number
         item = {
             "key": key,
             "value": value,
-            "revision": self.revision,
+            "revision": self._number,
             "created": created,
             "lease": lease,
         }
@@ -304,5 +311,5 @@
     def _remove(self, key: str) -> None:
         if self._items.pop(key, None) is None:
             return
-        self.revision += 1
-        self._history.append({"key": key, "revision": self.revision, "removed": True})
+        self._number += 1
+        self._history.append({"key": key, "revision": self._number, "removed": True})
