Keep what is known against the outdated copy of a restored store

What callers see: for some seconds after a restore the store shows the state of its copy. An evacuated zone got requests again, an endpoint that had left was used, and a VM that started then took an older configuration although the other VMs knew a newer one.

Class: an older state of the store is taken for a newer one.

Items whose writers number them (versions of the configuration, start time and sequence of endpoints) are ordered by that; of others, a lower revision number than the known one may be a copy. Missing and outdated keys are held back until their writers have had the time to write them again (operator 3 s, endpoints 2.3 and 6 s, VMs 8 s); a change that a watch has seen takes effect at once, and relayed changes say whether they were seen so. Relayed items of an era stay beside those of the one before, so that a VM that starts from a copy learns from the others what came after it.

The guard has tables of its own.

--- a/src/mangosaddle/coordination/__init__.py
+++ b/src/mangosaddle/coordination/__init__.py
@@ -9,31 +9,29 @@
     StoreUnavailableError,
 )
 from ._prefix_watcher import PrefixListener, PrefixWatcher
-from ._revisions import NUMBER_BITS, compose, era_of, number_of, start_order
+from ._restore_guard import HoldTimes, ItemOrder, RestoreGuard
 from ._store import Changes, CoordinationStore, Item, Put, Removal, Snapshot
 from ._vm_registration import LEASE_TTL_S, VmRecord, VmRegistration
 
 __all__ = [
     "LEASE_TTL_S",
-    "NUMBER_BITS",
     "Changes",
     "CoordinationError",
     "CoordinationStore",
     "HistoryLostError",
+    "HoldTimes",
     "Item",
+    "ItemOrder",
     "LeaseEndedError",
     "OutcomeUnknownError",
     "PrefixListener",
     "PrefixWatcher",
     "Put",
     "Removal",
+    "RestoreGuard",
     "RevisionConflictError",
     "Snapshot",
     "StoreUnavailableError",
     "VmRecord",
     "VmRegistration",
-    "compose",
-    "era_of",
-    "number_of",
-    "start_order",
 ]
--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from .._store_revisions import era_of
 from ._exceptions import CoordinationError, HistoryLostError
-from ._revisions import era_of
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
 WATCH_TIMEOUT_S = 25.0
--- /dev/null
+++ b/src/mangosaddle/coordination/_restore_guard.py
@@ -0,0 +1,173 @@
+"""Decides what of a restored store's content may be older than what is already known.
+
+For some seconds after a restore, the store shows the state of its copy: items that have changed
+since, and gaps where keys were written since. Their writers write them again; until then, what is
+known from before the restore holds.
+"""
+
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .._store_revisions import era_of, number_of
+from ._store import Item, Removal, Snapshot
+
+ItemOrder = Callable[[Item], tuple[int, ...] | None]
+"""Returns an item's place in its writer's own order, or ``None`` if the writer states none."""
+REMOVAL_RETENTION_S = 120.0
+"""Time for which a removal is remembered: longer than the age of a copy."""
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class HoldTimes:
+    """Time in seconds that writers get to write their keys again after a restore."""
+
+    missing_s: float
+    """Time for which a key that the restored store lacks is kept."""
+    outdated_s: float
+    """Time for which an item that may be an outdated copy is ignored."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    event: Item | Removal
+    """Latest change of the key that was admitted."""
+    last_item: Item | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    event: Item | Removal
+    due_s: float
+
+
+class RestoreGuard:
+    """Filters what is read below one prefix; must only be used by one thread."""
+
+    def __init__(
+        self,
+        hold_times: HoldTimes,
+        order_of: ItemOrder = lambda item: None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create the guard without knowledge."""
+        self._hold_times = hold_times
+        self._order_of = order_of
+        self._clock = clock
+        self._known_by_key: dict[str, _Known] = {}
+        self._held_by_key: dict[str, _Held] = {}
+        self._removals: deque[tuple[float, str]] = deque()
+        """Times and keys of the removals, oldest first."""
+
+    def filter_snapshot(self, snapshot: Snapshot) -> Snapshot:
+        """Return the snapshot with known items in place of what may be an outdated copy."""
+        era = era_of(snapshot.revision)
+        present = {item.key for item in snapshot.items}
+        admitted = map(self._admit_item, snapshot.items)
+        items = [item for item in admitted if item is not None]
+        for key, known in list(self._known_by_key.items()):
+            if key in present:
+                continue
+            if isinstance(known.event, Removal):
+                continue
+            removal = Removal(key, snapshot.revision)
+            if era_of(known.event.revision) < era:
+                self._hold(removal)
+                items.append(known.event)
+            else:
+                self._record(removal)
+        return Snapshot(tuple(items), snapshot.revision)
+
+    def admits(self, event: Item | Removal, *, observed: bool) -> bool:
+        """Return whether a change may be applied.
+
+        ``observed`` tells that it was seen as a change, so that it is no part of a copy.
+        """
+        known = self._known_by_key.get(event.key)
+        if known is not None and not observed and self._may_be_outdated(known, event):
+            self._hold(event)
+            return False
+        self._record(event)
+        return True
+
+    def supersedes_known(self, item: Item) -> bool:
+        """Return whether the writer wrote an item after the one that is known."""
+        known = self._known_by_key.get(item.key)
+        if known is None or isinstance(known.event, Removal):
+            return False
+        order, known_order = self._order_of(item), self._order_of(known.event)
+        return order is not None and known_order is not None and order > known_order
+
+    def release_due(self) -> list[Item | Removal]:
+        """Return what was held back for long enough, and is to be applied now."""
+        now = self._clock()
+        due = [held.event for held in self._held_by_key.values() if held.due_s <= now]
+        for event in due:
+            self._record(event)
+            logger.info(
+                "store content accepted after a restore",
+                extra={"key": event.key, "removed": isinstance(event, Removal)},
+            )
+        return due
+
+    def _admit_item(self, item: Item) -> Item | None:
+        """Return the item that holds for a key of a snapshot, or ``None`` if none does."""
+        known = self._known_by_key.get(item.key)
+        if known is None or not self._may_be_outdated(known, item):
+            self._record(item)
+            return item
+        self._hold(item)
+        return known.event if isinstance(known.event, Item) else None
+
+    def _may_be_outdated(self, known: _Known, event: Item | Removal) -> bool:
+        """Return whether an event of a later era may show an earlier state than the known one."""
+        if era_of(event.revision) <= era_of(known.event.revision):
+            return False
+        last = known.last_item
+        if isinstance(event, Item) and last is not None:
+            was_removed = isinstance(known.event, Removal)
+            if event.value == last.value and not was_removed:
+                return False
+            order, last_order = self._order_of(event), self._order_of(last)
+            if order is not None and last_order is not None:
+                return order <= last_order if was_removed else order < last_order
+        # A copy contains no number above those that were seen before.
+        return number_of(event.revision) < number_of(known.event.revision)
+
+    def _record(self, event: Item | Removal) -> None:
+        self._held_by_key.pop(event.key, None)
+        if isinstance(event, Item):
+            self._known_by_key[event.key] = _Known(event, event)
+            return
+        known = self._known_by_key.get(event.key)
+        self._known_by_key[event.key] = _Known(event, known.last_item if known else None)
+        now = self._clock()
+        self._removals.append((now, event.key))
+        while now - self._removals[0][0] > REMOVAL_RETENTION_S:
+            _, key = self._removals.popleft()
+            former = self._known_by_key.get(key)
+            if former is not None and isinstance(former.event, Removal):
+                del self._known_by_key[key]
+
+    def _hold(self, event: Item | Removal) -> None:
+        held = self._held_by_key.get(event.key)
+        is_removal = isinstance(event, Removal)
+        if held is None:
+            hold_s = self._hold_times.missing_s if is_removal else self._hold_times.outdated_s
+            due_s = self._clock() + hold_s
+            logger.info(
+                "store content held back after a restore",
+                extra={
+                    "key": event.key,
+                    "removed": is_removal,
+                    "revision": number_of(event.revision),
+                    "known": number_of(self._known_by_key[event.key].event.revision),
+                },
+            )
+        else:
+            due_s = held.due_s
+        self._held_by_key[event.key] = _Held(event, due_s)
--- a/src/mangosaddle/coordination/_store.py
+++ b/src/mangosaddle/coordination/_store.py
@@ -1,6 +1,6 @@
 """Interface of the key-value store, implemented by an adapter.
 
-Revisions and leases are composed of the store's own numbers and its era (``_revisions``).
+Revisions and leases are composed of the store's own numbers and its era (``_store_revisions``).
 """
 
 from collections.abc import Sequence
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -15,16 +15,19 @@
 from .._prompt_quarantine import PromptQuarantine
 from .._quarantine import Quarantine
 from .._retry_budget import RetryBudget, reserve_per_vm
+from .._store_revisions import start_order
 from .._tasks import BackgroundTasks
 from ..coordination import (
+    LEASE_TTL_S,
     CoordinationError,
     CoordinationStore,
+    HoldTimes,
     PrefixWatcher,
     Put,
+    RestoreGuard,
     RevisionConflictError,
     VmRecord,
     VmRegistration,
-    start_order,
 )
 from ..http11 import ConnectionPool, HttpServer, ServerExchange, ServerLimits
 from ..membership import VmIdentity
@@ -57,7 +60,12 @@
 from ._rollouts import ROLLOUT_PROGRESS, ROLLOUT_VETO, TICK_S, RolloutTracker
 from ._runner import RequestRunner
 from ._settings import EntryProcessSettings
-from ._store_listeners import OperatorListener, RegistrationListener, VmEntryListener
+from ._store_listeners import (
+    LAPSE_GRACE_S,
+    OperatorListener,
+    RegistrationListener,
+    VmEntryListener,
+)
 from ._store_relay import STORE_ITEM, StoreRelay
 from ._watch_policy import WatchPolicy
 
@@ -91,6 +99,13 @@
 TAKEN_OVER_AFTER_S = 2.5
 """Pause after which other VMs may have suspected this one and taken over its buckets."""
 HOUSEKEEPING_INTERVAL_S = 0.5
+OPERATOR_HOLD_TIMES = HoldTimes(missing_s=3.0, outdated_s=3.0)
+"""The operator writes its keys again as soon as the store is back. An order that it withdraws in
+that moment has to take effect within 5 s."""
+REGISTRATION_HOLD_TIMES = HoldTimes(missing_s=LAPSE_GRACE_S, outdated_s=6.0)
+"""Live endpoints write again within 2 s; the entry of one that has left disappears with its missed
+heartbeats."""
+VM_ENTRY_HOLD_TIMES = HoldTimes(missing_s=LEASE_TTL_S, outdated_s=LEASE_TTL_S)
 SECRET_RETRY_S = 0.3
 """Pause between attempts to read the peer secret."""
 REFUSE_AFTER_S = 3.0
@@ -246,18 +261,20 @@
         )
         self._relay = StoreRelay(self._rng)
         followed = (
-            (
-                adapter.operator_prefix,
-                self._relay.wrap_listener(adapter.operator_prefix, self._operator_listener),
-            ),
-            (
-                adapter.registration_prefix,
-                self._relay.wrap_listener(adapter.registration_prefix, self._registration_listener),
-            ),
-            (VM_PREFIX, self._relay.wrap_listener(VM_PREFIX, self._vm_entry_listener)),
+            (adapter.operator_prefix, self._operator_listener, OPERATOR_HOLD_TIMES),
+            (adapter.registration_prefix, self._registration_listener, REGISTRATION_HOLD_TIMES),
+            (VM_PREFIX, self._vm_entry_listener, VM_ENTRY_HOLD_TIMES),
         )
         self._followers = [
-            PrefixWatcher(self._store, prefix, listener, self._rng) for prefix, listener in followed
+            PrefixWatcher(
+                self._store,
+                prefix,
+                self._relay.wrap_listener(
+                    prefix, listener, RestoreGuard(hold_times, adapter.item_order, self._clock)
+                ),
+                self._rng,
+            )
+            for prefix, listener, hold_times in followed
         ]
         self.pause_guard.watch(self._followers)
         self._rollout_records = RolloutRecords(
@@ -520,6 +537,7 @@
         now = self._clock()
         self._registration_listener.remove_due()
         self._vm_entry_listener.remove_due()
+        self._relay.release_held()
         self.fleet.record_served_regions()
         self._pool.close_expired()
         for view in self.endpoints.views():
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -7,7 +7,8 @@
 
 from .._entities import Vm
 from .._identifiers import RegionName, VmId, ZoneName
-from ..coordination import VmRecord, start_order
+from .._store_revisions import start_order
+from ..coordination import VmRecord
 from ..membership import VmState
 from ..peers import PeerNode
 from ._vm_reports import identity_hash
--- a/src/mangosaddle/entry/_platform_adapter.py
+++ b/src/mangosaddle/entry/_platform_adapter.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from .._identifiers import EndpointId
+from ..coordination import ItemOrder
 from ..http11 import ServerExchange
 from ._discovery import Discovery
 from ._rollout_records import RolloutCodec
@@ -34,6 +35,7 @@
     """Prefix of the store keys under which endpoints register."""
     decode_registration: DecodeRegistration
     endpoint_of_key: Callable[[str], EndpointId]
+    item_order: ItemOrder
     rollouts: RolloutCodec
     create_interface_handler: Callable[[Discovery, Callable[[], bool]], InterfaceHandler]
     """Creates the handler from the discovery and a function that tells whether this VM is ready."""
--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -6,14 +6,16 @@
 import zlib
 from dataclasses import dataclass
 
-from ..coordination import Item, PrefixListener, Removal, Snapshot
+from .._store_revisions import era_of
+from ..coordination import Item, PrefixListener, Removal, RestoreGuard, Snapshot
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import EncodeError, PeerNode
 
 STORE_ITEM = FactKind("stored_item", HIGHEST_VERSION, lifetime_s=3600.0)
-"""A store key as one VM has read it; the fact's version is the store revision. The lifetime bounds
-the size of the fact table when many endpoints come and go; VMs that reach the store do not need
-these facts."""
+"""A store key as one VM has read it; the fact's version is the store revision. The era is part of
+the key, so that what was known before a restore is kept beside what was read after it. The lifetime
+bounds the size of the fact table when many endpoints come and go; VMs that reach the store do not
+need these facts."""
 MAX_RELAY_DELAY_S = 0.3
 """Maximum random delay before an item is relayed: by then another VM has usually relayed it."""
 LAPSE_RELAY_DELAY_S = 2.3
@@ -23,6 +25,9 @@
 """Maximum size of a relayed value after decompression; the store holds values of up to 1 MiB."""
 PRESENT, ABSENT = b"\x01", b"\x00"
 """First byte of the payload: whether the key exists."""
+OBSERVED = 2
+"""Added to the first byte if the change was seen by a watch, so that it is no part of a copy from
+which the store was restored."""
 
 logger = logging.getLogger(__name__)
 
@@ -30,6 +35,8 @@
 @dataclass(slots=True)
 class _FollowedPrefix:
     listener: PrefixListener
+    guard: RestoreGuard | None
+    """Guards against outdated content of a restored store; ``None`` if the listener does."""
     snapshot_revision: int = 0
     """Revision of the latest snapshot, which includes all older changes."""
 
@@ -46,9 +53,11 @@
         self._unsent_by_key: dict[str, Item | Removal] = {}
         """Latest change of each key whose relay delay has ended before there were links."""
 
-    def wrap_listener(self, prefix: str, listener: PrefixListener) -> PrefixListener:
+    def wrap_listener(
+        self, prefix: str, listener: PrefixListener, guard: RestoreGuard | None = None
+    ) -> PrefixListener:
         """Return a follower listener that relays what it reads and passes it to ``listener``."""
-        followed = self._followed_by_prefix[prefix] = _FollowedPrefix(listener)
+        followed = self._followed_by_prefix[prefix] = _FollowedPrefix(listener, guard)
         return _RelayingListener(self, prefix, followed)
 
     def connect(self, node: PeerNode) -> None:
@@ -62,13 +71,20 @@
         for event in unsent.values():
             self._schedule(event, 0.0)
 
-    def relay_if_new(self, event: Item | Removal) -> bool:
+    def release_held(self) -> None:
+        """Apply what was held back after a restore of the store and has not been replaced since."""
+        for followed in self._followed_by_prefix.values():
+            for event in followed.guard.release_due() if followed.guard is not None else ():
+                if self.relay_if_new(event):
+                    followed.listener.handle_change(event)
+
+    def relay_if_new(self, event: Item | Removal, *, observed: bool = False) -> bool:
         """Schedule the relay of a change read from the store; return whether it is new."""
         known = self._revisions_by_key.get(event.key, 0)
         if event.revision <= known:
             return False
         self._revisions_by_key[event.key] = event.revision
-        self._schedule(event, 0.0)
+        self._schedule(event, 0.0, observed=observed)
         return True
 
     def relay_missing(self, prefix: str, snapshot: Snapshot, *, after_outage: bool) -> None:
@@ -80,49 +96,71 @@
         if self._node is None:
             return
         present = {item.key for item in snapshot.items}
+        latest_by_key: dict[str, Fact] = {}
         for fact in self._node.facts.facts(STORE_ITEM.name):
-            is_missing = fact.key.startswith(prefix) and fact.key not in present
-            if is_missing and fact.version < snapshot.revision and fact.payload[:1] == PRESENT:
-                removal = Removal(fact.key, snapshot.revision)
+            key = _stored_key(fact)
+            latest = latest_by_key.get(key)
+            if key.startswith(prefix) and (latest is None or latest.version < fact.version):
+                latest_by_key[key] = fact
+        for key, fact in latest_by_key.items():
+            is_missing = key not in present and fact.version < snapshot.revision
+            if is_missing and _kind(fact.payload) == PRESENT:
+                removal = Removal(key, snapshot.revision)
                 self._schedule(removal, LAPSE_RELAY_DELAY_S if after_outage else 0.0)
 
-    def _schedule(self, event: Item | Removal, min_delay_s: float) -> None:
+    def _schedule(
+        self, event: Item | Removal, min_delay_s: float, *, observed: bool = False
+    ) -> None:
         delay_s = min_delay_s + self._rng.uniform(0.0, MAX_RELAY_DELAY_S)
-        asyncio.get_running_loop().call_later(delay_s, self._publish, event)
+        asyncio.get_running_loop().call_later(delay_s, self._publish, event, observed)
 
-    def _publish(self, event: Item | Removal) -> None:
+    def _publish(self, event: Item | Removal, observed: bool = False) -> None:
         if self._node is None:
             self._unsent_by_key[event.key] = event
             return
-        known = self._node.facts.find(STORE_ITEM.name, event.key)
+        fact_key = _fact_key(event)
+        known = self._node.facts.find(STORE_ITEM.name, fact_key)
         if known is not None and known.version >= event.revision:
             return
-        payload = ABSENT
-        if isinstance(event, Item):
-            payload = PRESENT + zlib.compress(event.value)
+        payload = _encode(event, observed=observed)
         try:
-            fact = self._node.new_fact(STORE_ITEM.name, event.key, event.revision, payload)
+            fact = self._node.new_fact(STORE_ITEM.name, fact_key, event.revision, payload)
         except EncodeError as error:
             logger.warning("cannot relay store item", extra={"key": event.key, "cause": str(error)})
             return
         self._node.publish(fact)
 
+    def _find_followed(self, key: str) -> _FollowedPrefix | None:
+        return next(
+            (f for prefix, f in self._followed_by_prefix.items() if key.startswith(prefix)), None
+        )
+
     def _on_fact(self, fact: Fact) -> None:
         """Pass an item that another VM has read to its listener unless it is already known."""
-        followed = next(
-            (f for prefix, f in self._followed_by_prefix.items() if fact.key.startswith(prefix)),
-            None,
-        )
-        known = self._revisions_by_key.get(fact.key, 0)
-        if followed is None or fact.version <= max(known, followed.snapshot_revision):
+        key = _stored_key(fact)
+        followed = self._find_followed(key)
+        if followed is None:
+            return
+        known = max(self._revisions_by_key.get(key, 0), followed.snapshot_revision)
+        is_of_earlier_era = era_of(fact.version) < era_of(known)
+        if fact.version <= known and not is_of_earlier_era:
             return
         event = _decode(fact)
         if event is None:
             return
-        self._revisions_by_key[fact.key] = fact.version
+        guard = followed.guard
+        if is_of_earlier_era:
+            # This VM has read the copy of a restored store, and the other one what came after it.
+            if guard is None or isinstance(event, Removal) or not guard.supersedes_known(event):
+                return
+            guard.admits(event, observed=True)
+        else:
+            if guard is not None and not guard.admits(event, observed=_is_observed(fact)):
+                return
+            self._revisions_by_key[key] = fact.version
         logger.info(
             "received relayed store item",
-            extra={"key": fact.key, "revision": fact.version, "from_vm": fact.origin},
+            extra={"key": key, "revision": fact.version, "from_vm": fact.origin},
         )
         followed.listener.handle_change(event)
 
@@ -135,6 +173,8 @@
 
     def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
         """Relay the items that are new and pass on the snapshot."""
+        if self._followed.guard is not None:
+            snapshot = self._followed.guard.filter_snapshot(snapshot)
         self._followed.snapshot_revision = max(self._followed.snapshot_revision, snapshot.revision)
         for item in snapshot.items:
             self._relay.relay_if_new(item)
@@ -143,7 +183,9 @@
 
     def handle_change(self, event: Item | Removal) -> None:
         """Relay a change and pass it on if it is new."""
-        if self._relay.relay_if_new(event):
+        if self._relay.relay_if_new(event, observed=True):
+            if self._followed.guard is not None:
+                self._followed.guard.admits(event, observed=True)
             self._followed.listener.handle_change(event)
         else:
             # Usually another VM has relayed the change before.
@@ -152,11 +194,35 @@
             )
 
 
+def _fact_key(event: Item | Removal) -> str:
+    era = era_of(event.revision)
+    return f"{era}:{event.key}" if era else event.key
+
+
+def _stored_key(fact: Fact) -> str:
+    return fact.key.removeprefix(f"{era_of(fact.version)}:")
+
+
+def _encode(event: Item | Removal, *, observed: bool) -> bytes:
+    kind, value = (
+        (PRESENT, zlib.compress(event.value)) if isinstance(event, Item) else (ABSENT, b"")
+    )
+    return bytes([kind[0] + (OBSERVED if observed else 0)]) + value
+
+
+def _is_observed(fact: Fact) -> bool:
+    return bool(fact.payload) and bool(fact.payload[0] & OBSERVED)
+
+
+def _kind(payload: bytes) -> bytes:
+    return bytes([payload[0] & ~OBSERVED]) if payload else b""
+
+
 def _decode(fact: Fact) -> Item | Removal | None:
-    if fact.payload[:1] == ABSENT:
-        return Removal(fact.key, fact.version)
+    if _kind(fact.payload) == ABSENT:
+        return Removal(_stored_key(fact), fact.version)
     try:
-        return Item(fact.key, _decompress(fact.payload), fact.version)
+        return Item(_stored_key(fact), _decompress(fact.payload), fact.version)
     except (ValueError, zlib.error) as error:
         logger.warning(
             "cannot decode relayed store item",
@@ -167,7 +233,7 @@
 
 def _decompress(payload: bytes) -> bytes:
     """Return the value of an existing key; raises ``ValueError`` and ``zlib.error``."""
-    if payload[:1] != PRESENT:
+    if _kind(payload) != PRESENT:
         raise ValueError(f"unknown format {payload[:1]!r}")
     decompressor = zlib.decompressobj()
     value = decompressor.decompress(payload[1:], MAX_VALUE_BYTES)
--- a/src/mangosaddle/platform/_run.py
+++ b/src/mangosaddle/platform/_run.py
@@ -19,6 +19,7 @@
     evacuated_zone,
 )
 from ._interfaces import PlatformInterfaceHandler
+from ._item_order import item_order
 from ._registrations import REGISTRATION_PREFIX, decode_registration, endpoint_of_key
 from ._settings import load_settings
 from ._store import PlatformStore
@@ -41,6 +42,7 @@
         registration_prefix=REGISTRATION_PREFIX,
         decode_registration=decode_registration,
         endpoint_of_key=endpoint_of_key,
+        item_order=item_order,
         rollouts=rollouts,
         create_interface_handler=PlatformInterfaceHandler,
     )
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -9,8 +9,8 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from .._store_revisions import NUMBER_BITS, compose, era_of, number_of
 from ..coordination import (
-    NUMBER_BITS,
     Changes,
     HistoryLostError,
     Item,
@@ -21,9 +21,6 @@
     RevisionConflictError,
     Snapshot,
     StoreUnavailableError,
-    compose,
-    era_of,
-    number_of,
 )
 from ..http11 import (
     ConnectFailedError,
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from mangosaddle._identifiers import EndpointId
 from platform_standins import (
     Fleet,
@@ -87,3 +89,69 @@
             await wait_until(lambda: cut_off.catalogue.version == 4)
 
     run_on_empty_fleet(_scenario)
+
+
+def test_an_evacuation_that_a_copy_lacks_stays_in_force_until_it_is_written_again() -> None:
+    """Guards against requests to an evacuated zone while its order is lost with the restore."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        registry = vm.endpoints.registry
+        state = fleet.store.copy_state()
+        await fleet.store.put("op/evacuate/east-a", {})
+        await wait_until(lambda: registry.evacuated_zones)
+        await _restore(fleet, state)
+        assert registry.evacuated_zones
+        await fleet.store.put("op/evacuate/east-a", {})
+        await asyncio.sleep(0.2)
+        assert registry.evacuated_zones
+        await fleet.store.remove("op/evacuate/east-a")
+        await wait_until(lambda: not registry.evacuated_zones)
+
+    run_on_default_fleet(_scenario)
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_an_endpoint_that_has_left_is_not_used_again_after_a_restore(is_removed: bool) -> None:
+    """Guards against requests to an endpoint that the copy shows as ready."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        runner = fleet.runners["desk-1"]
+        registry = vm.endpoints.registry
+        endpoint = EndpointId("desk-1")
+
+        def _takes_work() -> bool:
+            row = registry.find(endpoint)
+            return row is not None and registry.takes_work(row)
+
+        state = fleet.store.copy_state()
+        await fleet.store.put(runner.key, runner.entry(seq=2, state="draining"))
+        if is_removed:
+            await fleet.store.remove(runner.key)
+        await wait_until(lambda: not _takes_work())
+        await _restore(fleet, state)
+        await asyncio.sleep(0.2)
+        assert not _takes_work()
+        await fleet.store.put(runner.key, runner.entry(seq=1, born=1_700_000_100_000))
+        await wait_until(_takes_work)
+
+    run_on_default_fleet(_scenario)
+
+
+def test_a_vm_that_starts_from_an_outdated_copy_learns_the_configuration_from_other_vms() -> None:
+    """Guards against a configuration that comes back older at a VM that has just started."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", default_configuration())
+        first = await fleet.add_vm("vm-1")
+        await fleet.wait_until_ready()
+        state = fleet.store.copy_state()
+        await fleet.store.put("op/config", default_configuration(2))
+        await wait_until(lambda: first.catalogue.version == 2)
+        await _restore(fleet, state)
+        started = await fleet.add_vm("vm-2")
+        await wait_until(lambda: started.catalogue.version == 2)
+        assert first.catalogue.version == 2
+
+    run_on_empty_fleet(_scenario)
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mangosaddle._identifiers import EndpointId
+from mangosaddle._store_revisions import number_of
 from mangosaddle.coordination import (
     HistoryLostError,
     LeaseEndedError,
@@ -14,7 +15,6 @@
     Removal,
     RevisionConflictError,
     StoreUnavailableError,
-    number_of,
 )
 from mangosaddle.platform import PlatformStore, _store
 from platform_standins import (
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -9,7 +9,7 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from mangosaddle.coordination import compose
+from mangosaddle._store_revisions import compose
 from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 
 ITEMS_PER_PAGE = 3
