Write the peer secret again when the store has lost it

What callers see: after a restore from a copy older than the secret, a VM that starts creates another secret and gets no link: it is named to callers by nobody but itself, has no part of the allowances and hears no relayed change.

Cause: the secret was written once and taken to last for ever. Class: what the system itself has written is not written again after a restore.

Change: VMs that notice a new era write their secret again, after a random delay of up to 1 s; a VM that starts waits up to 5 s for that unless the fleet is new; if the store has another secret all use that one for new links. The secret's part of the entry process is a module of its own.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -19,13 +19,10 @@
 from .._tasks import BackgroundTasks
 from ..coordination import (
     LEASE_TTL_S,
-    CoordinationError,
     CoordinationStore,
     HoldTimes,
     PrefixWatcher,
-    Put,
     RestoreGuard,
-    RevisionConflictError,
     VmRecord,
     VmRegistration,
 )
@@ -54,6 +51,7 @@
 from ._load_reports import ENDPOINT_LOAD, FLEET_REPORT, LOAD_INTERVAL_S, LoadReports
 from ._pause_guard import CHECK_INTERVAL_S as PAUSE_CHECK_INTERVAL_S
 from ._pause_guard import PauseGuard
+from ._peer_secret import PeerSecret
 from ._platform_adapter import PlatformAdapter
 from ._prober import CHECK_INTERVAL_S, Prober
 from ._rollout_records import RolloutRecords
@@ -84,7 +82,6 @@
 STORE_PREFIX = "mangosaddle/"
 VM_PREFIX = STORE_PREFIX + "vms/"
 PEER_SECRET_KEY = STORE_PREFIX + "peer-secret"
-PEER_SECRET_BYTES = 32
 PEER_TIMINGS = PeerTimings(
     heartbeat_interval_s=1.0, dial_timeout_s=2.0, backoff_max_s=2.0, idle_timeout_s=20.0
 )
@@ -99,6 +96,9 @@
 TAKEN_OVER_AFTER_S = 2.5
 """Pause after which other VMs may have suspected this one and taken over its buckets."""
 HOUSEKEEPING_INTERVAL_S = 0.5
+MAX_RESTORE_DELAY_S = 1.0
+"""Maximum random delay after which a VM checks what a restored store has lost: by then another VM
+has usually written it again."""
 OPERATOR_HOLD_TIMES = HoldTimes(missing_s=3.0, outdated_s=3.0)
 """The operator writes its keys again as soon as the store is back. An order that it withdraws in
 that moment has to take effect within 5 s."""
@@ -106,8 +106,6 @@
 """Live endpoints write again within 2 s; the entry of one that has left disappears with its missed
 heartbeats."""
 VM_ENTRY_HOLD_TIMES = HoldTimes(missing_s=LEASE_TTL_S, outdated_s=LEASE_TTL_S)
-SECRET_RETRY_S = 0.3
-"""Pause between attempts to read the peer secret."""
 REFUSE_AFTER_S = 3.0
 """Time after the stop signal from which new requests are refused: by then callers know that the VM
 stops, and requests accepted before can end within the grace period."""
@@ -144,6 +142,9 @@
         self._tasks = BackgroundTasks()
         self._pool = ConnectionPool()
         self._node: PeerNode | None = None
+        self._peer_secret = PeerSecret(store, PEER_SECRET_KEY, first_start=settings.first_start)
+        self._store_era = 0
+        """Era of the store in which what this VM wrote was last checked."""
         self._leaving = False
         self._last_contact_at_s = self._clock()
         self._assemble_state()
@@ -371,7 +372,8 @@
     async def _join_fleet(self) -> None:
         """Open the links to the other VMs once this one is registered."""
         await self._presence.registered.wait()
-        secret = await self._peer_secret()
+        secret = await self._peer_secret.obtain()
+        self._store_era = self._store.era
         order = start_order(self._presence.revision)
         identity = VmIdentity(self.settings.vm, self._incarnation, order)
         peer_settings = PeerSettings(
@@ -426,22 +428,13 @@
         self._tasks.run_periodically(LOAD_INTERVAL_S, reports.publish)
         logger.info("joined the fleet", extra={"incarnation": self._incarnation})
 
-    async def _peer_secret(self) -> bytes:
-        """Return the shared secret of the links; the first VM of a fleet creates it."""
-        while True:
-            try:
-                item = await self._store.find(PEER_SECRET_KEY)
-                if item is not None:
-                    return item.value
-                await self._store.write(
-                    [Put(PEER_SECRET_KEY, os.urandom(PEER_SECRET_BYTES))],
-                    expected=[(PEER_SECRET_KEY, 0)],
-                )
-            except RevisionConflictError:
-                continue
-            except CoordinationError as error:
-                logger.warning("cannot read the peer secret", extra={"cause": str(error)})
-                await asyncio.sleep(SECRET_RETRY_S)
+    async def _restore_peer_secret(self, node: PeerNode) -> None:
+        """Write the secret of the links to a restored store, or use the one that it has."""
+        await asyncio.sleep(self._rng.uniform(0.0, MAX_RESTORE_DELAY_S))
+        secret = await self._peer_secret.ensure(node.secret)
+        if secret != node.secret:
+            logger.warning("another peer secret is in the store, using it for new links")
+            node.use_secret(secret)
 
     def is_ready(self) -> bool:
         """Return whether this VM accepts requests."""
@@ -535,6 +528,8 @@
 
     def _housekeeping(self) -> None:
         now = self._clock()
+        if self._node is not None and self._store_era != self._store.era:
+            self._on_store_restored(self._node)
         self._registration_listener.remove_due()
         self._vm_entry_listener.remove_due()
         self._relay.release_held()
@@ -550,6 +545,14 @@
         self.allowances.set_isolated(is_isolated, now)
         self.allowances.rebalance(now)
 
+    def _on_store_restored(self, node: PeerNode) -> None:
+        """Write again what a restored store has lost of what the fleet wrote.
+
+        The registration of this VM notices by itself that its lease has ended.
+        """
+        self._store_era = self._store.era
+        self._tasks.spawn(self._restore_peer_secret(node))
+
     def _tick_rollouts(self) -> None:
         """Evaluate the versions of ordered rollouts and write the states that are due."""
         self._rollout_record_follower.set_enabled(bool(self.rollouts.active()))
--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -4,7 +4,7 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -107,6 +107,15 @@
             await self._server.wait_closed()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @property
+    def secret(self) -> bytes:
+        """Return the secret that new links authenticate with."""
+        return self._credentials.secret
+
+    def use_secret(self, secret: bytes) -> None:
+        """Authenticate new links with another secret."""
+        self._credentials = replace(self._credentials, secret=secret)
+
     def update_vms(self, vms_by_id: Mapping[VmId, Vm]) -> None:
         """Replace the inventory and its addresses."""
         self._vms_by_id = dict(vms_by_id)
--- a/src/mangosaddle/peers/_node.py
+++ b/src/mangosaddle/peers/_node.py
@@ -182,6 +182,15 @@
         """Call the listener after each change of links, facts, confirmations or VM states."""
         self._change_listeners.append(listener)
 
+    @property
+    def secret(self) -> bytes:
+        """Return the secret that new links authenticate with."""
+        return self._connector.secret
+
+    def use_secret(self, secret: bytes) -> None:
+        """Authenticate new links with another secret; open links stay."""
+        self._connector.use_secret(secret)
+
     def linked_vms(self) -> frozenset[VmId]:
         """Return the VMs to which a link is open."""
         return frozenset(self._connector.links_by_vm)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -17,6 +17,7 @@
 )
 
 WATCHES_PER_VM = 3
+MAX_WAIT_S = 10.0
 
 
 async def _restore(fleet: Fleet, state: StoreCopy) -> None:
@@ -155,3 +156,56 @@
         assert first.catalogue.version == 2
 
     run_on_empty_fleet(_scenario)
+
+
+async def _two_linked_vms(fleet: Fleet) -> StoreCopy:
+    """Start two linked VMs and return the state of the store before them."""
+    await fleet.store.put("op/config", default_configuration())
+    state = fleet.store.copy_state()
+    await fleet.add_vm("vm-1")
+    await fleet.add_vm("vm-2")
+    await fleet.wait_until_ready()
+    return state
+
+
+def test_a_vm_that_starts_after_a_restore_links_up_with_the_others() -> None:
+    """Guards against a second peer secret, and a process that counts as older than its former."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        state = await _two_linked_vms(fleet)
+        killed = await fleet.kill_vm("vm-2")
+        await _restore(fleet, state)
+        await fleet.restart_vm(killed)
+        await fleet.wait_until_ready()
+        first = fleet.vms["vm-1"]
+        await wait_until(lambda: "vm-2" in {live.vm for live in first.fleet.live()})
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_vms_use_the_peer_secret_that_the_store_has_after_a_restore() -> None:
+    """Guards against VMs that refuse each other for ever after one has created another secret."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        state = await _two_linked_vms(fleet)
+        await fleet.store.restore(state)
+        await fleet.store.put("mangosaddle/peer-secret", b"s" * 32)
+        nodes = [vm.fleet.node for vm in fleet.vms.values()]
+        await wait_until(lambda: all(node and node.secret == b"s" * 32 for node in nodes))
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_vms_register_again_when_their_leases_are_lost_and_given_out_again() -> None:
+    """Guards against a VM that renews the lease of another one while its own entry is gone."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        state = await _two_linked_vms(fleet)
+        await _restore(fleet, state)
+        for name in ("vm-1", "vm-2"):
+            await asyncio.wait_for(fleet.store.wait_for(f"mangosaddle/vms/{name}"), MAX_WAIT_S)
+        leases = [fleet.store.lease_of(f"mangosaddle/vms/{name}") for name in ("vm-1", "vm-2")]
+        assert len(set(leases)) == 2
+        assert all(len(vm.fleet.live()) == 2 for vm in fleet.vms.values())
+
+    run_on_empty_fleet(_scenario)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -125,6 +125,11 @@
         item = self._items.get(key)
         return compose(self.era, int(item["revision"])) if item is not None else 0
 
+    def lease_of(self, key: str) -> int:
+        """Return the lease that a key is attached to, or 0."""
+        item = self._items.get(key)
+        return int(item["lease"]) if item is not None else 0
+
     def keys(self, prefix: str = "") -> list[str]:
         """Return the keys below a prefix."""
         return sorted(key for key in self._items if key.startswith(prefix))
