Restore the store in the soak

Series of restores are drawn from a random sequence of their own, so that the schedules of earlier seeds keep their other faults. Endpoints number their entries, and write them again after a restore, as the operator does.

--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -13,6 +13,8 @@
 
 LATE_COMPLETION_S = 1.0
 """Time after a disturbance during which delayed requests may still finish late."""
+REWRITE_DELAY_S = 0.3
+"""Time after a restore of the store after which its other writers write their entries again."""
 FAULTS_BY_SERVICE = {
     "desk": (
         Behaviour.REJECT,
@@ -67,6 +69,7 @@
             "store_link": self._fail_store_link,
             "history": self._drop_store_history,
             "leases": self._expire_leases,
+            "store_restore": self._restore_store,
             "runner_link": self._fail_runner_link,
             "runner_behaviour": self._change_runner_behaviour,
             "runner_crash": self._crash_runner,
@@ -159,6 +162,13 @@
     async def _expire_leases(self, _fault: PlannedFault) -> None:
         await self._fleet.store.expire_all_leases()
 
+    async def _restore_store(self, fault: PlannedFault) -> None:
+        state = self._fleet.store.copy_state()
+        await asyncio.sleep(fault.duration_s)
+        await self._fleet.store.restore(state)
+        await asyncio.sleep(REWRITE_DELAY_S)
+        await self._fleet.rewrite_entries()
+
     async def _change_runner_behaviour(self, fault: PlannedFault) -> None:
         endpoint = self._target_endpoint(fault)
         kinds = FAULTS_BY_SERVICE[endpoint.runner.service]
@@ -175,8 +185,10 @@
 
     async def _drain_runner(self, fault: PlannedFault) -> None:
         endpoint = self._target_endpoint(fault)
-        await self._fleet.store.put(endpoint.runner.key, endpoint.entry("draining"))
+        endpoint.state = "draining"
+        await self._fleet.store.put(endpoint.runner.key, endpoint.entry())
         await asyncio.sleep(fault.duration_s)
+        endpoint.state = "ready"
         await self._fleet.store.put(endpoint.runner.key, endpoint.entry())
 
     async def _change_configuration(self, _fault: PlannedFault) -> None:
--- a/tests/soak_harness/_fleet.py
+++ b/tests/soak_harness/_fleet.py
@@ -1,9 +1,10 @@
 """Fleet of one run: entry processes, and stand-ins for the store and runners behind proxies."""
 
 import asyncio
+import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -43,10 +44,13 @@
     proxy: LoopbackProxy
     address: tuple[str, int]
     fault: Behaviour | None = None
+    state: str = "ready"
+    _entries: Iterator[int] = field(default_factory=lambda: itertools.count(1))
 
-    def entry(self, state: str = "ready") -> dict[str, object]:
-        """Return the runner's store entry, with the address of the proxy."""
-        return self.runner.entry(address="{}:{}".format(*self.address), state=state)
+    def entry(self) -> dict[str, object]:
+        """Return the runner's next store entry, with the address of the proxy."""
+        address = "{}:{}".format(*self.address)
+        return self.runner.entry(address=address, state=self.state, seq=next(self._entries))
 
 
 @dataclass(slots=True)
@@ -129,6 +133,12 @@
         ]
         await self.store.put("op/config", default | {"routes": routes, "tenants": tenants})
 
+    async def rewrite_entries(self) -> None:
+        """Write what the operator and the runners have in a restored store."""
+        await self.put_configuration()
+        for endpoint in self.endpoints:
+            await self.store.put(endpoint.runner.key, endpoint.entry())
+
     async def wait_until_ready(self, vm: VmProcess, timeout_s: float) -> None:
         """Wait until a VM is ready; raises ``TimeoutError`` after the given time in seconds."""
         end_s = time.monotonic() + timeout_s
--- a/tests/soak_harness/_run.py
+++ b/tests/soak_harness/_run.py
@@ -83,7 +83,8 @@
         self._fleet.version += 1
         self._fleet.has_extra_route = True
         await self._fleet.put_configuration()
-        await self._fleet.store.put(draining_runner.key, draining_endpoint.entry("draining"))
+        draining_endpoint.state = "draining"
+        await self._fleet.store.put(draining_runner.key, draining_endpoint.entry())
         drain_deadline_s = _now() + DRAIN_TIMEOUT_S
         callers.set_keys_by_path(KEYS_BY_PATH | {"/extra/": "key-1"})
         await asyncio.sleep(max(CONFIGURATION_TIMEOUT_S, DRAIN_TIMEOUT_S))
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -1,12 +1,17 @@
 """Schedule of the faults of one run, drawn from its seed."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 FAULT_PHASE_S = 9.0
 """Length of the phase of a run in which faults start."""
 SERIES_LENGTHS = ((1, 0.6), (2, 0.3), (4, 0.1))
 """Pairs of the number of faults in a series and the probability of that number."""
+ADDED_SERIES = 3
+"""Series of a run that are drawn from ``ADDED_FAULT_KINDS``."""
+ADDED_FAULT_KINDS = ("store_restore",)
+"""Kinds that are drawn apart, so that earlier seeds keep their other faults."""
 FAULT_KINDS = (
     "kill",
     "pause",
@@ -42,11 +47,19 @@
 
     A series repeats one kind of fault with a fixed gap; several series may overlap.
     """
-    rng = random.Random(seed)
+    faults = _draw_series(random.Random(seed), FAULT_KINDS, faults_s, series)
+    added = random.Random(f"{seed} added kinds")
+    faults += _draw_series(added, ADDED_FAULT_KINDS, faults_s, ADDED_SERIES)
+    return sorted(faults)
+
+
+def _draw_series(
+    rng: random.Random, kinds: Sequence[str], faults_s: float, series: int
+) -> list[PlannedFault]:
     faults = []
     counts, weights = zip(*SERIES_LENGTHS, strict=True)
     for _ in range(series):
-        kind = rng.choice(FAULT_KINDS)
+        kind = rng.choice(kinds)
         at_s, gap_s = rng.uniform(0.0, faults_s), rng.uniform(0.05, 1.5)
         length = rng.choices(counts, weights)[0]
         for number in range(int(length)):
@@ -59,4 +72,4 @@
                     rng.randrange(1000),
                 )
             )
-    return sorted(faults)
+    return faults
