Log whether an attempt was given up by this VM

A failed attempt had the same line whether the endpoint had broken it off or this VM had given it up because the endpoint was silent.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -82,6 +82,8 @@
     """Whether the connection ended early, which may mean that the endpoint crashed."""
     ended_by_endpoint: bool = False
     """Whether the endpoint closed or reset it; otherwise this VM did, as the endpoint was lost."""
+    given_up: bool = False
+    """Whether this VM ended the attempt because the endpoint was silent."""
 
 
 @dataclass(slots=True)
@@ -168,10 +170,12 @@
                 str(error),
                 connection_lost=True,
                 ended_by_endpoint=error.by_server,
+                given_up=not error.by_server,
             )
         except TimeoutError:
             connection.abort()
-            return AttemptResult(AttemptEnd.BROKEN, "no answer for far longer than usual")
+            cause = "no answer for far longer than usual"
+            return AttemptResult(AttemptEnd.BROKEN, cause, given_up=True)
         except (EndlessResponseError, EventTooLargeError) as error:
             connection.abort()
             _mark_unreachable(view, str(error))
