--- /dev/null
+++ b/tests/platform/test_silent_runners.py
@@ -0,0 +1,109 @@
+"""Runners that fall silent for a while and go on."""
+
+import asyncio
+
+import pytest
+
+from platform_standins import (
+    Behaviour,
+    Fleet,
+    RunnerStandIn,
+    default_configuration,
+    run_on_empty_fleet,
+)
+
+SHORT_SILENCE_S = 1.8
+"""Longer than the time after which the event of a stream is overdue."""
+LONG_SILENCE_S = 2.8
+"""Longer than the time after which a health check of a silent runner has failed."""
+
+
+async def _start(fleet: Fleet, *names: str, **bounds: float) -> list[RunnerStandIn]:
+    """Start a VM and runners; the part of a name before the hyphen is the service."""
+    await fleet.store.put("op/config", default_configuration())
+    runners = [RunnerStandIn(name, name.partition("-")[0], "east-a") for name in names]
+    for runner in runners:
+        await fleet.add_runner(runner)
+    vm = await fleet.add_vm("vm-1", **bounds)
+    await fleet.wait_until_ready()
+    await fleet.wait_for_endpoints(vm, *names)
+    return runners
+
+
+async def _be_silent(runner: RunnerStandIn, silence_s: float) -> None:
+    """Let a runner go on some seconds after its first request, health checks too."""
+    runner.silent_health_checks = True
+    await runner.request_started.wait()
+    await asyncio.sleep(silence_s)
+    runner.release.set()
+
+
+async def _call_review(fleet: Fleet) -> bytes:
+    answer = await fleet.call(
+        fleet.vms["vm-1"], "/review/x", method="POST", body=b"p", token_counts="100,28"
+    )
+    return answer.body
+
+
+@pytest.mark.parametrize("silence_s", [SHORT_SILENCE_S, LONG_SILENCE_S])
+def test_a_begun_stream_is_not_cut_while_no_other_runner_can_go_on(silence_s: float) -> None:
+    """Guards against giving up a stream for a silence when nothing can replace its runner."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        (engine,) = await _start(fleet, "engine-1")
+        engine.behaviour = Behaviour.HOLD_STREAM
+        body, _ = await asyncio.gather(_call_review(fleet), _be_silent(engine, silence_s))
+        assert body.count(b"data:") == 4
+        assert engine.runs_by_request_id.total() == 1
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_a_begun_stream_is_not_cut_while_the_retry_budget_is_used_up() -> None:
+    """Guards against giving up a stream for a silence without the budget to resume it."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        engines = await _start(fleet, "engine-1", "engine-2", retry_ratio=0.0, extra_retries=0.0)
+        for engine in engines:
+            engine.behaviour = Behaviour.HOLD_STREAM
+        call = asyncio.create_task(_call_review(fleet))
+        started = [asyncio.create_task(row.request_started.wait()) for row in engines]
+        await asyncio.wait(started, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.sleep(SHORT_SILENCE_S)
+        for engine in engines:
+            engine.release.set()
+        assert (await call).count(b"data:") == 4
+        assert sum(row.runs_by_request_id.total() for row in engines) == 1
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_an_idempotent_request_is_not_failed_while_no_other_runner_can_serve_it() -> None:
+    """Guards against a failure in place of the answer of a runner that was silent for a while."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        (desk,) = await _start(fleet, "desk-1")
+        desk.behaviour = Behaviour.SLOW
+        answer, _ = await asyncio.gather(
+            fleet.call(fleet.vms["vm-1"], "/read/x"), _be_silent(desk, LONG_SILENCE_S)
+        )
+        assert answer.status == 200
+        assert desk.runs_by_request_id.total() == 1
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_a_begun_stream_moves_to_another_runner_when_one_can_go_on() -> None:
+    """Guards against waiting for a silent runner although another one can replace it."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        engines = await _start(fleet, "engine-1", "engine-2")
+        for engine in engines:
+            engine.behaviour = lambda seen: (
+                Behaviour.STREAM if "last-event-id" in seen.headers else Behaviour.HOLD_STREAM
+            )
+        body = await _call_review(fleet)
+        assert body.count(b"data:") == 4
+        assert sum(row.runs_by_request_id.total() for row in engines) == 2
+
+    run_on_empty_fleet(_scenario)
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -145,6 +145,8 @@
     """Bytes of endless responses that were sent."""
     closed_after_s: list[float] = field(default_factory=list)
     """For each endless response, seconds until the peer closed the connection."""
+    silent_health_checks: bool = False
+    """If set, health checks are answered once ``release`` is set."""
     endless_health_checks: bool = False
     """If set, health checks get an endless response."""
     accepted_connections: int = 0
@@ -277,6 +279,8 @@
 
     async def _answer_health_check(self, writer: asyncio.StreamWriter) -> bool:
         self.health_checks += 1
+        if self.silent_health_checks:
+            await self.release.wait()
         if self.endless_health_checks:
             return await self._send_endlessly(Behaviour.ENDLESS_BODY, "", writer)
         status = b"200 OK" if self.is_healthy else b"503 Unavailable"
