Give up an attempt only once another one can replace it

Callers saw a stream that had begun cut off, or 502 for an idempotent request, after a sound endpoint had been silent for 1.2 s or more; the endpoint was still at work and would have gone on.

Cause: three places decided by the silence alone: the time limit of a stream's events and of the first byte, that of an answer's body, and a failed health check, which ended all attempts at the endpoint that may be repeated at once. Only afterwards was it seen whether attempts, retry budget, time and free endpoints allowed another attempt; if not, the answer was lost although the endpoint would have sent it.

Now the next attempt is placed and charged to the budget first. Without one the attempt goes on and is checked again. The reserved placement is used if none better is found a moment later. Data that has arrived while this process stood still also keeps an attempt.

Ruled out: that the endpoint drops the request when its health check is late; it goes on in the tests.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -29,6 +29,7 @@
     RoutedRequest,
 )
 from ._attempt_timeouts import AttemptTimeouts
+from ._giving_up import GiveUpCheck
 from ._results import AnswerSink
 from ._wire_format import WireFormat
 
@@ -119,7 +120,8 @@
         self.connections_opened = 0
         self._timeouts = AttemptTimeouts()
         self._memory = BodyMemoryBudget(MAX_BUFFERED_BYTES)
-        self._repeatable_connections_by_endpoint: dict[EndpointId, set[UpstreamConnection]] = {}
+        self._checks_by_endpoint: dict[EndpointId, dict[UpstreamConnection, GiveUpCheck]] = {}
+        """Checks of the attempts in progress that may be repeated."""
 
     async def run(
         self,
@@ -128,8 +130,13 @@
         place: LocalPlacement,
         progress: StreamProgress,
         sink: AnswerSink,
+        may_replace: Callable[[], bool] = lambda: False,
     ) -> AttemptResult:
-        """Run one attempt; cancelling it closes the connection, which ends the endpoint's work."""
+        """Run one attempt; cancelling it closes the connection, which ends the endpoint's work.
+
+        ``may_replace`` is called before the attempt is given up for a silence of the endpoint: it
+        reserves another attempt and returns whether there is one. Without one, the wait goes on.
+        """
         view = place.endpoint
         clock = asyncio.get_running_loop().time
         max_idle_s = None if request.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
@@ -155,15 +162,17 @@
             left_s,
             resume_after,
         )
+        check = GiveUpCheck(connection, may_replace)
         if request.route.repeatable:
-            self._repeatable_connections_by_endpoint.setdefault(view.id, set()).add(connection)
+            self._checks_by_endpoint.setdefault(view.id, {})[connection] = check
         try:
             connection.send(encoded)
             sent_at_s = clock()
-            async with asyncio.timeout(self._timeouts.first_byte_timeout_s(request, left_s)):
+            timeout_s = self._timeouts.first_byte_timeout_s(request, left_s)
+            async with check.applied_from(None if timeout_s is None else sent_at_s + timeout_s):
                 head = await connection.head()
             waited_s = clock() - sent_at_s
-            result = await self._receive(request, connection, head, view, progress, sink)
+            result = await self._receive(request, connection, head, view, progress, sink, check)
         except ResponseBrokenError as error:
             return AttemptResult(
                 AttemptEnd.BROKEN,
@@ -194,7 +203,7 @@
             connection.abort()
             raise
         finally:
-            self._repeatable_connections_by_endpoint.get(view.id, set()).discard(connection)
+            self._forget_check(view.id, connection)
         if result.end is AttemptEnd.DELIVERED:
             self._timeouts.record_first_byte(request, waited_s)
         if result.end is AttemptEnd.BROKEN:
@@ -203,12 +212,19 @@
             self._pool.give_back(address, connection)
         return result
 
-    def abort_repeatable(self, endpoint: EndpointId) -> int:
-        """Abort the attempts at a lost endpoint that may be retried elsewhere; return their number.
+    def _forget_check(self, endpoint: EndpointId, connection: UpstreamConnection) -> None:
+        checks = self._checks_by_endpoint.get(endpoint, {})
+        checks.pop(connection, None)
+        if not checks:
+            self._checks_by_endpoint.pop(endpoint, None)
+
+    def abort_replaceable(self, endpoint: EndpointId) -> int:
+        """Abort the attempts at an endpoint that others can replace; return their number.
 
         Other attempts continue: an endpoint that is silent may still be working on them.
         """
-        connections = self._repeatable_connections_by_endpoint.pop(endpoint, set())
+        checks = self._checks_by_endpoint.get(endpoint, {})
+        connections = [connection for connection, check in checks.items() if check()]
         for connection in connections:
             connection.abort()
         return len(connections)
@@ -221,6 +237,7 @@
         view: EndpointView,
         progress: StreamProgress,
         sink: AnswerSink,
+        check: GiveUpCheck,
     ) -> AttemptResult:
         now = asyncio.get_running_loop().time()
         view.health.last_data_at_s = now
@@ -237,7 +254,7 @@
             return AttemptResult(AttemptEnd.BROKEN, "answer is not the endpoint's own")
         if answer.succeeded and request.route.kind is RequestKind.STREAM:
             return await self._receive_stream(
-                request, connection, head, view, answer, progress, sink
+                request, connection, head, view, answer, progress, sink, check
             )
         if not answer.succeeded:
             body = await connection.whole_body(
@@ -247,7 +264,10 @@
         timeout_s = self._timeouts.first_byte_timeout_s(request, request.left_s(now))
         with self._memory.reserve() as reservation:
             body = await connection.whole_body(
-                MAX_BUFFERED_BODY_BYTES, base_timeout_s=timeout_s, reservation=reservation
+                MAX_BUFFERED_BODY_BYTES,
+                base_timeout_s=timeout_s,
+                may_give_up=check,
+                reservation=reservation,
             )
             await sink.send_whole(answer.status, answer.headers, body)
         return AttemptResult(AttemptEnd.DELIVERED, answer=answer)
@@ -261,6 +281,7 @@
         answer: EndpointAnswer,
         progress: StreamProgress,
         sink: AnswerSink,
+        check: GiveUpCheck,
     ) -> AttemptResult:
         clock = asyncio.get_running_loop().time
         progress.splitter.discard_partial_event()
@@ -268,8 +289,7 @@
         timeout_s = self._timeouts.event_timeout_s(request)
         event_at_s = clock()
         while True:
-            deadline_s = None if timeout_s is None else event_at_s + timeout_s
-            async with asyncio.timeout_at(deadline_s):
+            async with check.applied_from(None if timeout_s is None else event_at_s + timeout_s):
                 data = await connection.body()
             if data is None:
                 break
--- a/src/mangosaddle/entry/_prober.py
+++ b/src/mangosaddle/entry/_prober.py
@@ -59,7 +59,7 @@
         finally:
             self._running.discard(view.id)
         if not answered:
-            given_up = self._endpoint_client.abort_repeatable(view.id)
+            given_up = self._endpoint_client.abort_replaceable(view.id)
             self._on_lost(view)
             logger.info(
                 "health check failed",
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable, Collection
 from dataclasses import replace
+from functools import partial
 from typing import Protocol
 
 from prometheus_client import CollectorRegistry, Counter
@@ -152,8 +153,12 @@
         place: LocalPlacement,
         progress: StreamProgress,
         sink: AnswerSink,
+        may_replace: Callable[[], bool],
     ) -> AttemptResult:
-        """Run one attempt and update the state of the endpoint with its outcome."""
+        """Run one attempt and update the state of the endpoint with its outcome.
+
+        ``may_replace`` is described at ``EndpointClient.run``.
+        """
         view = place.endpoint
         now = asyncio.get_running_loop().time()
         attempt_id = self._rollouts.record_start(request, place, now)
@@ -167,7 +172,9 @@
         view.health.last_request_at_s = now
         result: AttemptResult | None = None
         try:
-            result = await self._endpoint_client.run(request, opaque, place, progress, sink)
+            result = await self._endpoint_client.run(
+                request, opaque, place, progress, sink, may_replace
+            )
         finally:
             tokens = view.load.tokens_of(request.id)
             self._rollouts.record_end(attempt_id, result, tokens, asyncio.get_running_loop().time())
@@ -244,6 +251,8 @@
         self._progress = StreamProgress(EventSplitter(opaque.resume_after))
         self._failure: AttemptResult | None = None
         """Latest error response of an endpoint to the request."""
+        self._replacement: LocalPlacement | RemotePlacement | None = None
+        """Reserved placement of the attempt that follows the current one if it is given up."""
 
     async def run_to_end(self) -> RunResult:
         while True:
@@ -251,7 +260,7 @@
             if wait_s is not None:
                 # Another VM, or an attempt of this request, has completed the evidence.
                 return await self._finish_undelivered("prompt_quarantined", wait_s)
-            decision = self._runner.decide(self._request, self._tried, self._tried_regions)
+            decision = self._decide()
             self._log_decision(decision)
             if isinstance(decision, PlacementRefusal):
                 return await self._finish_undelivered(decision.cause.value, decision.retry_after_s)
@@ -262,7 +271,12 @@
                     return ended
                 continue
             result = await self._runner.attempt(
-                self._request, self._opaque, decision, self._progress, self._sink
+                self._request,
+                self._opaque,
+                decision,
+                self._progress,
+                self._sink,
+                partial(self._reserve_replacement, decision.endpoint),
             )
             if result.end is AttemptEnd.DELIVERED:
                 status = result.answer.status if result.answer is not None else 0
@@ -270,6 +284,38 @@
             if not self._may_retry_after(result, decision.endpoint):
                 return await self._finish_undelivered(result.cause, None)
 
+    def _decide(self) -> LocalPlacement | RemotePlacement | PlacementRefusal:
+        """Decide where the next attempt runs; a reserved placement is used rather than none."""
+        decision = self._runner.decide(self._request, self._tried, self._tried_regions)
+        reserved, self._replacement = self._replacement, None
+        return reserved if reserved and isinstance(decision, PlacementRefusal) else decision
+
+    def _reserve_replacement(self, view: EndpointView) -> bool:
+        """Return whether another attempt can replace the one at an endpoint, and charge it."""
+        if self._replacement is not None:
+            return True
+        request = self._request
+        if not request.route.repeatable or not self._allows_attempt_after(self._possible_runs + 1):
+            return False
+        if self._runner.prompt_retry_after_s(request) is not None:
+            return False
+        decision = self._runner.decide(request, {*self._tried, view.id}, self._tried_regions)
+        if isinstance(decision, PlacementRefusal):
+            return False
+        if not self._runner.try_spend_retry(request, sent=True, repeatable=True):
+            return False
+        self._replacement = decision
+        return True
+
+    def _allows_attempt_after(self, possible_runs: int) -> bool:
+        """Return whether limits and time of the request allow an attempt after so many runs."""
+        left_s = self._request.left_s(asyncio.get_running_loop().time())
+        return (
+            possible_runs < self._request.route.attempts
+            and self._placements < MAX_PLACEMENTS
+            and left_s > MIN_ATTEMPT_S
+        )
+
     def _may_retry_after(self, result: AttemptResult, view: EndpointView) -> bool:
         """Record a failed attempt and return whether another one may follow."""
         request = self._request
@@ -281,14 +327,8 @@
         if not proven_not_run:
             self._possible_runs += 1
         repeatable = request.route.repeatable
-        left_s = request.left_s(asyncio.get_running_loop().time())
-        allowed = (
-            (proven_not_run or repeatable)
-            and self._possible_runs < request.route.attempts
-            and self._placements < MAX_PLACEMENTS
-            and left_s > MIN_ATTEMPT_S
-        )
-        if allowed and was_sent:
+        allowed = (proven_not_run or repeatable) and self._allows_attempt_after(self._possible_runs)
+        if allowed and was_sent and self._replacement is None:
             allowed = self._runner.try_spend_retry(
                 request, sent=not proven_not_run, repeatable=repeatable
             )
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Self, cast
 
@@ -42,6 +43,8 @@
 """Maximum body of a late response that is skipped; beyond it a new connection is cheaper."""
 SKIP_TIMEOUT_S = 1.0
 """Maximum time to read a late response after its head; its sender has already completed it."""
+OVERDUE_CHECK_INTERVAL_S = 0.2
+"""Interval at which an overdue body that may not be given up is checked again."""
 MIN_BODY_RATE_BYTES_PER_S = 64 * 1024
 """Rate at which received bytes extend the time limit of a body."""
 
@@ -102,6 +105,8 @@
         self._head_validator = HeadValidator()
         self._deadline_s: float | None = None
         """Event loop time in seconds by which the next bytes must arrive; ``None`` for no limit."""
+        self._may_give_up: Callable[[], bool] | None = None
+        """Tells whether a response may be given up after that time; ``None`` for always."""
         self._wire_bytes = 0
         """Received bytes of the body, including its framing."""
         self._data_bytes = 0
@@ -165,6 +170,11 @@
             and not self._connection_ended
         )
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether received bytes, or the end of the connection, wait to be read."""
+        return bool(self._received) or self._connection_ended
+
     @property
     def response_in_progress(self) -> bool:
         """Return whether a part of the response has arrived and its end has not been read."""
@@ -227,6 +237,7 @@
     def _reset_for_head(self) -> None:
         self._head_validator = HeadValidator()
         self._deadline_s = None
+        self._may_give_up = None
         self._wire_bytes = 0
         self._data_bytes = 0
         self._data_parts = 0
@@ -290,18 +301,21 @@
         limit_bytes: int,
         *,
         base_timeout_s: float | None = None,
+        may_give_up: Callable[[], bool] | None = None,
         reservation: BodyReservation | None = None,
     ) -> bytes:
         """Return the complete rest of the body.
 
         The time limit is ``base_timeout_s`` plus the time that the received bytes take at
-        ``MIN_BODY_RATE_BYTES_PER_S``; ``reservation`` accounts for the memory of the body.
+        ``MIN_BODY_RATE_BYTES_PER_S``. While ``may_give_up`` returns False, the wait goes on after
+        it. ``reservation`` accounts for the memory of the body.
 
         Raises the errors of ``body``, and ``EndlessResponseError`` for a body that exceeds
         ``limit_bytes`` or the time limit, or for which there is no memory.
         """
         body = bytearray()
         started_at_s = asyncio.get_running_loop().time()
+        self._may_give_up = may_give_up
         while True:
             if base_timeout_s is not None:
                 self._deadline_s = (
@@ -366,19 +380,20 @@
 
     async def _wait_for_data(self) -> bool:
         """Wait for bytes; return False at the end of the connection."""
-        if self._received:
-            return True
-        try:
-            async with asyncio.timeout_at(self._deadline_s):
-                while not self._received and not self._connection_ended:
+        while not self.has_unread_data:
+            try:
+                async with asyncio.timeout_at(self._deadline_s):
                     self._parts_since_yield = 0
                     self._data_or_end.clear()
                     await self._data_or_end.wait()
-        except TimeoutError as error:
-            # After a pause of this process, the timeout may expire although bytes have arrived.
-            if not self._received and not self._connection_ended:
-                part = "body" if self._head_validator.complete else "head"
-                raise self._endless_response_error(f"{part} takes too long") from error
+            except TimeoutError as error:
+                # After a pause of this process, the timeout may expire although bytes have arrived.
+                if self.has_unread_data:
+                    break
+                if self._may_give_up is None or self._may_give_up():
+                    part = "body" if self._head_validator.complete else "head"
+                    raise self._endless_response_error(f"{part} takes too long") from error
+                self._deadline_s = asyncio.get_running_loop().time() + OVERDUE_CHECK_INTERVAL_S
         return bool(self._received)
 
     def _head_part(self, data: bytes) -> bytes:
--- a/tests/platform/test_silent_runners.py
+++ b/tests/platform/test_silent_runners.py
@@ -18,13 +18,14 @@
 """Longer than the time after which a health check of a silent runner has failed."""
 
 
-async def _start(fleet: Fleet, *names: str, **bounds: float) -> list[RunnerStandIn]:
+async def _start(fleet: Fleet, *names: str, may_retry: bool = True) -> list[RunnerStandIn]:
     """Start a VM and runners; the part of a name before the hyphen is the service."""
     await fleet.store.put("op/config", default_configuration())
     runners = [RunnerStandIn(name, name.partition("-")[0], "east-a") for name in names]
     for runner in runners:
         await fleet.add_runner(runner)
-    vm = await fleet.add_vm("vm-1", **bounds)
+    ratio, extra = (0.2, 52.0) if may_retry else (0.0, 0.0)
+    vm = await fleet.add_vm("vm-1", retry_ratio=ratio, extra_retries=extra)
     await fleet.wait_until_ready()
     await fleet.wait_for_endpoints(vm, *names)
     return runners
@@ -63,7 +64,7 @@
     """Guards against giving up a stream for a silence without the budget to resume it."""
 
     async def _scenario(fleet: Fleet) -> None:
-        engines = await _start(fleet, "engine-1", "engine-2", retry_ratio=0.0, extra_retries=0.0)
+        engines = await _start(fleet, "engine-1", "engine-2", may_retry=False)
         for engine in engines:
             engine.behaviour = Behaviour.HOLD_STREAM
         call = asyncio.create_task(_call_review(fleet))
