Go on with a forwarded request whose link is lost

Callers saw a begun stream cut off, or 502 for an idempotent request, when the VM in another region that ran the request for theirs was restarted or lost, although the stream could be resumed and the request repeated.

Cause: the forwarding VM took a lost link for the end of the request. Attempts at endpoints were tried again, forwards were not. The other VM cancels the run as soon as the link is lost, so that the request does not run twice at a time.

Now a lost link counts as one attempt, is charged to the retry budget, and is followed by another placement, also at another VM of the same region. Requests that must run once at most still end in 502. How many attempts the other VM had made is not known; it needs a second one rarely.

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -105,7 +105,7 @@
             return RunResult(Ending.NOT_RUN, f"request cannot be forwarded: {error}")
         except LinkLostError as error:
             ending = Ending.TRUNCATED if sink.started else Ending.UNKNOWN
-            return RunResult(ending, str(error))
+            return RunResult(ending, str(error), link_lost=True)
 
 
 class _TooLargeError(Exception):
--- a/src/mangosaddle/entry/_results.py
+++ b/src/mangosaddle/entry/_results.py
@@ -31,6 +31,8 @@
     status: int = 0
     """Status code that was sent to the caller."""
     retry_after_s: float | None = None
+    link_lost: bool = False
+    """Whether the link to the VM that ran the request was lost, which also ended its run."""
 
 
 class AnswerSink(Protocol):
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -359,6 +359,8 @@
         result = await forwarder.run(
             request, self._opaque, decision.region, self._sink, self._progress
         )
+        if result.link_lost and self._may_repeat_after_lost_link(decision.region, result.cause):
+            return None
         if result.ending is not Ending.NOT_RUN:
             return result
         self._tried_regions.add(decision.region)
@@ -366,6 +368,30 @@
             return None
         return await self._finish_undelivered(result.cause, result.retry_after_s)
 
+    def _may_repeat_after_lost_link(self, region: RegionName, cause: str) -> bool:
+        """Return whether the request may run somewhere else, also at another VM of the region.
+
+        The other VM counts as one attempt: how many it has made is not known.
+        """
+        request = self._request
+        self._possible_runs += 1
+        allowed = (
+            request.route.repeatable
+            and self._allows_attempt_after(self._possible_runs)
+            and self._runner.try_spend_retry(request, sent=True, repeatable=True)
+        )
+        logger.info(
+            "forward failed",
+            extra={
+                "request_id": request.id,
+                "region": region,
+                "cause": cause,
+                "again": allowed,
+                "answer_began": self._progress.must_resume,
+            },
+        )
+        return allowed
+
     async def _finish_undelivered(self, cause: str, retry_after_s: float | None) -> RunResult:
         """End a request without a successful answer.
 
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -164,3 +164,75 @@
         assert (await call).status == 502
 
     run_on_empty_fleet(_scenario)
+
+
+async def _start_region_of_two_vms(fleet: Fleet, behaviour: Behaviour) -> RunnerStandIn:
+    """Start a second VM in the region of the runners, and return the engine there."""
+    await _start_two_regions(fleet)
+    await fleet.add_vm("vm-west-2", "west-a")
+    await fleet.wait_until_ready()
+    for runner in fleet.runners.values():
+        runner.behaviour = behaviour
+    return fleet.runners["engine-west"]
+
+
+async def _kill_forwarded_to_vm(fleet: Fleet) -> None:
+    """Kill the VM that runs the forwarded request."""
+    for name in ("vm-west", "vm-west-2"):
+        node = fleet.vms[name].fleet.node
+        if node is not None and node.running_forward_count:
+            await fleet.kill_vm(name)
+            return
+    pytest.fail("no VM runs a forwarded request")
+
+
+def test_a_forwarded_stream_goes_on_at_another_vm_when_its_vm_is_lost() -> None:
+    """Guards against cutting a stream that may be resumed because the VM that ran it has ended."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        engine = await _start_region_of_two_vms(fleet, Behaviour.HOLD_STREAM)
+        call = asyncio.create_task(
+            fleet.call(
+                fleet.vms["vm-east"], "/review/x", method="POST", body=b"p", token_counts="10,28"
+            )
+        )
+        await engine.request_started.wait()
+        engine.behaviour = Behaviour.STREAM
+        await _kill_forwarded_to_vm(fleet)
+        assert (await call).body.count(b"data:") == 4
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_a_forwarded_idempotent_request_is_repeated_when_its_vm_is_lost() -> None:
+    """Guards against a failure although another VM can run the request."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _start_region_of_two_vms(fleet, Behaviour.SILENT)
+        desk = fleet.runners["desk-west"]
+        call = asyncio.create_task(fleet.call(fleet.vms["vm-east"], "/read/x"))
+        await desk.request_started.wait()
+        desk.behaviour = Behaviour.OK
+        await _kill_forwarded_to_vm(fleet)
+        assert (await call).status == 200
+        assert desk.runs_by_request_id.total() == 2
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_a_forwarded_request_that_must_run_once_is_not_repeated_when_its_vm_is_lost() -> None:
+    """Guards against a second run of a request that may have run."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _start_region_of_two_vms(fleet, Behaviour.SILENT)
+        desk = fleet.runners["desk-west"]
+        call = asyncio.create_task(
+            fleet.call(fleet.vms["vm-east"], "/order/x", method="POST", body=b"one")
+        )
+        await desk.request_started.wait()
+        desk.behaviour = Behaviour.OK
+        await _kill_forwarded_to_vm(fleet)
+        assert (await call).status == 502
+        assert desk.runs_by_request_id.total() == 1
+
+    run_on_empty_fleet(_scenario)
