Answer requests whose handling fails unexpectedly

Callers got neither an answer nor a refusal when an unexpected exception ended the handling of their request: the connection was closed, and the log line had no request id.

Cause: only the HTTP server caught such errors, and it knows nothing of the request. Handlers run across changes of the configuration, which drop what they have looked up, so that any fault there becomes a lost request.

Now an error during admission is a refusal, as nothing has run, and an error after it is 502 unless the answer has begun. Which exceptions can occur was searched in admission, placement, attempts and forwards; none was found that a configuration alone can provoke, so that this closes the class, not a known case.

--- a/src/mangosaddle/entry/_caller_requests.py
+++ b/src/mangosaddle/entry/_caller_requests.py
@@ -105,7 +105,12 @@
             return
         opaque = decoded.unwrap()
         await self._pause_guard.wait_until_current()
-        admitted = await self._admit(opaque, exchange.received_at_s)
+        try:
+            admitted = await self._admit(opaque, exchange.received_at_s)
+        # Without an answer, the caller could not tell that the request has not run.
+        except Exception:
+            logger.exception("admission failed", extra={"request_id": opaque.id})
+            admitted = _unavailable("internal-error", "admission failed", UNAVAILABLE_RETRY_S)
         if isinstance(admitted, Problem):
             await self._refuse(exchange, opaque.id, admitted, "")
             return
@@ -210,6 +215,12 @@
         except (asyncio.CancelledError, ConnectionError):
             self._record_end(request, RunResult(Ending.TRUNCATED, "caller has gone"), "caller_gone")
             raise
+        except Exception:
+            logger.exception("request failed", extra={"request_id": request.id})
+            if exchange.finished:
+                return
+            ending = Ending.TRUNCATED if exchange.started else Ending.UNKNOWN
+            result = RunResult(ending, "internal error")
         if result.ending is Ending.NOT_RUN and admitted.organisation is not None:
             self._allowances.refund(admitted.organisation.id, admitted.cost)
         self._record_end(request, result, result.ending.value)
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -93,8 +93,8 @@
             self._connection.close_after_response = True
         if self._connection.close_after_response:
             headers = [*headers, (b"Connection", b"close")]
-        self.started = True
         self._connection.send(h11.Response(status_code=status, headers=headers))
+        self.started = True
 
 
 Handler = Callable[[ServerExchange], Awaitable[None]]
--- a/tests/platform/test_front_contract.py
+++ b/tests/platform/test_front_contract.py
@@ -315,3 +315,35 @@
         assert b"mangosaddle_request_seconds_bucket" in page.body
 
     run_on_default_fleet(_scenario)
+
+
+def _fail(*_args: object, **_kwargs: object) -> None:
+    raise RuntimeError("unexpected")
+
+
+def test_an_unexpected_error_before_a_request_is_sent_is_a_refusal() -> None:
+    """Guards against a closed connection in place of an answer, and against a charge for it."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        vm.allowance_calls.admit = _fail  # type: ignore[method-assign]
+        answer = await fleet.call(vm, "/read/x")
+        assert answer.status == 503
+        assert json.loads(answer.body)["execution"] == "not_run"
+
+    run_on_default_fleet(_scenario)
+
+
+def test_an_unexpected_error_of_a_request_that_may_have_run_is_no_refusal() -> None:
+    """Guards against a closed connection in place of an answer, and against a false promise."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        vm.crashes.record_lost = _fail  # type: ignore[method-assign]
+        for runner in fleet.runners.values():
+            runner.behaviour = Behaviour.RESET
+        answer = await fleet.call(vm, "/order/x", method="POST", body=b"one")
+        assert answer.status == 502
+        assert json.loads(answer.body)["execution"] == "unknown"
+
+    run_on_default_fleet(_scenario)
