Survive an idle connection that expires while it is closed

A VM that is stopped could end at once by an exception, and all requests in progress were cut off without an answer.

Cause: while a VM drains, it closes idle connections every 50 ms by moving the end of their idle wait to now. A wait that has just expired, whose task has not run yet, cannot be moved: RuntimeError, which ended drain() and with it the process. Both fall into one turn of the event loop rarely, but after a stall of the loop, as when a large configuration is read, all timers that expired meanwhile run in one turn.

Now an expired wait is left alone. Evidence: the new test failed with this RuntimeError and passes now.

Also a narrower comment for a type error in a test.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -222,7 +222,7 @@
 
     def end_idle_wait(self) -> None:
         """Close the connection unless a part of a request has arrived."""
-        if self._idle_wait is not None:
+        if self._idle_wait is not None and not self._idle_wait.expired():
             self._idle_wait.reschedule(self._clock())
 
     async def run(self) -> None:
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
+from mangosaddle.http11._server import _Connection
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 MAX_ANSWER_S = 2.0
@@ -78,3 +79,32 @@
         await server.stop()
 
     asyncio.run(_main())
+
+
+async def _open_idle_connection(server: HttpServer) -> tuple[asyncio.StreamReader, _Connection]:
+    """Connect a client, and return its reader and the server's side of the connection."""
+    host, port = await server.start("127.0.0.1", 0)
+    reader, _ = await asyncio.open_connection(host, port)
+    while not server._connections:
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(SETTLE_S)
+    (connection,) = server._connections
+    return reader, connection
+
+
+def test_closing_idle_connections_survives_one_that_has_just_expired() -> None:
+    """Guards against a stop that ends the process, with all its requests, by an exception."""
+
+    async def _main() -> None:
+        server = HttpServer(_answer, ServerLimits)
+        reader, connection = await _open_idle_connection(server)
+        assert connection._idle_wait is not None
+        connection._idle_wait.reschedule(0.0)
+        # The wait has now expired, and the task of the connection has not run yet.
+        asyncio.get_running_loop().call_soon(server.close_idle)
+        async with asyncio.timeout(MAX_ANSWER_S):
+            assert await reader.read() == b""
+        server.close_idle()
+        await server.stop()
+
+    asyncio.run(_main())
--- a/tests/platform/test_front_contract.py
+++ b/tests/platform/test_front_contract.py
@@ -326,7 +326,7 @@
 
     async def _scenario(fleet: Fleet) -> None:
         vm = fleet.vms["vm-1"]
-        vm.allowance_calls.admit = _fail  # type: ignore[method-assign]
+        vm.allowance_calls.admit = _fail  # type: ignore[method-assign, assignment]
         answer = await fleet.call(vm, "/read/x")
         assert answer.status == 503
         assert json.loads(answer.body)["execution"] == "not_run"
