Leave a request unread on a connection that is being closed

A caller whose request arrived in the moment in which its kept connection was closed as idle got neither an answer nor a refusal, although the VM had read the whole request.

Cause: when the idle wait has ended, the server looks once more for bytes that have arrived. That look took a turn of the event loop; bytes that were read from the socket within it were dropped with the connection.

Now nothing more is read from the socket once the wait has ended. The caller sees that the request was not read, and may send it again, also one that must run once.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -349,11 +349,15 @@
 
     async def _read_buffered(self) -> bytes:
         """Return bytes that arrived just when the wait for them ended, if any."""
+        # From here on, a request is left in the socket rather than read and not answered.
+        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
         try:
             async with asyncio.timeout(0):
-                return await self._reader.read(READ_CHUNK_BYTES)
+                data = await self._reader.read(READ_CHUNK_BYTES)
         except TimeoutError:
             return b""
+        self.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        return data
 
     async def _handle(self, exchange: ServerExchange) -> None:
         """Run the handler, and cancel it if the client disconnects."""
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Requests that arrive while a server closes its idle connections."""
 
 import asyncio
+import contextlib
 
 from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 from mangosaddle.http11._server import _Connection
@@ -108,3 +109,33 @@
         await server.stop()
 
     asyncio.run(_main())
+
+
+def test_request_that_arrives_as_its_connection_is_closed_is_not_read() -> None:
+    """Guards against reading a request from an expired connection without answering it."""
+
+    async def _main() -> None:
+        server = HttpServer(_answer, ServerLimits)
+        host, port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        while not server._connections:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(SETTLE_S)
+        (connection,) = server._connections
+        read_buffered = connection._read_buffered
+
+        async def _send_and_read_buffered() -> bytes:
+            writer.write(REQUEST)
+            return await read_buffered()
+
+        connection._read_buffered = _send_and_read_buffered  # type: ignore[method-assign]
+        server.close_idle()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            answer = b""
+            with contextlib.suppress(ConnectionError):
+                answer = await _read_response(reader)
+        unanswered = connection._reader._buffer  # type: ignore[attr-defined]
+        assert answer.endswith(b"x") or not unanswered
+        await server.stop()
+
+    asyncio.run(_main())
