Count only silence while a link is expected to carry heartbeats

Callers saw 502 for a request that their VM had forwarded to another region, and other requests on the same link were lost with it, although both VMs and the link were sound.

Cause: a link outside the topology carries heartbeats only while requests run on it. A request made it count as carrying them at once, with the silence of the idle seconds before; the next maintenance within half a second took the other VM for dead and closed the link before the first frame came back. It is the same for a link that a change of the topology, as when VMs leave, makes one that carries heartbeats. In small fleets most links are in the topology; in large ones two per pair of regions are, so that most forwards run on such links.

Ruled out for the test: a slow answer, as the other VM answers at once.

Now the silence counts from when heartbeats were first expected on the link.

--- a/src/mangosaddle/peers/_link.py
+++ b/src/mangosaddle/peers/_link.py
@@ -63,6 +63,8 @@
         """Monotonic time of the last message other than heartbeats, facts and confirmations."""
         self.last_received_at_s = 0.0
         """Monotonic time of the last received message."""
+        self.heartbeats_expected_since_s: float | None = None
+        """Monotonic time since which the link carries heartbeats, if it does."""
         self.closed = asyncio.Event()
         self.known_confirmations: dict[tuple[str, str], int] = {}
         """Confirmation bitmaps that the other VM is known to have, by fact."""
--- a/src/mangosaddle/peers/_neighbourhood.py
+++ b/src/mangosaddle/peers/_neighbourhood.py
@@ -129,14 +129,19 @@
                 self._connector.close_in_background(link)
 
     def _is_dead(self, link: Link, now: float) -> bool:
-        """Return whether a link that carries heartbeats has missed too many of them."""
-        silent_s = now - link.last_received_at_s
+        """Return whether a link that carries heartbeats has missed too many of them.
+
+        Silence before a request or a change of the topology made the link carry them does not
+        count.
+        """
         is_spare = link in self._connector.spare_links
-        expected = not is_spare and self._carries_heartbeats(link)
-        return (
-            expected
-            and silent_s >= MISSED_HEARTBEATS_TO_SUSPECT * self._timings.heartbeat_interval_s
-        )
+        if is_spare or not self._carries_heartbeats(link):
+            link.heartbeats_expected_since_s = None
+            return False
+        if link.heartbeats_expected_since_s is None:
+            link.heartbeats_expected_since_s = now
+        silent_s = now - max(link.last_received_at_s, link.heartbeats_expected_since_s)
+        return silent_s >= MISSED_HEARTBEATS_TO_SUSPECT * self._timings.heartbeat_interval_s
 
     def _is_idle(self, link: Link, now: float) -> bool:
         """Return whether a link outside the topology has been unused for too long."""
--- a/tests/peers/test_peer_forward.py
+++ b/tests/peers/test_peer_forward.py
@@ -217,3 +217,30 @@
         assert end.complete
 
     run_with_fleet(_scenario, "addis-1", "addis-2", "addis-3", "gondar-1")
+
+
+def test_request_on_an_idle_link_outside_the_topology_is_not_cut_off() -> None:
+    """Guards against taking the silence of a link before a request for that of a dead VM."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        started = asyncio.Event()
+
+        async def _signal(_vm: VmId, request: ForwardRequest) -> AsyncIterator[ForwardResponsePart]:
+            started.set()
+            yield ForwardHead(200, request.content_type)
+            yield ForwardEnd(True)
+
+        gondar = fleet.nodes_by_vm[GONDAR]
+        gondar.on_forward(_signal)
+        neighbours = gondar._neighbourhood.topology_neighbours
+        (outside,) = fleet.vms_by_id.keys() - neighbours - {GONDAR}
+        await collect_response(fleet, REQUEST, sender=outside)
+        await asyncio.sleep(10 * fleet.timings.heartbeat_interval_s)
+        started.clear()
+        running = asyncio.create_task(collect_response(fleet, REQUEST, sender=outside))
+        await started.wait()
+        fleet.nodes_by_vm[outside]._maintain()
+        _, end = await running
+        assert end.complete
+
+    run_with_fleet(_scenario, "addis-1", "addis-2", "addis-3", "gondar-1")
