Allow for a pause of a second within an answer's head

Callers got 502 although the endpoint answered, when it paused within the head of its answer, or between the head and the body of a failure, for a second or a little more.

Cause: these parts had to arrive within 1.0 s, which is less than a sound endpoint may be silent. The limits exist against endpoints that never end their answer, and need not be that tight.

Now they have 2 s. Whole answers of such endpoints are still given up within 3 s (test_endless_answers.py).

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -45,9 +45,9 @@
 its memory."""
 MAX_FAILURE_BODY_BYTES = 1024 * 1024
 """Maximum body size of an answer with which an endpoint rejects or fails a request."""
-FAILURE_BODY_TIMEOUT_S = 1.0
+FAILURE_BODY_TIMEOUT_S = 2.0
 """Maximum time from the head of such an answer to its end, in addition to the time that its bytes
-take: the endpoint does no work before it sends the body."""
+take: the endpoint does no work before it sends the body, but may pause for a second."""
 DEADLINE_MARGIN_S = 0.001
 """Time before a request's deadline from which the deadline counts as passed: more than the
 resolution of the clock."""
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -32,17 +32,18 @@
 
 MAX_UNREAD_BYTES = 256 * 1024
 """Received but unread bytes above which reading from the socket is paused."""
-HEAD_TIMEOUT_S = 1.0
-"""Maximum time from the first byte of a head to its end. A head fits into a few packets, and lost
-packets are retransmitted within this time."""
+HEAD_TIMEOUT_S = 2.0
+"""Maximum time from the first byte of a head to its end. A head fits into a few packets; lost
+packets are retransmitted, and a server that pauses for a second has gone on, within this time."""
 MAX_INFORMATIONAL_RESPONSES = 16
 """Informational (1xx) responses that may precede a response."""
 MAX_SKIPPED_RESPONSES = 8
 """Late responses to earlier requests that are skipped."""
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024
 """Maximum body of a late response that is skipped; beyond it a new connection is cheaper."""
-SKIP_TIMEOUT_S = 1.0
-"""Maximum time to read a late response after its head; its sender has already completed it."""
+SKIP_TIMEOUT_S = 2.0
+"""Maximum time to read a late response after its head; its sender has already completed it, but may
+pause for a second."""
 OVERDUE_CHECK_INTERVAL_S = 0.2
 """Interval at which an overdue body that may not be given up is checked again."""
 MIN_BODY_RATE_BYTES_PER_S = 64 * 1024
--- a/tests/platform/test_silent_runners.py
+++ b/tests/platform/test_silent_runners.py
@@ -12,6 +12,8 @@
     run_on_empty_fleet,
 )
 
+PAUSE_S = 1.4
+"""Longer than the second for which a sound runner may be silent."""
 SHORT_SILENCE_S = 1.8
 """Longer than the time after which the event of a stream is overdue."""
 LONG_SILENCE_S = 2.8
@@ -108,3 +110,22 @@
         assert sum(row.runs_by_request_id.total() for row in engines) == 2
 
     run_on_empty_fleet(_scenario)
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "status"), [(Behaviour.PAUSED_HEAD, 200), (Behaviour.PAUSED_FAILURE, 500)]
+)
+def test_a_pause_within_an_answer_does_not_replace_it_by_a_failure(
+    behaviour: Behaviour, status: int
+) -> None:
+    """Guards against taking a runner that is silent for a while for one that never ends."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        (desk,) = await _start(fleet, "desk-1")
+        desk.behaviour = behaviour
+        call = fleet.call(fleet.vms["vm-1"], "/order/x", method="POST", body=b"one")
+        answer, _ = await asyncio.gather(call, _be_silent(desk, PAUSE_S))
+        assert answer.status == status
+        assert answer.header("Response-Stamp")
+
+    run_on_empty_fleet(_scenario)
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -52,6 +52,10 @@
     """Closes the connection before the body is complete."""
     SLOW = "slow"
     """Responds once ``release`` is set."""
+    PAUSED_HEAD = "paused_head"
+    """Responds, but the response stops within its head until ``release`` is set."""
+    PAUSED_FAILURE = "paused_failure"
+    """Like ``FAIL``, but the body follows once ``release`` is set."""
     SILENT = "silent"
     """Sends nothing."""
     ENDLESS_HEAD = "endless_head"
@@ -319,6 +323,13 @@
                 writer.write(full_response)
             case Behaviour.FAIL:
                 writer.write(_head(500, request_id, 6, limit) + b"failed")
+            case Behaviour.PAUSED_HEAD | Behaviour.PAUSED_FAILURE:
+                failure = _head(500, request_id, 6) + b"failed"
+                whole = full_response if behaviour is Behaviour.PAUSED_HEAD else failure
+                split = 20 if behaviour is Behaviour.PAUSED_HEAD else -6
+                writer.write(whole[:split])
+                await self.release.wait()
+                writer.write(whole[split:])
             case Behaviour.CRASH:
                 await self.stop()
                 return False
