--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -93,8 +93,8 @@
             self._connection.close_after_response = True
         if self._connection.close_after_response:
             headers = [*headers, (b"Connection", b"close")]
-        self.started = True
         self._connection.send(h11.Response(status_code=status, headers=headers))
+        self.started = True
 
 
 Handler = Callable[[ServerExchange], Awaitable[None]]
@@ -222,7 +222,7 @@
 
     def end_idle_wait(self) -> None:
         """Close the connection unless a part of a request has arrived."""
-        if self._idle_wait is not None:
+        if self._idle_wait is not None and not self._idle_wait.expired():
             self._idle_wait.reschedule(self._clock())
 
     async def run(self) -> None:
@@ -349,11 +349,15 @@
 
     async def _read_buffered(self) -> bytes:
         """Return bytes that arrived just when the wait for them ended, if any."""
+        # From here on, a request is left in the socket rather than read and not answered.
+        self.writer.transport.pause_reading()  # type: ignore[attr-defined]
         try:
             async with asyncio.timeout(0):
-                return await self._reader.read(READ_CHUNK_BYTES)
+                data = await self._reader.read(READ_CHUNK_BYTES)
         except TimeoutError:
             return b""
+        self.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        return data
 
     async def _handle(self, exchange: ServerExchange) -> None:
         """Run the handler, and cancel it if the client disconnects."""
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -52,6 +52,10 @@
     """Closes the connection before the body is complete."""
     SLOW = "slow"
     """Responds once ``release`` is set."""
+    PAUSED_HEAD = "paused_head"
+    """Responds, but the response stops within its head until ``release`` is set."""
+    PAUSED_FAILURE = "paused_failure"
+    """Like ``FAIL``, but the body follows once ``release`` is set."""
     SILENT = "silent"
     """Sends nothing."""
     ENDLESS_HEAD = "endless_head"
@@ -145,6 +149,8 @@
     """Bytes of endless responses that were sent."""
     closed_after_s: list[float] = field(default_factory=list)
     """For each endless response, seconds until the peer closed the connection."""
+    silent_health_checks: bool = False
+    """If set, health checks are answered once ``release`` is set."""
     endless_health_checks: bool = False
     """If set, health checks get an endless response."""
     accepted_connections: int = 0
@@ -277,6 +283,8 @@
 
     async def _answer_health_check(self, writer: asyncio.StreamWriter) -> bool:
         self.health_checks += 1
+        if self.silent_health_checks:
+            await self.release.wait()
         if self.endless_health_checks:
             return await self._send_endlessly(Behaviour.ENDLESS_BODY, "", writer)
         status = b"200 OK" if self.is_healthy else b"503 Unavailable"
@@ -315,6 +323,13 @@
                 writer.write(full_response)
             case Behaviour.FAIL:
                 writer.write(_head(500, request_id, 6, limit) + b"failed")
+            case Behaviour.PAUSED_HEAD | Behaviour.PAUSED_FAILURE:
+                failure = _head(500, request_id, 6) + b"failed"
+                whole = full_response if behaviour is Behaviour.PAUSED_HEAD else failure
+                split = 20 if behaviour is Behaviour.PAUSED_HEAD else -6
+                writer.write(whole[:split])
+                await self.release.wait()
+                writer.write(whole[split:])
             case Behaviour.CRASH:
                 await self.stop()
                 return False
