--- a/src/mangosaddle/platform/_settings.py
+++ b/src/mangosaddle/platform/_settings.py
@@ -19,6 +19,7 @@
 METRICS_PORT_OFFSET = 1
 """Offset from the first internal port to the metrics port."""
 MS_PER_S = 1000.0
+MAX_PORT_DIGITS = 5
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -169,6 +170,8 @@
     host, separator, port = text.rpartition(":")
     if not separator or not host or not port.isascii() or not port.isdigit():
         return None
+    if len(port) > MAX_PORT_DIGITS:
+        return None
     number = int(port)
     return (host, number) if 0 < number < 65_536 else None
 
