Reject VM entries that no link or report can use

No caller has reported it.

Evidence: on the old code 16 new cases fail in pytest tests/decoders/test_foreign_bytes.py tests/entry/test_vm_entry_listener.py (four ports, ten texts, both ways in which an entry names another VM).

Change: VmRecord.decode bounds ports and requires encodable text; VmEntryListener compares the name with the key. After: both files pass.

--- a/src/mangosaddle/coordination/_vm_registration.py
+++ b/src/mangosaddle/coordination/_vm_registration.py
@@ -19,6 +19,7 @@
 """Interval between renewals, in seconds; the entry survives three failed renewals."""
 RETRY_PAUSE_S = 0.4
 """Pause after a failed call, in seconds."""
+MAX_PORT = 65_535
 
 logger = logging.getLogger(__name__)
 
@@ -58,9 +59,21 @@
         for name, field_value in fields.items():
             if type(field_value) is not types_by_field.get(name, str):
                 raise ValueError(f"{name} has the wrong type")
+            if isinstance(field_value, str) and not _is_encodable(field_value):
+                raise ValueError(f"{name} is empty or not valid text")
+            if type(field_value) is int and not 0 < field_value <= MAX_PORT:
+                raise ValueError(f"{name} is not a port number")
         return cls(**fields)
 
 
+def _is_encodable(text: str) -> bool:
+    """Return whether a text can be sent; JSON may contain half of a surrogate pair."""
+    try:
+        return bool(text.encode())
+    except UnicodeEncodeError:
+        return False
+
+
 class VmRegistration:
     """Renews a VM's entry, and writes it again after it has expired or was overwritten."""
 
--- a/src/mangosaddle/entry/_store_listeners.py
+++ b/src/mangosaddle/entry/_store_listeners.py
@@ -320,7 +320,10 @@
 
     def _decode(self, item: Item) -> VmRecord | None:
         try:
-            return VmRecord.decode(item.value)
+            record = VmRecord.decode(item.value)
+            if self._prefix + record.vm != item.key:
+                raise ValueError(f"entry of {record.vm!r}")
+            return record
         except ValueError as error:
             logger.warning("cannot decode VM entry", extra={"key": item.key, "cause": str(error)})
             return None
--- a/tests/decoders/test_foreign_bytes.py
+++ b/tests/decoders/test_foreign_bytes.py
@@ -11,7 +11,14 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Result
 
-from mangosaddle._identifiers import Incarnation, RegionName, ServiceName, VersionId, VmId, ZoneName
+from mangosaddle._identifiers import (
+    Incarnation,
+    RegionName,
+    ServiceName,
+    VersionId,
+    VmId,
+    ZoneName,
+)
 from mangosaddle._prompt_crash_exchange import decode_cleared_at_s, decode_prompt_crash
 from mangosaddle.coordination import VmRecord
 from mangosaddle.entry._crash_reports import decode_crash_reports
@@ -181,18 +188,23 @@
     assert isinstance(decoded, Failure)
 
 
-@pytest.mark.parametrize("port", [True, False, "80", 0.5])
-def test_port_of_a_vm_record_must_be_an_integer(port: object) -> None:
-    """Guards against ``true``, which Python takes for the number 1."""
-    record = VmRecord(
-        VmId("vm"),
-        Incarnation("i"),
-        RegionName("east"),
-        ZoneName("east-a"),
-        "127.0.0.1",
-        7600,
-        8221,
-    )
-    fields = json.loads(record.encode()) | {"peer_port": port}
+VM_RECORD = VmRecord(
+    VmId("vm"), Incarnation("i"), RegionName("east"), ZoneName("east-a"), "127.0.0.1", 7600, 8221
+)
+
+
+@pytest.mark.parametrize("port", [True, False, "80", 0.5, 0, -1, 65_536, 10**9])
+def test_port_of_a_vm_record_must_be_a_port_number(port: object) -> None:
+    """Guards against ``true``, which Python takes for 1, and against ports that fail in a call."""
+    fields = json.loads(VM_RECORD.encode()) | {"peer_port": port}
     with pytest.raises(ValueError, match="peer_port"):
         VmRecord.decode(json.dumps(fields).encode())
+
+
+@pytest.mark.parametrize("name", ["vm", "incarnation", "region", "zone", "host"])
+@pytest.mark.parametrize("text", ["", "\ud800"])
+def test_text_of_a_vm_record_must_be_encodable(name: str, text: str) -> None:
+    """Guards against one entry whose text fails wherever it is hashed or sent."""
+    fields = json.loads(VM_RECORD.encode()) | {name: text}
+    with pytest.raises(ValueError, match=name):
+        VmRecord.decode(json.dumps(fields).encode())
--- a/tests/entry/test_vm_entry_listener.py
+++ b/tests/entry/test_vm_entry_listener.py
@@ -130,3 +130,16 @@
     observer.now += 60.0
     assert observer.named_vms() == [OTHER]
     assert observer.listener.revisions_by_vm == {OTHER: 10}
+
+
+@pytest.mark.parametrize("in_snapshot", [True, False])
+def test_an_entry_that_names_another_vm_than_its_key_is_ignored(in_snapshot: bool) -> None:
+    """Guards against one odd entry that replaces the addresses of a VM."""
+    observer = _observer()
+    forged = Item("vms/vm-3", replace(RECORD, host="127.0.0.9").encode(), 6)
+    if in_snapshot:
+        items = (Item(KEY, RECORD.encode(), 5), forged)
+        observer.listener.handle_snapshot(Snapshot(items, 6), after_outage=False)
+    else:
+        observer.listener.handle_change(forged)
+    assert observer.listener.records_by_vm == {OTHER: RECORD}
