Reject report amounts that are too large to be a float

No caller has reported it, and the gossip isolates a failing listener, so only the report was lost; the decoder broke its promise to raise ReportError only.

Why the fuzz test missed it: whole documents drawn at random rarely pass the first checks of a decoder. The new test puts one odd value into each place of a valid message.

Evidence: on the old code vm_report and fleet_summary fail with OverflowError: int too large to convert to float in tests/decoders/test_foreign_bytes.py -k one_odd_value; the other six messages hold.

--- a/src/mangosaddle/entry/_vm_reports.py
+++ b/src/mangosaddle/entry/_vm_reports.py
@@ -1,6 +1,5 @@
 """Reports of VMs about load and demand, their sums over a zone, and their encoding."""
 
-import math
 import zlib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -215,12 +214,10 @@
 
 
 def _amount(value: object) -> float:
-    if type(value) not in (int, float) or not 0 <= float(value) <= MAX_COUNT:  # type: ignore[arg-type]
+    # Converting a large integer fails, so it is compared as it is; NaN is in no range.
+    if type(value) not in (int, float) or not 0 <= value <= MAX_COUNT:  # type: ignore[operator]
         raise ReportError(f"{str(value)[:40]!r} is not an amount from 0 to {MAX_COUNT}")
-    amount = float(value)  # type: ignore[arg-type]
-    if math.isnan(amount):
-        raise ReportError("amount is not a number")
-    return amount
+    return float(value)  # type: ignore[arg-type]
 
 
 def _text(value: object) -> str:
--- a/tests/decoders/test_foreign_bytes.py
+++ b/tests/decoders/test_foreign_bytes.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import cbor2
@@ -12,7 +12,9 @@
 from returns.result import Failure, Result
 
 from mangosaddle._identifiers import (
+    EndpointId,
     Incarnation,
+    OrganisationId,
     RegionName,
     ServiceName,
     VersionId,
@@ -24,7 +26,12 @@
 from mangosaddle.entry._crash_reports import decode_crash_reports
 from mangosaddle.entry._endpoint_limits import decode_limit
 from mangosaddle.entry._vm_reports import (
+    FleetSummary,
+    LoadRow,
+    LoadSummary,
     ReportError,
+    ServiceWait,
+    VmReport,
     decode_fleet_summary,
     decode_load_summary,
     decode_vm_report,
@@ -208,3 +215,59 @@
     fields = json.loads(VM_RECORD.encode()) | {name: text}
     with pytest.raises(ValueError, match=name):
         VmRecord.decode(json.dumps(fields).encode())
+
+
+LOAD_ROW = LoadRow(1, 2, 3, 4)
+VALID_MESSAGES: dict[str, bytes] = {
+    "vm_report": VmReport(
+        1, 2, {EndpointId("e"): LOAD_ROW}, {OrganisationId("o"): 3.0}, True
+    ).encode(),
+    "load_summary": LoadSummary({1: 2}, {EndpointId("e"): LOAD_ROW}).encode(),
+    "fleet_summary": FleetSummary(
+        {1: 2},
+        {OrganisationId("o"): 1.0},
+        {ServiceName("s"): ServiceWait(1.0, 2, 3, 4)},
+        frozenset([1]),
+    ).encode(),
+    "crash_reports": cbor2.dumps([["fingerprint", "endpoint", 1.0]]),
+    "prompt_crash": cbor2.dumps(["process", 1.0, [["a", "b"]]]),
+    "cleared_at": cbor2.dumps(1.0),
+    "endpoint_limit": cbor2.dumps(2.0),
+    "rollout_progress": cbor2.dumps([ORDER.revision, 100, True, 0, b""]),
+}
+ODD_VALUES: list[object] = [
+    10**400,
+    -(10**400),
+    2**64,
+    1e308,
+    float("inf"),
+    float("nan"),
+    -1,
+    True,
+    None,
+    "",
+    b"\xff",
+    [],
+    {},
+    [[[]]],
+]
+
+
+def _with_one_odd_value(tree: Any) -> Iterator[Any]:  # noqa: ANN401
+    yield from ODD_VALUES
+    if isinstance(tree, list):
+        for index, inner in enumerate(tree):
+            for odd in _with_one_odd_value(inner):
+                yield [*tree[:index], odd, *tree[index + 1 :]]
+    elif isinstance(tree, dict):
+        for key, inner in tree.items():
+            yield from (tree | {key: odd} for odd in _with_one_odd_value(inner))
+
+
+@pytest.mark.parametrize("name", VALID_MESSAGES)
+def test_one_odd_value_in_a_message_of_another_vm_gives_the_decoders_own_error(name: str) -> None:
+    """Guards against numbers that pass the type check and overflow in a conversion."""
+    valid = VALID_MESSAGES[name]
+    DECODERS[name](valid)
+    for odd in _with_one_odd_value(cbor2.loads(valid)):
+        DECODERS[name](cbor2.dumps(odd))
