Believe no answer without a request id on a used connection

Callers saw, according to reports from other systems: "not run, try again" for requests that an endpoint was running (REFUSED), or a second run elsewhere (TWICE). A faulty endpoint had written an earlier refusal once more on a kept connection.

Here: a copy with the id of its own request was recognised and skipped. A copy without an id was taken as the answer to the request that was sent next. With two such endpoints the new test saw both of them run one non-idempotent request, and a 503 that said not_run.

Cause: _matches_request accepted any answer without the id header.

Change: after an answer without an id, the connection is closed, since a late copy of that answer could not be recognised; on a reused connection such an answer is malformed: the outcome is unknown and the connection is closed. The first answer on a connection is believed without an id.

Evidence: on the old code pytest tests/platform/test_runner_answers.py -k repeated_rejection fails in two of three cases (both with copies without an id: 503 instead of 200 and 502).

After: the three cases pass, with the rest of the file and tests/http11 and tests/entry.

--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -55,8 +55,8 @@
     headers: HeaderList
     body: bytes
     id: bytes = b""
-    """Value that ``id_header`` must have in a response that has that header; empty to accept any
-    response."""
+    """Value of ``id_header`` by which the response is told apart from late responses to earlier
+    requests; empty to accept any response."""
     id_header: bytes = b""
     """Lower-case name of the response header that holds the request id."""
 
@@ -250,7 +250,12 @@
         if not self._request.id:
             return True
         response_id = head.view.first(self._request.id_header)
-        return response_id is None or response_id == self._request.id
+        if response_id is None:
+            # Without an id, a late copy of this response could not be recognised.
+            self._must_close = True
+            if self.requests_sent > 1:
+                raise self._bad_response_error("response without an id on a reused connection")
+        return response_id in (None, self._request.id)
 
     async def _skip_response(self) -> None:
         """Read and discard a response to an earlier request."""
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -86,6 +86,34 @@
     run_on_default_fleet(_scenario)
 
 
+@pytest.mark.parametrize(
+    ("has_id", "copy_has_id", "status"),
+    [(True, True, 200), (False, False, 200), (True, False, 502)],
+)
+def test_a_repeated_rejection_does_not_reject_a_request_that_runs(
+    has_id: bool, copy_has_id: bool, status: int
+) -> None:
+    """Guards against "not run" for a request that runs, and against a second run elsewhere."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        for runner in fleet.runners.values():
+            runner.rejections_have_ids = has_id
+            runner.repeated_rejections_have_ids = copy_has_id
+        for behaviour, expected in (
+            (Behaviour.REJECT, 503),
+            (Behaviour.REPEATED_REJECTION, status),
+        ):
+            _set_behaviour(fleet, behaviour)
+            # Runners that have rejected a request are taken as full for a moment.
+            await asyncio.sleep(0.3)
+            answer = await fleet.call(vm, "/order/x", method="POST", body=b"one")
+            assert answer.status == expected
+        assert _total_runs(fleet) == 1
+
+    run_on_default_fleet(_scenario)
+
+
 def test_an_unreachable_runner_is_skipped_and_checked_again() -> None:
     """Guards against losing requests, including non-idempotent ones, at a stopped runner."""
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -48,6 +48,8 @@
     """Sends a second response after the expected one."""
     STALE_ANSWER = "late"
     """Sends a response to another request before the expected one."""
+    REPEATED_REJECTION = "again"
+    """Sends the latest rejection of the connection, if there is one, before the response."""
     SHORT_BODY = "short"
     """Closes the connection before the body is complete."""
     SLOW = "slow"
@@ -130,6 +132,8 @@
     """Delay before each event of a stream."""
     unframed_streams: bool = False
     """If set, streams have neither a length nor chunks and end with their connection."""
+    rejections_have_ids: bool = True
+    repeated_rejections_have_ids: bool = True
     limit_per_s: float | None = None
     """Requests a second that the runner names as its limit in all answers."""
     has_lost_power: bool = False
@@ -153,6 +157,7 @@
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _rejected_ids_by_writer: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
 
     async def start(self, port: int = 0) -> None:
         """Listen on ``port``, or on any free port if it is 0."""
@@ -203,6 +208,7 @@
             self.cancelled_requests += 1
         finally:
             self._writers.discard(writer)
+            self._rejected_ids_by_writer.pop(writer, None)
             writer.close()
 
     async def _serve_request(
@@ -295,8 +301,9 @@
     ) -> bool:
         request_id = request.headers.get("request-id", "")
         if behaviour is Behaviour.REJECT:
-            extra = b"Not-Run: 1\r\n" + _limit_header(self.limit_per_s)
-            writer.write(_head(503, request_id, 0, extra, signed=False))
+            self._rejected_ids_by_writer[writer] = request_id
+            extra = _limit_header(self.limit_per_s)
+            writer.write(_rejection(request_id if self.rejections_have_ids else None, extra))
             return True
         self.runs_by_request_id[request_id] += 1
         self.request_started.set()
@@ -339,6 +346,14 @@
                 writer.write(full_response + _head(200, request_id, 5) + b"extra")
             case Behaviour.STALE_ANSWER:
                 writer.write(_head(200, "an-earlier-request", 4) + b"late" + full_response)
+            case Behaviour.REPEATED_REJECTION:
+                if writer in self._rejected_ids_by_writer:
+                    rejected_id = self._rejected_ids_by_writer[writer]
+                    writer.write(
+                        _rejection(rejected_id if self.repeated_rejections_have_ids else None)
+                    )
+                    await asyncio.sleep(0.05)
+                writer.write(full_response)
             case Behaviour.SHORT_BODY:
                 writer.write(_head(200, request_id, size) + self.body[:-3])
                 return False
@@ -418,6 +433,12 @@
     return b"" if limit_per_s is None else f"Server-Limit: {limit_per_s}\r\n".encode()
 
 
+def _rejection(request_id: str | None, extra: bytes = b"") -> bytes:
+    lines = b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n" + extra
+    id_line = b"" if request_id is None else f"Request-Id: {request_id}\r\n".encode()
+    return lines + id_line + b"\r\n"
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
