Resume a stream in another region after its last event

Found with the report of errors in the middle of streams; no caller has reported it. A stream that broke off in one region and was resumed through a VM of another region was run there from its beginning: the endpoint got no Last-Event-Id. The events that the caller already had were left out, so the caller received pieces of two runs.

Cause: the forwarding VM sends the event after which to resume beside the caller's headers, and the receiving VM used it only to leave out events. It now continues after that event in its first attempt, as it does in later ones. A Last-Event-Id of the caller itself is a header that was always passed on.

Evidence: on the old code pytest tests/platform/test_links.py -k resumes_in_another_region fails with [None] == ['2'], the header that the endpoint received. After: all 12 tests of the file pass.

--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -242,6 +242,8 @@
         self._possible_runs = 0
         """Number of attempts in which the endpoint may have run the request."""
         self._progress = StreamProgress(EventSplitter(opaque.resume_after))
+        # The header of a caller that resumes is passed on as it is; another VM resumes without one.
+        self._progress.must_resume = request.forwarded and opaque.resume_after is not None
         self._failure: AttemptResult | None = None
         """Latest error response of an endpoint to the request."""
 
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -86,6 +86,28 @@
     run_on_empty_fleet(_scenario)
 
 
+async def _break_stream_off_in_east(fleet: Fleet) -> None:
+    await _start_two_regions(fleet)
+    await fleet.add_runner(RunnerStandIn("engine-east", "engine", "east-a"))
+    await fleet.wait_for_endpoints(fleet.vms["vm-east"], "engine-east")
+    fleet.runners["engine-east"].behaviour = Behaviour.CUT_STREAM
+
+
+def test_a_stream_resumes_in_another_region_after_its_last_event() -> None:
+    """Guards against a whole new run whose events are joined to those of the first one."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _break_stream_off_in_east(fleet)
+        west = fleet.runners["engine-west"]
+        west.behaviour = Behaviour.STREAM
+        east = fleet.vms["vm-east"]
+        answer = await fleet.call(east, "/review/x", method="POST", token_counts="100,28")
+        assert answer.body.count(b"data:") == 4
+        assert [seen.headers.get("last-event-id") for seen in west.received_requests] == ["2"]
+
+    run_on_empty_fleet(_scenario)
+
+
 def test_forwarded_attempts_count_towards_the_limit_of_the_route() -> None:
     """Guards against a request that is attempted more often than its route allows."""
 
