Break a stream off when the next answer does not continue it

Callers saw, according to reports from other systems: the text of another answer in the middle of their stream, or a stream that ended as if it were complete. A stream had begun and broken off, and the next endpoint answered with something else.

Here: answers with a failure status broke the stream off within a region. Two cases did not: - A success that is no event stream was appended to the events, and the stream ended as complete. - A failure that a VM of another region passed on was sent as a whole answer although the answer had started; the parser of the connection raised, and the request handler ended with an error. The caller's connection broke, as it should, but only by accident.

Cause: whether an answer may follow what the caller has was decided by the status alone, and in each place again.

Change: StreamProgress records the media type of the started answer and decides: after the start, a success with the same media type continues it, anything else ends the attempt as broken. It also sends the head, so that no place can start an answer without recording it.

Evidence: on the old code pytest tests/platform/test_runner_answers.py tests/platform/test_links.py -k continues_no_stream fails for Behaviour.OK in one region and in two ("the answer is complete: ... id: 2\ndata: piece 2\n\nthe whole answer") and for Behaviour.FAIL in two regions ("request handler failed"); failures, refusals, unsigned answers, garbage and resets within a region hold, as does a refusal of another region. After: both files pass, with tests/entry and tests/platform/test_endless_answers.py.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -93,6 +93,18 @@
     """Whether an event has been passed on, so that the next attempt has to continue after it."""
     attempt_began_at_s: float | None = None
     """Event loop time in seconds of the first event of the current attempt, if there was one."""
+    media_type: bytes = b""
+    """Media type of the answer that has been started."""
+
+    async def start(self, sink: AnswerSink, status: int, headers: HeaderList) -> None:
+        """Send the head of the first attempt that has an event."""
+        if not sink.started:
+            self.media_type = _media_type(headers)
+            await sink.start(status, headers)
+
+    def continues(self, sink: AnswerSink, status: int, headers: HeaderList) -> bool:
+        """Return whether an answer may follow what the sink has received."""
+        return not sink.started or (200 <= status < 300 and _media_type(headers) == self.media_type)
 
 
 class EndpointClient:
@@ -231,6 +243,8 @@
             return AttemptResult(AttemptEnd.REJECTED, f"status {answer.status}", answer)
         if answer.succeeded and not answer.genuine:
             return AttemptResult(AttemptEnd.BROKEN, "answer is not the endpoint's own")
+        if answer.succeeded and not progress.continues(sink, answer.status, answer.headers):
+            return AttemptResult(AttemptEnd.BROKEN, "answer does not continue the stream")
         if answer.succeeded and request.route.kind is RequestKind.STREAM:
             return await self._receive_stream(
                 request, connection, head, view, answer, progress, sink
@@ -280,7 +294,7 @@
             if events:
                 tokens = progress.splitter.take_event_count() * view.tokens_per_event
                 view.load.record_tokens(request.id, tokens, clock())
-                await _ensure_started(sink, answer.status, answer.headers)
+                await progress.start(sink, answer.status, answer.headers)
                 progress.must_resume = True
                 await sink.write(events)
                 event_at_s = clock()
@@ -292,7 +306,7 @@
                 response_started=True,
                 by_server=True,
             )
-        await _ensure_started(sink, answer.status, answer.headers)
+        await progress.start(sink, answer.status, answer.headers)
         if tail:
             await sink.write(tail)
         await sink.finish()
@@ -305,9 +319,9 @@
     view.health.mark_unreachable(asyncio.get_running_loop().time(), silent=True)
 
 
-async def _ensure_started(sink: AnswerSink, status: int, headers: HeaderList) -> None:
-    if not sink.started:
-        await sink.start(status, headers)
+def _media_type(headers: HeaderList) -> bytes:
+    content_type = next((v for name, v in headers if name.lower() == b"content-type"), b"")
+    return content_type.partition(b";")[0].strip().lower()
 
 
 def urgency_of(request: RoutedRequest) -> int:
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -129,6 +129,8 @@
     body = bytearray()
     async for answer in answers:
         if isinstance(answer, ForwardHead):
+            if not progress.continues(sink, answer.status, _headers(answer)):
+                return RunResult(Ending.TRUNCATED, f"status {answer.status} within a stream")
             head = answer
             is_stream = is_stream and 200 <= head.status < 300
         elif isinstance(answer, ForwardChunk):
@@ -139,8 +141,7 @@
                 continue
             events = progress.splitter.feed(answer.data)
             if events:
-                if not sink.started:
-                    await sink.start(head.status, _headers(head))
+                await progress.start(sink, head.status, _headers(head))
                 progress.must_resume = True
                 await sink.write(events)
         else:
@@ -168,8 +169,7 @@
     if not is_stream:
         await sink.send_whole(head.status, _headers(head), body)
         return RunResult(Ending.DELIVERED, status=head.status)
-    if not sink.started:
-        await sink.start(head.status, _headers(head))
+    await progress.start(sink, head.status, _headers(head))
     tail = progress.splitter.take_remainder()
     if tail:
         await sink.write(tail)
--- a/tests/platform/test_links.py
+++ b/tests/platform/test_links.py
@@ -108,6 +108,25 @@
     run_on_empty_fleet(_scenario)
 
 
+@pytest.mark.parametrize("behaviour", [Behaviour.FAIL, Behaviour.REJECT, Behaviour.OK])
+def test_an_answer_of_another_region_that_continues_no_stream_breaks_the_stream_off(
+    behaviour: Behaviour, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against another answer in the middle of a stream, and against a false end."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _break_stream_off_in_east(fleet)
+        fleet.runners["engine-west"].behaviour = behaviour
+        received = await fleet.call_until_broken(
+            fleet.vms["vm-east"], "/review/x", b"p", token_counts="100,28"
+        )
+        assert received == b"".join(f"id: {n}\ndata: piece {n}\n\n".encode() for n in (1, 2))
+        assert fleet.runners["engine-west"].received_requests
+        assert "request handler failed" not in caplog.messages
+
+    run_on_empty_fleet(_scenario)
+
+
 def test_forwarded_attempts_count_towards_the_limit_of_the_route() -> None:
     """Guards against a request that is attempted more often than its route allows."""
 
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -31,6 +31,10 @@
             runner.behaviour = behaviour
 
 
+def _received(fleet: Fleet) -> list[ReceivedRequest]:
+    return [seen for runner in fleet.runners.values() for seen in runner.received_requests]
+
+
 def _total_runs(fleet: Fleet) -> int:
     return sum(sum(runner.runs_by_request_id.values()) for runner in fleet.runners.values())
 
@@ -183,6 +187,35 @@
     run_on_default_fleet(_scenario)
 
 
+NO_CONTINUATIONS = [
+    Behaviour.FAIL,
+    Behaviour.REJECT,
+    Behaviour.OK,
+    Behaviour.NO_LENGTH,
+    Behaviour.UNSIGNED,
+    Behaviour.GARBAGE,
+    Behaviour.RESET,
+]
+
+
+@pytest.mark.parametrize("behaviour", NO_CONTINUATIONS)
+def test_an_answer_that_continues_no_stream_breaks_the_stream_off(behaviour: Behaviour) -> None:
+    """Guards against another answer in the middle of a stream, and against a false end."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        _set_behaviour(
+            fleet,
+            lambda seen: behaviour if "last-event-id" in seen.headers else Behaviour.CUT_STREAM,  # type: ignore[arg-type]
+        )
+        received = await fleet.call_until_broken(
+            fleet.vms["vm-1"], "/review/x", b"p", token_counts="100,28"
+        )
+        assert received == _events(1, 2)
+        assert len([seen for seen in _received(fleet) if "last-event-id" in seen.headers]) == 1
+
+    run_on_default_fleet(_scenario)
+
+
 def test_a_broken_stream_without_resumption_does_not_look_complete() -> None:
     """Guards against a partial response that looks complete."""
 
--- a/tests/platform_standins/_fleet.py
+++ b/tests/platform_standins/_fleet.py
@@ -10,7 +10,13 @@
 
 from mangosaddle._identifiers import RegionName, VmId, ZoneName
 from mangosaddle.entry import EntryProcess, EntryProcessSettings, FleetBounds
-from mangosaddle.http11 import HeaderList, ResponseHead, UpstreamConnection, UpstreamRequest
+from mangosaddle.http11 import (
+    HeaderList,
+    HttpError,
+    ResponseHead,
+    UpstreamConnection,
+    UpstreamRequest,
+)
 from mangosaddle.platform import PlatformStore, create_adapter
 
 from ._operator_documents import HOST
@@ -164,6 +170,27 @@
         finally:
             connection.abort()
 
+    async def call_until_broken(
+        self, vm: EntryProcess, path: str, body: bytes, **headers: str
+    ) -> bytes:
+        """Send one request and return the part of its answer before the connection broke.
+
+        Raises ``AssertionError`` if the answer is complete.
+        """
+        connection = await UpstreamConnection.open(*vm.settings.front, 1.0)
+        received = b""
+        try:
+            async with asyncio.timeout(MAX_WAIT_S):
+                connection.send(self.request(path, "key-1", "POST", body, **headers))
+                await connection.head()
+                while (part := await connection.body()) is not None:
+                    received += part
+        except HttpError:
+            return received
+        finally:
+            connection.abort()
+        raise AssertionError(f"the answer is complete: {received!r}")
+
     def request(
         self,
         path: str,
