Relay only event streams as answers to chat requests

No caller has reported it: an engine that answers a resumed stream with status 200 and a text that contains an empty line had that text relayed between the events of the first engine.

Change: open_stream requires the media type text/event-stream; any other success counts as a broken connection, so the answer is resumed elsewhere or ends with an error event and no end marker.

Evidence: on the old code tests/gateway/test_service_connections.py -k no_event_stream fails with "DID NOT RAISE". After: tests/gateway, tests/client and tests/faults/test_whole_answers.py pass.

Ruled out in the client library: the status is checked before a resumed stream is read, an error event becomes an exception, and a stream without the end marker counts as broken.

--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -20,6 +20,7 @@
 """Time to the response head, and for each read of the body."""
 ANSWER_TIMEOUT_S = 30.0
 """Time in which a whole answer must arrive, whatever the pauses between its bytes."""
+EVENT_STREAM_TYPE = "text/event-stream"
 REQUEST_ID_HEADER = "X-Request-Id"
 BACK_OFF_STATUSES = frozenset({429, 503})
 """Statuses whose ``Retry-After`` asks for a time without requests."""
@@ -63,7 +64,8 @@
 
     Raises:
         NotSentError: the endpoint was not reached.
-        EndpointCutError: the connection broke after the request was sent.
+        EndpointCutError: the connection broke after the request was sent, or the answer is no
+            event stream.
         EndpointTimeoutError: no response head arrived in time.
         EndpointRefusedError: the endpoint answered with an error status.
 
@@ -103,6 +105,9 @@
         if response.status != 200:
             detail = response.read(MAX_ERROR_BODY_BYTES).decode("utf-8", "replace")
             raise EndpointRefusedError(response.status, detail[:200], _retry_after_s(response))
+        media_type = response.headers.get("Content-Type", "").partition(";")[0].strip().lower()
+        if media_type != EVENT_STREAM_TYPE:
+            raise EndpointCutError(f"{connection.host}:{connection.port} sent no event stream")
     except TimeoutError as error:
         raise EndpointTimeoutError(f"no answer from {connection.host}:{connection.port}") from error
     except (urllib3.exceptions.HTTPError, HTTPException, OSError) as error:
--- a/src/mangosaddle/gateway/_forwarding.py
+++ b/src/mangosaddle/gateway/_forwarding.py
@@ -20,11 +20,11 @@
 from ..peers import NotSentError as PeerNotSentError
 from ..routing import RouteRequest
 from ._chat_request import ChatRequest, encode_payload, parse_chat
+from ._endpoint import EVENT_STREAM_TYPE
 from ._messages import CallerRequest
 from ._relay import Relay
 
 CHAT_PATH = "/v1/chat/completions"
-EVENT_STREAM_TYPE = "text/event-stream"
 MAX_QUEUED_BYTES = 65_536
 
 
--- a/tests/gateway/test_service_connections.py
+++ b/tests/gateway/test_service_connections.py
@@ -9,6 +9,8 @@
 import pytest
 
 from mangosaddle.gateway import EndpointError, ServiceClient
+from mangosaddle.gateway._endpoint import open_stream
+from mangosaddle.gateway._exceptions import EndpointCutError
 
 MAX_CALL_S = 3.0
 """Time in which a call that never gets a complete answer must end in these tests."""
@@ -113,3 +115,13 @@
     with _service(_script) as url, pytest.raises(EndpointError):
         _call(ServiceClient(), url, "request-1")
     assert time.monotonic() - started_s < MAX_CALL_S
+
+
+def test_success_that_is_no_event_stream_is_not_relayed_as_one() -> None:
+    """Guards against the text of another answer in the middle of a resumed stream."""
+
+    def _script(connection: socket.socket, request_id: str) -> None:
+        connection.sendall(_answer("out of memory\n\n", request_id))
+
+    with _service(_script) as url, pytest.raises(EndpointCutError):
+        open_stream(url, {"stream": True}, "request-1", 0)
