Test that odd registrations are relayed without harm to the links

A VM that the store turns away follows endpoints through the other VMs. All odd values and ids of tests/platform/test_odd_registrations.py at once neither stop the relay nor become endpoints.

--- a/tests/platform/test_odd_registrations.py
+++ b/tests/platform/test_odd_registrations.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from platform_standins import Fleet, RunnerStandIn, run_on_default_fleet, wait_until
+from platform_standins import Fleet, RunnerStandIn, StoreFault, run_on_default_fleet, wait_until
 
 HUGE_INTEGER = 10**4000
 LATE_RUNNER = "desk-3"
@@ -46,6 +46,8 @@
     "empty": lambda _: b"",
 }
 
+ODD_IDS = ["", "a\r\nb: c", "中", "\ud800", "a b"]
+
 
 @pytest.mark.parametrize("name", ODD_VALUES)
 def test_an_odd_entry_leaves_the_other_runners_followed(name: str) -> None:
@@ -76,7 +78,7 @@
     run_on_default_fleet(_scenario)
 
 
-@pytest.mark.parametrize("id_", ["", "a\r\nb: c", "中", "\ud800", "a b"])
+@pytest.mark.parametrize("id_", ODD_IDS)
 def test_an_id_that_no_header_can_hold_names_no_runner(id_: str) -> None:
     """Guards against requests that fail at an endpoint whose id cannot be sent."""
 
@@ -111,3 +113,24 @@
         await wait_until(lambda: _registered() is not None)
 
     run_on_default_fleet(_scenario)
+
+
+def test_odd_entries_are_relayed_without_harm_to_the_links() -> None:
+    """Guards against one entry that stops the relay to VMs that the store turns away."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        cut_off = await fleet.add_vm("vm-2", store=await fleet.store.start())
+        await fleet.wait_until_ready()
+        await fleet.store.set_fault(StoreFault.RESET, port_index=1)
+        await wait_until(lambda: all(follower.is_failing for follower in cut_off._followers))
+        odd = fleet.runners["desk-1"]
+        for number, odd_value in enumerate(ODD_VALUES.values()):
+            await fleet.store.put(f"servers/odd-{number}", odd_value(odd))
+        for id_ in ODD_IDS:
+            await fleet.store.put(f"servers/{id_}", odd.entry())
+        await fleet.add_runner(RunnerStandIn(LATE_RUNNER, "desk", "east-a"))
+        await fleet.wait_for_endpoints(cut_off, LATE_RUNNER)
+        endpoints = set(cut_off.endpoints.registry.registrations_by_id())
+        assert endpoints == set(fleet.runners)
+
+    run_on_default_fleet(_scenario)
