Bound the version in a registration

A version of half a megabyte was accepted; it is part of each row of rollout evidence, whose payloads are bounded, so the evidence of the service could not be published (read, not run). tests/platform/test_odd_registrations.py -k version_long fails on the code before and passes now.

--- a/src/mangosaddle/platform/_registrations.py
+++ b/src/mangosaddle/platform/_registrations.py
@@ -16,6 +16,7 @@
 MS_PER_S = 1000.0
 MAX_SHOWN_CHARACTERS = 100
 """Characters of an invalid value that are logged."""
+MAX_VERSION_CHARACTERS = 200
 MAX_SLOTS = 1_000_000
 MAX_COLD_MS = 24 * 3600 * MS_PER_S
 MAX_BORN_MS = 2**53
@@ -27,7 +28,7 @@
     service: str = Field(min_length=1)
     address: str
     zone: str = Field(min_length=1)
-    version: str
+    version: str = Field(max_length=MAX_VERSION_CHARACTERS)
     slots: int = Field(gt=0, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
     cold_remaining_ms: float = Field(default=0, ge=0, le=MAX_COLD_MS)
--- a/tests/platform/test_odd_registrations.py
+++ b/tests/platform/test_odd_registrations.py
@@ -39,6 +39,7 @@
     "cold_huge": _changed(cold_remaining_ms=1e300),
     "born_huge": _changed(born=HUGE_INTEGER),
     "version_surrogate": _changed(version="\ud800"),
+    "version_long": _changed(version="v" * 500_000),
     "state_unnamed": _changed(state="gone"),
     "wrong_types": _changed(service=["desk"]),
     "no_object": lambda _: b'["desk"]',
