Let the store stand-in be restored from a copy

A copy holds values, indexes and leases. A restore goes back to it, ends waiting watches with 410 and raises the epoch, which all answers carry in X-Store-Epoch. Conditional writes, watches and calls on sessions may name the epoch that they depend on; the stand-in refuses those of another epoch. Session ids are counted, so that a restore gives them out again. No behaviour of the product changes.

--- a/src/mangosaddle/standins/__init__.py
+++ b/src/mangosaddle/standins/__init__.py
@@ -6,7 +6,7 @@
 from ._host import StandInHost
 from ._links import LinkConditions, PeerLinks
 from ._service import ServiceStandIn
-from ._store import StoredValue, StoreFaults, StoreStandIn
+from ._store import StoreCopy, StoredValue, StoreFaults, StoreStandIn
 from ._vm_follower import VmFollower
 from ._vm_list import ListedVm, VmListStandIn
 from ._weight_store import WeightStoreStandIn
@@ -22,6 +22,7 @@
     "PeerLinks",
     "ServiceStandIn",
     "StandInHost",
+    "StoreCopy",
     "StoreFaults",
     "StoreStandIn",
     "StoredValue",
--- a/src/mangosaddle/standins/_store.py
+++ b/src/mangosaddle/standins/_store.py
@@ -5,6 +5,7 @@
 import json
 import uuid
 from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -12,6 +13,9 @@
 MAX_VALUE_BYTES = 1_048_576
 MAX_WATCH_S = 600.0
 DELAY_POLL_INTERVAL_S = 0.02
+EPOCH_HEADER = "X-Store-Epoch"
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +28,16 @@
     session: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Content of the store at one moment, for a later restore."""
+
+    values_by_key: Mapping[str, StoredValue]
+    expiry_by_session: Mapping[str, tuple[float, float]]
+    index: int
+    session_count: int
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """Faults that tests can inject."""
@@ -52,11 +66,16 @@
         self.values_by_key: dict[str, StoredValue] = {}
         self._expiry_by_session: dict[str, tuple[float, float]] = {}
         self._index = 1
+        self._session_count = 0
         self._changed = asyncio.Event()
+        self.epoch = 0
+        """Number of restores; sent with all answers."""
 
     def application(self) -> web.Application:
         """Return the web application that serves this store."""
-        application = web.Application(client_max_size=MAX_VALUE_BYTES + 1024)
+        application = web.Application(
+            client_max_size=MAX_VALUE_BYTES + 1024, middlewares=[self._add_epoch]
+        )
         application.router.add_get("/v1/kv/{key:.*}", self._get)
         application.router.add_put("/v1/kv/{key:.*}", self._put)
         application.router.add_delete("/v1/kv/{key:.*}", self._delete)
@@ -76,6 +95,37 @@
         self._expiry_by_session.clear()
         self._index = index
 
+    def copy(self) -> StoreCopy:
+        """Copy the content; call this on the host's loop."""
+        return StoreCopy(
+            dict(self.values_by_key),
+            dict(self._expiry_by_session),
+            self._index,
+            self._session_count,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, as after the loss of a disk; call this on the host's loop.
+
+        Indices and session ids that were assigned since the copy are assigned again. Watches end
+        with an error.
+        """
+        self.values_by_key = dict(copy.values_by_key)
+        self._expiry_by_session = dict(copy.expiry_by_session)
+        self._index, self._session_count = copy.index, copy.session_count
+        self.epoch += 1
+        self._notify_watches()
+
+    @web.middleware
+    async def _add_epoch(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        response = await handler(request)
+        response.headers[EPOCH_HEADER] = str(self.epoch)
+        return response
+
+    def _has_other_epoch(self, request: web.Request) -> bool:
+        """Return whether a request depends on the state before the last restore."""
+        return int(request.query.get("epoch", self.epoch)) != self.epoch
+
     def _garbage_response(self) -> web.Response | None:
         if self.faults.garbage_answers > 0:
             self.faults.garbage_answers -= 1
@@ -98,9 +148,12 @@
 
     def _advance_index(self) -> int:
         self._index += 1
+        self._notify_watches()
+        return self._index
+
+    def _notify_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-        return self._index
 
     def _expire_sessions(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -127,7 +180,11 @@
         await self._apply_faults(request)
         self._expire_sessions()
         if "index" in request.query:
-            await self._wait_for_change(request)
+            epoch = self.epoch
+            if not self._has_other_epoch(request):
+                await self._wait_for_change(request)
+            if self._has_other_epoch(request) or self.epoch != epoch:
+                return web.Response(status=410, text="index of an earlier epoch")
         garbage_response = self._garbage_response()
         if garbage_response is not None:
             return garbage_response
@@ -144,6 +201,7 @@
 
     async def _wait_for_change(self, request: web.Request) -> None:
         seen_index = int(request.query["index"])
+        epoch = self.epoch
         loop = asyncio.get_running_loop()
         deadline = loop.time() + min(float(request.query.get("wait", "60s")[:-1]), MAX_WATCH_S)
         while (
@@ -159,6 +217,8 @@
                 return
             if self.faults.down:
                 self._abort_connection(request)
+            if self.epoch != epoch:
+                return
 
     async def _put(self, request: web.Request) -> web.Response:
         self.calls_by_kind["write"] += 1
@@ -181,6 +241,8 @@
         return self._garbage_response() or web.json_response(True, headers=headers)
 
     def _may_write(self, request: web.Request, stored: StoredValue | None) -> bool:
+        if self._has_other_epoch(request):
+            return False
         if "cas" in request.query:
             expected = int(request.query["cas"])
             if (stored.modify_index if stored else 0) != expected:
@@ -215,7 +277,8 @@
         await self._apply_faults(request)
         body = json.loads(await request.read() or b"{}")
         ttl_s = float(str(body.get("TTL", "15s")).rstrip("s"))
-        session = str(uuid.uuid4())
+        self._session_count += 1
+        session = str(uuid.UUID(int=self._session_count))
         self._expiry_by_session[session] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
         return web.json_response({"ID": session})
 
@@ -224,7 +287,7 @@
         await self._apply_faults(request)
         self._expire_sessions()
         session = request.match_info["session"]
-        if session not in self._expiry_by_session:
+        if session not in self._expiry_by_session or self._has_other_epoch(request):
             return web.Response(status=404)
         ttl_s = self._expiry_by_session[session][1]
         self._expiry_by_session[session] = (asyncio.get_running_loop().time() + ttl_s, ttl_s)
@@ -233,7 +296,8 @@
     async def _destroy_session(self, request: web.Request) -> web.Response:
         self.calls_by_kind["lease"] += 1
         await self._apply_faults(request)
-        self._end_session(request.match_info["session"])
+        if not self._has_other_epoch(request):
+            self._end_session(request.match_info["session"])
         return web.json_response(True)
 
 
