Keep accepted configurations when the store is restored

Operators saw a confirmed change revert, or a change accepted after the restore that no VM applied.

Cause: the revision of a document was the position at which the store returned it. A restored store returns an older document in a new epoch, so it counted as the newest one.

The document now contains the epoch in which it was written, and its revision consists of that epoch and its index. VMs that find a document of an earlier epoch write the newest one that they know again. Edits are based on a document of the current epoch; an edit whose base was only written again is stored without a refusal. A watcher reads the document as soon as its watch was ended by a restore, not at the next fallback read.

Ruled out: ordering by position alone (reverts), by index alone (ignores later edits).

Not covered: a change known only to VMs that are cut off from the others while the document is written again.

--- a/src/mangosaddle/configuration/_encoding.py
+++ b/src/mangosaddle/configuration/_encoding.py
@@ -31,6 +31,7 @@
 
     schema_version: Literal[1]
     nonce: str
+    epoch: int = Field(default=0, ge=0)
     digest: str = Field(pattern=rf"^[0-9a-f]{{{2 * DIGEST_BYTES}}}$")
 
 
@@ -41,12 +42,16 @@
     configuration: Configuration
     nonce: str
     """Chosen by the writer, which can so tell whether a write without a response took effect."""
+    epoch: int
+    """Epoch of the store in which the value was written."""
 
 
-def encode_configuration(configuration: Configuration, nonce: str) -> bytes:
+def encode_configuration(configuration: Configuration, nonce: str, epoch: int = 0) -> bytes:
     """Encode a configuration for the store; raises `TooLargeError` above `MAX_ENCODED_BYTES`.
 
-    The revision is not encoded, since it is the modify index that the store assigns to the value.
+    The revision is not encoded, since it consists of the epoch and of the modify index that the
+    store assigns to the value. The value contains the epoch, because a restored store returns old
+    values in a new epoch.
     """
     document: dict[str, Any] = {
         collection.name: {
@@ -57,11 +62,13 @@
     document["schema_version"] = SCHEMA_VERSION
     document["nonce"] = nonce
     document["digest"] = content_digest(configuration).hex()
+    if epoch:
+        document["epoch"] = epoch
     return compress(document, MAX_ENCODED_BYTES)
 
 
 def decode_configuration(data: bytes, revision: int) -> StoredConfiguration:
-    """Decode a value of the store; ``revision`` is its modify index.
+    """Decode a value of the store or of a VM, which has this revision.
 
     The stored digest is trusted: the checksum of zlib detects corruption, and hashing all items
     again would take longer than the rest of the decoding. Raises `DecodeError` or one of its
@@ -77,7 +84,7 @@
     }
     digest = bytes.fromhex(stored.digest)
     configuration = Configuration(revision=revision, digest=digest, **content)
-    return StoredConfiguration(configuration, stored.nonce)
+    return StoredConfiguration(configuration, stored.nonce, stored.epoch)
 
 
 def newer_configuration(current: Configuration | None, candidate: Configuration) -> Configuration:
--- a/src/mangosaddle/daemon/_configuration_service.py
+++ b/src/mangosaddle/daemon/_configuration_service.py
@@ -25,7 +25,17 @@
 from ..gateway import Execution, Problem, revision_conflict
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import PeerError, PeerNode, register
-from ..providers import Conflict, StoreClient, StoreEntry, ValueTooLarge, WriteOutcomeUnknown
+from ..providers import (
+    Conflict,
+    StoreClient,
+    StoreEntry,
+    ValueTooLarge,
+    WriteFailure,
+    WriteOutcomeUnknown,
+    epoch_of,
+    index_of,
+    position_of,
+)
 from ._blocking import BlockingCalls
 from ._configuration_head import MAX_DELTA_BYTES, ConfigurationHead, advance_head
 from ._configuration_holder import ConfigurationHolder
@@ -43,6 +53,10 @@
 """Time for which a VM that finds the store empty asks its peers before it serves operators."""
 PULL_TIMEOUT_S = 5.0
 """Allows for the other VM to encode a configuration of the target scale, which takes 1.1 s."""
+RESTORE_SETTLE_S = 0.5
+"""Time for the last change before a restore to reach the VM that writes the document again."""
+RESTORE_WRITE_JITTER_S = 0.5
+RESTORE_WRITE_ATTEMPTS = 3
 
 Value = TypeVar("Value")
 
@@ -94,6 +108,10 @@
         self._rng = rng
         self._loaded = asyncio.Event()
         self._is_pulling = False
+        self._examined_position = 0
+        """Position of the stored value that was decoded last."""
+        self._is_rewriting = False
+        self._rewrite_lock = asyncio.Lock()
         self._encoding_lock = asyncio.Lock()
         self._cached_response = ConfigurationResponse(0, b"")
         self._watch = ConfigurationWatch(self._create_watch_callbacks(), store, blocking, rng)
@@ -150,16 +168,90 @@
             retry_delay_s = min(retry_delay_s * 2, RETRY_MAX_S)
 
     async def _apply_entry(self, entry: StoreEntry | None) -> None:
-        if entry is None or entry.modify_index <= self._holder.current.revision:
+        if entry is None:
+            if self._holder.is_loaded and self._is_epoch_new(self._store.epoch):
+                self._start_rewriting()
+            return
+        position = entry.modify_index
+        if position <= self._holder.current.revision or position == self._examined_position:
             return
+        stored = await self._decode_entry(entry)
+        if stored is None:
+            return
+        self._examined_position = position
+        await self._apply_and_publish(self._holder.current, stored)
+        if epoch_of(stored.revision) < epoch_of(position):
+            self._start_rewriting()
+
+    async def _decode_entry(self, entry: StoreEntry) -> Configuration | None:
+        """Decode the stored value; its revision has the epoch in which it was written."""
         try:
-            decoded = await self._blocking.run(
-                decode_configuration, entry.value, entry.modify_index
-            )
+            decoded = await self._blocking.run(decode_configuration, entry.value, 0)
         except ConfigurationError:
             _log.exception("cannot decode the stored configuration")
-            return
-        await self._apply_and_publish(self._holder.current, decoded.configuration)
+            return None
+        return replace(
+            decoded.configuration, revision=revision_of(decoded.epoch, entry.modify_index)
+        )
+
+    def _is_epoch_new(self, epoch: int) -> bool:
+        return epoch > epoch_of(self._holder.current.revision)
+
+    def _start_rewriting(self) -> None:
+        if not self._is_rewriting:
+            self._is_rewriting = True
+            self._tasks.spawn(self._rewrite_until_done())
+
+    async def _rewrite_until_done(self) -> None:
+        """Write the newest configuration again after a restore, unless another VM does."""
+        _log.warning("the store was restored", extra={"epoch": self._store.epoch})
+        try:
+            await asyncio.sleep(self._rng.uniform(0, RESTORE_WRITE_JITTER_S))
+            retry_delay_s = RETRY_INITIAL_S
+            while not await self._rewrite():
+                await asyncio.sleep(retry_delay_s * self._rng.uniform(0.5, 1.0))
+                retry_delay_s = min(retry_delay_s * 2, RETRY_MAX_S)
+        finally:
+            self._is_rewriting = False
+
+    async def _rewrite_within(self, attempts: int) -> bool:
+        for _ in range(attempts):
+            if await self._rewrite():
+                return True
+        return False
+
+    async def _rewrite(self) -> bool:
+        """Replace a document from before a restore; return whether the stored one is current.
+
+        The newest document that VMs have may be newer than the one in the restored store. It gets
+        a revision of the new epoch, on which edits can be based again.
+        """
+        async with self._rewrite_lock:
+            if not self._is_epoch_new(self._store.epoch):
+                return True
+            await asyncio.sleep(RESTORE_SETTLE_S)
+            await self._pull_from_any()
+            result = await self._blocking.run(self._store.read, CONFIGURATION_KEY)
+            if not isinstance(result, Success):
+                return False
+            entry = result.unwrap()
+            stored = await self._decode_entry(entry) if entry is not None else None
+            if entry is not None and stored is None:
+                return False
+            if stored is not None:
+                await self._apply_and_publish(self._holder.current, stored)
+            if not self._is_epoch_new(self._store.epoch):
+                return True
+            known_fact = self._peers.facts.find(CONFIGURATION_KIND.name, CONFIGURATION_KEY)
+            if known_fact is not None and known_fact.version > self._holder.current.revision:
+                return False
+            current = self._holder.current
+            index = entry.modify_index if entry is not None else 0
+            written = await self._write(current, index)
+            if isinstance(written, Success):
+                extra = {"revision": current.revision, "new_revision": written.unwrap()}
+                _log.warning("configuration written again after a restore", extra=extra)
+            return isinstance(written, Success)
 
     async def _apply_and_publish(self, base: Configuration, candidate: Configuration) -> bytes:
         """Apply a configuration from the store, publish it, and return the delta from the base."""
@@ -274,23 +366,50 @@
         """Store an edit if the store still has the expected revision; return the new revision."""
         base = self._holder.current
         try:
-            complete, encoded = await self._blocking.run(_encode_with_digest, edited)
+            written = await self._write(edited, expected)
+            if _is_after_restore(written, expected) and base.revision == expected:
+                await self._rewrite_within(RESTORE_WRITE_ATTEMPTS)
+                current = self._holder.current
+                if with_digest(current).digest == with_digest(base).digest:
+                    written = await self._write(edited, current.revision)
         except ConfigurationError as error:
             return Failure(Problem(413, "configuration-too-large", str(error)))
+        return written.alt(self._store_problem)
+
+    async def _write(
+        self, edited: Configuration, expected_position: int
+    ) -> Result[int, WriteFailure]:
+        """Write, apply and publish a configuration; return its revision.
+
+        Raises ``ConfigurationError`` if it cannot be encoded.
+        """
+        base = self._holder.current
+        epoch = epoch_of(expected_position) if expected_position else self._store.epoch
+        complete, encoded = await self._blocking.run(_encode_with_digest, edited, epoch)
         result = await self._blocking.run(
             self._store.compare_and_swap_resolved,
             CONFIGURATION_KEY,
             encoded,
-            expected,
+            expected_position,
             RESOLVE_TIMEOUT_S,
         )
         if not isinstance(result, Success):
-            return Failure(_store_problem(result.failure()))
-        revision = result.unwrap().modify_index
+            return Failure(result.failure())
+        revision = revision_of(epoch, result.unwrap().modify_index)
         delta = await self._apply_and_publish(base, replace(complete, revision=revision))
         self._tasks.spawn(self._advance_head(ConfigurationHead(revision, delta)))
         return Success(revision)
 
+    def _store_problem(self, failure: WriteFailure) -> Problem:
+        if isinstance(failure, Conflict):
+            is_restored = epoch_of(failure.current_index or 0) != epoch_of(
+                self._holder.current.revision
+            )
+            return revision_conflict(
+                self._holder.current.revision if is_restored else failure.current_index or 0
+            )
+        return _store_problem(failure)
+
     async def _advance_head(self, head: ConfigurationHead) -> None:
         """Update the head for the watchers; if this fails, a watcher repairs the head."""
         if not await self._blocking.run(advance_head, self._store, head, RESOLVE_TIMEOUT_S):
@@ -331,9 +450,24 @@
         return len(entry.value) if entry is not None else 0
 
 
-def _encode_with_digest(edited: Configuration) -> tuple[Configuration, bytes]:
+def revision_of(epoch: int, position: int) -> int:
+    """Return the revision of a value written in an epoch and found at a position of the store."""
+    return position_of(epoch, index_of(position))
+
+
+def _is_after_restore(written: Result[int, WriteFailure], expected: int) -> bool:
+    """Return whether a write failed because the store was restored after the expected revision."""
+    if isinstance(written, Success) or not expected:
+        return False
+    failure = written.failure()
+    if not isinstance(failure, Conflict) or failure.current_index is None:
+        return False
+    return failure.current_index == 0 or epoch_of(failure.current_index) > epoch_of(expected)
+
+
+def _encode_with_digest(edited: Configuration, epoch: int) -> tuple[Configuration, bytes]:
     complete = with_digest(edited)
-    return complete, encode_configuration(complete, secrets.token_hex(16))
+    return complete, encode_configuration(complete, secrets.token_hex(16), epoch)
 
 
 def _delta_bytes(base: Configuration, result: Configuration) -> bytes:
@@ -345,9 +479,7 @@
     return encoded if len(encoded) <= MAX_DELTA_BYTES else b""
 
 
-def _store_problem(failure: object) -> Problem:
-    if isinstance(failure, Conflict):
-        return revision_conflict(failure.current_index or 0)
+def _store_problem(failure: WriteFailure) -> Problem:
     if isinstance(failure, ValueTooLarge):
         return Problem(413, "configuration-too-large", "the document exceeds 1 MB")
     if isinstance(failure, WriteOutcomeUnknown):
--- a/src/mangosaddle/daemon/_configuration_watch.py
+++ b/src/mangosaddle/daemon/_configuration_watch.py
@@ -88,6 +88,7 @@
             elif not await self._repair_head():
                 await asyncio.sleep(IDLE_INTERVAL_S)
             if result.restarted:
+                await self._read_configuration()
                 await asyncio.sleep(IDLE_INTERVAL_S)
 
     async def _fetch_head(self, index: int) -> WatchResult | None:
--- a/src/mangosaddle/providers/__init__.py
+++ b/src/mangosaddle/providers/__init__.py
@@ -30,7 +30,7 @@
 )
 from ._store import MAX_VALUE_BYTES, RESOLVE_TIMEOUT_S, StoreClient
 from ._store_leases import boot_clock
-from ._store_positions import epoch_of, position_of
+from ._store_positions import epoch_of, index_of, position_of
 from ._store_types import (
     Conflict,
     InvalidResponse,
@@ -89,6 +89,7 @@
     "Written",
     "boot_clock",
     "epoch_of",
+    "index_of",
     "parse_retry_after",
     "position_of",
 ]
--- /dev/null
+++ b/tests/daemon/test_restored_store.py
@@ -0,0 +1,153 @@
+"""Tests of a running fleet whose store goes back to a copy that is some seconds old."""
+
+import copy
+import json
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+import urllib3
+
+from mangosaddle._identifiers import VmId
+from mangosaddle.daemon._configuration_service import CONFIGURATION_KEY
+from mangosaddle.demo import OPERATOR_TOKEN, LocalFleet, example_configuration, wait_for
+from mangosaddle.standins import StoreCopy
+
+LATE_VM = VmId("mekele-2")
+TIMEOUT_S = 15.0
+MAX_PROPAGATION_S = 4.0
+"""Target: all VMs apply a change within this time."""
+OUTAGE_S = 1.0
+Json = dict[str, Any]
+
+
+@pytest.fixture
+def fleet() -> Iterator[LocalFleet]:
+    """Run all entry VMs of the example inventory ``authority`` but one."""
+    running = LocalFleet(example_configuration("authority"), seed=6)
+    try:
+        running.standins.start()
+        for vm in running.standins.configuration.vms_by_id:
+            if vm != LATE_VM:
+                running.start_vm(vm)
+        _wait_until_linked(running)
+        yield running
+    finally:
+        running.stop()
+
+
+def _wait_until_linked(fleet: LocalFleet) -> None:
+    nodes = fleet.nodes_by_vm.values()
+    wait_for(
+        lambda: all(len(node.fleet.discovery(())) == len(nodes) for node in nodes),
+        "all VMs live",
+        TIMEOUT_S,
+    )
+
+
+def _send(
+    fleet: LocalFleet, method: str, vm: str, path: str, body: Json | None = None, etag: int = 0
+) -> urllib3.BaseHTTPResponse:
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}", "If-Match": f'"{etag}"'}
+    data = None if body is None else json.dumps(body).encode()
+    url = f"{fleet.url(vm)}/admin/v1/{path}"
+    return urllib3.request(method, url, headers=headers, body=data, retries=False, timeout=20.0)
+
+
+def _read(fleet: LocalFleet, vm: str) -> Json:
+    document: Json = _send(fleet, "GET", vm, "configuration").json()
+    return document
+
+
+def _rates(fleet: LocalFleet, vm: str) -> dict[str, float]:
+    allowances = _read(fleet, vm)["rules"]["allowances"]
+    return {a["organisation"]: a["rate_tokens_per_s"] for a in allowances}
+
+
+def _put(fleet: LocalFleet, vm: str, organisation: str, rate: int) -> urllib3.BaseHTTPResponse:
+    document = copy.deepcopy(_read(fleet, vm))
+    for allowance in document["rules"]["allowances"]:
+        if allowance["organisation"] == organisation:
+            allowance["rate_tokens_per_s"] = rate
+    body = {name: document[name] for name in ("inventory", "rules")}
+    return _send(fleet, "PUT", vm, "configuration", body, document["revision"])
+
+
+def _edit(fleet: LocalFleet, vm: str, organisation: str, rate: int) -> None:
+    """Edit like an operator, who reads and edits again after a conflict."""
+    deadline = time.monotonic() + TIMEOUT_S
+    while (answer := _put(fleet, vm, organisation, rate)).status != 200:
+        assert answer.status in (412, 503), answer.data
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
+
+
+def _wait_for_rates(fleet: LocalFleet, wanted: dict[str, float]) -> None:
+    wait_for(
+        lambda: all(wanted.items() <= _rates(fleet, vm).items() for vm in fleet.nodes_by_vm),
+        f"{wanted} at all VMs",
+        MAX_PROPAGATION_S,
+    )
+
+
+def _copy(fleet: LocalFleet) -> StoreCopy:
+    return fleet.standins.store.copy()
+
+
+def _restore(fleet: LocalFleet, taken: StoreCopy, outage_s: float = 0.0) -> None:
+    async def restore() -> None:
+        fleet.standins.store.restore(taken)
+        fleet.standins.store.faults.down = False
+
+    fleet.standins.store.faults.down = outage_s > 0
+    time.sleep(outage_s)
+    fleet.standins.host.run(restore())
+
+
+@pytest.mark.parametrize("outage_s", [0.0, OUTAGE_S])
+def test_accepted_changes_stay_in_force_after_a_restore(fleet: LocalFleet, outage_s: float) -> None:
+    """Guards against changes that revert, or that are accepted and never in force (P14)."""
+    _edit(fleet, "addis-1", "tower-trust", 4001)
+    taken = _copy(fleet)
+    _edit(fleet, "gondar-1", "tower-trust", 4002)
+    _edit(fleet, "gondar-1", "school-clocks", 3002)
+    _wait_for_rates(fleet, {"tower-trust": 4002, "school-clocks": 3002})
+    _restore(fleet, taken, outage_s)
+    _edit(fleet, "mekele-1", "station-clocks", 3003)
+    expected = {"tower-trust": 4002.0, "school-clocks": 3002.0, "station-clocks": 3003.0}
+    _wait_for_rates(fleet, expected)
+    fleet.start_vm(LATE_VM)
+    _wait_for_rates(fleet, expected)
+
+
+def test_the_restored_document_is_replaced_without_an_edit(fleet: LocalFleet) -> None:
+    """Guards against fleets that return to an older document once their VMs are replaced."""
+    taken = _copy(fleet)
+    _edit(fleet, "addis-1", "tower-trust", 4101)
+    _restore(fleet, taken)
+    lost = taken.values_by_key[CONFIGURATION_KEY].value
+    wait_for(
+        lambda: fleet.standins.store.values_by_key[CONFIGURATION_KEY].value != lost,
+        "the newest document in the store",
+        TIMEOUT_S,
+    )
+    for vm in list(fleet.nodes_by_vm):
+        fleet.nodes_by_vm.pop(vm).stop()
+    fleet.start_vm(LATE_VM)
+    assert _rates(fleet, LATE_VM)["tower-trust"] == 4101
+
+
+def test_vms_that_start_after_two_restores_agree(fleet: LocalFleet) -> None:
+    """Guards against restores that follow each other and against revisions that repeat."""
+    taken = _copy(fleet)
+    for turn in range(2):
+        _edit(fleet, "addis-1", "tower-trust", 4201 + turn)
+        _wait_for_rates(fleet, {"tower-trust": 4201 + turn})
+        _restore(fleet, taken)
+    _edit(fleet, "addis-2", "tower-trust", 4203)
+    _wait_for_rates(fleet, {"tower-trust": 4203})
+    fleet.start_vm(LATE_VM)
+    _wait_for_rates(fleet, {"tower-trust": 4203})
+    revisions = {_read(fleet, vm)["revision"] for vm in fleet.nodes_by_vm}
+    assert len(revisions) == 1
