Write withdrawals that the stored configuration lacks

Callers would have seen a withdrawn key accepted again once all VMs had been replaced: only the VM that took a withdrawal stored it. When that VM stopped before the store answered, or when a restored document lacked the withdrawal, the key stayed active in the store for good.

Evidence: tests/daemon/test_restored_store.py, case 'store down, VM stopped'. Without the periodic step it times out after 15 s; with it the case passes. The case 'stored' and the one of a granted key passed before as well, by the configuration that is written again.

Change: the watchers of each region compare the withdrawals that they know with the configuration each second and store those that were missing twice. The edit changes nothing if another VM was first.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -62,6 +62,7 @@
 from ._order_plan import OrderTimings
 from ._rollout_service import EVIDENCE_KIND, REGION_EVIDENCE_KIND, VETO_KIND, RolloutService
 from ._settings import EntrySettings
+from ._withdrawal_sync import SYNC_INTERVAL_S, WithdrawalSync
 
 STALL_CHECK_INTERVAL_S = 1.0
 PENDING_ORDERS_INTERVAL_S = 2.0
@@ -264,6 +265,9 @@
         self._key_service = KeyService(
             self._keys, self._peers, self.chat_service.end_withdrawn_streams
         )
+        self._withdrawal_sync = WithdrawalSync(
+            self._keys, self._configuration_service, current_configuration, self._is_watcher
+        )
         self._discovery = DiscoveryHandler(
             current_configuration, self._keys, self.allowances, self.fleet, issuer, time.time
         )
@@ -294,6 +298,10 @@
             body_limit=admin.body_limit_bytes,
         )
 
+    def _is_watcher(self) -> bool:
+        """Return whether this VM is one of those that watch the store for its region."""
+        return self.settings.vm in self._peers.membership.config_watchers(self.settings.region)
+
     def _current_configuration(self) -> Configuration:
         return self._configuration_holder.current
 
@@ -332,6 +340,7 @@
         self.fleet.start()
         self._tasks.run_periodically(STALL_CHECK_INTERVAL_S, self._check_stalled)
         self._tasks.run_periodically(PENDING_ORDERS_INTERVAL_S, self._write_pending_orders)
+        self._tasks.run_periodically(SYNC_INTERVAL_S, self._withdrawal_sync.step)
         self._claim_sweep.start()
         await self._configuration_service.wait_until_loaded()
 
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -9,7 +9,8 @@
 import pytest
 import urllib3
 
-from mangosaddle._identifiers import VmId
+from mangosaddle._identifiers import KeyId, OrganisationId, VmId
+from mangosaddle.configuration import Key, decode_configuration
 from mangosaddle.daemon._configuration_service import CONFIGURATION_KEY
 from mangosaddle.demo import OPERATOR_TOKEN, LocalFleet, example_configuration, wait_for
 from mangosaddle.standins import StoreCopy
@@ -151,3 +152,33 @@
     _wait_for_rates(fleet, {"tower-trust": 4203})
     revisions = {_read(fleet, vm)["revision"] for vm in fleet.nodes_by_vm}
     assert len(revisions) == 1
+
+
+def _stored_keys(fleet: LocalFleet) -> dict[KeyId, Key]:
+    stored = fleet.standins.store.values_by_key[CONFIGURATION_KEY]
+    return dict(decode_configuration(stored.value, 1).configuration.keys_by_id)
+
+
+@pytest.mark.parametrize("is_stored", [True, False], ids=["stored", "store down, VM stopped"])
+def test_a_withdrawn_key_is_withdrawn_again_in_a_restored_store(
+    fleet: LocalFleet, is_stored: bool
+) -> None:
+    """Guards against a key that is valid again once all VMs have been replaced (P6)."""
+    key_id = fleet.standins.keys_by_organisation[OrganisationId("school-clocks")].id
+    taken = _copy(fleet)
+    fleet.standins.store.faults.down = not is_stored
+    assert _send(fleet, "DELETE", "addis-1", f"keys/{key_id}").status == 200
+    if is_stored:
+        wait_for(lambda: _stored_keys(fleet)[key_id].withdrawn, "the withdrawal", TIMEOUT_S)
+    fleet.nodes_by_vm.pop(VmId("addis-1")).stop()
+    _restore(fleet, taken)
+    assert not _stored_keys(fleet)[key_id].withdrawn
+    wait_for(lambda: _stored_keys(fleet)[key_id].withdrawn, "the withdrawal", TIMEOUT_S)
+
+
+def test_a_granted_key_stays_valid_after_a_restore(fleet: LocalFleet) -> None:
+    """Guards against VMs that do not know a key whose grant was confirmed."""
+    taken = _copy(fleet)
+    granted = _send(fleet, "POST", "addis-1", "keys", {"organisation": "tower-trust"}).json()
+    _restore(fleet, taken)
+    wait_for(lambda: granted["key_id"] in _stored_keys(fleet), "the key", TIMEOUT_S)
