Record the response of an order whose claim the store has lost

A caller that repeats an order would have had it run twice: the order was sent under a claim, the store was restored without the claim, and the response could not be recorded. The pending update found no record of its own and was dropped; the repeat found no claim.

The record of an order that was sent is now also written when its key is missing or released. Claims of other attempts cannot be overwritten by this: they are neither.

Two new cases of tests/orders/test_executor.py fail before (a second execution) and pass with the change; all of tests/orders passed, including the interleavings.

--- a/src/mangosaddle/orders/_attempt_steps.py
+++ b/src/mangosaddle/orders/_attempt_steps.py
@@ -153,6 +153,9 @@
     A release is written even if the key still has its index from before the claim. The write of
     the claim may still be in flight; it expects the old index, so it fails once the release has
     changed that index.
+
+    The record of an order that was sent is also written if the store has lost the claim: the key
+    is missing or released then, which claims of other attempts prevent otherwise.
     """
     found = yield ReadRecord(pending.key)
     if not isinstance(found, Success):
@@ -163,10 +166,11 @@
     is_own_claim = existing is not None and existing.nonce == pending.target.nonce
     if is_own_claim and existing is not None and existing.state is not ClaimState.CLAIMED:
         return True
-    unclaimed = (
-        current_index == pending.expected_index and pending.target.state is ClaimState.RELEASED
-    )
-    if not is_own_claim and not unclaimed:
+    if pending.target.state is ClaimState.RELEASED:
+        is_free = current_index == pending.expected_index
+    else:
+        is_free = entry is None or (existing is not None and existing.state is ClaimState.RELEASED)
+    if not is_own_claim and not is_free:
         return True
     written = yield WriteRecord(pending.key, pending.target, current_index)
     return isinstance(written, Success)
--- a/tests/orders/test_executor.py
+++ b/tests/orders/test_executor.py
@@ -27,7 +27,7 @@
 )
 from mangosaddle.orders._attempt_steps import ReadResult, WriteResult
 from mangosaddle.providers import PlatformMetrics, StoreClient, StoreUnavailable
-from mangosaddle.standins import ServiceStandIn, StandInHost, StoreStandIn
+from mangosaddle.standins import ServiceStandIn, StandInHost, StoreCopy, StoreStandIn
 
 ORDER = Order(OrganisationId("o"), ServiceName("s"), "key-1", "POST", "/orders", b'{"n": 1}')
 
@@ -40,6 +40,15 @@
     service: ServiceStandIn
     executors: list[OrderExecutor]
     send: Callable[[], SendOutcome]
+    host: StandInHost
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Let the store go back to a copy."""
+
+        async def restore() -> None:
+            self.store.restore(copy)
+
+        self.host.run(restore())
 
     @property
     def executions(self) -> int:
@@ -75,7 +84,7 @@
         )
         return OrderExecutor(client, VmId(name), Incarnation("1"))
 
-    return Fleet(store, service, [executor("a"), executor("b")], send)
+    return Fleet(store, service, [executor("a"), executor("b")], send, standin_host)
 
 
 def test_repeat_on_another_vm_gets_the_recorded_response(fleet: Fleet) -> None:
@@ -143,6 +152,28 @@
     assert second.execute(ORDER, fleet.send) == Replay(delivered.response)
 
 
+@pytest.mark.parametrize("is_released", [False, True], ids=["missing", "released"])
+def test_response_is_recorded_although_the_store_lost_the_claim(
+    fleet: Fleet, is_released: bool
+) -> None:
+    """Guards against a second execution when the store is restored while an order runs."""
+    first, second = fleet.executors
+    if is_released:
+        assert isinstance(first.execute(ORDER, lambda: NotSent("refused")), RefuseNotRun)
+    copy = fleet.store.copy()
+
+    def send() -> SendOutcome:
+        outcome = fleet.send()
+        fleet.restore(copy)
+        return outcome
+
+    delivered = first.execute(ORDER, send)
+    assert isinstance(delivered, Deliver)
+    assert first.write_pending_updates() == 0
+    assert second.execute(ORDER, fleet.send) == Replay(delivered.response)
+    assert fleet.executions == 1
+
+
 def test_unsent_order_can_be_retried_but_a_raised_error_counts_as_sent(fleet: Fleet) -> None:
     """Guards against a blocked id when nothing was sent, and a released one after an error."""
     assert fleet.executors[0].execute(ORDER, lambda: NotSent("refused")) == RefuseNotRun("refused")
