--- a/src/mangosaddle/_store_revisions.py
+++ b/src/mangosaddle/_store_revisions.py
@@ -27,6 +27,11 @@
     return composed & ((1 << NUMBER_BITS) - 1)
 
 
+def format_revision(composed: int) -> str:
+    """Return era and number of a revision for the log."""
+    return f"{era_of(composed)}/{number_of(composed)}"
+
+
 def start_order(revision: int) -> int:
     """Return a number that orders the processes of a VM by the revision of their first entry.
 
--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .._store_revisions import era_of
+from .._store_revisions import era_of, format_revision
 from ._exceptions import CoordinationError, HistoryLostError
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
@@ -103,7 +103,7 @@
             except HistoryLostError:
                 logger.info(
                     "changes are no longer available, reading the prefix again",
-                    extra={"prefix": self.prefix, "revision": self._revision},
+                    extra={"prefix": self.prefix, "revision": format_revision(self._revision or 0)},
                 )
                 self._revision = None
             except CoordinationError as error:
@@ -177,7 +177,11 @@
             self._failing_since_s = self._clock()
             logger.warning(
                 "store is unreachable",
-                extra={"prefix": self.prefix, "cause": str(error), "revision": self._revision},
+                extra={
+                    "prefix": self.prefix,
+                    "cause": str(error),
+                    "revision": format_revision(self._revision or 0),
+                },
             )
         # Changes may have been missed and leases may have expired: read everything again.
         self._revision = None
--- a/src/mangosaddle/coordination/_restore_guard.py
+++ b/src/mangosaddle/coordination/_restore_guard.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .._store_revisions import era_of, number_of
+from .._store_revisions import era_of, format_revision, number_of
 from ._store import Item, Removal, Snapshot
 
 ItemOrder = Callable[[Item], tuple[int, ...] | None]
@@ -164,8 +164,8 @@
                 extra={
                     "key": event.key,
                     "removed": is_removal,
-                    "revision": number_of(event.revision),
-                    "known": number_of(self._known_by_key[event.key].event.revision),
+                    "revision": format_revision(event.revision),
+                    "known": format_revision(self._known_by_key[event.key].event.revision),
                 },
             )
         else:
--- a/src/mangosaddle/coordination/_vm_registration.py
+++ b/src/mangosaddle/coordination/_vm_registration.py
@@ -9,6 +9,7 @@
 from dataclasses import asdict, dataclass, replace
 
 from .._identifiers import Incarnation, RegionName, VmId, ZoneName
+from .._store_revisions import format_revision
 from ._exceptions import CoordinationError, LeaseEndedError, OutcomeUnknownError
 from ._store import CoordinationStore, Item, Put, Removal
 
@@ -128,7 +129,10 @@
             return
         logger.warning(
             "registration entry was overwritten or removed",
-            extra={"revision": event.revision, "removed": isinstance(event, Removal)},
+            extra={
+                "revision": format_revision(event.revision),
+                "removed": isinstance(event, Removal),
+            },
         )
         now = self._clock()
         # Removals wait for the next renewal: entries of many VMs expire at the same time, and the
@@ -195,7 +199,8 @@
             self.revision = revision
             self.registered.set()
         logger.info(
-            "registration entry written", extra={"revision": revision, "leaving": record.leaving}
+            "registration entry written",
+            extra={"revision": format_revision(revision), "leaving": record.leaving},
         )
 
     async def deregister(self) -> None:
--- a/src/mangosaddle/entry/_catalogue_holder.py
+++ b/src/mangosaddle/entry/_catalogue_holder.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from .._store_revisions import format_revision
 from ..traffic import Catalogue
 
 logger = logging.getLogger(__name__)
@@ -41,7 +42,7 @@
             extra={
                 "version": catalogue.version,
                 "replaced": current.version if current is not None else None,
-                "revision": revision,
+                "revision": format_revision(revision),
             },
         )
         return True
--- a/src/mangosaddle/entry/_rollout_records.py
+++ b/src/mangosaddle/entry/_rollout_records.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result
 
 from .._identifiers import ServiceName, VmId
-from .._store_revisions import era_of
+from .._store_revisions import era_of, format_revision
 from .._tasks import BackgroundTasks
 from ..coordination import (
     CoordinationError,
@@ -206,7 +206,11 @@
         record = RolloutRecord(order.service, order.target, due.state, order.revision, began_at_s)
         key = self._codec.status_key(order.service)
         expected = [(key, self._revisions_by_service.get(order.service, 0))]
-        fields = {"service": order.service, "state": due.state.value, "order": order.revision}
+        fields = {
+            "service": order.service,
+            "state": due.state.value,
+            "order": format_revision(order.revision),
+        }
         try:
             revision = await self._store.write(
                 [Put(key, self._codec.encode_status(record))], expected=expected
@@ -216,7 +220,7 @@
             self._rollouts.apply_record(order.service, record)
             logger.info(
                 "rollout state written",
-                extra=fields | {"revision": revision, "reason": rollout.reason},
+                extra=fields | {"revision": format_revision(revision), "reason": rollout.reason},
             )
         except RevisionConflictError:
             await self._reread(order.service, key)
--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from .._identifiers import ServiceName, VmId
+from .._store_revisions import format_revision
 from ..membership import GROW_ONLY, PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
 from ..rollouts import (
@@ -150,7 +151,7 @@
     def _continue_order(self, rollout: OrderedRollout, order: RolloutOrder) -> None:
         """Go on with a rollout whose order has another revision since the store was restored."""
         rollout.order = order
-        self._log("rollout continued after a restore", rollout, revision=order.revision)
+        self._log("rollout continued after a restore", rollout)
         if rollout.is_rejected:
             # VMs that have started since know the order by its new revision only.
             self._publish_veto(rollout)
@@ -381,7 +382,7 @@
             extra={
                 "service": order.service,
                 "target": order.target,
-                "order": order.revision,
+                "order": format_revision(order.revision),
                 "elapsed_s": round(rollout.elapsed_s(now), 2),
                 "share": round(rollout.share(now), 3),
                 **fields,
--- a/src/mangosaddle/entry/_store_listeners.py
+++ b/src/mangosaddle/entry/_store_listeners.py
@@ -7,6 +7,7 @@
 
 from .._finding import Finding
 from .._identifiers import EndpointId, RegionName, VmId, ZoneName
+from .._store_revisions import format_revision
 from ..coordination import LEASE_TTL_S, Item, Removal, Snapshot, VmRecord
 from ..traffic import Catalogue, Endpoints, Registration
 from ._catalogue_holder import CatalogueHolder
@@ -191,7 +192,7 @@
                     "zone": registration.zone,
                     "phase": registration.phase.value,
                     "cold_s": registration.cold_s,
-                    "revision": item.revision,
+                    "revision": format_revision(item.revision),
                 },
             )
 
@@ -278,7 +279,11 @@
             self._remove_at_by_vm[vm] = self._clock()
             logger.info(
                 "VM entry lapsed",
-                extra={"vm": vm, "incarnation": old.incarnation, "revision": event.revision},
+                extra={
+                    "vm": vm,
+                    "incarnation": old.incarnation,
+                    "revision": format_revision(event.revision),
+                },
             )
             return
         record = self._decode(event) if isinstance(event, Item) else None
@@ -297,7 +302,7 @@
                 "vm": vm,
                 "incarnation": record.incarnation if record is not None else None,
                 "leaving": record.leaving if record is not None else None,
-                "revision": event.revision,
+                "revision": format_revision(event.revision),
             },
         )
         self._on_change()
--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -6,7 +6,7 @@
 import zlib
 from dataclasses import dataclass
 
-from .._store_revisions import era_of
+from .._store_revisions import era_of, format_revision
 from ..coordination import Item, PrefixListener, Removal, RestoreGuard, Snapshot
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import EncodeError, PeerNode
@@ -160,7 +160,11 @@
             self._revisions_by_key[key] = fact.version
         logger.info(
             "received relayed store item",
-            extra={"key": key, "revision": fact.version, "from_vm": fact.origin},
+            extra={
+                "key": key,
+                "revision": format_revision(fact.version),
+                "from_vm": fact.origin,
+            },
         )
         followed.listener.handle_change(event)
 
@@ -190,7 +194,8 @@
         else:
             # Usually another VM has relayed the change before.
             logger.info(
-                "store change is not newer", extra={"key": event.key, "revision": event.revision}
+                "store change is not newer",
+                extra={"key": event.key, "revision": format_revision(event.revision)},
             )
 
 
