Compare a restored store's numbers with the highest one of a key

What callers saw: nothing yet; found by review. Cause: the guard compared the number of an item that may be an outdated copy with that of the latest known change only. After two restores the second copy may be from before the first one, so that its numbers are above those given out since: an evacuation that was taken back in the second era, or a rollout order that was replaced in it, came back as a new one with the second restore. Change: the guard keeps the highest number of each key over all eras.

--- a/src/mangosaddle/coordination/_restore_guard.py
+++ b/src/mangosaddle/coordination/_restore_guard.py
@@ -37,6 +37,8 @@
     event: Item | Removal
     """Latest change of the key that was admitted."""
     last_item: Item | None
+    highest_number: int
+    """Highest number of any change of the key; a copy may be from before several restores."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,15 +138,20 @@
             if order is not None and last_order is not None:
                 return order <= last_order if was_removed else order < last_order
         # A copy contains no number above those that were seen before.
-        return number_of(event.revision) < number_of(known.event.revision)
+        number = number_of(event.revision)
+        if number == known.highest_number:
+            return number_of(known.event.revision) < number
+        return number < known.highest_number
 
     def _record(self, event: Item | Removal) -> None:
         self._held_by_key.pop(event.key, None)
+        known = self._known_by_key.get(event.key)
+        highest_number = max(number_of(event.revision), known.highest_number if known else 0)
         if isinstance(event, Item):
-            self._known_by_key[event.key] = _Known(event, event)
+            self._known_by_key[event.key] = _Known(event, event, highest_number)
             return
-        known = self._known_by_key.get(event.key)
-        self._known_by_key[event.key] = _Known(event, known.last_item if known else None)
+        last_item = known.last_item if known else None
+        self._known_by_key[event.key] = _Known(event, last_item, highest_number)
         now = self._clock()
         self._removals.append((now, event.key))
         while now - self._removals[0][0] > REMOVAL_RETENTION_S:
