Hold back removals after a restore whatever their number

What callers saw: nothing yet; found by review. A VM that starts after a restore, or whose reading of the store begins anew, relays keys that other VMs know and the store lacks as removed, at the revision of its reading. Where that number was above the one of the key, the other VMs took the key for removed at once, although its writer had not had the time to write it again: an evacuated zone got requests again, a live endpoint was dropped. A VM's own reading always held such keys back. Cause: the number of a synthesised removal is that of the reading, not of a change. Evidence: the new test fails with number 61 on the code before, and holds with 55; both pass now.

--- a/src/mangosaddle/coordination/_restore_guard.py
+++ b/src/mangosaddle/coordination/_restore_guard.py
@@ -129,9 +129,12 @@
         """Return whether an event of a later era may show an earlier state than the known one."""
         if era_of(event.revision) <= era_of(known.event.revision):
             return False
+        was_removed = isinstance(known.event, Removal)
+        if isinstance(event, Removal):
+            # Its number may be that of the reading that lacked the key.
+            return not was_removed
         last = known.last_item
-        if isinstance(event, Item) and last is not None:
-            was_removed = isinstance(known.event, Removal)
+        if last is not None:
             if event.value == last.value and not was_removed:
                 return False
             order, last_order = self._order_of(event), self._order_of(last)
--- a/tests/coordination/test_restore_guard.py
+++ b/tests/coordination/test_restore_guard.py
@@ -108,3 +108,13 @@
     """Guards against endpoints that are kept although they have left."""
     guard, _ = _guard(_item(1, 60, b"x"))
     assert guard.filter_snapshot(Snapshot((), compose(1, 61))).items == ()
+
+
+@pytest.mark.parametrize("number", [55, 61])
+def test_a_removal_that_no_vm_has_seen_is_held_back_whatever_its_number(number: int) -> None:
+    """Guards against keys that are dropped because another VM read the restored store later."""
+    guard, clock = _guard(_item(1, 60, b"x"))
+    removal = _removal(2, number)
+    assert not guard.admits(removal, observed=False)
+    clock.now_s += HOLD_TIMES.missing_s
+    assert guard.release_due() == [removal]
