Hold a key back once, not at each VM that hears of its removal

What callers saw: nothing yet; found by review. A VM that watches holds a key that a restored store lacks for 3 s, and then relays it as removed. The other VMs, in a fleet of 12 and more most of them, held that removal for 3 s again: an evacuation or an order that the operator had taken back took effect after more than 6 s, where 5 s are the bound. Cause: the relayed removal did not tell that it had been held back. Change: it is marked like a change that a watch has seen. Evidence: the new test fails on the code before (the other VM has no removal after the hold time); it passes now.

--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -26,8 +26,8 @@
 PRESENT, ABSENT = b"\x01", b"\x00"
 """First byte of the payload: whether the key exists."""
 OBSERVED = 2
-"""Added to the first byte if the change was seen by a watch, so that it is no part of a copy from
-which the store was restored."""
+"""Added to the first byte if the change was seen by a watch, or held back for long enough, so that
+it is no outdated part of a copy from which the store was restored."""
 
 logger = logging.getLogger(__name__)
 
@@ -75,7 +75,8 @@
         """Apply what was held back after a restore of the store and has not been replaced since."""
         for followed in self._followed_by_prefix.values():
             for event in followed.guard.release_due() if followed.guard is not None else ():
-                if self.relay_if_new(event):
+                # Other VMs need not hold it back as well.
+                if self.relay_if_new(event, observed=True):
                     followed.listener.handle_change(event)
 
     def relay_if_new(self, event: Item | Removal, *, observed: bool = False) -> bool:
--- a/tests/entry/test_store_relay.py
+++ b/tests/entry/test_store_relay.py
@@ -9,7 +9,8 @@
 import pytest
 
 from mangosaddle._identifiers import Incarnation, VmId
-from mangosaddle.coordination import Item, Removal, Snapshot
+from mangosaddle._store_revisions import compose
+from mangosaddle.coordination import HoldTimes, Item, Removal, RestoreGuard, Snapshot
 from mangosaddle.entry._store_listeners import LAPSE_GRACE_S
 from mangosaddle.entry._store_relay import (
     ABSENT,
@@ -56,9 +57,11 @@
                 node.listener(fact)
 
 
-def _relay(node: _Node | None = None) -> tuple[StoreRelay, Any, _Listener]:
+def _relay(
+    node: _Node | None = None, guard: RestoreGuard | None = None
+) -> tuple[StoreRelay, Any, _Listener]:
     relay, listener = StoreRelay(random.Random(1)), _Listener()
-    relaying = relay.wrap_listener(PREFIX, listener)
+    relaying = relay.wrap_listener(PREFIX, listener, guard)
     if node is not None:
         relay.connect(cast(Any, node))
     return relay, relaying, listener
@@ -153,3 +156,24 @@
         assert listener.events == []
 
     asyncio.run(_main())
+
+
+def test_a_key_that_a_restored_store_lacks_is_held_back_only_once() -> None:
+    """Guards against VMs without a watch that keep a key for the hold times of two VMs."""
+
+    async def _main() -> None:
+        reading, other = _Node(), _Node()
+        reading.others = [other]
+        now = 0.0
+        guards = [RestoreGuard(HoldTimes(3.0, 3.0), clock=lambda: now) for _ in range(2)]
+        relay, relaying, _ = _relay(reading, guards[0])
+        _, _, listener = _relay(other, guards[1])
+        relaying.handle_change(_item(KEY, compose(1, 60)))
+        await asyncio.sleep(2 * MAX_RELAY_DELAY_S)
+        relaying.handle_snapshot(Snapshot((), compose(2, 55)), after_outage=True)
+        now = 3.0
+        relay.release_held()
+        await asyncio.sleep(2 * MAX_RELAY_DELAY_S)
+        assert listener.events[1:] == [Removal(KEY, compose(2, 55))]
+
+    asyncio.run(_main())
