Keep what a restored store lacks while it is away again

What callers saw: nothing yet; found by review. What a restored store lacks is kept for 3 s, so that its writer can write it again. Where the store was away again in that time, silent, or restored a second time, the writer could not, and yet the time ran on: an evacuated zone got requests again, endpoints that lived were dropped, until the store was back. Change: hold times run only while this VM can read the store, and begin again after an outage or another restore. What other VMs have relayed is released as before, so that a VM that is cut off keeps up with them. Evidence: test_an_evacuation_stays_in_force_while_the_store_is_away_again fails on the code before; it passes now.

--- a/src/mangosaddle/coordination/_restore_guard.py
+++ b/src/mangosaddle/coordination/_restore_guard.py
@@ -45,6 +45,8 @@
 class _Held:
     event: Item | Removal
     due_s: float
+    was_read: bool
+    """Whether this VM has read it itself; another VM has relayed it otherwise."""
 
 
 class RestoreGuard:
@@ -65,8 +67,14 @@
         self._removals: deque[tuple[float, str]] = deque()
         """Times and keys of the removals, oldest first."""
 
-    def filter_snapshot(self, snapshot: Snapshot) -> Snapshot:
-        """Return the snapshot with known items in place of what may be an outdated copy."""
+    def filter_snapshot(self, snapshot: Snapshot, *, after_outage: bool = False) -> Snapshot:
+        """Return the snapshot with known items in place of what may be an outdated copy.
+
+        ``after_outage`` tells that the writers could not write for a while: the hold times begin
+        again.
+        """
+        if after_outage:
+            self._held_by_key.clear()
         era = era_of(snapshot.revision)
         present = {item.key for item in snapshot.items}
         admitted = map(self._admit_item, snapshot.items)
@@ -78,7 +86,7 @@
                 continue
             removal = Removal(key, snapshot.revision)
             if era_of(known.event.revision) < era:
-                self._hold(removal)
+                self._hold(removal, was_read=True)
                 items.append(known.event)
             else:
                 self._record(removal)
@@ -91,7 +99,7 @@
         """
         known = self._known_by_key.get(event.key)
         if known is not None and not observed and self._may_be_outdated(known, event):
-            self._hold(event)
+            self._hold(event, was_read=False)
             return False
         self._record(event)
         return True
@@ -104,10 +112,17 @@
         order, known_order = self._order_of(item), self._order_of(known.event)
         return order is not None and known_order is not None and order > known_order
 
-    def release_due(self) -> list[Item | Removal]:
-        """Return what was held back for long enough, and is to be applied now."""
+    def release_due(self, *, is_failing: bool = False) -> list[Item | Removal]:
+        """Return what was held back for long enough, and is to be applied now.
+
+        While the store is failing, what this VM has read itself is held back further.
+        """
         now = self._clock()
-        due = [held.event for held in self._held_by_key.values() if held.due_s <= now]
+        due = [
+            held.event
+            for held in self._held_by_key.values()
+            if held.due_s <= now and not (is_failing and held.was_read)
+        ]
         for event in due:
             self._record(event)
             logger.info(
@@ -122,7 +137,7 @@
         if known is None or not self._may_be_outdated(known, item):
             self._record(item)
             return item
-        self._hold(item)
+        self._hold(item, was_read=True)
         return known.event if isinstance(known.event, Item) else None
 
     def _may_be_outdated(self, known: _Known, event: Item | Removal) -> bool:
@@ -163,7 +178,7 @@
             if former is not None and isinstance(former.event, Removal):
                 del self._known_by_key[key]
 
-    def _hold(self, event: Item | Removal) -> None:
+    def _hold(self, event: Item | Removal, *, was_read: bool) -> None:
         held = self._held_by_key.get(event.key)
         is_removal = isinstance(event, Removal)
         if held is None:
@@ -180,4 +195,4 @@
             )
         else:
             due_s = held.due_s
-        self._held_by_key[event.key] = _Held(event, due_s)
+        self._held_by_key[event.key] = _Held(event, due_s, was_read)
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -532,7 +532,7 @@
             self._on_store_restored(self._node)
         self._registration_listener.remove_due()
         self._vm_entry_listener.remove_due()
-        self._relay.release_held()
+        self._relay.release_held([row.prefix for row in self._followers if row.is_failing])
         self.fleet.record_served_regions()
         self._pool.close_expired()
         for view in self.endpoints.views():
--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import zlib
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from .._store_revisions import era_of
@@ -71,10 +72,15 @@
         for event in unsent.values():
             self._schedule(event, 0.0)
 
-    def release_held(self) -> None:
-        """Apply what was held back after a restore of the store and has not been replaced since."""
-        for followed in self._followed_by_prefix.values():
-            for event in followed.guard.release_due() if followed.guard is not None else ():
+    def release_held(self, failing_prefixes: Collection[str] = ()) -> None:
+        """Apply what was held back after a restore of the store and has not been replaced since.
+
+        ``failing_prefixes`` are those that this VM fails to read at present.
+        """
+        for prefix, followed in self._followed_by_prefix.items():
+            if followed.guard is None:
+                continue
+            for event in followed.guard.release_due(is_failing=prefix in failing_prefixes):
                 # Other VMs need not hold it back as well.
                 if self.relay_if_new(event, observed=True):
                     followed.listener.handle_change(event)
@@ -175,7 +181,7 @@
     def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
         """Relay the items that are new and pass on the snapshot."""
         if self._followed.guard is not None:
-            snapshot = self._followed.guard.filter_snapshot(snapshot)
+            snapshot = self._followed.guard.filter_snapshot(snapshot, after_outage=after_outage)
         self._followed.snapshot_revision = max(self._followed.snapshot_revision, snapshot.revision)
         for item in snapshot.items:
             self._relay.relay_if_new(item)
--- a/tests/coordination/test_restore_guard.py
+++ b/tests/coordination/test_restore_guard.py
@@ -118,3 +118,17 @@
     assert not guard.admits(removal, observed=False)
     clock.now_s += HOLD_TIMES.missing_s
     assert guard.release_due() == [removal]
+
+
+def test_a_key_is_kept_while_its_writer_cannot_write_to_the_store() -> None:
+    """Guards against keys that are dropped because the store is away again after a restore."""
+    known = _item(1, 60, b"x")
+    guard, clock = _guard(known)
+    guard.filter_snapshot(Snapshot((), compose(2, 55)), after_outage=True)
+    clock.now_s += 2 * HOLD_TIMES.missing_s
+    assert guard.release_due(is_failing=True) == []
+    snapshot = Snapshot((), compose(2, 56))
+    assert guard.filter_snapshot(snapshot, after_outage=True).items == (known,)
+    assert guard.release_due() == []
+    clock.now_s += HOLD_TIMES.missing_s
+    assert guard.release_due() == [Removal(KEY, snapshot.revision)]
--- a/tests/platform/test_fleet_after_a_restore.py
+++ b/tests/platform/test_fleet_after_a_restore.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mangosaddle._identifiers import EndpointId
+from mangosaddle.entry._entry_process import HOUSEKEEPING_INTERVAL_S, OPERATOR_HOLD_TIMES
 from platform_standins import (
     Fleet,
     RunnerStandIn,
@@ -113,6 +114,24 @@
     run_on_default_fleet(_scenario)
 
 
+def test_an_evacuation_stays_in_force_while_the_store_is_away_again() -> None:
+    """Guards against an order that ends because the operator cannot write it again in time."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        registry = fleet.vms["vm-1"].endpoints.registry
+        state = fleet.store.copy_state()
+        await fleet.store.put("op/evacuate/east-a", {})
+        await wait_until(lambda: registry.evacuated_zones)
+        await _restore(fleet, state)
+        await fleet.store.set_fault(StoreFault.RESET)
+        await asyncio.sleep(OPERATOR_HOLD_TIMES.missing_s + 2 * HOUSEKEEPING_INTERVAL_S)
+        assert registry.evacuated_zones
+        await fleet.store.set_fault(StoreFault.NONE)
+        await wait_until(lambda: not registry.evacuated_zones)
+
+    run_on_default_fleet(_scenario)
+
+
 @pytest.mark.parametrize("is_removed", [False, True])
 def test_an_endpoint_that_has_left_is_not_used_again_after_a_restore(is_removed: bool) -> None:
     """Guards against requests to an endpoint that the copy shows as ready."""
