Remember a removal for its whole time when its key was removed before

What callers saw: nothing yet; found by review. The guard forgets a removal after 120 s by the key's name. A key that was removed twice within that time, such as the entry of an endpoint that had lapsed and came back, was forgotten 120 s after the first time, so that a copy which still had it brought it back. Change: only the removal that has become too old is forgotten. Evidence: the new test fails on the code before; it passes now.

--- a/src/mangosaddle/coordination/_restore_guard.py
+++ b/src/mangosaddle/coordination/_restore_guard.py
@@ -64,8 +64,8 @@
         self._clock = clock
         self._known_by_key: dict[str, _Known] = {}
         self._held_by_key: dict[str, _Held] = {}
-        self._removals: deque[tuple[float, str]] = deque()
-        """Times and keys of the removals, oldest first."""
+        self._removals: deque[tuple[float, Removal]] = deque()
+        """Removals with their times, oldest first."""
 
     def filter_snapshot(self, snapshot: Snapshot, *, after_outage: bool = False) -> Snapshot:
         """Return the snapshot with known items in place of what may be an outdated copy.
@@ -171,12 +171,13 @@
         last_item = known.last_item if known else None
         self._known_by_key[event.key] = _Known(event, last_item, highest_number)
         now = self._clock()
-        self._removals.append((now, event.key))
+        self._removals.append((now, event))
         while now - self._removals[0][0] > REMOVAL_RETENTION_S:
-            _, key = self._removals.popleft()
-            former = self._known_by_key.get(key)
-            if former is not None and isinstance(former.event, Removal):
-                del self._known_by_key[key]
+            _, removal = self._removals.popleft()
+            former = self._known_by_key.get(removal.key)
+            # The key may have been written and removed again since.
+            if former is not None and former.event is removal:
+                del self._known_by_key[removal.key]
 
     def _hold(self, event: Item | Removal, *, was_read: bool) -> None:
         held = self._held_by_key.get(event.key)
--- a/tests/coordination/test_restore_guard.py
+++ b/tests/coordination/test_restore_guard.py
@@ -4,6 +4,7 @@
 
 from mangosaddle._store_revisions import compose
 from mangosaddle.coordination import HoldTimes, Item, Removal, RestoreGuard, Snapshot
+from mangosaddle.coordination._restore_guard import REMOVAL_RETENTION_S
 
 KEY = "keys/a"
 HOLD_TIMES = HoldTimes(missing_s=2.0, outdated_s=6.0)
@@ -132,3 +133,16 @@
     assert guard.release_due() == []
     clock.now_s += HOLD_TIMES.missing_s
     assert guard.release_due() == [Removal(KEY, snapshot.revision)]
+
+
+def test_a_key_that_is_removed_twice_is_remembered_from_the_second_time() -> None:
+    """Guards against endpoints that come back because an earlier removal has been forgotten."""
+    guard, clock = _guard(_item(1, 40, b"x"), _removal(1, 41))
+    clock.now_s += REMOVAL_RETENTION_S - 1.0
+    item = _item(1, 60, b"x")
+    for event in (item, _removal(1, 61)):
+        guard.admits(event, observed=True)
+    clock.now_s += 2.0
+    guard.admits(Removal("keys/b", compose(1, 62)), observed=True)
+    copied = _item(2, 60, b"x")
+    assert guard.filter_snapshot(Snapshot((copied,), compose(2, 60))).items == ()
