--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import zlib
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from .._store_revisions import era_of, format_revision
@@ -26,8 +27,8 @@
 PRESENT, ABSENT = b"\x01", b"\x00"
 """First byte of the payload: whether the key exists."""
 OBSERVED = 2
-"""Added to the first byte if the change was seen by a watch, so that it is no part of a copy from
-which the store was restored."""
+"""Added to the first byte if the change was seen by a watch, or held back for long enough, so that
+it is no outdated part of a copy from which the store was restored."""
 
 logger = logging.getLogger(__name__)
 
@@ -71,11 +72,17 @@
         for event in unsent.values():
             self._schedule(event, 0.0)
 
-    def release_held(self) -> None:
-        """Apply what was held back after a restore of the store and has not been replaced since."""
-        for followed in self._followed_by_prefix.values():
-            for event in followed.guard.release_due() if followed.guard is not None else ():
-                if self.relay_if_new(event):
+    def release_held(self, failing_prefixes: Collection[str] = ()) -> None:
+        """Apply what was held back after a restore of the store and has not been replaced since.
+
+        ``failing_prefixes`` are those that this VM fails to read at present.
+        """
+        for prefix, followed in self._followed_by_prefix.items():
+            if followed.guard is None:
+                continue
+            for event in followed.guard.release_due(is_failing=prefix in failing_prefixes):
+                # Other VMs need not hold it back as well.
+                if self.relay_if_new(event, observed=True):
                     followed.listener.handle_change(event)
 
     def relay_if_new(self, event: Item | Removal, *, observed: bool = False) -> bool:
@@ -178,7 +185,7 @@
     def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
         """Relay the items that are new and pass on the snapshot."""
         if self._followed.guard is not None:
-            snapshot = self._followed.guard.filter_snapshot(snapshot)
+            snapshot = self._followed.guard.filter_snapshot(snapshot, after_outage=after_outage)
         self._followed.snapshot_revision = max(self._followed.snapshot_revision, snapshot.revision)
         for item in snapshot.items:
             self._relay.relay_if_new(item)
