Log overdue attempts with what stands against replacing them

One line for each overdue attempt that goes on, and one when it is replaced, so that a cut answer can be told from one that was waited for.

--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -253,6 +253,8 @@
         """Latest error response of an endpoint to the request."""
         self._replacement: LocalPlacement | RemotePlacement | None = None
         """Reserved placement of the attempt that follows the current one if it is given up."""
+        self._kept_at: set[EndpointId] = set()
+        """Endpoints at which an overdue attempt has been logged."""
 
     async def run_to_end(self) -> RunResult:
         while True:
@@ -294,18 +296,34 @@
         """Return whether another attempt can replace the one at an endpoint, and charge it."""
         if self._replacement is not None:
             return True
+        obstacle = self._reserve(view)
+        if not obstacle or view.id not in self._kept_at:
+            self._kept_at.add(view.id)
+            logger.info(
+                "attempt overdue",
+                extra={
+                    "request_id": self._request.id,
+                    "endpoint": view.id,
+                    "kept_because": obstacle,
+                    "answer_began": self._progress.must_resume,
+                },
+            )
+        return not obstacle
+
+    def _reserve(self, view: EndpointView) -> str:
+        """Reserve a replacement of the attempt at an endpoint; return what stands against it."""
         request = self._request
         if not request.route.repeatable or not self._allows_attempt_after(self._possible_runs + 1):
-            return False
+            return "no_attempt_left"
         if self._runner.prompt_retry_after_s(request) is not None:
-            return False
+            return "prompt_quarantined"
         decision = self._runner.decide(request, {*self._tried, view.id}, self._tried_regions)
         if isinstance(decision, PlacementRefusal):
-            return False
+            return decision.cause.value
         if not self._runner.try_spend_retry(request, sent=True, repeatable=True):
-            return False
+            return "no_retry_budget"
         self._replacement = decision
-        return True
+        return ""
 
     def _allows_attempt_after(self, possible_runs: int) -> bool:
         """Return whether limits and time of the request allow an attempt after so many runs."""
