Keep attempts that receive data when a health check fails

Streams that were being delivered were broken off and run again at another endpoint when their endpoint failed a health check, which an endpoint at its connection limit or with all slots taken does although it works.

Cause: a failed check ended all attempts at the endpoint that may be repeated, whatever they had received since.

Now attempts that have received data in the last second go on, unless the check's connection was refused. A reserved placement is also used only right after it was made, so that it cannot name an endpoint that has left meanwhile, and the charge for it is kept apart from it.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -48,6 +48,9 @@
 FAILURE_BODY_TIMEOUT_S = 2.0
 """Maximum time from the head of such an answer to its end, in addition to the time that its bytes
 take: the endpoint does no work before it sends the body, but may pause for a second."""
+MIN_SILENCE_S = 1.0
+"""Time without data after which an attempt may be given up because a health check has failed: an
+endpoint at its connection limit fails the check, too."""
 DEADLINE_MARGIN_S = 0.001
 """Time before a request's deadline from which the deadline counts as passed: more than the
 resolution of the clock."""
@@ -221,11 +224,15 @@
     def abort_repeatable(self, endpoint: EndpointId, *, has_ended: bool) -> int:
         """Abort the attempts at an endpoint that may be repeated; return their number.
 
-        Unless the endpoint's process ``has_ended``, attempts that cannot be replaced continue: an
-        endpoint that is silent may still be working on them.
+        Unless the endpoint's process ``has_ended``, attempts that have received data lately or
+        cannot be replaced continue: the endpoint may still be working on them.
         """
-        checks = self._checks_by_endpoint.get(endpoint, {})
-        connections = [connection for connection, check in checks.items() if has_ended or check()]
+        active_since_s = asyncio.get_running_loop().time() - MIN_SILENCE_S
+        connections = [
+            connection
+            for connection, check in self._checks_by_endpoint.get(endpoint, {}).items()
+            if has_ended or (connection.active_at_s < active_since_s and check())
+        ]
         for connection in connections:
             connection.abort()
         return len(connections)
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -32,6 +32,8 @@
 not be reached."""
 MIN_ATTEMPT_S = 0.02
 """Remaining time below which another attempt cannot succeed."""
+RESERVATION_VALID_S = 0.1
+"""Time for which a reserved placement may be used: the silent attempt ends within it."""
 REJECTION_PENALTY_S = 0.15
 """Time for which an endpoint that has rejected a request is taken as full: the rest of this time is
 added to its forecasts."""
@@ -253,6 +255,10 @@
         """Latest error response of an endpoint to the request."""
         self._replacement: LocalPlacement | RemotePlacement | None = None
         """Reserved placement of the attempt that follows the current one if it is given up."""
+        self._reserved_at_s = 0.0
+        """Event loop time in seconds of that placement."""
+        self._is_charged = False
+        """Whether the next attempt has been charged to the retry budget."""
         self._kept_at: set[EndpointId] = set()
         """Endpoints at which an overdue attempt has been logged."""
 
@@ -290,12 +296,13 @@
         """Decide where the next attempt runs; a reserved placement is used rather than none."""
         decision = self._runner.decide(self._request, self._tried, self._tried_regions)
         reserved, self._replacement = self._replacement, None
+        now = asyncio.get_running_loop().time()
+        if now - self._reserved_at_s > RESERVATION_VALID_S:
+            reserved = None
         return reserved if reserved and isinstance(decision, PlacementRefusal) else decision
 
     def _reserve_replacement(self, view: EndpointView) -> bool:
         """Return whether another attempt can replace the one at an endpoint, and charge it."""
-        if self._replacement is not None:
-            return True
         obstacle = self._reserve(view)
         if not obstacle or view.id not in self._kept_at:
             self._kept_at.add(view.id)
@@ -320,9 +327,12 @@
         decision = self._runner.decide(request, {*self._tried, view.id}, self._tried_regions)
         if isinstance(decision, PlacementRefusal):
             return decision.cause.value
-        if not self._runner.try_spend_retry(request, sent=True, repeatable=True):
+        if not self._is_charged:
+            self._is_charged = self._runner.try_spend_retry(request, sent=True, repeatable=True)
+        if not self._is_charged:
             return "no_retry_budget"
         self._replacement = decision
+        self._reserved_at_s = asyncio.get_running_loop().time()
         return ""
 
     def _allows_attempt_after(self, possible_runs: int) -> bool:
@@ -346,10 +356,11 @@
             self._possible_runs += 1
         repeatable = request.route.repeatable
         allowed = (proven_not_run or repeatable) and self._allows_attempt_after(self._possible_runs)
-        if allowed and was_sent and self._replacement is None:
+        if allowed and was_sent and not self._is_charged:
             allowed = self._runner.try_spend_retry(
                 request, sent=not proven_not_run, repeatable=repeatable
             )
+        self._is_charged = False
         logger.info(
             "attempt failed",
             extra={
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -87,6 +87,8 @@
         """Create an unconnected protocol; use ``open`` instead."""
         self.requests_sent = 0
         self.idle_since_s = 0.0
+        self.active_at_s = 0.0
+        """Event loop time in seconds at which a request was last sent, or data last received."""
         self.keep_alive_s: float | None = None
         """Idle timeout that the server stated, in seconds."""
         self._transport: asyncio.Transport | None = None
@@ -141,6 +143,7 @@
             self.abort()
             return
         self._response_started = True
+        self.active_at_s = asyncio.get_running_loop().time()
         self._received.append(data)
         self._received_bytes += len(data)
         if self._received_bytes > MAX_UNREAD_BYTES and self._transport is not None:
@@ -193,6 +196,7 @@
         self._request = request
         self._response_complete = False
         self.requests_sent += 1
+        self.active_at_s = asyncio.get_running_loop().time()
         self._transport.write(self._start_cycle(request))
 
     def _start_cycle(self, request: UpstreamRequest) -> bytes:
--- a/tests/platform/test_silent_runners.py
+++ b/tests/platform/test_silent_runners.py
@@ -146,3 +146,25 @@
         assert answer.header("Response-Stamp")
 
     run_on_empty_fleet(_scenario)
+
+
+def test_a_stream_stays_at_a_runner_that_only_fails_its_health_check() -> None:
+    """Guards against moving streams that go on, as their runner has no connection left."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        engines = await _start(fleet, "engine-1", "engine-2")
+        for engine in engines:
+            engine.behaviour = Behaviour.STREAM
+            engine.event_count, engine.event_interval_s = 10, 0.2
+            engine.silent_health_checks = True
+        call = asyncio.create_task(_call_review(fleet))
+        await asyncio.sleep(0.5)
+        (running,) = [row for row in engines if row.runs_by_request_id]
+        for view in fleet.vms["vm-1"].endpoints.views():
+            if view.id == running.id:
+                view.health.mark_unreachable(asyncio.get_running_loop().time())
+        assert (await call).count(b"data:") == 10
+        assert running.health_checks > 0
+        assert sum(row.runs_by_request_id.total() for row in engines) == 1
+
+    run_on_empty_fleet(_scenario)
