Send each order to an engine on a connection of its own

No caller has reported it: the answers of an engine's control interface carry no id, so a second copy of a refusal (409, a newer holder has ordered) was taken as the answer to the next order on the kept connection, and the holder of the lease gave up. Orders are rare, so a connection each costs little; load reports and cancellations, which may be repeated, still share connections.

Evidence: on the old code tests/providers/test_service_clients.py -k repeated_refusal fails with <Failure: StaleFencingNumber()> for an order that the engine accepted. After: tests/providers and tests/daemon/test_model_orders.py pass.

--- a/src/mangosaddle/providers/_engine.py
+++ b/src/mangosaddle/providers/_engine.py
@@ -104,7 +104,8 @@
         Returns ``StaleFencingNumber`` if a later lease holder has already sent an order.
         """
         order = {"kind": kind.value, "version": str(version), "fencing": fencing}
-        result = self._http.send("order", "POST", "/v1/orders", body=json.dumps(order).encode())
+        body = json.dumps(order).encode()
+        result = self._http.send("order", "POST", "/v1/orders", body=body, on_new_connection=True)
         if not isinstance(result, Success):
             return Failure(to_order_failure(result.failure()))
         response = result.unwrap()
--- a/src/mangosaddle/providers/_http.py
+++ b/src/mangosaddle/providers/_http.py
@@ -86,14 +86,24 @@
         headers: Mapping[str, str] | None = None,
         extra_wait_s: float = 0.0,
         limit_bytes: int = MAX_RESPONSE_BYTES,
+        on_new_connection: bool = False,
     ) -> Result[HttpResponse, HttpFailure]:
         """Send one request, read its response and count the call under ``kind``.
 
         ``extra_wait_s`` extends the read timeout; ``limit_bytes`` bounds the response body.
+        ``on_new_connection`` opens a connection for this call alone, on which no late response to
+        an earlier call can arrive.
         """
-        result = self._request(
-            method, path, body, headers, self._read_timeout_s + extra_wait_s, limit_bytes
-        )
+        pool = self._pool
+        if on_new_connection:
+            pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        try:
+            result = self._request(
+                pool, method, path, body, headers, self._read_timeout_s + extra_wait_s, limit_bytes
+            )
+        finally:
+            if pool is not self._pool:
+                pool.clear()
         self._metrics.count(self._service, kind, _outcome_label(result))
         return result
 
@@ -103,6 +113,7 @@
 
     def _request(
         self,
+        pool: urllib3.PoolManager,
         method: str,
         path: str,
         body: bytes | None,
@@ -112,7 +123,7 @@
     ) -> Result[HttpResponse, HttpFailure]:
         deadline_s = time.monotonic() + self._connect_timeout_s + read_timeout_s
         try:
-            response = self._pool.request(
+            response = pool.request(
                 method,
                 self._base_url + path,
                 body=body,
--- a/tests/providers/test_service_clients.py
+++ b/tests/providers/test_service_clients.py
@@ -1,5 +1,7 @@
 """Contract tests of the clients for engines, VM list, weight store and client directory."""
 
+import socketserver
+import threading
 from collections.abc import Callable
 from typing import Any
 
@@ -179,3 +181,40 @@
     assert client.find("nobody") == Failure(NotFound())
     standin.down = True
     assert isinstance(client.find("keeper/1").failure(), ServiceUnavailable)
+
+
+class _RepeatingEngine(socketserver.StreamRequestHandler):
+    """Refuses the first order, and repeats that on its connection before the next answer."""
+
+    def handle(self) -> None:
+        refusal = b"HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\n{}"
+        own = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{"versions": []}'
+        repeated = b""
+        while size := self._read_head():
+            self.rfile.read(size)
+            if not self.server.has_refused:  # type: ignore[attr-defined]
+                self.server.has_refused = True  # type: ignore[attr-defined]
+                repeated = refusal
+                self.wfile.write(refusal)
+            else:
+                self.wfile.write(repeated + own)
+
+    def _read_head(self) -> int:
+        size = 0
+        while line := self.rfile.readline().strip():
+            if line.lower().startswith(b"content-length:"):
+                size = int(line.split(b":")[1])
+        return size
+
+
+def test_a_repeated_refusal_does_not_refuse_a_later_order(metrics: PlatformMetrics) -> None:
+    """Guards against a lease holder that takes an earlier refusal for that of its own order."""
+    with socketserver.ThreadingTCPServer(("127.0.0.1", 0), _RepeatingEngine) as server:
+        server.daemon_threads = True
+        server.has_refused = False  # type: ignore[attr-defined]
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        client = EngineClient(f"http://127.0.0.1:{server.server_address[1]}", metrics)
+        results = [client.order(EngineOrderKind.LOAD, ENGINE_VERSION, n) for n in (1, 2)]
+        server.shutdown()
+    assert results[0] == Failure(StaleFencingNumber())
+    assert isinstance(results[1], Success)
