Write order claims again that a restore of the store has removed

A caller that repeated an order after a restore had it run twice: its claim was acknowledged and then lost, so the repeat found no record and was sent.

The epoch of the store is a fact: the VM that sees a new one tells the others, and each writes its claims again. Until 4 s later a claim written in the new epoch is not sent but released and refused as not run. VMs that start later learn by the same fact kind that the epoch is settled.

A pending update is only removed if it was not replaced while it was being written.

Not covered: claims of VMs that have stopped since, or that hear of the epoch later than 4 s.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -62,6 +62,7 @@
 from ._order_plan import OrderTimings
 from ._rollout_service import EVIDENCE_KIND, REGION_EVIDENCE_KIND, VETO_KIND, RolloutService
 from ._settings import EntrySettings
+from ._store_epoch_service import STORE_EPOCH_KIND, StoreEpochService
 from ._withdrawal_sync import SYNC_INTERVAL_S, WithdrawalSync
 
 STALL_CHECK_INTERVAL_S = 1.0
@@ -82,6 +83,7 @@
     PROMPT_CRASHES,
     CLEARED_PARTS,
     SLOTS_VACATED_KIND,
+    STORE_EPOCH_KIND,
 )
 
 _log = logging.getLogger(__name__)
@@ -125,6 +127,7 @@
     def _build(self) -> None:
         settings = self.settings
         self._peers = self._new_peers()
+        self.store_epochs = StoreEpochService(self._peers, self._store, self._tasks)
         vm_list = VmListClient(settings.vm_list_url, self._platform_metrics)
         self.fleet = FleetService(
             settings.vm, self._peers, vm_list, self._blocking, self._tasks, self._rng, self.clock
@@ -254,7 +257,13 @@
             self._metrics,
             time.time,
         )
-        self._order_executor = OrderExecutor(self._store, settings.vm, self.incarnation)
+        self._order_executor = OrderExecutor(
+            self._store,
+            settings.vm,
+            self.incarnation,
+            settled_epoch=self.store_epochs.settled_epoch,
+        )
+        self.store_epochs.add_listener(self._restore_claims)
         service_handler = ServiceHandler(
             self.control, self._service_calls, self._order_executor, ServiceClient()
         )
@@ -330,6 +339,7 @@
 
     async def _start(self) -> None:
         await self._peers.start()
+        self.store_epochs.start()
         self._configuration_service.start()
         self.allowances.start()
         self._load_service.start()
@@ -351,6 +361,14 @@
         if self._order_executor.pending_updates:
             await self._blocking.run(self._order_executor.write_pending_updates)
 
+    async def _restore_claims(self, epoch: int) -> None:
+        """Write the claims of this VM again that a restore of the store may have removed."""
+        count = await self._blocking.run(self._order_executor.handle_restore, epoch)
+        if count:
+            await self._blocking.run(self._order_executor.write_pending_updates)
+            left = len(self._order_executor.pending_updates)
+            _log.warning("claims written again", extra={"claims": count, "left": left})
+
     def terminate(self) -> None:
         """Start draining on the first call; cut running answers on the second."""
         self.control.post(self._terminate)
--- a/src/mangosaddle/orders/_attempt_steps.py
+++ b/src/mangosaddle/orders/_attempt_steps.py
@@ -6,6 +6,7 @@
 from returns.result import Result, Success
 
 from ..providers import (
+    MAX_EPOCH,
     Conflict,
     InvalidResponse,
     ReadFailure,
@@ -14,6 +15,7 @@
     ValueTooLarge,
     WriteFailure,
     Written,
+    epoch_of,
 )
 from ._claim_machine import (
     AwaitOutcome,
@@ -83,16 +85,21 @@
 
 
 def run_attempt(
-    key: str, claim: Claim, wall_clock: Callable[[], float]
+    key: str,
+    claim: Claim,
+    wall_clock: Callable[[], float],
+    settled_epoch: Callable[[], int] = lambda: MAX_EPOCH,
 ) -> Generator[Effect, EffectResult, AttemptResult]:
     """Claim, send and record one order.
 
-    The caller performs each yielded effect and sends its result back into the generator.
+    The caller performs each yielded effect and sends its result back into the generator. Nothing
+    is sent under a claim of an epoch above ``settled_epoch``.
     """
     machine = ClaimMachine(claim)
     while True:
         written = yield WriteRecord(key, claim, machine.expected_index)
-        current = apply_event(machine, to_claim_event(written, wall_clock()))
+        event = to_claim_event(written, wall_clock(), settled_epoch())
+        current = apply_event(machine, event)
         if not isinstance(current.decision, WriteClaim):
             break
         machine = current.machine
@@ -127,7 +134,9 @@
     return AttemptResult(answer, None if isinstance(written, Success) else pending)
 
 
-def to_claim_event(written: EffectResult, now_s: float) -> ClaimEvent:
+def to_claim_event(
+    written: EffectResult, now_s: float, settled_epoch: int = MAX_EPOCH
+) -> ClaimEvent:
     """Convert the result of writing a claim to an event at the wall-clock time ``now_s``."""
     if not isinstance(written, Result):
         raise TypeError("expected a store result, got a send outcome")
@@ -135,7 +144,8 @@
         value = written.unwrap()
         if not isinstance(value, Written):
             raise TypeError("expected a write result, got a read result")
-        return ClaimWritten(value.modify_index, now_s)
+        after_restore = epoch_of(value.modify_index) > settled_epoch
+        return ClaimWritten(value.modify_index, now_s, after_restore)
     failure = written.failure()
     if isinstance(failure, Conflict):
         if failure.current_index is None:
--- a/src/mangosaddle/orders/_claim_machine.py
+++ b/src/mangosaddle/orders/_claim_machine.py
@@ -43,6 +43,8 @@
     modify_index: int
     now_s: float
     """Wall-clock time in seconds since the epoch."""
+    after_restore: bool = False
+    """Whether records that the store lost by a restore may not have been written again yet."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +200,9 @@
     if abs(event.now_s - machine.claim.created_s) > MAX_SEND_DELAY_S:
         late = RefuseNotRun("the VM was paused after it claimed the order")
         return _end(written, late, machine.claim.released())
+    if event.after_restore:
+        refusal = RefuseNotRun("the store was restored, and lost records are being written again")
+        return _end(written, refusal, machine.claim.released())
     return Transition(written, Execute())
 
 
--- a/src/mangosaddle/orders/_executor.py
+++ b/src/mangosaddle/orders/_executor.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from .._identifiers import Incarnation, OrganisationId, ServiceName, VmId
-from ..providers import RESOLVE_TIMEOUT_S, StoreUnavailable, WriteOutcomeUnknown
+from ..providers import MAX_EPOCH, RESOLVE_TIMEOUT_S, StoreUnavailable, WriteOutcomeUnknown
 from ._attempt_steps import (
     AttemptResult,
     Effect,
@@ -32,6 +32,7 @@
     encode_claim,
     request_digest,
 )
+from ._recent_claims import RecentClaims
 from ._responses import OrderAnswer, RefuseNotRun, SendOutcome, SentOutcomeUnknown
 
 MAX_PENDING_UPDATES = 1024
@@ -89,14 +90,21 @@
         incarnation: Incarnation,
         wall_clock: Callable[[], float] = time.time,
         new_nonce: Callable[[], str] = lambda: secrets.token_hex(16),
+        settled_epoch: Callable[[], int] = lambda: MAX_EPOCH,
     ) -> None:
-        """Create an executor for one VM incarnation."""
+        """Create an executor for one VM incarnation.
+
+        ``settled_epoch`` returns the newest epoch of the store in which all VMs have written the
+        claims again that a restore had removed; it may be called on any thread.
+        """
         self._store = store
         self._vm = vm
         self._incarnation = incarnation
         self._wall_clock = wall_clock
         self._new_nonce = new_nonce
+        self._settled_epoch = settled_epoch
         self._pending_by_nonce: dict[str, PendingUpdate] = {}
+        self._recent_claims = RecentClaims()
         self._lock = threading.Lock()
         self._store_failing = False
         self._probe_lock = threading.Lock()
@@ -136,6 +144,19 @@
             self._add_pending(result.pending)
         return result.answer
 
+    def handle_restore(self, epoch: int) -> int:
+        """Prepare claims from before a restore for ``write_pending_updates``; return how many.
+
+        Their number is not limited by ``MAX_PENDING_UPDATES``, since a repeat of an order without
+        a record would execute it again.
+        """
+        with self._lock:
+            claims = self._recent_claims.written_before(epoch)
+            for key, claim in claims:
+                pending = PendingUpdate(key, claim, 0)
+                self._pending_by_nonce.setdefault(claim.nonce, pending)
+        return len(claims)
+
     def write_pending_updates(self, store: ClaimStore | None = None) -> int:
         """Write the pending updates until the store fails; return how many are left."""
         for pending in self.pending_updates:
@@ -156,7 +177,7 @@
         )
 
     def _run_attempt(self, key: str, claim: Claim, send: Send) -> AttemptResult:
-        attempt = run_attempt(key, claim, self._wall_clock)
+        attempt = run_attempt(key, claim, self._wall_clock, self._settled_epoch)
         effect = next(attempt)
         while True:
             try:
@@ -176,7 +197,9 @@
                 break
         if settled:
             with self._lock:
-                self._pending_by_nonce.pop(pending.target.nonce, None)
+                # The attempt may have ended since, with a newer record under the same nonce.
+                if self._pending_by_nonce.get(pending.target.nonce) is pending:
+                    del self._pending_by_nonce[pending.target.nonce]
         return settled
 
     def _perform(self, store: ClaimStore, effect: Effect, send: Send | None) -> EffectResult:
@@ -185,6 +208,12 @@
                 effect.key, encode_claim(effect.claim), effect.expected_index
             )
             self._store_failing = _is_store_failure(written)
+            if isinstance(written, Success):
+                position = written.unwrap().modify_index
+                with self._lock:
+                    self._recent_claims.record(
+                        effect.key, effect.claim, position, self._wall_clock()
+                    )
             return written
         if isinstance(effect, ReadRecord):
             return store.read(effect.key)
--- a/src/mangosaddle/providers/__init__.py
+++ b/src/mangosaddle/providers/__init__.py
@@ -30,7 +30,7 @@
 )
 from ._store import MAX_VALUE_BYTES, RESOLVE_TIMEOUT_S, StoreClient
 from ._store_leases import boot_clock
-from ._store_positions import epoch_of, index_of, position_of
+from ._store_positions import MAX_EPOCH, epoch_of, index_of, position_of
 from ._store_types import (
     Conflict,
     InvalidResponse,
@@ -49,6 +49,7 @@
 )
 
 __all__ = [
+    "MAX_EPOCH",
     "MAX_VALUE_BYTES",
     "RESOLVE_TIMEOUT_S",
     "ClientDirectoryClient",
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -20,6 +20,8 @@
 MAX_PROPAGATION_S = 4.0
 """Target: all VMs apply a change within this time."""
 OUTAGE_S = 1.0
+HEARTBEATS_S = 6.0
+"""Time in which a started VM receives all facts: three heartbeats."""
 Json = dict[str, Any]
 
 
@@ -182,3 +184,50 @@
     granted = _send(fleet, "POST", "addis-1", "keys", {"organisation": "tower-trust"}).json()
     _restore(fleet, taken)
     wait_for(lambda: granted["key_id"] in _stored_keys(fleet), "the key", TIMEOUT_S)
+
+
+def _send_order(fleet: LocalFleet, vm: str, order_id: str) -> urllib3.BaseHTTPResponse:
+    headers = {
+        "Authorization": f"Bearer {fleet.standins.key_of('tower-trust')}",
+        "Idempotency-Key": order_id,
+    }
+    url = f"{fleet.url(vm)}/v1/services/orders/corrections"
+    return urllib3.request(
+        "POST", url, headers=headers, json={"clock": 7}, retries=False, timeout=20.0
+    )
+
+
+def _send_until_run(fleet: LocalFleet, vm: str, order_id: str) -> urllib3.BaseHTTPResponse:
+    """Repeat an order until it is not refused as not run."""
+    deadline = time.monotonic() + TIMEOUT_S
+    while (answer := _send_order(fleet, vm, order_id)).status in (429, 503):
+        assert answer.json()["execution"] == "not_run"
+        assert time.monotonic() < deadline
+        time.sleep(0.1)
+    return answer
+
+
+@pytest.mark.parametrize("outage_s", [0.0, OUTAGE_S])
+def test_orders_run_once_although_the_store_lost_their_claims(
+    fleet: LocalFleet, outage_s: float
+) -> None:
+    """Guards against a second execution of an order that a caller repeats elsewhere (P11)."""
+    taken = _copy(fleet)
+    first = _send_until_run(fleet, "addis-1", "order-1")
+    assert first.status == 201, first.data
+    _restore(fleet, taken, outage_s)
+    repeated = _send_until_run(fleet, "gondar-1", "order-1")
+    assert (repeated.status, repeated.data) == (201, first.data)
+    assert _send_until_run(fleet, "gondar-1", "order-2").status == 201
+    for order_id in ("order-1", "order-2"):
+        services = fleet.standins.services_by_id.values()
+        assert sum(service.executions_by_key[order_id] for service in services) == 1
+
+
+def test_orders_are_accepted_at_once_by_a_vm_that_starts_later(fleet: LocalFleet) -> None:
+    """Guards against refusals for ever, or after each start, once the store was restored."""
+    _restore(fleet, _copy(fleet))
+    assert _send_until_run(fleet, "addis-1", "order-3").status == 201
+    node = fleet.start_vm(LATE_VM)
+    wait_for(lambda: node.store_epochs.settled_epoch() == 1, "the fact", HEARTBEATS_S)
+    assert _send_until_run(fleet, LATE_VM, "order-4").status == 201
--- a/tests/orders/test_executor.py
+++ b/tests/orders/test_executor.py
@@ -13,6 +13,8 @@
 
 from mangosaddle._identifiers import Incarnation, OrganisationId, ServiceName, VmId
 from mangosaddle.orders import (
+    Claim,
+    ClaimState,
     Deliver,
     EndpointResponse,
     NotSent,
@@ -26,6 +28,12 @@
     SentOutcomeUnknown,
 )
 from mangosaddle.orders._attempt_steps import ReadResult, WriteResult
+from mangosaddle.orders._recent_claims import (
+    MAX_BODIES_BYTES,
+    MAX_CLAIMS,
+    RETENTION_S,
+    RecentClaims,
+)
 from mangosaddle.providers import PlatformMetrics, StoreClient, StoreUnavailable
 from mangosaddle.standins import ServiceStandIn, StandInHost, StoreCopy, StoreStandIn
 
@@ -41,6 +49,8 @@
     executors: list[OrderExecutor]
     send: Callable[[], SendOutcome]
     host: StandInHost
+    settled: list[int]
+    """The epoch in which lost claims have been written again."""
 
     def restore(self, copy: StoreCopy) -> None:
         """Let the store go back to a copy."""
@@ -76,15 +86,19 @@
             return SentOutcomeUnknown(type(error).__name__)
         return EndpointResponse(answer.status, answer.headers["Content-Type"], answer.data)
 
+    settled = [0]
+
     def executor(name: str) -> OrderExecutor:
         metrics = PlatformMetrics.from_registry(CollectorRegistry())
         ticks = itertools.count(0.0, 0.25)
         client = StoreClient(
             store_url, metrics, clock=lambda: next(ticks), sleep=lambda duration_s: None
         )
-        return OrderExecutor(client, VmId(name), Incarnation("1"))
+        vm, incarnation = VmId(name), Incarnation("1")
+        return OrderExecutor(client, vm, incarnation, settled_epoch=lambda: settled[0])
 
-    return Fleet(store, service, [executor("a"), executor("b")], send, standin_host)
+    executors = [executor("a"), executor("b")]
+    return Fleet(store, service, executors, send, standin_host, settled)
 
 
 def test_repeat_on_another_vm_gets_the_recorded_response(fleet: Fleet) -> None:
@@ -174,6 +188,57 @@
     assert fleet.executions == 1
 
 
+@pytest.mark.parametrize(
+    "outcome", [None, SentOutcomeUnknown("lost")], ids=["delivered", "outcome unknown"]
+)
+def test_an_order_does_not_run_again_after_the_store_lost_its_claim(
+    fleet: Fleet, outcome: SendOutcome | None
+) -> None:
+    """Guards against a second execution of an acknowledged order, and against a blocked new one."""
+    first, second = fleet.executors
+    other = replace(ORDER, idempotency_key="key-2")
+    copy = fleet.store.copy()
+
+    def send() -> SendOutcome:
+        sent = fleet.send()
+        return outcome or sent
+
+    answer = first.execute(ORDER, send)
+    fleet.restore(copy)
+    for executor in fleet.executors:
+        assert isinstance(executor.execute(ORDER, fleet.send), RefuseNotRun)
+        assert isinstance(executor.execute(other, fleet.send), RefuseNotRun)
+    assert first.handle_restore(fleet.store.epoch) == 1
+    assert first.write_pending_updates() == 0
+    fleet.settled[0] = fleet.store.epoch
+    repeated = second.execute(ORDER, fleet.send)
+    if isinstance(answer, Deliver):
+        assert repeated == Replay(answer.response)
+    else:
+        assert isinstance(repeated, ReportOutcomeUnknown)
+    assert fleet.executions == 1
+    assert isinstance(second.execute(other, fleet.send), Deliver)
+
+
+def test_recent_claims_are_bounded() -> None:
+    """Guards against claims and bodies that fill the memory of a VM."""
+    recent = RecentClaims()
+    claim = Claim(ClaimState.CLAIMED, "n", VmId("a"), Incarnation("1"), "d", 0.0, 9.0)
+    done = claim.done(EndpointResponse(200, "text/plain", b"x" * 200_000))
+    for number in range(20_000):
+        recent.record("key", replace(done if number < 100 else claim, nonce=f"n{number}"), 1, 0.0)
+    assert len(recent) == MAX_CLAIMS
+    for number in range(60):
+        recent.record("key", replace(done, nonce=f"body-{number}"), 1, 1.0)
+    kept = [claim for _, claim in recent.written_before(1)]
+    bodies = [c.response.body or b"" for c in kept if c.response is not None]
+    assert sum(map(len, bodies)) <= MAX_BODIES_BYTES
+    recent.record("last", claim, 1, RETENTION_S + 1.5)
+    assert len(recent) == 1
+    recent.record("last", claim.released(), 1, RETENTION_S + 1.5)
+    assert len(recent) == 0
+
+
 def test_unsent_order_can_be_retried_but_a_raised_error_counts_as_sent(fleet: Fleet) -> None:
     """Guards against a blocked id when nothing was sent, and a released one after an error."""
     assert fleet.executors[0].execute(ORDER, lambda: NotSent("refused")) == RefuseNotRun("refused")
