Store vetoes again after a restore of the store

A vetoed version would have been rolled out again once all VMs had been replaced: each VM writes a veto once and takes it as stored for ever, so a restore removed it for good.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -208,6 +208,7 @@
             self.clock,
             self._order_timings,
         )
+        self.store_epochs.add_listener(self._rollout_service.handle_restore)
         self._load_service.on_inventory_changed = self._rollout_service.apply_reported_inventory
 
     def _new_peers(self) -> PeerNode:
--- a/src/mangosaddle/daemon/_rollout_service.py
+++ b/src/mangosaddle/daemon/_rollout_service.py
@@ -88,6 +88,10 @@
         """Return whether this VM is one of the two in its region that sync stored vetoes."""
         return self._own_vm in self._peers.membership.config_watchers(self._region)
 
+    async def handle_restore(self, epoch: int) -> None:
+        """Store the vetoes again that a restore of the store may have removed."""
+        self._veto_store.handle_restore(epoch)
+
     def apply_reported_inventory(self, configuration: Configuration) -> None:
         """Update the loaded capacities from the inventory with reported versions."""
         endpoints = configuration.endpoints_by_id.values()
--- a/src/mangosaddle/daemon/_veto_store.py
+++ b/src/mangosaddle/daemon/_veto_store.py
@@ -9,7 +9,7 @@
 from returns.result import Success
 
 from .._identifiers import ModelName, VersionId
-from ..providers import Conflict, StoreClient, StoreEntry
+from ..providers import Conflict, StoreClient, StoreEntry, epoch_of
 from ..rollouts import Veto
 from ._blocking import BlockingCalls
 
@@ -46,6 +46,7 @@
         self._known_vetoes = known_vetoes
         self._on_found = on_found
         self._stored_keys: set[str] = set()
+        self._epoch = 0
 
     async def run(self) -> None:
         """Read all vetoes once, then keep this VM and the store in sync until cancelled.
@@ -72,6 +73,16 @@
             await asyncio.sleep(retry_delay_s * self._rng.uniform(0.5, 1.0))
             retry_delay_s = min(2 * retry_delay_s, RETRY_MAX_S)
 
+    def handle_restore(self, epoch: int) -> None:
+        """Write the vetoes again that the store lacks; a conflict shows that it has one."""
+        self._epoch = epoch
+        self._stored_keys.clear()
+
+    def _mark_stored(self, key: str, position: int) -> None:
+        """Record a veto in the store, unless it was seen there before the last restore."""
+        if epoch_of(position) >= self._epoch:
+            self._stored_keys.add(key)
+
     def _unstored_vetoes(self) -> list[Veto]:
         return [veto for veto in self._known_vetoes() if _key(veto) not in self._stored_keys]
 
@@ -84,7 +95,7 @@
         return True
 
     def _handle_entry(self, entry: StoreEntry) -> None:
-        self._stored_keys.add(entry.key)
+        self._mark_stored(entry.key, entry.modify_index)
         self._on_found(_veto_from(entry))
 
     async def _write_unstored_vetoes(self) -> bool:
@@ -99,7 +110,7 @@
         value = json.dumps({"reason": veto.reason, "vm": veto.vm, "at_s": veto.at_s}).encode()
         result = await self._blocking.run(self._store.compare_and_swap, _key(veto), value, 0)
         if isinstance(result, Success):
-            self._stored_keys.add(_key(veto))
+            self._mark_stored(_key(veto), result.unwrap().modify_index)
             _log.info("veto stored", extra={"model": veto.model, "version": veto.version})
             return True
         failure = result.failure()
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -9,10 +9,12 @@
 import pytest
 import urllib3
 
-from mangosaddle._identifiers import KeyId, OrganisationId, VmId
+from mangosaddle._identifiers import KeyId, ModelName, OrganisationId, VersionId, VmId
 from mangosaddle.configuration import Key, decode_configuration
 from mangosaddle.daemon._configuration_service import CONFIGURATION_KEY
+from mangosaddle.daemon._veto_store import VETO_KEY_PREFIX
 from mangosaddle.demo import OPERATOR_TOKEN, LocalFleet, example_configuration, wait_for
+from mangosaddle.rollouts import Veto
 from mangosaddle.standins import StoreCopy
 
 LATE_VM = VmId("mekele-2")
@@ -231,3 +233,24 @@
     node = fleet.start_vm(LATE_VM)
     wait_for(lambda: node.store_epochs.settled_epoch() == 1, "the fact", HEARTBEATS_S)
     assert _send_until_run(fleet, LATE_VM, "order-4").status == 201
+
+
+def test_a_veto_is_stored_again_after_a_restore(fleet: LocalFleet) -> None:
+    """Guards against a vetoed version that is rolled out again once all VMs were replaced (P8)."""
+    key = f"{VETO_KEY_PREFIX}escapement@2"
+    taken = _copy(fleet)
+    node = fleet.nodes_by_vm[VmId("addis-1")]
+
+    async def veto() -> None:
+        found = Veto(ModelName("escapement"), VersionId("2"), "failures", VmId("addis-1"), 1.0)
+        node._rollout_service._handle_stored_veto(found)
+
+    def is_stored_by_all() -> bool:
+        stores = [n._rollout_service._veto_store for n in fleet.nodes_by_vm.values()]
+        return all(key in store._stored_keys for store in stores)
+
+    node.control.run(veto())
+    wait_for(is_stored_by_all, "all VMs take the veto as stored", TIMEOUT_S)
+    _restore(fleet, taken)
+    assert key not in fleet.standins.store.values_by_key
+    wait_for(lambda: key in fleet.standins.store.values_by_key, "the veto", TIMEOUT_S)
