Revoke a lease only after the store has shown that it is the own one

What callers saw: nothing yet; found by review. A VM that stops revokes its lease. If the store had been restored since the VM's last call, the number could by then belong to another VM or endpoint, whose entry was removed with it. Cause: the era was checked against the latest response, which was from before the restore. The renewal of a lease checks it after the response as well; the revocation cannot, as it is done by then. Change: a lease is renewed first, which tells the era, and revoked only if it is still the own one. Evidence: the new test fails on the code before (the other one's key is gone); it passes now.

--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -171,7 +171,11 @@
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease; does nothing if it has already ended."""
-        if lease and era_of(lease) != self.era:
+        try:
+            # The store may have been restored since the last call, and have given the number to
+            # others: the renewal tells.
+            await self.renew_lease(lease)
+        except LeaseEndedError:
             return
         response = await self._call("DELETE", f"/api/kv-lease-end/{number_of(lease)}", None)
         if response.status != 404:
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -43,6 +43,24 @@
     asyncio.run(_main())
 
 
+def test_a_lease_from_before_a_restore_is_not_revoked_for_its_new_owner() -> None:
+    """Guards against a VM that stops after a restore and removes the entry of another one."""
+
+    async def _scenario(store: StoreStandIn, client: PlatformStore) -> None:
+        await client.read("keys/")
+        state = store.copy_state()
+        lease = await client.create_lease(10.0)
+        await store.restore(state)
+        other = PlatformStore(await store.start())
+        await other.write([Put("keys/a", b"x", await other.create_lease(10.0))])
+        assert number_of(lease) == store.lease_of("keys/a")
+        await client.revoke_lease(lease)
+        other.close()
+        assert store.value("keys/a") == b"x"
+
+    _run_with_store(_scenario)
+
+
 @pytest.mark.parametrize(
     ("fault", "read_error", "write_error", "written"),
     [
