Use no response from before a restore that arrives after it

What callers saw: nothing yet; found by review. A response that the store gave before a restore may arrive after one from after it, over another connection or in the buffer of a VM that was paused. Its items then replaced newer ones that another VM had relayed, and these were taken for an outdated copy afterwards, for up to 3 s; a VM that starts could take the peer secret of before the restore as that of the present era, and not write it again. Change: the client raises StoreUnavailableError for a read that states an earlier era than one seen before. Evidence: the new test fails on the code before (the read returns); it passes now.

--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -219,6 +219,8 @@
         self._pool.give_back(self._address, connection)
         era = _decode_era(head)
         self._record_era(era)
+        if method == "GET" and 0 < era < self.era:
+            raise StoreUnavailableError(f"{method} {target}: response is from before a restore")
         decoded = _decode_object(response)
         if decoded is None and head.status == 200:
             if method == "GET":
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -16,6 +16,7 @@
     RevisionConflictError,
     StoreUnavailableError,
 )
+from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 from mangosaddle.platform import PlatformStore, _store
 from platform_standins import (
     Behaviour,
@@ -61,6 +62,33 @@
     _run_with_store(_scenario)
 
 
+def test_a_late_response_from_before_a_restore_is_not_used() -> None:
+    """Guards against orders that come back older with a response that was delayed."""
+
+    async def _main() -> None:
+        is_restored = asyncio.Event()
+
+        async def _handle(exchange: ServerExchange) -> None:
+            era = b"2"
+            if b"late" in exchange.target:
+                era = b"1"
+                await is_restored.wait()
+            body = b'{"items": [], "store_revision": 60}'
+            await exchange.respond(200, [(b"Store-Era", era)], body)
+
+        server = HttpServer(_handle, ServerLimits)
+        client = PlatformStore(await server.start("127.0.0.1", 0))
+        late = asyncio.create_task(client.read("late/"))
+        await client.read("keys/")
+        is_restored.set()
+        with pytest.raises(StoreUnavailableError):
+            await late
+        client.close()
+        await server.stop()
+
+    asyncio.run(_main())
+
+
 @pytest.mark.parametrize(
     ("fault", "read_error", "write_error", "written"),
     [
