Exit within the grace period although the store is silent

Cause: the removal of the entry takes as long as a call to the store may take, also where less of the grace period is left. Change: it gets what is left of the grace period, 0.3 s at least; otherwise the lease ends by itself. Evidence: the new test fails on the code before; it passes now.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -112,6 +112,8 @@
 STOP_LISTENING_AFTER_S = 3.2
 EXIT_MARGIN_S = 0.6
 """Time before the end of the grace period at which the process exits in any case."""
+MIN_DEREGISTRATION_S = 0.3
+"""Time that the store gets to remove the entry of a VM that has used its whole grace period."""
 DRAIN_CHECK_INTERVAL_S = 0.05
 
 logger = logging.getLogger(__name__)
@@ -472,7 +474,12 @@
                 "took_s": round(self._clock() - began_s, 2),
             },
         )
-        await self._presence.deregister()
+        remaining_s = max(MIN_DEREGISTRATION_S, grace_s - (self._clock() - began_s))
+        try:
+            async with asyncio.timeout(remaining_s):
+                await self._presence.deregister()
+        except TimeoutError:
+            logger.warning("registration entry was not removed", extra={"cause": "timeout"})
 
     def _is_busy(self) -> bool:
         forwards = self._node.running_forward_count if self._node is not None else 0
--- a/tests/platform/test_front_contract.py
+++ b/tests/platform/test_front_contract.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mangosaddle.entry._entry_process import EXIT_MARGIN_S, STOP_LISTENING_AFTER_S
 from mangosaddle.http11 import UpstreamConnection
 from platform_standins import (
     Behaviour,
@@ -243,6 +244,21 @@
     run_on_default_fleet(_scenario)
 
 
+def test_a_vm_exits_within_its_grace_period_although_the_store_is_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against VMs that are killed because they wait for the store at the end."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = await fleet.add_vm("vm-2", grace_s=STOP_LISTENING_AFTER_S + EXIT_MARGIN_S)
+        await wait_until(vm.is_ready)
+        monkeypatch.setattr(vm._store, "revoke_lease", lambda _lease: asyncio.sleep(60.0))
+        async with asyncio.timeout(vm.settings.bounds.grace_s):
+            await vm.drain()
+
+    run_on_default_fleet(_scenario)
+
+
 def test_connections_are_reused() -> None:
     """Guards against a new connection per request, from callers as well as to runners."""
 
