Fit revisions into messages whatever era a store states

What callers saw: nothing yet; found by review. A store may begin its count of restores anywhere. From era 65,536 on, the composed revisions exceed the 64 bits that a message between VMs has for them: facts stayed in the table, and each update and comparison of tables that held one ended with an EncodeError, so that VMs heard nothing of each other's facts. From era 1,023 on, the start orders of processes no longer rose with a restore. Numbers of more than nine digits counted as none. Change: the era begins again at 1 after 65,535, and within a start order at 0 after 1,023. A VM that reads across that one restore takes the store for restored, but orders its revisions as older: as before this fix at each restore.

--- a/src/mangosaddle/_store_revisions.py
+++ b/src/mangosaddle/_store_revisions.py
@@ -7,6 +7,8 @@
 
 NUMBER_BITS = 48
 """Bits of a revision or lease that hold the store's own number."""
+MAX_ERA = (1 << 16) - 1
+"""Highest era with which revisions and leases fit into the 64 bits that messages have for them."""
 START_ORDER_NUMBER_BITS = 33
 START_ORDER_ERA_BITS = 10
 """Bits of a start order that hold the number and the era; VM states reserve 43 bits for both."""
@@ -17,6 +19,11 @@
     return (era << NUMBER_BITS) | number
 
 
+def wrap_era(stated: int) -> int:
+    """Return the era for the number that a store states; 1 follows ``MAX_ERA``."""
+    return (stated - 1) % MAX_ERA + 1 if stated else 0
+
+
 def era_of(composed: int) -> int:
     """Return the era in which a revision or lease was given out."""
     return composed >> NUMBER_BITS
@@ -30,8 +37,8 @@
 def start_order(revision: int) -> int:
     """Return a number that orders the processes of a VM by the revision of their first entry.
 
-    Eras and numbers beyond the reserved bits are taken as the largest ones.
+    Eras beyond the reserved bits begin again at 0; such numbers are taken as the largest one.
     """
-    era = min(era_of(revision), (1 << START_ORDER_ERA_BITS) - 1)
+    era = era_of(revision) % (1 << START_ORDER_ERA_BITS)
     number = min(number_of(revision), (1 << START_ORDER_NUMBER_BITS) - 1)
     return (era << START_ORDER_NUMBER_BITS) | number
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -9,7 +9,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from .._store_revisions import NUMBER_BITS, compose, era_of, number_of
+from .._store_revisions import NUMBER_BITS, compose, era_of, number_of, wrap_era
 from ..coordination import (
     Changes,
     HistoryLostError,
@@ -43,7 +43,7 @@
 """Maximum total size of the keys and values below one prefix. 10,000 registrations and a large
 configuration take a tenth of it."""
 MS_PER_S = 1000.0
-MAX_ERA_DIGITS = 9
+MAX_ERA_DIGITS = 18
 ERA_HEADER = b"store-era"
 """Header of each response: a number that rises by one when the store is restored from a copy."""
 
@@ -246,7 +246,7 @@
 
 def _decode_era(head: ResponseHead) -> int:
     value = head.view.first(ERA_HEADER) or b""
-    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
+    return wrap_era(int(value)) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
 
 
 def _decode_object(body: bytes) -> dict[str, Any] | None:
--- a/tests/platform/test_fleet_after_a_restore.py
+++ b/tests/platform/test_fleet_after_a_restore.py
@@ -7,6 +7,7 @@
 
 from mangosaddle._identifiers import EndpointId
 from mangosaddle.entry._entry_process import HOUSEKEEPING_INTERVAL_S, OPERATOR_HOLD_TIMES
+from mangosaddle.entry._store_relay import STORE_ITEM
 from platform_standins import (
     Fleet,
     RunnerStandIn,
@@ -203,6 +204,25 @@
     run_on_empty_fleet(_scenario)
 
 
+def test_a_store_with_a_large_era_is_followed_like_others() -> None:
+    """Guards against revisions that do not fit into messages, and equal orders of two processes."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        fleet.store.era = 70_000
+        state = await _two_linked_vms(fleet)
+        killed = await fleet.kill_vm("vm-2")
+        await _restore(fleet, state)
+        started = await fleet.restart_vm(killed)
+        await fleet.wait_until_ready()
+        await wait_until(lambda: "vm-2" in {live.vm for live in fleet.vms["vm-1"].fleet.live()})
+        node = started.fleet.node
+        assert node is not None
+        await wait_until(lambda: bool(list(node.facts.facts(STORE_ITEM.name))))
+        assert all(fact.version < 2**64 for fact in node.facts.facts(STORE_ITEM.name))
+
+    run_on_empty_fleet(_scenario)
+
+
 def test_vms_use_the_peer_secret_that_the_store_has_after_a_restore() -> None:
     """Guards against VMs that refuse each other for ever after one has created another secret."""
 
