End a chat request whose task fails unexpectedly

Callers of the own interface got nothing until the stall limit of a minute when a task of their request failed by an unexpected exception: waiting for a place, connecting, resuming or forwarding.

Cause: such an exception was logged when the task ended, and nothing ended the relay.

Now the answer ends with 502 and execution unknown, or with an error event if it has begun; the log line has the request id.

--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -296,19 +296,22 @@
             return
         relay.last_progress_at = asyncio.get_running_loop().time()
         if stream is not None:
-            self._spawn(attach_endpoint(relay, stream))
+            self._spawn(relay, attach_endpoint(relay, stream))
         else:
-            self._spawn(self._wait_and_connect(open_chat, relay))
+            self._spawn(relay, self._wait_and_connect(open_chat, relay))
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
+    def _spawn(self, relay: Relay, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(self._run_for(relay, coroutine))
         self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
+        task.add_done_callback(self._tasks.discard)
 
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()) is not None:
-            _log.error("task of a chat request failed", exc_info=error)
+    async def _run_for(self, relay: Relay, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a task of a relay; an unexpected error ends the answer, or its caller would wait."""
+        try:
+            await coroutine
+        except Exception:
+            _log.exception("task of a chat request failed", extra={"request_id": relay.request_id})
+            relay.fail(INCOMPLETE_ANSWER)
 
     async def _wait_and_connect(self, open_chat: OpenChat, relay: Relay) -> None:
         """Wait for a target if the request is queued, then attach a source."""
@@ -351,7 +354,8 @@
     def _connect_forward(self, open_chat: OpenChat, relay: Relay, target: Forward) -> None:
         vm = self._fleet.live_vm_in(target.region)
         if vm is None:
-            self._spawn(self.forward_refused(relay, "no entry VM of the region is reachable"))
+            reason = "no entry VM of the region is reachable"
+            self._spawn(relay, self.forward_refused(relay, reason))
             return
         self._metrics.forwards.inc()
         open_chat.forwarded_to = vm
@@ -389,7 +393,7 @@
         """Resume an answer whose source was lost."""
         open_chat = self._open_chats_by_relay.get(relay)
         if open_chat is not None:
-            self._spawn(self._resume(open_chat, relay))
+            self._spawn(relay, self._resume(open_chat, relay))
 
     async def _resume(self, open_chat: OpenChat, relay: Relay) -> None:
         if not isinstance(open_chat.target, ChosenEndpoint):
--- a/tests/faults/test_whole_answers.py
+++ b/tests/faults/test_whole_answers.py
@@ -152,3 +152,17 @@
         )
         result = answer.result(TIMEOUT_S)
     assert (result.complete, result.tokens) == (True, LONG_TOKENS // 4), result
+
+
+def test_an_unexpected_error_is_reported_at_once(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a caller that waits for a minute because a task of its request failed."""
+
+    def _fail(*_args: object) -> None:
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(fleet.nodes_by_vm[VmId("addis-1")].chat_service, "_connect_forward", _fail)
+    key = fleet.standins.key_of("gondar-heritage")
+    answer = send_chat(fleet.url("addis-1"), key, chat_body(TOKENS))
+    assert (answer.status, answer.execution) == (502, "unknown")
