Apply the limits in force to kept connections

A caller that sent a request on a kept connection, idle for less than the configuration in force allows, found it closed; or its request was refused with 413 by a limit that had been replaced.

Cause: the limits were taken when the server began to wait for the request, seconds before a change of the configuration. Callers reuse connections by the limit that they know, so that after a raised idle limit their requests meet the close.

Now a wait that ends looks at the limit in force first, and a request is bound by the limits at its first byte. A lowered idle limit still holds only from the next wait on. The bound of the HTTP parser on a head is set with the connection, as before.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -202,6 +202,9 @@
         self.close_after_response = False
         self.task = asyncio.current_task()
         self._reader = reader
+        self._must_end = False
+        """Whether the wait for the next request has been ended."""
+        self._idle_since_s = 0.0
         self._idle_wait: asyncio.Timeout | None = None
         """Time limit of the wait for the next request, while there is one."""
         self._wire_bytes = 0
@@ -223,6 +226,7 @@
     def end_idle_wait(self) -> None:
         """Close the connection unless a part of a request has arrived."""
         if self._idle_wait is not None and not self._idle_wait.expired():
+            self._must_end = True
             self._idle_wait.reschedule(self._clock())
 
     async def run(self) -> None:
@@ -276,7 +280,8 @@
         body = bytearray()
         parts = 0
         self._wire_bytes = 0
-        deadline_s = self._clock() + limits.idle_timeout_s
+        self._idle_since_s = self._clock()
+        deadline_s = self._idle_since_s + limits.idle_timeout_s
         while True:
             try:
                 event: Any = self._parser.next_event()
@@ -310,6 +315,7 @@
                 if not self.request_started:
                     self.request_started = True
                     self.request_started_at_s = self._clock()
+                    limits = self.server.limits()
                     deadline_s = self._clock() + limits.header_timeout_s
             else:
                 return None
@@ -338,6 +344,10 @@
             if self.request_started:
                 what = "body" if request is not None else "headers"
                 raise _RequestRejectedError(408, f"{what} took too long") from error
+            longer_s = self._idle_since_s + self.server.limits().idle_timeout_s
+            if not self._must_end and longer_s > max(deadline_s, self._clock()):
+                # The idle limit was raised in the meantime.
+                return await self._receive(longer_s, request)
             data = await self._read_buffered()
         finally:
             self._idle_wait = None
