Take the time that a forward spends on a link off its remaining time

Cause: the remaining time is computed when a forward is queued, and the receiver counted from the moment at which it read the whole request. A link that stalled for a second gave the request a second more.

Change: a message with the clock of the sender precedes each forward, and is sent when a link opens. The receiver takes the difference to its own clock; what exceeds the smallest difference of the last one or two minutes is time on the way. That and the wait for the rest of the body are taken off. Clocks are never compared with each other, and clocks that drift apart are no delay. The message is of its own type: a VM of an earlier version skips unknown messages (read, not run).

Ruled out: wall-clock deadlines, which a clock step would move; the cancellation that the sending VM sends at the deadline, which waits behind the request on the same link.

Evidence: on the old code both cases of pytest tests/peers/test_peer_forward.py -k delayed_link fail with 4000 <= 3550 ms for a link that delays by 0.5 s, with a body of one frame and of three. After: tests/peers, tests/entry and tests/platform/test_links.py pass.

--- a/src/mangosaddle/peers/_forward.py
+++ b/src/mangosaddle/peers/_forward.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 
@@ -13,6 +14,7 @@
 from ._link import Link
 from ._messages import (
     MAX_HOPS,
+    ClockSample,
     ForwardBody,
     ForwardCancel,
     ForwardChunk,
@@ -25,6 +27,7 @@
 )
 from ._metrics import PeerMetrics
 
+MS_PER_S = 1000.0
 WINDOW_BYTES = 256 * 1024
 """Flow-control window: response data of one request that the forwarding VM may buffer."""
 MAX_CHUNK_BYTES = 16 * 1024
@@ -54,8 +57,10 @@
 class _ActiveRequest:
     """A forwarded request whose body is being received or whose handler is running."""
 
-    def __init__(self, request: ForwardRequest, body_size_bytes: int) -> None:
+    def __init__(self, request: ForwardRequest, body_size_bytes: int, sent_at_s: float) -> None:
         self.request = request
+        self.sent_at_s = sent_at_s
+        """Estimated time at which the other VM sent the request, by the clock of this VM."""
         self.body_size_bytes = body_size_bytes
         self.body_parts = [request.body]
         self.received_bytes = len(request.body)
@@ -67,21 +72,27 @@
 class ForwardService:
     """Runs requests that other VMs forward to this one."""
 
-    def __init__(self, metrics: PeerMetrics) -> None:
+    def __init__(self, metrics: PeerMetrics, clock: Callable[[], float] = time.monotonic) -> None:
         """Create the service without a handler; it rejects all requests as not run."""
         self.handler: ForwardHandler | None = None
         self._metrics = metrics
+        self._clock = clock
         self._active_requests: dict[tuple[Link, int], _ActiveRequest] = {}
 
+    def handle_clock(self, link: Link, message: ClockSample) -> None:
+        """Record the delay of the message, which is also that of a request that follows it."""
+        link.transit_delay.record(message.sent_ms / MS_PER_S, self._clock())
+
     def handle_open(self, link: Link, message: ForwardOpen) -> None:
         """Accept or reject a request on its first frame."""
+        sent_at_s = self._clock() - link.transit_delay.take()
         reason = self._refusal_reason(link, message)
         if reason:
             self._metrics.count_drop(f"forward_{reason}")
             end = ForwardEnd(False, "not_run", reason, message.number)
             link.send(end)
             return
-        active = _ActiveRequest(message.request, message.body_size_bytes)
+        active = _ActiveRequest(message.request, message.body_size_bytes, sent_at_s)
         self._active_requests[(link, message.number)] = active
         self._start_if_complete(link, message.number, active)
 
@@ -113,7 +124,8 @@
 
     def _start_if_complete(self, link: Link, number: int, active: _ActiveRequest) -> None:
         if active.received_bytes == active.body_size_bytes:
-            active.request = replace(active.request, body=b"".join(active.body_parts))
+            request = replace(active.request, body=b"".join(active.body_parts))
+            active.request = _without_time(request, self._clock() - active.sent_at_s)
             active.body_parts = []
             active.task = asyncio.create_task(self._run(link, number, active))
 
@@ -188,6 +200,15 @@
             link.send(chunk)
 
 
+def _without_time(request: ForwardRequest, used_s: float) -> ForwardRequest:
+    """Take the time that a request spent on its way off its remaining time."""
+    traffic = request.opaque
+    if traffic is None:
+        return request
+    remaining_ms = max(0, traffic.remaining_ms - int(used_s * MS_PER_S))
+    return replace(request, opaque=replace(traffic, remaining_ms=remaining_ms))
+
+
 async def _close_iterator(parts: AsyncIterator[ForwardResponsePart]) -> None:
     close = getattr(parts, "aclose", None)
     if close is not None:
--- a/src/mangosaddle/peers/_forward_calls.py
+++ b/src/mangosaddle/peers/_forward_calls.py
@@ -1,8 +1,9 @@
 """Forwarded requests on the VM that forwards them."""
 
 import asyncio
+import time
 from collections import deque
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import replace
 from itertools import count
 
@@ -16,6 +17,7 @@
 )
 from ._link import Link
 from ._messages import (
+    ClockSample,
     ForwardBody,
     ForwardCancel,
     ForwardCredit,
@@ -26,6 +28,8 @@
 )
 from ._metrics import PeerMetrics
 
+MS_PER_S = 1000.0
+
 
 class ForwardCall:
     """A request forwarded to another VM and the response parts received so far."""
@@ -41,12 +45,13 @@
         self._wakeup = asyncio.Event()
         self._last_frame_number = 0
 
-    def start(self, request: ForwardRequest) -> None:
-        """Queue the request on the link; raises ``EncodeError``."""
+    def start(self, request: ForwardRequest, now: float) -> None:
+        """Queue the request on the link; ``now`` is monotonic. Raises ``EncodeError``."""
         body = request.body
         if len(body) > MAX_BODY_BYTES:
             raise EncodeError(f"body of {len(body)} B exceeds {MAX_BODY_BYTES} B")
         first = replace(request, body=body[:MAX_CHUNK_BYTES])
+        self.link.send(ClockSample(int(now * MS_PER_S)))
         self._last_frame_number = self.link.send(ForwardOpen(self.number, first, len(body)))
         for start in range(MAX_CHUNK_BYTES, len(body), MAX_CHUNK_BYTES):
             part = ForwardBody(self.number, body[start : start + MAX_CHUNK_BYTES])
@@ -96,9 +101,10 @@
     to the same VM, matches no call and is dropped.
     """
 
-    def __init__(self, metrics: PeerMetrics) -> None:
+    def __init__(self, metrics: PeerMetrics, clock: Callable[[], float] = time.monotonic) -> None:
         """Create an empty set of calls."""
         self._metrics = metrics
+        self._clock = clock
         self._calls: dict[tuple[Link, int], ForwardCall] = {}
         self._numbers = count(1)
 
@@ -109,7 +115,7 @@
         call = ForwardCall(link, next(self._numbers))
         self._calls[(link, call.number)] = call
         try:
-            call.start(request)
+            call.start(request, self._clock())
             while not call.ended:
                 yield await call.next_part()
         finally:
--- a/src/mangosaddle/peers/_link.py
+++ b/src/mangosaddle/peers/_link.py
@@ -13,6 +13,7 @@
 from ._codec import CODEC
 from ._exceptions import DecodeError, LinkRefusedError, RefusalReason
 from ._messages import (
+    ClockSample,
     ForwardBody,
     ForwardCancel,
     ForwardChunk,
@@ -21,6 +22,7 @@
     ForwardOpen,
 )
 from ._metrics import PeerMetrics
+from ._transit import TransitDelay
 
 MAX_CONTROL_QUEUE_BYTES = 4 * 1024 * 1024
 """Size of the control queue above which messages to a slow link are dropped.
@@ -31,6 +33,7 @@
 """Size of the forward queue above which producers wait for a slow link."""
 
 FORWARD_TYPES = (
+    ClockSample,
     ForwardOpen,
     ForwardBody,
     ForwardHead,
@@ -65,6 +68,8 @@
         """Monotonic time of the last received message."""
         self.heartbeats_expected_since_s: float | None = None
         """Monotonic time since which the link carries heartbeats, if it does."""
+        self.transit_delay = TransitDelay()
+        """Delay of the messages from the other VM."""
         self.closed = asyncio.Event()
         self.known_confirmations: dict[tuple[str, str], int] = {}
         """Confirmation bitmaps that the other VM is known to have, by fact."""
--- a/src/mangosaddle/peers/_messages.py
+++ b/src/mangosaddle/peers/_messages.py
@@ -140,6 +140,18 @@
     """Set for opaque requests, whose bodies are passed through without being parsed."""
 
 
+@dataclass(frozen=True, slots=True)
+class ClockSample:
+    """Clock of the sender when it queued this message and the ``ForwardOpen`` that may follow it.
+
+    It is a message of its own, because VMs of earlier versions skip unknown messages but cannot
+    read a ``ForwardOpen`` with more fields.
+    """
+
+    sent_ms: int
+    """Monotonic time of the sender."""
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardOpen:
     """First frame of a forwarded request; ``ForwardBody`` frames carry the rest of the body."""
@@ -216,6 +228,7 @@
 register("cf", Confirmation)
 register("rq", Request)
 register("rs", Response)
+register("cs", ClockSample)
 register("fo", ForwardOpen)
 register("fb", ForwardBody)
 register("fh", ForwardHead)
--- a/src/mangosaddle/peers/_node.py
+++ b/src/mangosaddle/peers/_node.py
@@ -37,6 +37,7 @@
 from ._gossip import Gossip
 from ._link import Link
 from ._messages import (
+    ClockSample,
     Confirmation,
     FactRequest,
     FactUpdate,
@@ -60,6 +61,9 @@
 from ._settings import PeerSettings
 
 T = TypeVar("T")
+MS_PER_S = 1000.0
+NO_USE_TYPES = (Heartbeat, FactUpdate, FactRequest, Confirmation, ClockSample)
+"""Messages that do not keep an idle link open."""
 
 logger = logging.getLogger(__name__)
 
@@ -104,8 +108,8 @@
             self._handle_link_change,
         )
         self._pending_requests = PendingRequests(self._metrics)
-        self._forward_service = ForwardService(self._metrics)
-        self._forward_calls = ForwardCalls(self._metrics)
+        self._forward_service = ForwardService(self._metrics, clock)
+        self._forward_calls = ForwardCalls(self._metrics, clock)
         self._neighbourhood = Neighbourhood(
             self._connector, self.membership, vms_by_id, self._timings, clock, self._is_busy
         )
@@ -132,6 +136,7 @@
             Confirmation: self._gossip.handle_confirmation,
             Request: self._dispatch.handle_request,
             Response: self._pending_requests.deliver,
+            ClockSample: service.handle_clock,
             ForwardOpen: service.handle_open,
             ForwardBody: service.handle_body,
             ForwardCancel: service.handle_cancel,
@@ -304,7 +309,7 @@
             self._connector.close_in_background(link)
             return
         handler = self._handlers_by_message_type.get(type(message))
-        if type(message) not in (Heartbeat, FactUpdate, FactRequest, Confirmation):
+        if type(message) not in NO_USE_TYPES:
             link.last_used_at_s = now
         if handler is None:
             self._dispatch.handle(link, message)
@@ -339,6 +344,7 @@
             self._forward_calls.handle_link_closed(link)
         else:
             self.membership.record_heartbeat(VmStatus(link.peer, 0, VmState.LIVE), self._clock())
+            link.send(ClockSample(int(self._clock() * MS_PER_S)))
             if link.peer.vm in self._neighbourhood.topology_neighbours:
                 self._send_heartbeat(link)
         self._maintenance_requested.set()
--- a/tests/peers/test_peer_forward.py
+++ b/tests/peers/test_peer_forward.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 import pytest
-from peer_fleet import Fleet, run_with_fleet
+from peer_fleet import FAST_TIMINGS, Fleet, run_with_fleet
 
 from mangosaddle._identifiers import OrganisationId, RequestId, VmId
 from mangosaddle.peers import (
@@ -18,10 +18,17 @@
     ForwardResponsePart,
     LinkLostError,
     NotSentError,
+    OpaqueTraffic,
 )
 from mangosaddle.peers._forward import MAX_BODY_BYTES, MAX_CHUNK_BYTES, WINDOW_BYTES
+from mangosaddle.peers._transit import TransitDelay
 
 ADDIS, GONDAR = VmId("addis-1"), VmId("gondar-1")
+DELAY_S = 0.5
+REMAINING_MS = 4000
+OPAQUE = OpaqueTraffic(
+    "h", (), "desk", "idempotent", False, 1, 0, REMAINING_MS, 400, 0, "fingerprint", -1
+)
 REQUEST = ForwardRequest(
     "POST", "/v1", "text/plain", b"body", OrganisationId("o"), "patient", RequestId("r1")
 )
@@ -244,3 +251,41 @@
         assert end.complete
 
     run_with_fleet(_scenario, "addis-1", "addis-2", "addis-3", "gondar-1")
+
+
+@pytest.mark.parametrize("size_bytes", [1, 3 * MAX_CHUNK_BYTES])
+def test_time_on_a_delayed_link_is_taken_off_the_remaining_time(size_bytes: int) -> None:
+    """Guards against running a request whose caller has left while it was on its way."""
+    received: list[OpaqueTraffic] = []
+
+    async def _record(_vm: VmId, request: ForwardRequest) -> AsyncIterator[ForwardResponsePart]:
+        assert request.opaque is not None
+        received.append(request.opaque)
+        yield ForwardEnd(True)
+
+    async def _scenario(fleet: Fleet) -> None:
+        fleet.nodes_by_vm[GONDAR].on_forward(_record)
+        request = replace(REQUEST, body=b"x" * size_bytes, opaque=OPAQUE)
+        for delay_s in (0.0, DELAY_S, 0.0):
+            for proxy in fleet.proxies.values():
+                proxy.delay_s = delay_s
+            await collect_response(fleet, request)
+        first, delayed, last = (traffic.remaining_ms for traffic in received)
+        assert first > REMAINING_MS - 400
+        assert delayed <= REMAINING_MS - DELAY_S * 1000 + 50
+        assert last > delayed
+
+    run_with_fleet(
+        _scenario, ADDIS, GONDAR, timings=replace(FAST_TIMINGS, heartbeat_interval_s=1.0)
+    )
+
+
+@pytest.mark.parametrize("rate", [0.9999, 1.0, 1.0001])
+def test_clocks_that_drift_apart_are_no_delay(rate: float) -> None:
+    """Guards against an old link on which all requests seem to have been on their way for long."""
+    delay = TransitDelay()
+    for second in range(0, 24 * 3600, 7):
+        delay.record(float(second), 1000.0 + second * rate)
+        assert delay.take() < 0.02
+    delay.record(24 * 3600.0, 1000.5 + 24 * 3600 * rate)
+    assert abs(delay.take() - 0.5) < 0.02
