Claim no slots until a restored store is settled

An organisation could exceed its rate: a restore removes the registration of a slot, another VM finds the slot free and claims it, and its holder reads the document 1,800 s later only.

After a new epoch all VMs read their documents again, so a holder without a registration stops. No slot is claimed before the fact that the epoch is settled, 4 s + 15 s after it was first seen: the time to hear of it and that of a takeover. Claims at an older position fail by the epoch.

--- a/src/mangosaddle/daemon/_allowance_service.py
+++ b/src/mangosaddle/daemon/_allowance_service.py
@@ -84,8 +84,12 @@
         tasks: BackgroundTasks,
         rng: random.Random,
         clock: Callable[[], float],
+        settled_epoch: Callable[[], int],
     ) -> None:
-        """Create the service; ``start`` starts reading slots and borrowing shares."""
+        """Create the service; ``start`` starts reading slots and borrowing shares.
+
+        ``settled_epoch`` returns the newest epoch of the store in which slots may be claimed.
+        """
         self.ledger = AllowanceLedger.from_configuration(vm, incarnation, configuration, clock())
         self.directory = SlotDirectory(vm, incarnation, configuration, rng)
         self._peers = peers
@@ -94,6 +98,7 @@
         self._tasks = tasks
         self._rng = rng
         self._clock = clock
+        self._settled_epoch = settled_epoch
         self._last_tick_s = clock()
         self._grant_events_by_organisation: dict[OrganisationId, asyncio.Event] = {}
         self._shards_being_read: set[int] = set()
@@ -121,6 +126,10 @@
         self._send(self.ledger.apply_configuration(configuration, self._clock()))
         self.directory.apply_configuration(configuration)
 
+    async def handle_restore(self, epoch: int) -> None:
+        """Read the registrations of all slots again after a restore of the store."""
+        self.directory.handle_restore(epoch)
+
     def handle_vm_list(
         self, vm_rows: tuple[ListedVmRow, ...], requested_s: float, now: float
     ) -> None:
@@ -198,7 +207,9 @@
 
     async def _plan_once(self) -> bool:
         """Run the reads and writes that the directory plans now; return whether there were any."""
-        plan = self.directory.plan(self._clock(), self.ledger.released_slots(), self._is_draining)
+        plan = self.directory.plan(
+            self._clock(), self.ledger.released_slots(), self._is_draining, self._settled_epoch()
+        )
         self._send(plan.releases)
         await asyncio.gather(
             *(self._write_document(write) for write in plan.writes),
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -62,7 +62,12 @@
 from ._order_plan import OrderTimings
 from ._rollout_service import EVIDENCE_KIND, REGION_EVIDENCE_KIND, VETO_KIND, RolloutService
 from ._settings import EntrySettings
-from ._store_epoch_service import STORE_EPOCH_KIND, StoreEpochService
+from ._store_epoch_service import (
+    CLAIMS_SETTLED_KEY,
+    SLOTS_SETTLED_KEY,
+    STORE_EPOCH_KIND,
+    StoreEpochService,
+)
 from ._withdrawal_sync import SYNC_INTERVAL_S, WithdrawalSync
 
 STALL_CHECK_INTERVAL_S = 1.0
@@ -152,7 +157,9 @@
             self._tasks,
             self._rng,
             self.clock,
+            lambda: self.store_epochs.settled_epoch(SLOTS_SETTLED_KEY),
         )
+        self.store_epochs.add_listener(self.allowances.handle_restore)
         self.target_selector = TargetSelector(
             Router(settings.region, wall_offset_s=time.time() - self.clock()),
             self._rng,
@@ -262,7 +269,7 @@
             self._store,
             settings.vm,
             self.incarnation,
-            settled_epoch=self.store_epochs.settled_epoch,
+            settled_epoch=lambda: self.store_epochs.settled_epoch(CLAIMS_SETTLED_KEY),
         )
         self.store_epochs.add_listener(self._restore_claims)
         service_handler = ServiceHandler(
--- a/src/mangosaddle/daemon/_store_epoch_service.py
+++ b/src/mangosaddle/daemon/_store_epoch_service.py
@@ -5,19 +5,26 @@
 from collections.abc import Awaitable, Callable
 
 from .._tasks import BackgroundTasks
+from ..limits import TAKEOVER_WAIT_S
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import PeerNode
 from ..providers import StoreClient
 
 STORE_EPOCH_KIND = FactKind("store-epoch", HIGHEST_VERSION)
 SEEN_KEY = "seen"
-SETTLED_KEY = "settled"
+CLAIMS_SETTLED_KEY = "claims-settled"
+SLOTS_SETTLED_KEY = "slots-settled"
 CHECK_INTERVAL_S = 0.1
 SETTLE_S = 4.0
 """Time in which all VMs learn of a restore and write lost records again.
 
 Neighbours compare their facts every 2 s.
 """
+SETTLE_S_BY_KEY = {
+    CLAIMS_SETTLED_KEY: SETTLE_S,
+    SLOTS_SETTLED_KEY: SETTLE_S + TAKEOVER_WAIT_S,
+}
+"""Time from a restore until order claims are written again, and until no lost slot is in use."""
 
 EpochListener = Callable[[int], Awaitable[None]]
 
@@ -33,7 +40,7 @@
         self._store = store
         self._tasks = tasks
         self._epoch = 0
-        self._settled_epoch = 0
+        self._settled_epoch_by_key = dict.fromkeys(SETTLE_S_BY_KEY, 0)
         self._listeners: list[EpochListener] = []
 
     def add_listener(self, listener: EpochListener) -> None:
@@ -45,9 +52,9 @@
         self._peers.on_fact(STORE_EPOCH_KIND.name, self._handle_fact)
         self._tasks.run_periodically(CHECK_INTERVAL_S, self.check)
 
-    def settled_epoch(self) -> int:
-        """Return the newest epoch in which lost records have been written again."""
-        return self._settled_epoch
+    def settled_epoch(self, key: str) -> int:
+        """Return the newest epoch whose time in ``SETTLE_S_BY_KEY`` has passed."""
+        return self._settled_epoch_by_key[key]
 
     def check(self) -> None:
         """Announce the epoch of the store if this VM is the first to see it."""
@@ -58,19 +65,21 @@
         self._peers.publish(self._peers.new_fact(STORE_EPOCH_KIND.name, key, epoch))
 
     def _handle_fact(self, fact: Fact) -> None:
-        if fact.key == SETTLED_KEY:
-            self._settled_epoch = max(self._settled_epoch, fact.version)
+        if fact.key in self._settled_epoch_by_key:
+            known = self._settled_epoch_by_key[fact.key]
+            self._settled_epoch_by_key[fact.key] = max(known, fact.version)
         elif fact.key == SEEN_KEY and fact.version > self._epoch:
             self._epoch = fact.version
             _log.warning("new epoch of the store", extra={"epoch": fact.version})
             for listener in self._listeners:
                 self._tasks.spawn(_call(listener, fact.version))
-            self._tasks.spawn(self._settle(fact.version))
+            for key, duration_s in SETTLE_S_BY_KEY.items():
+                self._tasks.spawn(self._settle(key, duration_s, fact.version))
 
-    async def _settle(self, epoch: int) -> None:
-        await asyncio.sleep(SETTLE_S)
-        if epoch == self._epoch and epoch > self._settled_epoch:
-            self._publish(SETTLED_KEY, epoch)
+    async def _settle(self, key: str, duration_s: float, epoch: int) -> None:
+        await asyncio.sleep(duration_s)
+        if epoch == self._epoch and epoch > self.settled_epoch(key):
+            self._publish(key, epoch)
 
 
 async def _call(listener: EpochListener, epoch: int) -> None:
--- a/src/mangosaddle/limits/_directory.py
+++ b/src/mangosaddle/limits/_directory.py
@@ -7,6 +7,7 @@
 
 from .._entities import Configuration, Organisation
 from .._identifiers import Incarnation, OrganisationId, VmId
+from .._store_positions import MAX_EPOCH, epoch_of
 from ._documents import (
     EMPTY_DOCUMENT,
     OrganisationSlots,
@@ -112,6 +113,7 @@
         self._released_since_s: dict[HeldSlot, float] = {}
         self._preference = SlotPreference(vm, configuration)
         self._last_gap_s = float("-inf")
+        self._epoch = 0
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration, unless it is older than the current one."""
@@ -162,6 +164,17 @@
         self._last_gap_s = now
         self._liveness.handle_clock_gap(now)
 
+    def handle_restore(self, epoch: int) -> None:
+        """Read all documents again, because the store was restored from a copy.
+
+        Slots whose registration was lost are then no longer held. Other VMs may have lost theirs,
+        so ``plan`` claims none until the epoch is settled.
+        """
+        self._epoch = max(self._epoch, epoch)
+        for shard in self._shards.values():
+            shard.needs_read = True
+        self._replan_all()
+
     def handle_slot_release_confirmation(
         self, sender: VmId, message: SlotReleaseConfirmation
     ) -> None:
@@ -191,12 +204,18 @@
         return self._liveness.usable_vms()
 
     def plan(
-        self, now: float, released: Iterable[HeldSlot] = (), draining: bool = False
+        self,
+        now: float,
+        released: Iterable[HeldSlot] = (),
+        draining: bool = False,
+        settled_epoch: int = MAX_EPOCH,
     ) -> SlotPlan:
         """Plan store reads, store writes and release requests; call about every second.
 
         ``released`` contains the registrations that the ledger has stopped using. While draining,
-        the VM claims no slots and vacates released registrations immediately.
+        the VM claims no slots and vacates released registrations immediately. It claims none in
+        epochs of the store above ``settled_epoch`` either, in which a slot without a registration
+        may still be in use.
         """
         for slot in released:
             self._released_since_s.setdefault(slot, now)
@@ -208,7 +227,10 @@
                 continue
             if now < shard.plan_due_s and not draining:
                 continue
-            shard_plan = self._plan_shard(number, shard, now, draining)
+            epoch = max(self._epoch, epoch_of(shard.modify_index))
+            shard_plan = self._plan_shard(
+                number, shard, now, draining, claims_allowed=epoch <= settled_epoch
+            )
             releases += shard_plan.releases
             if shard_plan.changes:
                 content = encode_document(
@@ -224,7 +246,9 @@
             tuple(writes), self._limit_release_requests(releases, now), self._reads(now)
         )
 
-    def _plan_shard(self, number: int, shard: _ShardView, now: float, draining: bool) -> _ShardPlan:
+    def _plan_shard(
+        self, number: int, shard: _ShardView, now: float, draining: bool, *, claims_allowed: bool
+    ) -> _ShardPlan:
         shard_plan = _ShardPlan(number)
         document = shard.document()
         for slot in shard.own_slots & self._released_since_s.keys():
@@ -232,7 +256,7 @@
             removed = slot.id.organisation not in self._configuration.organisations_by_id
             if draining or unclaimed or removed:
                 shard_plan.changes[slot.id] = None
-        if not draining:
+        if not draining and claims_allowed:
             for organisation in self._preference.preferred_in(number):
                 self._plan_claims(organisation, document, shard_plan, now)
         return shard_plan
--- a/src/mangosaddle/providers/__init__.py
+++ b/src/mangosaddle/providers/__init__.py
@@ -1,5 +1,6 @@
 """Typed clients for the services of the platform."""
 
+from .._store_positions import MAX_EPOCH, epoch_of, index_of, position_of
 from ._engine import (
     EngineClient,
     EngineLoad,
@@ -30,7 +31,6 @@
 )
 from ._store import MAX_VALUE_BYTES, RESOLVE_TIMEOUT_S, StoreClient
 from ._store_leases import boot_clock
-from ._store_positions import MAX_EPOCH, epoch_of, index_of, position_of
 from ._store_types import (
     Conflict,
     InvalidResponse,
--- a/src/mangosaddle/providers/_store.py
+++ b/src/mangosaddle/providers/_store.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from .._store_positions import epoch_of, index_of
 from ._http import (
     CONNECT_TIMEOUT_S,
     MAX_RESPONSE_BYTES,
@@ -17,7 +18,6 @@
 )
 from ._metrics import PlatformMetrics
 from ._store_leases import StoreLeases, boot_clock
-from ._store_positions import epoch_of, index_of
 from ._store_types import (
     Conflict,
     InvalidResponse,
--- a/src/mangosaddle/providers/_store_leases.py
+++ b/src/mangosaddle/providers/_store_leases.py
@@ -9,8 +9,8 @@
 
 from returns.result import Failure, Result, Success
 
+from .._store_positions import epoch_of
 from ._http import HttpFailure, HttpResponse, parse_json
-from ._store_positions import epoch_of
 from ._store_types import (
     InvalidResponse,
     Lease,
--- a/src/mangosaddle/providers/_store_types.py
+++ b/src/mangosaddle/providers/_store_types.py
@@ -1,6 +1,6 @@
 """Result and failure types of the store client.
 
-Indexes are positions (``_store_positions``): the epoch of the store and the index within it.
+Indexes are positions: the epoch of the store and the index within it (``_store_positions``).
 """
 
 from dataclasses import dataclass
--- a/src/mangosaddle/providers/_store_wire.py
+++ b/src/mangosaddle/providers/_store_wire.py
@@ -6,8 +6,8 @@
 
 from returns.result import Failure, Result, Success
 
+from .._store_positions import INDEX_BITS, MAX_EPOCH, position_of
 from ._http import HttpFailure, HttpResponse, ResponseLost, ResponseTooLarge, parse_json
-from ._store_positions import INDEX_BITS, MAX_EPOCH, position_of
 from ._store_types import (
     InvalidResponse,
     ReadFailure,
--- a/tests/daemon/test_restored_store.py
+++ b/tests/daemon/test_restored_store.py
@@ -12,6 +12,7 @@
 from mangosaddle._identifiers import KeyId, ModelName, OrganisationId, VersionId, VmId
 from mangosaddle.configuration import Key, decode_configuration
 from mangosaddle.daemon._configuration_service import CONFIGURATION_KEY
+from mangosaddle.daemon._store_epoch_service import CLAIMS_SETTLED_KEY
 from mangosaddle.daemon._veto_store import VETO_KEY_PREFIX
 from mangosaddle.demo import OPERATOR_TOKEN, LocalFleet, example_configuration, wait_for
 from mangosaddle.rollouts import Veto
@@ -49,6 +50,11 @@
         "all VMs live",
         TIMEOUT_S,
     )
+    wait_for(
+        lambda: all(node.allowances.directory.held_slots() for node in nodes),
+        "all VMs hold slots",
+        TIMEOUT_S,
+    )
 
 
 def _send(
@@ -231,7 +237,9 @@
     _restore(fleet, _copy(fleet))
     assert _send_until_run(fleet, "addis-1", "order-3").status == 201
     node = fleet.start_vm(LATE_VM)
-    wait_for(lambda: node.store_epochs.settled_epoch() == 1, "the fact", HEARTBEATS_S)
+    wait_for(
+        lambda: node.store_epochs.settled_epoch(CLAIMS_SETTLED_KEY) == 1, "the fact", HEARTBEATS_S
+    )
     assert _send_until_run(fleet, LATE_VM, "order-4").status == 201
 
 
--- a/tests/limits/simulated_fleet.py
+++ b/tests/limits/simulated_fleet.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field, replace
 
 from mangosaddle._identifiers import Incarnation, OrganisationId, RegionName, VmId, ZoneName
+from mangosaddle._store_positions import position_of
 from mangosaddle.configuration import Configuration, Organisation, Vm
+from mangosaddle.daemon._store_epoch_service import SETTLE_S_BY_KEY, SLOTS_SETTLED_KEY
 from mangosaddle.limits import (
     MAX_UNDETECTED_PAUSE_S,
     AllowanceLedger,
@@ -29,6 +31,7 @@
 RATE_TOKENS_PER_S = 600.0
 BURST_TOKENS = 1200.0
 STEP_S = 0.5
+SLOTS_SETTLE_S = SETTLE_S_BY_KEY[SLOTS_SETTLED_KEY]
 MAX_DELIVERED_MESSAGES = 150
 """Number of delivered messages that are kept for late duplicates."""
 EAGER_POLICY = BorrowPolicy(
@@ -80,6 +83,7 @@
     clock_offset_s: float
     last_clock_s: float
     frozen: bool = False
+    epoch: int = 0
     open_requests: list[tuple[int, Charge]] = field(default_factory=list)
 
 
@@ -92,11 +96,31 @@
     is_down: bool = False
     lost_answers_left: int = 0
     writes: int = 0
+    epoch: int = 0
+    epoch_seen_s: float | None = None
+    """Time at which a process first saw the epoch."""
+    copies: list[tuple[dict[int, tuple[bytes, int]], int]] = field(default_factory=list)
+    """Documents and number of writes at earlier moments."""
+
+    def read(self, shard: int) -> tuple[bytes | None, int]:
+        """Return a document and its position, 0 if it does not exist."""
+        content, index = self.documents_by_shard.get(shard, (None, 0))
+        return content, position_of(self.epoch, index)
+
+    def copy(self) -> None:
+        """Keep a copy of all documents."""
+        self.copies = [*self.copies[-2:], (dict(self.documents_by_shard), self.writes)]
+
+    def restore(self, number: int) -> None:
+        """Go back to one of the last copies; indices are then assigned again."""
+        if self.copies:
+            documents, self.writes = self.copies[number % len(self.copies)]
+            self.documents_by_shard = dict(documents)
+            self.epoch, self.epoch_seen_s = self.epoch + 1, None
 
     def write(self, write: DocumentWrite) -> None:
         """Apply a write if its expected index matches."""
-        index = self.documents_by_shard.get(write.shard, (b"", 0))[1]
-        if index == write.expected_index:
+        if self.read(write.shard)[1] == write.expected_index:
             self.writes += 1
             self.documents_by_shard[write.shard] = (write.content, self.writes)
 
@@ -332,19 +356,33 @@
         now = self.clock(process)
         directory, ledger = process.directory, process.ledger
         directory.observe_list(self.published_list, now, now)
-        plan = directory.plan(now, ledger.released_slots())
+        settled_epoch = self._observe_epoch(process)
+        plan = directory.plan(now, ledger.released_slots(), settled_epoch=settled_epoch)
         for write in plan.writes:
             self._write(write)
             directory.finish_write(write.shard)
         if not self.store.is_down:
-            for shard in directory.plan(now, ledger.released_slots()).reads:
-                content, index = self.store.documents_by_shard.get(shard, (None, 0))
-                directory.observe_document(shard, content, index, now)
+            plan_reads = directory.plan(now, ledger.released_slots(), settled_epoch=settled_epoch)
+            for shard in plan_reads.reads:
+                directory.observe_document(shard, *self.store.read(shard), now)
         ledger.set_usable_vms(directory.usable_vms())
         ledger.set_held_slots(directory.held_slots(), now)
         self.send(process, plan.releases)
         self.send(process, ledger.tick(now))
 
+    def _observe_epoch(self, process: Process) -> int:
+        """Tell a process of a restore and return the newest epoch that is settled."""
+        store = self.store
+        if store.epoch_seen_s is None:
+            if store.is_down:
+                return store.epoch - 1
+            store.epoch_seen_s = self.now
+        if process.epoch < store.epoch:
+            process.epoch = store.epoch
+            process.directory.handle_restore(store.epoch)
+        is_settled = self.now - store.epoch_seen_s >= SLOTS_SETTLE_S
+        return store.epoch if is_settled or store.epoch == 0 else store.epoch - 1
+
     def _write(self, write: DocumentWrite) -> None:
         if self.store.is_down or self.store.lost_answers_left > 0:
             self.store.lost_answers_left -= 1
--- a/tests/limits/test_fleet_property.py
+++ b/tests/limits/test_fleet_property.py
@@ -1,12 +1,23 @@
 """Property test: the fleet-wide limit holds in every time window despite failures."""
 
+import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from mangosaddle._identifiers import RegionName
-
-from .simulated_fleet import BURST_TOKENS, Fleet, Process, with_limits
+from mangosaddle.limits import TAKEOVER_WAIT_S
+from mangosaddle.limits._directory import REPLAN_INTERVAL_S
+
+from .simulated_fleet import (
+    BURST_TOKENS,
+    ORGANISATION,
+    RATE_TOKENS_PER_S,
+    SLOTS_SETTLE_S,
+    Fleet,
+    Process,
+    with_limits,
+)
 
 TOLERANCE_TOKENS = 0.01
 """Tolerance for the rounding of some hundred additions."""
@@ -174,6 +185,20 @@
         self.fleet.store.is_down = down
         self.fleet.store.lost_answers_left = lost
 
+    @rule()
+    def copy_store(self) -> None:
+        """Keep a copy of the store."""
+        self.fleet.store.copy()
+
+    @rule(number=st.integers(0, 2), pause_s=st.sampled_from([0.0, 0.5, 3.0]))
+    def restore_store(self, number: int, pause_s: float) -> None:
+        """Let the store go back to a copy, and use all tokens while registrations are missing."""
+        self.fleet.spend_all()
+        self.fleet.store.restore(number)
+        if pause_s:
+            self.fleet.advance(pause_s)
+        self.fleet.spend_all()
+
     @rule()
     def apply_late_write(self) -> None:
         """Apply a delayed write whose answer was lost."""
@@ -223,3 +248,27 @@
     fleet.advance(5.0)
     fleet.spend_all()
     assert sum(charge.cost_tokens for charge in fleet.charges) > 0.95 * BURST_TOKENS
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_two_vms_do_not_use_one_slot_after_its_registration_was_lost(seed: int) -> None:
+    """Guards against slots that seem free in a restored store, and against slots lost for good."""
+    fleet = Fleet(seed)
+    fleet.store.copies = [({}, 0)]
+    former = fleet.processes[seed]
+    fleet.processes.remove(former)
+    fleet.drop_from_list(former)
+    fleet.publish_list()
+    # Another VM of the region takes the slots over.
+    fleet.advance(TAKEOVER_WAIT_S + 2 * REPLAN_INTERVAL_S)
+    fleet.store.restore(0)
+    fleet.start(former.vm)
+    fleet.publish_list()
+    for _ in range(4):
+        fleet.advance(2.0)
+        fleet.spend_all()
+    assert fleet.max_sum_excess <= TOLERANCE_TOKENS
+    assert fleet.max_window_excess_tokens() <= TOLERANCE_TOKENS
+    fleet.advance(SLOTS_SETTLE_S + REPLAN_INTERVAL_S)
+    rates = [p.ledger.bucket_limits(ORGANISATION, fleet.clock(p))[0] for p in fleet.processes]
+    assert sum(rates) == pytest.approx(RATE_TOKENS_PER_S)
