Bound the time that an edit waits for a restored store

An operator's edit got no answer for 20 s: at a load average of 22 to 27 one test of tests/daemon/test_restored_store.py ended in a read timeout. The edit held or awaited the lock under which the document is written again, and linked VMs were asked for theirs one by one, 5 s each. That these waits added up is concluded from the code; the trace of the run was not kept.

One background task writes the document again and asks all linked VMs at once, for 1 s. An edit waits for it up to 4 s and is then refused with 503; nothing was stored. A VM that has just started waits until it is 2 s old, as it does in an empty store, before it takes the restored document for the newest one.

--- a/src/mangosaddle/daemon/_configuration_service.py
+++ b/src/mangosaddle/daemon/_configuration_service.py
@@ -56,7 +56,14 @@
 RESTORE_SETTLE_S = 0.5
 """Time for the last change before a restore to reach the VM that writes the document again."""
 RESTORE_WRITE_JITTER_S = 0.5
-RESTORE_WRITE_ATTEMPTS = 3
+RESTORE_PULL_TIMEOUT_S = 1.0
+RESTORE_EDIT_TIMEOUT_S = 4.0
+"""Longest time for which an edit waits for the document to be written again."""
+RESTORE_POLL_INTERVAL_S = 0.05
+
+_STORE_RESTORED = Problem(
+    503, "store-restored", "the store was restored; nothing was stored", retry_after_s=1.0
+)
 
 Value = TypeVar("Value")
 
@@ -111,7 +118,7 @@
         self._examined_position = 0
         """Position of the stored value that was decoded last."""
         self._is_rewriting = False
-        self._rewrite_lock = asyncio.Lock()
+        self._started_s = 0.0
         self._encoding_lock = asyncio.Lock()
         self._cached_response = ConfigurationResponse(0, b"")
         self._watch = ConfigurationWatch(self._create_watch_callbacks(), store, blocking, rng)
@@ -133,6 +140,7 @@
 
     def start(self) -> None:
         """Start loading the configuration, watching the store and serving other VMs."""
+        self._started_s = asyncio.get_running_loop().time()
         self._peers.on_fact(CONFIGURATION_KIND.name, self._handle_fact)
         self._peers.on_message(ConfigurationRequest, self._handle_request)
         self._tasks.spawn(self._run())
@@ -205,7 +213,10 @@
     async def _rewrite_until_done(self) -> None:
         """Write the newest configuration again after a restore, unless another VM does."""
         _log.warning("the store was restored", extra={"epoch": self._store.epoch})
+        age_s = asyncio.get_running_loop().time() - self._started_s
         try:
+            # A VM that has just started does not know yet what the others have.
+            await asyncio.sleep(max(RESTORE_SETTLE_S, EMPTY_STORE_WAIT_S - age_s))
             await asyncio.sleep(self._rng.uniform(0, RESTORE_WRITE_JITTER_S))
             retry_delay_s = RETRY_INITIAL_S
             while not await self._rewrite():
@@ -214,44 +225,45 @@
         finally:
             self._is_rewriting = False
 
-    async def _rewrite_within(self, attempts: int) -> bool:
-        for _ in range(attempts):
-            if await self._rewrite():
-                return True
-        return False
-
     async def _rewrite(self) -> bool:
         """Replace a document from before a restore; return whether the stored one is current.
 
         The newest document that VMs have may be newer than the one in the restored store. It gets
         a revision of the new epoch, on which edits can be based again.
         """
-        async with self._rewrite_lock:
-            if not self._is_epoch_new(self._store.epoch):
-                return True
-            await asyncio.sleep(RESTORE_SETTLE_S)
-            await self._pull_from_any()
-            result = await self._blocking.run(self._store.read, CONFIGURATION_KEY)
-            if not isinstance(result, Success):
-                return False
-            entry = result.unwrap()
-            stored = await self._decode_entry(entry) if entry is not None else None
-            if entry is not None and stored is None:
-                return False
-            if stored is not None:
-                await self._apply_and_publish(self._holder.current, stored)
-            if not self._is_epoch_new(self._store.epoch):
-                return True
-            known_fact = self._peers.facts.find(CONFIGURATION_KIND.name, CONFIGURATION_KEY)
-            if known_fact is not None and known_fact.version > self._holder.current.revision:
+        await asyncio.gather(
+            *(self._pull_from(vm, RESTORE_PULL_TIMEOUT_S) for vm in self._peers.linked_vms())
+        )
+        result = await self._blocking.run(self._store.read, CONFIGURATION_KEY)
+        if not isinstance(result, Success):
+            return False
+        entry = result.unwrap()
+        stored = await self._decode_entry(entry) if entry is not None else None
+        if entry is not None and stored is None:
+            return False
+        if stored is not None:
+            await self._apply_and_publish(self._holder.current, stored)
+        if not self._is_epoch_new(self._store.epoch):
+            return True
+        current = self._holder.current
+        known_fact = self._peers.facts.find(CONFIGURATION_KIND.name, CONFIGURATION_KEY)
+        if known_fact is not None and known_fact.version > current.revision:
+            return False
+        written = await self._write(current, entry.modify_index if entry is not None else 0)
+        if isinstance(written, Success):
+            extra = {"revision": current.revision, "new_revision": written.unwrap()}
+            _log.warning("configuration written again after a restore", extra=extra)
+        return isinstance(written, Success)
+
+    async def _wait_until_rewritten(self) -> bool:
+        """Wait until this VM has a document of the current epoch; return whether it has."""
+        self._start_rewriting()
+        deadline = asyncio.get_running_loop().time() + RESTORE_EDIT_TIMEOUT_S
+        while self._is_epoch_new(self._store.epoch):
+            if asyncio.get_running_loop().time() >= deadline:
                 return False
-            current = self._holder.current
-            index = entry.modify_index if entry is not None else 0
-            written = await self._write(current, index)
-            if isinstance(written, Success):
-                extra = {"revision": current.revision, "new_revision": written.unwrap()}
-                _log.warning("configuration written again after a restore", extra=extra)
-            return isinstance(written, Success)
+            await asyncio.sleep(RESTORE_POLL_INTERVAL_S)
+        return True
 
     async def _apply_and_publish(self, base: Configuration, candidate: Configuration) -> bytes:
         """Apply a configuration from the store, publish it, and return the delta from the base."""
@@ -326,10 +338,10 @@
             if await self._pull_from(vm):
                 return
 
-    async def _pull_from(self, vm: VmId) -> bool:
+    async def _pull_from(self, vm: VmId, timeout_s: float = PULL_TIMEOUT_S) -> bool:
         revision = self._holder.current.revision
         try:
-            response = await self._peers.request(vm, ConfigurationRequest(revision), PULL_TIMEOUT_S)
+            response = await self._peers.request(vm, ConfigurationRequest(revision), timeout_s)
         except PeerError:
             return False
         if not isinstance(response, ConfigurationResponse) or not response.encoded:
@@ -368,7 +380,8 @@
         try:
             written = await self._write(edited, expected)
             if _is_after_restore(written, expected) and base.revision == expected:
-                await self._rewrite_within(RESTORE_WRITE_ATTEMPTS)
+                if not await self._wait_until_rewritten():
+                    return Failure(_STORE_RESTORED)
                 current = self._holder.current
                 if with_digest(current).digest == with_digest(base).digest:
                     written = await self._write(edited, current.revision)
