Settle order claims by confirmation, not by time alone

An order ran twice in one of the runs at a load average of 22 to 27 (tests/daemon/ test_restored_store.py, orders without an outage): 4 s after a restore the epoch counted as settled although not every VM had written its claims again. The run was not traced; the two ways that the code allowed are closed:

- Each VM now confirms by a fact that its claims are written, retrying until they are.
The epoch is settled when all live VMs have confirmed, 4 s after it was seen at the earliest.
- An acknowledgement from before the restore that is handled after it started an order under a claim that was already lost.
The new test in tests/orders/test_executor.py delivers the order without this check and refuses it with it.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -64,6 +64,7 @@
 from ._settings import EntrySettings
 from ._store_epoch_service import (
     CLAIMS_SETTLED_KEY,
+    CLAIMS_WRITTEN_KIND,
     SLOTS_SETTLED_KEY,
     STORE_EPOCH_KIND,
     StoreEpochService,
@@ -72,6 +73,7 @@
 
 STALL_CHECK_INTERVAL_S = 1.0
 PENDING_ORDERS_INTERVAL_S = 2.0
+CLAIM_RETRY_INTERVAL_S = 0.2
 SLOT_RELEASE_TIMEOUT_S = 5.0
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
@@ -89,6 +91,7 @@
     CLEARED_PARTS,
     SLOTS_VACATED_KIND,
     STORE_EPOCH_KIND,
+    CLAIMS_WRITTEN_KIND,
 )
 
 _log = logging.getLogger(__name__)
@@ -372,10 +375,13 @@
     async def _restore_claims(self, epoch: int) -> None:
         """Write the claims of this VM again that a restore of the store may have removed."""
         count = await self._blocking.run(self._order_executor.handle_restore, epoch)
-        if count:
+        while self._order_executor.has_unwritten_claims(epoch):
             await self._blocking.run(self._order_executor.write_pending_updates)
-            left = len(self._order_executor.pending_updates)
-            _log.warning("claims written again", extra={"claims": count, "left": left})
+            if self._order_executor.has_unwritten_claims(epoch):
+                await asyncio.sleep(CLAIM_RETRY_INTERVAL_S)
+        self.store_epochs.confirm_claims(epoch)
+        if count:
+            _log.warning("claims written again", extra={"epoch": epoch, "claims": count})
 
     def terminate(self) -> None:
         """Start draining on the first call; cut running answers on the second."""
--- a/src/mangosaddle/daemon/_store_epoch_service.py
+++ b/src/mangosaddle/daemon/_store_epoch_service.py
@@ -4,13 +4,16 @@
 import logging
 from collections.abc import Awaitable, Callable
 
+from .._identifiers import VmId
 from .._tasks import BackgroundTasks
 from ..limits import TAKEOVER_WAIT_S
-from ..membership import HIGHEST_VERSION, Fact, FactKind
+from ..membership import HIGHEST_VERSION, PER_ORIGIN, Fact, FactKind
 from ..peers import PeerNode
 from ..providers import StoreClient
 
 STORE_EPOCH_KIND = FactKind("store-epoch", HIGHEST_VERSION)
+CLAIMS_WRITTEN_KIND = FactKind("claims-written", PER_ORIGIN, lifetime_s=24 * 3600.0)
+"""Each VM's newest epoch in which it has written its order claims again."""
 SEEN_KEY = "seen"
 CLAIMS_SETTLED_KEY = "claims-settled"
 SLOTS_SETTLED_KEY = "slots-settled"
@@ -24,7 +27,12 @@
     CLAIMS_SETTLED_KEY: SETTLE_S,
     SLOTS_SETTLED_KEY: SETTLE_S + TAKEOVER_WAIT_S,
 }
-"""Time from a restore until order claims are written again, and until no lost slot is in use."""
+"""Time from a restore until order claims are written again, and until no lost slot is in use.
+
+Claims also have to be confirmed by all live VMs.
+"""
+
+CONFIRMATION_POLL_INTERVAL_S = 0.2
 
 EpochListener = Callable[[int], Awaitable[None]]
 
@@ -56,6 +64,10 @@
         """Return the newest epoch whose time in ``SETTLE_S_BY_KEY`` has passed."""
         return self._settled_epoch_by_key[key]
 
+    def confirm_claims(self, epoch: int) -> None:
+        """Announce that this VM has written its order claims again in an epoch."""
+        self._peers.publish(self._peers.new_fact(CLAIMS_WRITTEN_KIND.name, "", epoch))
+
     def check(self) -> None:
         """Announce the epoch of the store if this VM is the first to see it."""
         if self._store.epoch > self._epoch:
@@ -78,9 +90,21 @@
 
     async def _settle(self, key: str, duration_s: float, epoch: int) -> None:
         await asyncio.sleep(duration_s)
+        while key == CLAIMS_SETTLED_KEY and self._unconfirmed_vms(epoch):
+            await asyncio.sleep(CONFIRMATION_POLL_INTERVAL_S)
         if epoch == self._epoch and epoch > self.settled_epoch(key):
             self._publish(key, epoch)
 
+    def _unconfirmed_vms(self, epoch: int) -> frozenset[VmId]:
+        """Return the live VMs that have not written their order claims again yet."""
+        confirmed = {
+            fact.origin
+            for fact in self._peers.facts.facts(CLAIMS_WRITTEN_KIND.name)
+            if fact.version >= epoch
+        }
+        membership = self._peers.membership
+        return (membership.live_vms() | {membership.own.identity.vm}) - confirmed
+
 
 async def _call(listener: EpochListener, epoch: int) -> None:
     await listener(epoch)
--- a/src/mangosaddle/orders/_attempt_steps.py
+++ b/src/mangosaddle/orders/_attempt_steps.py
@@ -6,7 +6,6 @@
 from returns.result import Result, Success
 
 from ..providers import (
-    MAX_EPOCH,
     Conflict,
     InvalidResponse,
     ReadFailure,
@@ -88,17 +87,17 @@
     key: str,
     claim: Claim,
     wall_clock: Callable[[], float],
-    settled_epoch: Callable[[], int] = lambda: MAX_EPOCH,
+    is_sound_epoch: Callable[[int], bool] = lambda _epoch: True,
 ) -> Generator[Effect, EffectResult, AttemptResult]:
     """Claim, send and record one order.
 
     The caller performs each yielded effect and sends its result back into the generator. Nothing
-    is sent under a claim of an epoch above ``settled_epoch``.
+    is sent under a claim written in an epoch of the store for which ``is_sound_epoch`` is false.
     """
     machine = ClaimMachine(claim)
     while True:
         written = yield WriteRecord(key, claim, machine.expected_index)
-        event = to_claim_event(written, wall_clock(), settled_epoch())
+        event = to_claim_event(written, wall_clock(), is_sound_epoch)
         current = apply_event(machine, event)
         if not isinstance(current.decision, WriteClaim):
             break
@@ -135,7 +134,9 @@
 
 
 def to_claim_event(
-    written: EffectResult, now_s: float, settled_epoch: int = MAX_EPOCH
+    written: EffectResult,
+    now_s: float,
+    is_sound_epoch: Callable[[int], bool] = lambda _epoch: True,
 ) -> ClaimEvent:
     """Convert the result of writing a claim to an event at the wall-clock time ``now_s``."""
     if not isinstance(written, Result):
@@ -144,8 +145,8 @@
         value = written.unwrap()
         if not isinstance(value, Written):
             raise TypeError("expected a write result, got a read result")
-        after_restore = epoch_of(value.modify_index) > settled_epoch
-        return ClaimWritten(value.modify_index, now_s, after_restore)
+        is_sound = is_sound_epoch(epoch_of(value.modify_index))
+        return ClaimWritten(value.modify_index, now_s, after_restore=not is_sound)
     failure = written.failure()
     if isinstance(failure, Conflict):
         if failure.current_index is None:
--- a/src/mangosaddle/orders/_claim_machine.py
+++ b/src/mangosaddle/orders/_claim_machine.py
@@ -44,7 +44,7 @@
     now_s: float
     """Wall-clock time in seconds since the epoch."""
     after_restore: bool = False
-    """Whether records that the store lost by a restore may not have been written again yet."""
+    """Whether a restore may have removed this claim, or others that are not written again yet."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mangosaddle/orders/_executor.py
+++ b/src/mangosaddle/orders/_executor.py
@@ -105,6 +105,7 @@
         self._settled_epoch = settled_epoch
         self._pending_by_nonce: dict[str, PendingUpdate] = {}
         self._recent_claims = RecentClaims()
+        self._restored_epoch = 0
         self._lock = threading.Lock()
         self._store_failing = False
         self._probe_lock = threading.Lock()
@@ -151,12 +152,21 @@
         a record would execute it again.
         """
         with self._lock:
+            self._restored_epoch = max(self._restored_epoch, epoch)
             claims = self._recent_claims.written_before(epoch)
             for key, claim in claims:
                 pending = PendingUpdate(key, claim, 0)
                 self._pending_by_nonce.setdefault(claim.nonce, pending)
         return len(claims)
 
+    def has_unwritten_claims(self, epoch: int) -> bool:
+        """Return whether claims prepared by ``handle_restore`` have not been written yet."""
+        with self._lock:
+            return any(
+                claim.nonce in self._pending_by_nonce
+                for _, claim in self._recent_claims.written_before(epoch)
+            )
+
     def write_pending_updates(self, store: ClaimStore | None = None) -> int:
         """Write the pending updates until the store fails; return how many are left."""
         for pending in self.pending_updates:
@@ -177,7 +187,7 @@
         )
 
     def _run_attempt(self, key: str, claim: Claim, send: Send) -> AttemptResult:
-        attempt = run_attempt(key, claim, self._wall_clock, self._settled_epoch)
+        attempt = run_attempt(key, claim, self._wall_clock, self._is_sound_epoch)
         effect = next(attempt)
         while True:
             try:
@@ -186,6 +196,10 @@
                 result: AttemptResult = stop.value
                 return result
 
+    def _is_sound_epoch(self, epoch: int) -> bool:
+        """Return whether a claim of an epoch is not lost, and all other claims are known."""
+        return self._restored_epoch <= epoch <= self._settled_epoch()
+
     def _apply_pending(self, store: ClaimStore, pending: PendingUpdate) -> bool:
         steps = apply_pending_update(pending)
         effect = next(steps)
--- a/tests/orders/test_executor.py
+++ b/tests/orders/test_executor.py
@@ -209,7 +209,9 @@
         assert isinstance(executor.execute(ORDER, fleet.send), RefuseNotRun)
         assert isinstance(executor.execute(other, fleet.send), RefuseNotRun)
     assert first.handle_restore(fleet.store.epoch) == 1
+    assert first.has_unwritten_claims(fleet.store.epoch)
     assert first.write_pending_updates() == 0
+    assert not first.has_unwritten_claims(fleet.store.epoch)
     fleet.settled[0] = fleet.store.epoch
     repeated = second.execute(ORDER, fleet.send)
     if isinstance(answer, Deliver):
@@ -220,6 +222,32 @@
     assert isinstance(second.execute(other, fleet.send), Deliver)
 
 
+def test_an_order_is_not_sent_under_a_claim_that_a_restore_has_removed(fleet: Fleet) -> None:
+    """Guards against an acknowledgement from before the restore that is handled after it."""
+    first, second = fleet.executors
+    store, copy = first._store, fleet.store.copy()
+    write = store.compare_and_swap_resolved
+
+    def write_late(
+        key: str, value: bytes, expected_index: int, resolve_timeout_s: float = 1.0
+    ) -> WriteResult:
+        patch.undo()
+        written = write(key, value, expected_index, resolve_timeout_s)
+        fleet.restore(copy)
+        first.handle_restore(fleet.store.epoch)
+        first.write_pending_updates()
+        return written
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(store, "compare_and_swap_resolved", write_late)
+        answer = first.execute(ORDER, fleet.send)
+    assert isinstance(answer, RefuseNotRun)
+    assert fleet.executions == 0
+    assert first.write_pending_updates() == 0
+    fleet.settled[0] = fleet.store.epoch
+    assert isinstance(second.execute(ORDER, fleet.send), Deliver)
+
+
 def test_recent_claims_are_bounded() -> None:
     """Guards against claims and bodies that fill the memory of a VM."""
     recent = RecentClaims()
