--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -62,11 +62,18 @@
 from ._order_plan import OrderTimings
 from ._rollout_service import EVIDENCE_KIND, REGION_EVIDENCE_KIND, VETO_KIND, RolloutService
 from ._settings import EntrySettings
-from ._store_epoch_service import STORE_EPOCH_KIND, StoreEpochService
+from ._store_epoch_service import (
+    CLAIMS_SETTLED_KEY,
+    CLAIMS_WRITTEN_KIND,
+    SLOTS_SETTLED_KEY,
+    STORE_EPOCH_KIND,
+    StoreEpochService,
+)
 from ._withdrawal_sync import SYNC_INTERVAL_S, WithdrawalSync
 
 STALL_CHECK_INTERVAL_S = 1.0
 PENDING_ORDERS_INTERVAL_S = 2.0
+CLAIM_RETRY_INTERVAL_S = 0.2
 SLOT_RELEASE_TIMEOUT_S = 5.0
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
@@ -84,6 +91,7 @@
     CLEARED_PARTS,
     SLOTS_VACATED_KIND,
     STORE_EPOCH_KIND,
+    CLAIMS_WRITTEN_KIND,
 )
 
 _log = logging.getLogger(__name__)
@@ -152,7 +160,9 @@
             self._tasks,
             self._rng,
             self.clock,
+            lambda: self.store_epochs.settled_epoch(SLOTS_SETTLED_KEY),
         )
+        self.store_epochs.add_listener(self.allowances.handle_restore)
         self.target_selector = TargetSelector(
             Router(settings.region, wall_offset_s=time.time() - self.clock()),
             self._rng,
@@ -262,7 +272,7 @@
             self._store,
             settings.vm,
             self.incarnation,
-            settled_epoch=self.store_epochs.settled_epoch,
+            settled_epoch=lambda: self.store_epochs.settled_epoch(CLAIMS_SETTLED_KEY),
         )
         self.store_epochs.add_listener(self._restore_claims)
         service_handler = ServiceHandler(
@@ -365,10 +375,13 @@
     async def _restore_claims(self, epoch: int) -> None:
         """Write the claims of this VM again that a restore of the store may have removed."""
         count = await self._blocking.run(self._order_executor.handle_restore, epoch)
-        if count:
+        while self._order_executor.has_unwritten_claims(epoch):
             await self._blocking.run(self._order_executor.write_pending_updates)
-            left = len(self._order_executor.pending_updates)
-            _log.warning("claims written again", extra={"claims": count, "left": left})
+            if self._order_executor.has_unwritten_claims(epoch):
+                await asyncio.sleep(CLAIM_RETRY_INTERVAL_S)
+        self.store_epochs.confirm_claims(epoch)
+        if count:
+            _log.warning("claims written again", extra={"epoch": epoch, "claims": count})
 
     def terminate(self) -> None:
         """Start draining on the first call; cut running answers on the second."""
