Send no work to an endpoint that says that it is leaving

An endpoint that left was sent its usual share until its registration changed, longer while the store was away.

Change: each answer, also a failure, a rejection, the head of a stream and the answer to a health check, is read for the sign. The process (id and start time, or address without one) gets no new work from then on, as with a draining registration; its record outlives the registration, so a lapse, a restore or another address does not end it, and a new process begins a new record. The other VMs of the region learn it over the links; the fact is reconciled, so that a VM which starts later has it too. An attempt whose connection is opened meanwhile is withheld and placed elsewhere. What the endpoint works on goes on: health checks are as before, and 503 counts as an answer.

Limit, cold phase and leaving are now one record, with one function that says why an endpoint gets nothing.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -103,14 +103,14 @@
         wire: WireFormat,
         pool: ConnectionPool,
         may_send: Callable[[], bool] = lambda: True,
-        record_limit: Callable[[EndpointView, EndpointAnswer], None] = lambda view, answer: None,
+        record_answer: Callable[[EndpointView, EndpointAnswer], None] = lambda view, answer: None,
     ) -> None:
         """Create the client; connections are reused through the pool.
 
         ``may_send`` tells directly before a request is sent whether the choice of its endpoint may
-        still be relied upon. ``record_limit`` is called with the head of each answer.
+        still be relied upon. ``record_answer`` is called with the head of each answer.
         """
-        self._record_limit = record_limit
+        self._record_answer = record_answer
         self._wire = wire
         self._may_send = may_send
         self._pool = pool
@@ -145,6 +145,10 @@
             # A process that was paused or busy gets here before its timers have cancelled it.
             self._pool.give_back(address, connection)
             return AttemptResult(AttemptEnd.WITHHELD, "too late to send")
+        if view.statements.is_leaving:
+            # It may have said so while the connection was opened.
+            self._pool.give_back(address, connection)
+            return AttemptResult(AttemptEnd.WITHHELD, "endpoint is leaving")
         encoded = self._wire.encode_request(
             opaque,
             view.registration,
@@ -221,7 +225,7 @@
         now = asyncio.get_running_loop().time()
         view.health.last_data_at_s = now
         answer = self._wire.decode_answer(head)
-        self._record_limit(view, answer)
+        self._record_answer(view, answer)
         if request.route.kind is not RequestKind.STREAM:
             view.load.record_first_byte(request.id, now)
         if answer.proves_not_run:
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -44,7 +44,6 @@
 from ._crash_reports import CRASHES, CrashReports
 from ._crash_tracker import CrashTracker
 from ._discovery import Discovery
-from ._endpoint_limits import ENDPOINT_LIMIT, EndpointLimits
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
 from ._load_reports import ENDPOINT_LOAD, FLEET_REPORT, LOAD_INTERVAL_S, LoadReports
@@ -56,6 +55,7 @@
 from ._rollouts import ROLLOUT_PROGRESS, ROLLOUT_VETO, TICK_S, RolloutTracker
 from ._runner import RequestRunner
 from ._settings import EntryProcessSettings
+from ._statement_exchange import ENDPOINT_LEAVING, ENDPOINT_LIMIT, StatementExchange
 from ._store_listeners import OperatorListener, RegistrationListener, VmEntryListener
 from ._store_relay import STORE_ITEM, StoreRelay
 from ._watch_policy import WatchPolicy
@@ -64,6 +64,7 @@
     STORE_ITEM,
     ENDPOINT_LOAD,
     ENDPOINT_LIMIT,
+    ENDPOINT_LEAVING,
     FLEET_REPORT,
     CRASHES,
     PROMPT_CRASHES,
@@ -141,7 +142,7 @@
         self.catalogue = CatalogueHolder(self._clock)
         self.pause_guard = PauseGuard(self._on_pause)
         self.endpoints = Endpoints(settings.region)
-        self.endpoint_limits = EndpointLimits(settings.vm, self.endpoints, self._clock, time.time)
+        self.statements = StatementExchange(settings.vm, self.endpoints, self._clock, time.time)
         self.fleet = FleetView(settings.vm, self.is_ready)
         self.regions = RegionReports()
         self.quarantine = Quarantine()
@@ -171,7 +172,7 @@
             self._adapter.wire,
             self._pool,
             self.pause_guard.is_current,
-            self.endpoint_limits.record_answer,
+            self.statements.record_answer,
         )
         self.runner = RequestRunner(
             self.settings.vm,
@@ -201,6 +202,7 @@
             self._endpoint_client,
             self._tasks,
             self.crashes.record_endpoint_loss,
+            self.statements.record_answer,
             self._clock,
         )
 
@@ -382,7 +384,7 @@
         self._relay.connect(node)
         self.rollouts.connect(node)
         self.allowance_calls.connect(node)
-        self.endpoint_limits.connect(node)
+        self.statements.connect(node)
         self.crashes.reports = CrashReports(node, self.quarantine, time.time)
         self.crashes.prompt_exchange = PromptCrashExchange(node, self.prompt_quarantine, time.time)
         reports = LoadReports(
--- a/src/mangosaddle/entry/_load_reports.py
+++ b/src/mangosaddle/entry/_load_reports.py
@@ -13,6 +13,7 @@
     AllowanceLimiter,
     Endpoints,
     EndpointView,
+    HoldReason,
     RegionReport,
     RegionReports,
     ReportedLoad,
@@ -229,11 +230,10 @@
     def _wait_s(self, view: EndpointView, now: float) -> float:
         """Return the wait in seconds that other regions should expect at an endpoint."""
         is_full = view.load.free_slot_share(now) <= MIN_FREE_SLOT_SHARE
-        limit = view.stated_limit
-        is_limited = limit.current(now) is not None and not limit.may_send(
-            self._own, self._fleet.region_vms(self._region), now
-        )
-        full_s = FULL_WAIT_S if is_full or is_limited else 0.0
+        region_vms = self._fleet.region_vms(self._region)
+        hold = self._endpoints.hold(view, self._own, region_vms, now)
+        is_held = hold is not None and hold.reason is not HoldReason.COLD
+        full_s = FULL_WAIT_S if is_full or is_held else 0.0
         return view.load.forecast_s(Work(0, 0), now) + full_s
 
     def _publish(self, kind: FactKind, payload: bytes) -> None:
--- a/src/mangosaddle/entry/_prober.py
+++ b/src/mangosaddle/entry/_prober.py
@@ -5,7 +5,7 @@
 
 from .._tasks import BackgroundTasks
 from ..http11 import ConnectFailedError, HttpError, UpstreamConnection
-from ..traffic import Endpoints, EndpointView
+from ..traffic import EndpointAnswer, Endpoints, EndpointView
 from ._attempt import CONNECT_TIMEOUT_S, EndpointClient
 from ._wire_format import WireFormat
 
@@ -28,10 +28,16 @@
         endpoint_client: EndpointClient,
         tasks: BackgroundTasks,
         on_lost: Callable[[EndpointView], None],
+        record_answer: Callable[[EndpointView, EndpointAnswer], None],
         clock: Callable[[], float],
     ) -> None:
-        """Create the prober; ``on_lost`` is called with each endpoint that fails a check."""
+        """Create the prober.
+
+        ``on_lost`` is called with each endpoint that fails a check, ``record_answer`` with each
+        answer of an endpoint to a check.
+        """
         self._on_lost = on_lost
+        self._record_answer = record_answer
         self._endpoint_client = endpoint_client
         self.checks_sent = 0
         self._wire = wire
@@ -91,4 +97,6 @@
         finally:
             connection.abort()
         answered, cold_s = self._wire.decode_health_answer(head, registration)
+        if answered:
+            self._record_answer(view, self._wire.decode_answer(head))
         return answered, cold_s, f"status {head.status}"
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -158,10 +158,7 @@
         now = asyncio.get_running_loop().time()
         attempt_id = self._rollouts.record_start(request, place, now)
         view.load.record_sent(request.id, place.work, place.forecast_s, now)
-        if view.cold_limiter.is_cold(now):
-            view.cold_limiter.record_sent()
-        if view.stated_limit.current(now) is not None:
-            view.stated_limit.record_sent()
+        view.statements.record_sent(now)
         if request.prompt is not None:
             view.prefixes.record(request.prompt.model, request.prompt.parts)
         view.health.last_request_at_s = now
--- /dev/null
+++ b/src/mangosaddle/entry/_statement_exchange.py
@@ -0,0 +1,154 @@
+"""Exchange of what endpoints state about themselves between the VMs of a region."""
+
+import logging
+import math
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+from .._cbor import decode_cbor
+from .._identifiers import EndpointId, RegionName, VmId
+from ..membership import HIGHEST_VERSION, Fact, FactKind
+from ..peers import PeerNode
+from ..traffic import LIMIT_TTL_S, EndpointAnswer, Endpoints, EndpointView
+
+ENDPOINT_LIMIT = FactKind(
+    "endpoint-limit", HIGHEST_VERSION, lifetime_s=LIMIT_TTL_S, regional=True, reconciled=False
+)
+"""Limit that an endpoint has stated; the version is the wall-clock time in milliseconds."""
+LEAVING_LIFETIME_S = 600.0
+"""Time for which VMs that start learn that an endpoint is leaving: longer than one takes to end."""
+ENDPOINT_LEAVING = FactKind("endpoint-leaving", HIGHEST_VERSION, lifetime_s=LEAVING_LIFETIME_S)
+"""Endpoint that has said that it is leaving; the key names its process."""
+REPEAT_INTERVAL_S = 2.0
+"""Interval at which an unchanged limit is published again, for VMs that have just started."""
+MS_PER_S = 1000.0
+
+logger = logging.getLogger(__name__)
+
+
+class StatementExchange:
+    """Records what endpoints state and passes it on to the other VMs of the region.
+
+    A VM that sends an endpoint nothing learns only from the others when a limit begins or ends.
+    """
+
+    def __init__(
+        self,
+        own: VmId,
+        endpoints: Endpoints,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Create the exchange of the VM ``own``; ``connect`` starts it."""
+        self._own = own
+        self._endpoints = endpoints
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._node: PeerNode | None = None
+
+    def connect(self, node: PeerNode) -> None:
+        """Start to exchange statements over the links of this VM."""
+        self._node = node
+        node.on_fact(ENDPOINT_LIMIT.name, self._on_limit)
+        node.on_fact(ENDPOINT_LEAVING.name, self._on_leaving)
+
+    def record_answer(self, view: EndpointView, answer: EndpointAnswer) -> None:
+        """Record what an answer states; another instance's answer states nothing."""
+        if answer.wrong_instance:
+            return
+        if answer.is_leaving and view.statements.record_leaving():
+            logger.warning("endpoint is leaving", extra={"endpoint": view.incarnation})
+            self._publish_leaving(view)
+        self._record_limit(view, answer)
+
+    def _record_limit(self, view: EndpointView, answer: EndpointAnswer) -> None:
+        """Record the limit that an answer states, or that it states none any more.
+
+        Only an answer of the endpoint itself tells that there is no limit.
+        """
+        limit_per_s = answer.limit_per_s
+        if limit_per_s is None and not answer.genuine:
+            return
+        age_s = view.statements.limit.age_s(self._clock())
+        is_due = limit_per_s is not None and age_s >= REPEAT_INTERVAL_S
+        if self._set_limit(view, limit_per_s) or is_due:
+            self._publish_limit(view.id, limit_per_s)
+
+    def _set_limit(self, view: EndpointView, limit_per_s: float | None) -> bool:
+        changed = view.statements.limit.record(limit_per_s, self._clock())
+        if changed:
+            extra = {"endpoint": view.id, "limit_per_s": limit_per_s}
+            logger.warning("endpoint changed its limit", extra=extra)
+        return changed
+
+    def _publish_limit(self, endpoint: EndpointId, limit_per_s: float | None) -> None:
+        if self._node is None:
+            return
+        version_ms = int(self._wall_clock() * MS_PER_S)
+        payload = cbor2.dumps(limit_per_s)
+        fact = self._node.new_fact(ENDPOINT_LIMIT.name, endpoint, version_ms, payload)
+        self._node.publish(fact)
+
+    def _publish_leaving(self, view: EndpointView) -> None:
+        if self._node is None:
+            return
+        payload = cbor2.dumps([view.id, view.registration.region])
+        fact = self._node.new_fact(ENDPOINT_LEAVING.name, view.incarnation, 1, payload)
+        self._node.publish(fact)
+
+    def _on_limit(self, fact: Fact) -> None:
+        if fact.origin == self._own:
+            return
+        try:
+            limit_per_s = decode_limit(fact.payload)
+        except ValueError as error:
+            _log_undecodable("cannot decode an endpoint's limit", fact, error)
+            return
+        view = self._endpoints.view(EndpointId(fact.key))
+        if view is not None:
+            self._set_limit(view, limit_per_s)
+
+    def _on_leaving(self, fact: Fact) -> None:
+        try:
+            endpoint, region = decode_leaving(fact.payload)
+        except ValueError as error:
+            _log_undecodable("cannot decode a leaving endpoint", fact, error)
+            return
+        if region != self._endpoints.own_region:
+            return
+        if self._endpoints.statements(endpoint, fact.key).record_leaving():
+            extra = {"endpoint": fact.key, "from_vm": fact.origin}
+            logger.warning("endpoint is leaving", extra=extra)
+
+
+def _log_undecodable(message: str, fact: Fact, error: ValueError) -> None:
+    logger.warning(message, extra={"vm": fact.origin, "cause": str(error)})
+
+
+def decode_limit(payload: bytes) -> float | None:
+    """Return a limit in requests a second, ``None`` for no limit; raises ``ValueError``."""
+    value: Any = decode_cbor(payload)
+    if value is None:
+        return None
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError("limit is not a number")
+    try:
+        limit_per_s = float(value)
+    except OverflowError as error:
+        raise ValueError("limit is too large") from error
+    if not math.isfinite(limit_per_s) or limit_per_s < 0:
+        raise ValueError("limit is not a positive number")
+    return limit_per_s
+
+
+def decode_leaving(payload: bytes) -> tuple[EndpointId, RegionName]:
+    """Return the id and the region of an endpoint that is leaving; raises ``ValueError``."""
+    value: Any = decode_cbor(payload)
+    if not isinstance(value, list) or len(value) != 2:
+        raise ValueError("is not a pair")
+    endpoint, region = value
+    if not isinstance(endpoint, str) or not isinstance(region, str):
+        raise ValueError("id or region is not a text")
+    return EndpointId(endpoint), RegionName(region)
--- a/src/mangosaddle/platform/_requests.py
+++ b/src/mangosaddle/platform/_requests.py
@@ -37,6 +37,8 @@
 COLD_MS_HEADER = b"cold-milliseconds"
 SERVER_LIMIT_HEADER = b"server-limit"
 """Requests a second that a runner accepts from the whole system, as a decimal number."""
+SERVER_LEAVING_HEADER = b"server-leaving"
+"""``1`` in all answers of a runner that is leaving."""
 MS_PER_S = 1000.0
 MAX_URGENCY = 9
 
@@ -222,6 +224,7 @@
         genuine=view.count(RESPONSE_STAMP_HEADER) == 1 and not encoding,
         cold_s=_decode_cold_s(view),
         limit_per_s=_decode_limit(view),
+        is_leaving=(view.first(SERVER_LEAVING_HEADER) or b"").strip() == b"1",
     )
 
 
--- a/src/mangosaddle/traffic/__init__.py
+++ b/src/mangosaddle/traffic/__init__.py
@@ -36,6 +36,7 @@
 from ._rate_limit import LIMIT_TTL_S, StatedLimit
 from ._registry import EndpointPhase, EndpointRegistry, Registration
 from ._requests import Prompt, PromptPart, RoutedRequest
+from ._statements import EndpointStatements, Hold, HoldReason
 from ._versions import ANY_VERSION, VersionChoice
 
 __all__ = [
@@ -51,11 +52,14 @@
     "EndpointAnswer",
     "EndpointPhase",
     "EndpointRegistry",
+    "EndpointStatements",
     "EndpointView",
     "Endpoints",
     "EngineLimits",
     "EventSplitter",
     "EventTooLargeError",
+    "Hold",
+    "HoldReason",
     "HomeDemand",
     "LocalPlacement",
     "OpaqueRequest",
--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -1,23 +1,34 @@
 """State of the endpoints of this VM's region."""
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
-from .._identifiers import EndpointId, RegionName, ServiceName
+from .._identifiers import EndpointId, RegionName, ServiceName, VmId
 from .._prompt_quarantine import Parts
 from ._catalogue import Catalogue, ServiceSpec
 from ._cold_start import ColdStartLimiter
 from ._health import EndpointHealth, Reachability
 from ._load import PREFILL_TOKENS_PER_S, EndpointLoad
 from ._prompt_cache import PromptCacheEstimate
-from ._rate_limit import StatedLimit
 from ._registry import EndpointRegistry, Registration
+from ._statements import EndpointStatements, Hold
+
+MAX_FORMER_INSTANCES = 1_000
+"""Number of records that are kept of endpoints without a registration, which may be read again."""
 
 
 class EndpointView:
     """Registration, load, health and prompt cache of one endpoint."""
 
-    def __init__(self, registration: Registration, spec: ServiceSpec | None) -> None:
-        """Create the initial state of a newly registered endpoint."""
+    def __init__(
+        self,
+        registration: Registration,
+        spec: ServiceSpec | None,
+        statements: EndpointStatements | None = None,
+    ) -> None:
+        """Create the initial state of a newly registered endpoint.
+
+        ``statements`` are those that are already known of its process.
+        """
         engine = spec.engine if spec is not None else None
         self.registration = registration
         self.crash_suspect_fingerprints: set[str] = set()
@@ -29,10 +40,8 @@
             registration.slots, engine.memory_tokens if engine is not None else None
         )
         self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
-        self.cold_limiter = ColdStartLimiter(registration.id)
-        """Bounds the requests to the endpoint while its caches are cold."""
-        self.stated_limit = StatedLimit(registration.id)
-        """Bounds the requests to the endpoint while it states a limit."""
+        self.statements = statements or EndpointStatements(registration.id)
+        """What the endpoint has stated about itself."""
         self.prefixes = PromptCacheEstimate(engine.memory_tokens if engine is not None else 0)
 
     def is_silent(self, now: float) -> bool:
@@ -52,10 +61,15 @@
         """Return the id of the endpoint."""
         return self.registration.id
 
+    @property
+    def cold_limiter(self) -> ColdStartLimiter:
+        """Return the bound on the requests to the endpoint while its caches are cold."""
+        return self.statements.cold
+
     @property
     def incarnation(self) -> str:
-        """Return the name of the endpoint's process, which a restart under the same id changes."""
-        return f"{self.registration.id}@{self.registration.born_ms}"
+        """Return the name of the endpoint's process."""
+        return self.registration.incarnation
 
 
 class Endpoints:
@@ -66,6 +80,7 @@
         self.own_region = own_region
         self.registry = EndpointRegistry()
         self._views_by_id: dict[EndpointId, EndpointView] = {}
+        self._statements_by_incarnation: dict[str, EndpointStatements] = {}
         self._catalogue: Catalogue | None = None
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
@@ -74,9 +89,8 @@
         for endpoint, view in list(self._views_by_id.items()):
             name = view.registration.service
             if old is None or old.services_by_name.get(name) != self._spec(name):
-                fresh = EndpointView(view.registration, self._spec(name))
-                fresh.health, fresh.cold_limiter = view.health, view.cold_limiter
-                fresh.stated_limit = view.stated_limit
+                fresh = EndpointView(view.registration, self._spec(name), view.statements)
+                fresh.health = view.health
                 self._views_by_id[endpoint] = fresh
 
     def register(self, registration: Registration, now: float) -> None:
@@ -87,9 +101,11 @@
             return
         view = self._views_by_id.get(registration.id)
         if view is None or old is None or _restarted(old, registration):
-            view = EndpointView(registration, self._spec(registration.service))
+            statements = self.statements(registration.id, registration.incarnation)
+            view = EndpointView(registration, self._spec(registration.service), statements)
             self._views_by_id[registration.id] = view
         view.registration = registration
+        self._statements_by_incarnation[view.incarnation] = view.statements
         if registration.cold_s > 0:
             view.cold_limiter.set_cold(registration.cold_s, now)
 
@@ -105,6 +121,31 @@
             self._views_by_id.pop(endpoint, None)
         return due
 
+    def statements(self, endpoint: EndpointId, incarnation: str) -> EndpointStatements:
+        """Return what a process of an endpoint has stated, whether it is registered or not."""
+        statements = self._statements_by_incarnation.get(incarnation)
+        if statements is None:
+            self._forget_former_instances()
+            statements = self._statements_by_incarnation[incarnation] = EndpointStatements(endpoint)
+        return statements
+
+    def _forget_former_instances(self) -> None:
+        excess = len(self._statements_by_incarnation) - len(self._views_by_id)
+        if excess < MAX_FORMER_INSTANCES:
+            return
+        registered = {view.incarnation for view in self._views_by_id.values()}
+        former = [name for name in self._statements_by_incarnation if name not in registered]
+        for name in former[: len(former) // 2]:
+            del self._statements_by_incarnation[name]
+
+    def hold(
+        self, view: EndpointView, own: VmId, region_vms: Collection[VmId], now: float
+    ) -> Hold | None:
+        """Return why the VM ``own`` must not send the endpoint a request now, or ``None``."""
+        spec = self._spec(view.registration.service)
+        cold_rate_per_s = spec.cold_requests_per_s if spec is not None else 0.0
+        return view.statements.hold(own, region_vms, cold_rate_per_s, now)
+
     def require_zone_health_checks(self, zone: str, now: float) -> None:
         """Require the endpoints of a zone to pass a health check before they get requests."""
         for view in self._views_by_id.values():
@@ -124,7 +165,9 @@
         views = []
         for registration in self.registry.serving(service, self.own_region):
             view = self._views_by_id.get(registration.id)
-            if view is not None and view.health.reachability is Reachability.OK:
+            if view is None or view.statements.is_leaving:
+                continue
+            if view.health.reachability is Reachability.OK:
                 views.append(view)
         return views
 
--- a/src/mangosaddle/traffic/_opaque.py
+++ b/src/mangosaddle/traffic/_opaque.py
@@ -45,6 +45,8 @@
     """Remaining cold phase that the endpoint announces, or ``None``."""
     limit_per_s: float | None = None
     """Requests a second that the endpoint accepts from all VMs together, or ``None``."""
+    is_leaving: bool = False
+    """Whether the endpoint says that it is leaving."""
 
     @property
     def succeeded(self) -> bool:
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -267,7 +267,7 @@
         if not request.allows(self._endpoints.own_region):
             return None
         waits_s = [
-            view.stated_limit.wait_s(self._own, region_vms, now)
+            view.statements.limit.wait_s(self._own, region_vms, now)
             for view in self._endpoints.usable(request.service)
             if view.id not in tried and version.allows(view.registration.version)
         ]
@@ -298,8 +298,6 @@
     ) -> LocalPlacement | None:
         if not request.allows(self._endpoints.own_region):
             return None
-        spec = self._endpoints.spec(request.service)
-        rate_per_s = spec.cold_requests_per_s if spec is not None else 0.0
         baseline = self._endpoints.baseline_failure_rate(request.service)
         healthy: list[LocalPlacement] = []
         faulty: list[LocalPlacement] = []
@@ -312,9 +310,7 @@
         for view in views:
             if view.id in tried:
                 continue
-            if not view.cold_limiter.may_send(self._own, region_vms, rate_per_s, now):
-                continue
-            if not view.stated_limit.may_send(self._own, region_vms, now):
+            if self._endpoints.hold(view, self._own, region_vms, now) is not None:
                 continue
             if request.prompt is not None and view.load.free_slot_share(
                 now
--- a/src/mangosaddle/traffic/_registry.py
+++ b/src/mangosaddle/traffic/_registry.py
@@ -39,6 +39,15 @@
         """Return host and port."""
         return (self.host, self.port)
 
+    @property
+    def incarnation(self) -> str:
+        """Return the name of the endpoint's process, which a restart under the same id changes.
+
+        Without a start time, a process is taken to keep its address.
+        """
+        process = f"{self.host}:{self.port}" if self.born_ms is None else str(self.born_ms)
+        return f"{self.id}@{process}"
+
 
 class EndpointRegistry:
     """Registrations by id, with evacuated zones and delayed removals."""
--- a/tests/decoders/test_foreign_bytes.py
+++ b/tests/decoders/test_foreign_bytes.py
@@ -15,7 +15,7 @@
 from mangosaddle._prompt_crash_exchange import decode_cleared_at_s, decode_prompt_crash
 from mangosaddle.coordination import VmRecord
 from mangosaddle.entry._crash_reports import decode_crash_reports
-from mangosaddle.entry._endpoint_limits import decode_limit
+from mangosaddle.entry._statement_exchange import decode_leaving, decode_limit
 from mangosaddle.entry._vm_reports import (
     ReportError,
     decode_fleet_summary,
@@ -59,6 +59,11 @@
         decode_limit(data)
 
 
+def _decode_leaving(data: bytes) -> None:
+    with contextlib.suppress(ValueError):
+        decode_leaving(data)
+
+
 def _report(decode: Callable[[bytes], object]) -> Callable[[bytes], None]:
     def _decode(data: bytes) -> None:
         with contextlib.suppress(ReportError):
@@ -82,6 +87,7 @@
     "prompt_crash": decode_prompt_crash,
     "cleared_at": decode_cleared_at_s,
     "endpoint_limit": _decode_limit,
+    "leaving_endpoint": _decode_leaving,
 }
 JSON_DECODERS = ("configuration", "registration", "rollout_order", "rollout_status", "vm_record")
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -132,6 +132,12 @@
     """If set, streams have neither a length nor chunks and end with their connection."""
     limit_per_s: float | None = None
     """Requests a second that the runner names as its limit in all answers."""
+    is_leaving: bool = False
+    """If set, all answers say that the runner is leaving, and health checks get 503."""
+    retry_after: str | None = None
+    """Value of ``Retry-After`` in answers with status 503."""
+    rejected_at_s: list[float] = field(default_factory=list)
+    """Event loop times of the requests answered with 503."""
     has_lost_power: bool = False
     """If set, connections stay open but nothing is sent on them."""
     release: asyncio.Event = field(default_factory=asyncio.Event)
@@ -191,6 +197,11 @@
         }
         return row | changes
 
+    def _statements(self) -> bytes:
+        """Return the headers in which the runner states its limit and that it is leaving."""
+        limit = f"Server-Limit: {self.limit_per_s}\r\n" if self.limit_per_s is not None else ""
+        return (limit + "Server-Leaving: 1\r\n" * self.is_leaving).encode()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted_connections += 1
         self._writers.add(writer)
@@ -279,10 +290,11 @@
         self.health_checks += 1
         if self.endless_health_checks:
             return await self._send_endlessly(Behaviour.ENDLESS_BODY, "", writer)
-        status = b"200 OK" if self.is_healthy else b"503 Unavailable"
+        is_sound = self.is_healthy and not self.is_leaving
+        status = b"200 OK" if is_sound else b"503 Unavailable"
         cold = f"Cold-Milliseconds: {self.cold_ms}\r\n".encode() if self.cold_ms else b""
         writer.write(b"HTTP/1.1 " + status + b"\r\nInstance-Id: " + self.id.encode())
-        writer.write(b"\r\n" + cold + b"Content-Length: 0\r\n\r\n")
+        writer.write(b"\r\n" + cold + self._statements() + b"Content-Length: 0\r\n\r\n")
         return True
 
     async def _answer(
@@ -295,7 +307,10 @@
     ) -> bool:
         request_id = request.headers.get("request-id", "")
         if behaviour is Behaviour.REJECT:
-            extra = b"Not-Run: 1\r\n" + _limit_header(self.limit_per_s)
+            extra = b"Not-Run: 1\r\n" + self._statements()
+            if self.retry_after is not None:
+                extra += f"Retry-After: {self.retry_after}\r\n".encode()
+            self.rejected_at_s.append(asyncio.get_running_loop().time())
             writer.write(_head(503, request_id, 0, extra, signed=False))
             return True
         self.runs_by_request_id[request_id] += 1
@@ -305,8 +320,8 @@
         if behaviour.startswith(("endless", "drip")):
             return await self._send_endlessly(behaviour, request_id, writer)
         size = len(self.body)
-        limit = _limit_header(self.limit_per_s)
-        full_response = _head(200, request_id, size, limit) + self.body
+        statements = self._statements()
+        full_response = _head(200, request_id, size, statements) + self.body
         match behaviour:
             case Behaviour.SLOW:
                 await self.release.wait()
@@ -314,7 +329,7 @@
             case Behaviour.OK:
                 writer.write(full_response)
             case Behaviour.FAIL:
-                writer.write(_head(500, request_id, 6, limit) + b"failed")
+                writer.write(_head(500, request_id, 6, statements) + b"failed")
             case Behaviour.CRASH:
                 await self.stop()
                 return False
@@ -378,7 +393,7 @@
         after = int(request.headers.get("last-event-id", "0") or 0)
         framing = b"" if self.unframed_streams else CHUNKED
         encode = bytes if self.unframed_streams else _chunk
-        extra = framing + b"Content-Type: text/event-stream\r\n" + _limit_header(self.limit_per_s)
+        extra = framing + b"Content-Type: text/event-stream\r\n" + self._statements()
         writer.write(_head(200, request.headers.get("request-id", ""), None, extra))
         for number in range(after + 1, self.event_count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
@@ -414,10 +429,6 @@
         return has_left
 
 
-def _limit_header(limit_per_s: float | None) -> bytes:
-    return b"" if limit_per_s is None else f"Server-Limit: {limit_per_s}\r\n".encode()
-
-
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
--- /dev/null
+++ b/tests/traffic/test_statements.py
@@ -0,0 +1,93 @@
+"""What endpoints state about themselves, and for which process it holds."""
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from mangosaddle._identifiers import EndpointId, RegionName, ServiceName, ZoneName
+from mangosaddle.traffic import EndpointPhase, Endpoints, Registration
+from mangosaddle.traffic._endpoints import MAX_FORMER_INSTANCES
+
+EAST = RegionName("east")
+DESK = ServiceName("desk")
+NOW = 100.0
+
+
+@pytest.fixture
+def registration() -> Registration:
+    """Return the registration of an endpoint of the own region."""
+    return Registration(
+        id=EndpointId("a"),
+        service=DESK,
+        host="127.0.0.1",
+        port=1000,
+        zone=ZoneName("east-a"),
+        region=EAST,
+        version="v1",
+        slots=10,
+        phase=EndpointPhase.READY,
+        cold_s=0.0,
+        born_ms=1,
+    )
+
+
+@pytest.fixture
+def endpoints(registration: Registration) -> Endpoints:
+    """Return one endpoint, which has said that it is leaving."""
+    known = Endpoints(EAST)
+    known.register(registration, NOW)
+    view = known.view(registration.id)
+    assert view is not None
+    assert view.statements.record_leaving()
+    assert not view.statements.record_leaving()
+    return known
+
+
+SAME_PROCESS: tuple[dict[str, Any], ...] = ({}, {"slots": 12}, {"port": 1001})
+OTHER_PROCESS: tuple[dict[str, Any], ...] = (
+    {"born_ms": 2},
+    {"born_ms": 2, "port": 1001},
+    {"born_ms": None, "port": 1001},
+    {"id": EndpointId("b")},
+)
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_removed", "is_usable"),
+    [
+        ({"born_ms": None}, False, False),
+        *((changes, removed, False) for changes in SAME_PROCESS for removed in (False, True)),
+        *((changes, removed, True) for changes in OTHER_PROCESS for removed in (False, True)),
+    ],
+)
+def test_leaving_holds_for_the_process(
+    endpoints: Endpoints,
+    registration: Registration,
+    changes: dict[str, Any],
+    is_removed: bool,
+    is_usable: bool,
+) -> None:
+    """Guards against a sign that outlives its process, or is lost with the registration."""
+    if is_removed:
+        endpoints.remove(registration.id)
+    endpoints.register(replace(registration, **changes), NOW)
+    assert bool(endpoints.usable(DESK)) is is_usable
+
+
+def test_a_sign_that_comes_before_the_registration_holds(registration: Registration) -> None:
+    """Guards against an endpoint that gets work as this VM has read its registration late."""
+    endpoints = Endpoints(EAST)
+    endpoints.statements(registration.id, registration.incarnation).record_leaving()
+    endpoints.register(registration, NOW)
+    assert endpoints.usable(DESK) == []
+
+
+def test_records_of_former_processes_are_bounded(
+    endpoints: Endpoints, registration: Registration
+) -> None:
+    """Guards against memory that grows with each restart of an endpoint."""
+    for born_ms in range(2, 3 * MAX_FORMER_INSTANCES):
+        endpoints.register(replace(registration, id=EndpointId("b"), born_ms=born_ms), NOW)
+    assert len(endpoints._statements_by_incarnation) <= MAX_FORMER_INSTANCES + 2
+    assert [view.id for view in endpoints.usable(DESK)] == ["b"]
