Leave an endpoint alone for the wait that its refusal names

An endpoint that answered 503 with Retry-After was taken as full for 0.15 s, and callers whose endpoints had all asked for a wait were told to return after 1 s.

Change: the VM that was turned away sends the endpoint nothing until the wait is over: no new, repeated, forwarded or resumed request and no health check; an attempt whose connection is opened meanwhile is withheld. If all endpoints are held, callers are refused at once with the shortest wait, which callers honour up to a third of their time as before.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -145,10 +145,11 @@
             # A process that was paused or busy gets here before its timers have cancelled it.
             self._pool.give_back(address, connection)
             return AttemptResult(AttemptEnd.WITHHELD, "too late to send")
-        if view.statements.is_leaving:
-            # It may have said so while the connection was opened.
+        refusal = view.statements.refusal(clock())
+        if refusal is not None:
+            # The endpoint may have said so while the connection was opened.
             self._pool.give_back(address, connection)
-            return AttemptResult(AttemptEnd.WITHHELD, "endpoint is leaving")
+            return AttemptResult(AttemptEnd.WITHHELD, refusal.value)
         encoded = self._wire.encode_request(
             opaque,
             view.registration,
--- a/src/mangosaddle/entry/_prober.py
+++ b/src/mangosaddle/entry/_prober.py
@@ -53,7 +53,8 @@
             if view.is_silent(now) and view.health.mark_unreachable(now, silent=True):
                 logger.warning("endpoint is silent", extra={"endpoint": view.id})
             takes_work = self._endpoints.registry.takes_work(view.registration)
-            if takes_work and view.health.is_probe_due(now) and view.id not in self._running:
+            may_check = takes_work and not view.statements.wait.is_waiting(now)
+            if may_check and view.health.is_probe_due(now) and view.id not in self._running:
                 view.health.record_probe_sent(now)
                 self._running.add(view.id)
                 self._tasks.spawn(self._probe(view))
--- a/src/mangosaddle/entry/_statement_exchange.py
+++ b/src/mangosaddle/entry/_statement_exchange.py
@@ -61,8 +61,18 @@
         if answer.is_leaving and view.statements.record_leaving():
             logger.warning("endpoint is leaving", extra={"endpoint": view.incarnation})
             self._publish_leaving(view)
+        if answer.wait_s is not None:
+            self._record_wait(view, answer.wait_s)
         self._record_limit(view, answer)
 
+    def _record_wait(self, view: EndpointView, wait_s: float) -> None:
+        """Record a wait, which the endpoint asks of this VM only."""
+        now = self._clock()
+        if view.statements.wait.record(wait_s, self._own, now):
+            left_s = round(view.statements.wait.left_s(now), 3)
+            extra = {"endpoint": view.id, "wait_s": left_s, "stated_s": wait_s}
+            logger.warning("endpoint asked for a wait", extra=extra)
+
     def _record_limit(self, view: EndpointView, answer: EndpointAnswer) -> None:
         """Record the limit that an answer states, or that it states none any more.
 
--- a/src/mangosaddle/platform/_requests.py
+++ b/src/mangosaddle/platform/_requests.py
@@ -39,6 +39,8 @@
 """Requests a second that a runner accepts from the whole system, as a decimal number."""
 SERVER_LEAVING_HEADER = b"server-leaving"
 """``1`` in all answers of a runner that is leaving."""
+RETRY_AFTER_HEADER = b"retry-after"
+"""Seconds, with fractions, for which a runner that answers 503 wants nothing from this VM."""
 MS_PER_S = 1000.0
 MAX_URGENCY = 9
 
@@ -225,6 +227,7 @@
         cold_s=_decode_cold_s(view),
         limit_per_s=_decode_limit(view),
         is_leaving=(view.first(SERVER_LEAVING_HEADER) or b"").strip() == b"1",
+        wait_s=_decode_wait(view) if head.status == 503 else None,
     )
 
 
@@ -256,6 +259,20 @@
     return limit_per_s
 
 
+def _decode_wait(view: HeaderView) -> float | None:
+    raw = view.first(RETRY_AFTER_HEADER)
+    if raw is None:
+        return None
+    try:
+        wait_s = float(raw)
+    except ValueError:
+        wait_s = math.nan
+    if math.isnan(wait_s) or wait_s < 0:
+        logger.warning("invalid wait ignored", extra={"value": repr(raw)})
+        return None
+    return wait_s
+
+
 def encode_health_check(path: str, registration: Registration) -> UpstreamRequest:
     """Return the health check request for a runner."""
     headers = [
--- a/src/mangosaddle/traffic/__init__.py
+++ b/src/mangosaddle/traffic/__init__.py
@@ -36,6 +36,7 @@
 from ._rate_limit import LIMIT_TTL_S, StatedLimit
 from ._registry import EndpointPhase, EndpointRegistry, Registration
 from ._requests import Prompt, PromptPart, RoutedRequest
+from ._stated_wait import MAX_WAIT_S, StatedWait
 from ._statements import EndpointStatements, Hold, HoldReason
 from ._versions import ANY_VERSION, VersionChoice
 
@@ -43,6 +44,7 @@
     "ANY_VERSION",
     "DEFAULT_TIME_PER_TOKEN_S",
     "LIMIT_TTL_S",
+    "MAX_WAIT_S",
     "MIN_FREE_SLOT_SHARE",
     "AllowanceLimiter",
     "AllowanceLimits",
@@ -81,6 +83,7 @@
     "ServiceShare",
     "ServiceSpec",
     "StatedLimit",
+    "StatedWait",
     "VersionChoice",
     "Work",
     "allowed_regions",
--- a/src/mangosaddle/traffic/_opaque.py
+++ b/src/mangosaddle/traffic/_opaque.py
@@ -47,6 +47,8 @@
     """Requests a second that the endpoint accepts from all VMs together, or ``None``."""
     is_leaving: bool = False
     """Whether the endpoint says that it is leaving."""
+    wait_s: float | None = None
+    """Seconds for which the endpoint wants no request from this VM, or ``None``."""
 
     @property
     def succeeded(self) -> bool:
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -16,6 +16,7 @@
 from ._endpoints import Endpoints, EndpointView
 from ._load import DEFAULT_TIME_PER_TOKEN_S, Work
 from ._requests import RoutedRequest
+from ._statements import HoldReason
 from ._versions import ANY_VERSION, VersionChoice
 
 REGION_ROUND_TRIP_S = 0.2
@@ -61,12 +62,21 @@
     """No engine has a free slot for a request of this priority."""
     LIMITED = "limited"
     """The endpoints state limits that leave nothing for this VM now."""
+    ASKED_TO_WAIT = "asked_to_wait"
+    """The endpoints want no request from this VM for a time."""
     LATE_START = "late_start"
     """The first byte would exceed the maximum wait."""
     LATE_END = "late_end"
     """The answer would not be complete before the deadline."""
 
 
+CAUSES_BY_HOLD_REASON = {
+    HoldReason.ASKED_TO_WAIT: RefusalCause.ASKED_TO_WAIT,
+    HoldReason.LIMITED: RefusalCause.LIMITED,
+}
+"""Causes of refusals while all endpoints are held; the other reasons do not name a time."""
+
+
 @dataclass(frozen=True, slots=True)
 class LocalPlacement:
     """Decision to run the request at an endpoint of this VM's region."""
@@ -207,10 +217,9 @@
         local = self._best_local(version, request, region_vms, tried, now)
         remote = self._best_remote(version, request, reachable_regions, now)
         if local is None and remote is None:
-            limit_wait_s = self._limit_wait_s(version, request, region_vms, tried, now)
-            if limit_wait_s is not None:
-                wait_s = max(MIN_RETRY_AFTER_S, limit_wait_s)
-                return PlacementRefusal(RefusalCause.LIMITED, wait_s)
+            refusal = self._refuse_if_held(version, request, region_vms, tried, now)
+            if refusal is not None:
+                return refusal
             if request.prompt is not None and self._has_untried_endpoint(version, request, tried):
                 return PlacementRefusal(RefusalCause.FULL, FULL_RETRY_AFTER_S)
             return PlacementRefusal(RefusalCause.NO_ENDPOINT, 1.0)
@@ -252,27 +261,32 @@
             cause, max(MIN_RETRY_AFTER_S, late_s), candidate.forecast_s, candidate.time_per_token_s
         )
 
-    def _limit_wait_s(
+    def _refuse_if_held(
         self,
         version: VersionChoice,
         request: RoutedRequest,
         region_vms: Collection[VmId],
         tried: Collection[EndpointId],
         now: float,
-    ) -> float | None:
-        """Return the seconds until an endpoint's stated limit permits a request from this VM.
+    ) -> PlacementRefusal | None:
+        """Refuse a request until the first endpoint accepts one, by what they state.
 
-        Returns ``None`` if no limit stands in the way.
+        Returns ``None`` if something else stands in the way at an endpoint.
         """
         if not request.allows(self._endpoints.own_region):
             return None
-        waits_s = [
-            view.statements.limit.wait_s(self._own, region_vms, now)
-            for view in self._endpoints.usable(request.service)
-            if view.id not in tried and version.allows(view.registration.version)
-        ]
-        wait_s = min(waits_s, default=0.0)
-        return wait_s if wait_s > 0.0 else None
+        refusals = []
+        for view in self._endpoints.usable(request.service):
+            if not version.allows(view.registration.version):
+                continue
+            hold = self._endpoints.hold(view, self._own, region_vms, now)
+            cause = CAUSES_BY_HOLD_REASON.get(hold.reason) if hold is not None else None
+            if hold is not None and hold.wait_s is not None and cause is not None:
+                wait_s = max(MIN_RETRY_AFTER_S, hold.wait_s)
+                refusals.append(PlacementRefusal(cause, wait_s))
+            elif view.id not in tried:
+                return None
+        return min(refusals, key=lambda refusal: refusal.retry_after_s, default=None)
 
     def _has_untried_endpoint(
         self, version: VersionChoice, request: RoutedRequest, tried: Collection[EndpointId]
--- a/src/mangosaddle/traffic/_statements.py
+++ b/src/mangosaddle/traffic/_statements.py
@@ -7,6 +7,7 @@
 from .._identifiers import EndpointId, VmId
 from ._cold_start import ColdStartLimiter
 from ._rate_limit import StatedLimit
+from ._stated_wait import StatedWait
 
 
 class HoldReason(StrEnum):
@@ -14,6 +15,8 @@
 
     LEAVING = "leaving"
     """The endpoint is about to end."""
+    ASKED_TO_WAIT = "asked_to_wait"
+    """It wants no request from this VM for a time, or only a few as that has just ended."""
     COLD = "cold"
     """Its caches are cold, and another VM sends to it or the rate is used up."""
     LIMITED = "limited"
@@ -39,6 +42,7 @@
         """Create the record of an endpoint that has stated nothing."""
         self.is_leaving = False
         """Whether it has said that it is leaving; an instance that leaves does not return."""
+        self.wait = StatedWait(endpoint)
         self.limit = StatedLimit(endpoint)
         self.cold = ColdStartLimiter(endpoint)
 
@@ -56,13 +60,23 @@
         """
         if self.is_leaving:
             return Hold(HoldReason.LEAVING, None)
+        wait_s = self.wait.left_s(now)
+        if wait_s > 0.0:
+            return Hold(HoldReason.ASKED_TO_WAIT, wait_s)
         if not self.cold.may_send(own, region_vms, cold_rate_per_s, now):
             return Hold(HoldReason.COLD, None)
         wait_s = self.limit.wait_s(own, region_vms, now)
         return Hold(HoldReason.LIMITED, wait_s) if wait_s > 0.0 else None
 
+    def refusal(self, now: float) -> HoldReason | None:
+        """Return why the endpoint wants no request at all now, or ``None``."""
+        if self.is_leaving:
+            return HoldReason.LEAVING
+        return HoldReason.ASKED_TO_WAIT if self.wait.is_waiting(now) else None
+
     def record_sent(self, now: float) -> None:
         """Charge a request that is sent to the endpoint."""
+        self.wait.record_sent(now)
         if self.cold.is_cold(now):
             self.cold.record_sent()
         if self.limit.current(now) is not None:
