--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -128,6 +128,12 @@
         """Return the number of usable endpoints in this region, for the log."""
         return len(self._endpoints.usable(request.service))
 
+    def held_endpoints(self, request: RoutedRequest) -> dict[str, int]:
+        """Return the number of endpoints of this region that are held, by reason, for the log."""
+        now = asyncio.get_running_loop().time()
+        held = self._endpoints.held(request.service, self._own, self._region_vms(), now)
+        return {reason.value: count for reason, count in held.items()}
+
     def prompt_retry_after_s(self, request: RoutedRequest) -> float | None:
         """Return the seconds for which the request's prompt must not run, or ``None``."""
         return self._crashes.prompt_retry_after_s(request)
@@ -368,6 +374,7 @@
             fields |= {
                 "refused": decision.cause.value,
                 "usable_endpoints": self._runner.usable_endpoints(request),
+                "held_endpoints": self._runner.held_endpoints(request),
                 "forecast_ms": round(decision.forecast_s * 1000),
                 "pace_ms": round(decision.time_per_token_s * 1000, 1),
             }
--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -1,5 +1,6 @@
 """State of the endpoints of this VM's region."""
 
+from collections import Counter
 from collections.abc import Collection, Iterator
 
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
@@ -10,7 +11,7 @@
 from ._load import PREFILL_TOKENS_PER_S, EndpointLoad
 from ._prompt_cache import PromptCacheEstimate
 from ._registry import EndpointRegistry, Registration
-from ._statements import EndpointStatements, Hold
+from ._statements import EndpointStatements, Hold, HoldReason
 
 MAX_FORMER_INSTANCES = 1_000
 """Number of records that are kept of endpoints without a registration, which may be read again."""
@@ -146,6 +147,17 @@
         cold_rate_per_s = spec.cold_requests_per_s if spec is not None else 0.0
         return view.statements.hold(own, region_vms, cold_rate_per_s, now)
 
+    def held(
+        self, service: ServiceName, own: VmId, region_vms: Collection[VmId], now: float
+    ) -> Counter[HoldReason]:
+        """Return how many of a service's endpoints are held for each reason, for the log."""
+        views = (
+            self._views_by_id.get(registration.id)
+            for registration in self.registry.serving(service, self.own_region)
+        )
+        holds = (self.hold(view, own, region_vms, now) for view in views if view is not None)
+        return Counter(hold.reason for hold in holds if hold is not None)
+
     def require_zone_health_checks(self, zone: str, now: float) -> None:
         """Require the endpoints of a zone to pass a health check before they get requests."""
         for view in self._views_by_id.values():
--- a/tests/traffic/test_statements.py
+++ b/tests/traffic/test_statements.py
@@ -5,11 +5,12 @@
 
 import pytest
 
-from mangosaddle._identifiers import EndpointId, RegionName, ServiceName, ZoneName
-from mangosaddle.traffic import EndpointPhase, Endpoints, Registration
+from mangosaddle._identifiers import EndpointId, RegionName, ServiceName, VmId, ZoneName
+from mangosaddle.traffic import EndpointPhase, Endpoints, HoldReason, Registration
 from mangosaddle.traffic._endpoints import MAX_FORMER_INSTANCES
 
 EAST = RegionName("east")
+OWN = VmId("vm")
 DESK = ServiceName("desk")
 NOW = 100.0
 
@@ -91,3 +92,41 @@
         endpoints.register(replace(registration, id=EndpointId("b"), born_ms=born_ms), NOW)
     assert len(endpoints._statements_by_incarnation) <= MAX_FORMER_INSTANCES + 2
     assert [view.id for view in endpoints.usable(DESK)] == ["b"]
+
+
+def test_the_first_reason_is_named(registration: Registration) -> None:
+    """Guards against a log that does not tell why an endpoint gets nothing."""
+    endpoints = Endpoints(EAST)
+    endpoints.register(registration, NOW)
+    view = endpoints.view(registration.id)
+    assert view is not None
+    states = view.statements
+    states.limit.record(0.5, NOW)
+    seen = [endpoints.hold(view, OWN, (), NOW)]
+    states.record_sent(NOW)
+    seen.append(endpoints.hold(view, OWN, (), NOW))
+    states.wait.record(2.0, OWN, NOW)
+    seen.append(endpoints.hold(view, OWN, (), NOW))
+    assert endpoints.held(DESK, OWN, (), NOW) == {HoldReason.ASKED_TO_WAIT: 1}
+    states.record_leaving()
+    seen.append(endpoints.hold(view, OWN, (), NOW))
+    assert [hold and hold.reason for hold in seen] == [
+        None,
+        HoldReason.LIMITED,
+        HoldReason.ASKED_TO_WAIT,
+        HoldReason.LEAVING,
+    ]
+    assert endpoints.held(DESK, OWN, (), NOW) == {HoldReason.LEAVING: 1}
+
+
+def test_a_restart_under_the_same_id_ends_a_wait(registration: Registration) -> None:
+    """Guards against a new process that gets nothing for the wait of the former one."""
+    endpoints = Endpoints(EAST)
+    endpoints.register(registration, NOW)
+    view = endpoints.view(registration.id)
+    assert view is not None
+    view.statements.wait.record(60.0, OWN, NOW)
+    endpoints.register(replace(registration, born_ms=2), NOW)
+    restarted = endpoints.view(registration.id)
+    assert restarted is not None
+    assert endpoints.hold(restarted, OWN, (), NOW) is None
