Let the soak draw runners that leave or ask for a wait

Each run draws two statements, apart from the faults, so that the faults of a seed stay as they were. A runner says in all answers that it is leaving for longer than the drain time, with or without a registration that says so, and is replaced by a new process under its id and address; or it rejects half of its requests and names a wait, also an unreadable or negative one.

--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -156,6 +156,8 @@
     accepted_connections: int = 0
     request_started: asyncio.Event = field(default_factory=asyncio.Event)
     port: int = 0
+    born_ms: int = 1_700_000_000_000
+    """Start time in the runner's entry."""
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
@@ -193,7 +195,7 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "seq": 1,
-            "born": 1_700_000_000_000,
+            "born": self.born_ms,
         }
         return row | changes
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from soak_harness import FAULT_KINDS, FAULT_PHASE_S, run_seed, schedule
+from soak_harness import FAULT_KINDS, FAULT_PHASE_S, STATEMENT_KINDS, run_seed, schedule
 
 LOOPBACK_NETWORK = f"127.{200 + os.getpid() // 250 % 50}.{os.getpid() % 250}"
 """Loopback network of this process. Test runs in other processes use the same ports and so need
@@ -21,7 +21,7 @@
     """Guards against failures that cannot be reproduced from their seed."""
     assert schedule(7) == schedule(7) != schedule(8)
     faults = [fault for seed in range(200) for fault in schedule(seed)]
-    assert {fault.kind for fault in faults} == set(FAULT_KINDS)
+    assert {fault.kind for fault in faults} == {*FAULT_KINDS, *STATEMENT_KINDS}
     assert all(0.0 <= fault.at_s <= FAULT_PHASE_S for fault in faults)
 
 
--- a/tests/soak_harness/__init__.py
+++ b/tests/soak_harness/__init__.py
@@ -1,6 +1,13 @@
 """Randomised soak test: real entry processes under faults drawn from a seed."""
 
 from ._run import run_seed
-from ._schedule import FAULT_KINDS, FAULT_PHASE_S, PlannedFault, schedule
+from ._schedule import FAULT_KINDS, FAULT_PHASE_S, STATEMENT_KINDS, PlannedFault, schedule
 
-__all__ = ["FAULT_KINDS", "FAULT_PHASE_S", "PlannedFault", "run_seed", "schedule"]
+__all__ = [
+    "FAULT_KINDS",
+    "FAULT_PHASE_S",
+    "STATEMENT_KINDS",
+    "PlannedFault",
+    "run_seed",
+    "schedule",
+]
--- a/tests/soak_harness/_callers.py
+++ b/tests/soak_harness/_callers.py
@@ -42,6 +42,8 @@
     """HTTP status, 0 if no response head arrived."""
     has_response_stamp: bool = False
     body: bytes = b""
+    says_leaving: bool = False
+    """Whether the response says that its endpoint is leaving."""
 
 
 class Callers:
@@ -105,12 +107,14 @@
         request = UpstreamRequest(method, f"{path}{request_id}".encode(), headers, b"")
         clock = asyncio.get_running_loop().time
         sent_s, status, has_response_stamp, body, outcome = clock(), 0, False, b"", Outcome.ANSWERED
+        says_leaving = False
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 connection.send(request)
                 head = await connection.head()
                 status = head.status
                 has_response_stamp = head.view.first(b"response-stamp") is not None
+                says_leaving = head.view.first(b"server-leaving") is not None
                 body = await connection.whole_body(1 << 20)
         except TimeoutError:
             outcome = Outcome.SILENT
@@ -119,7 +123,17 @@
             outcome = Outcome.CUT
             connection.abort()
         call = Call(
-            request_id, path, key, vm, sent_s, clock(), outcome, status, has_response_stamp, body
+            request_id,
+            path,
+            key,
+            vm,
+            sent_s,
+            clock(),
+            outcome,
+            status,
+            has_response_stamp,
+            body,
+            says_leaving,
         )
         self.calls.append(call)
         return call
--- a/tests/soak_harness/_checks.py
+++ b/tests/soak_harness/_checks.py
@@ -26,6 +26,12 @@
     at_s: float
     endpoint: str
     zone: str
+    born_ms: int = 0
+    """Start time of the endpoint."""
+    is_leaving: bool = False
+    """Whether the answer says that the endpoint is leaving."""
+    wait_s: float | None = None
+    """Wait for which the answer asks if the endpoint rejects the request."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -6,6 +6,7 @@
 
 from platform_standins import Behaviour, StoreFault
 
+from ._checks import DRAIN_TIMEOUT_S
 from ._fleet import Endpoint, SoakFleet
 from ._processes import EXIT_GRACE_S, Disturbance, VmProcess
 from ._proxy import LinkFault, LoopbackProxy
@@ -34,6 +35,7 @@
         Behaviour.SILENT,
     ),
 }
+STATED_WAITS = ("0.4", "1.25", "3", "0", "-2", "soon")
 STORE_FAULTS = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
@@ -53,6 +55,7 @@
         for endpoint in self._fleet.endpoints:
             endpoint.proxy.set_fault(LinkFault.NONE)
             endpoint.fault = None
+            endpoint.runner.retry_after = None
         await self._fleet.store.set_fault(StoreFault.NONE)
 
     async def inject(self, fault: PlannedFault) -> None:
@@ -72,6 +75,8 @@
             "runner_crash": self._crash_runner,
             "runner_drain": self._drain_runner,
             "configuration": self._change_configuration,
+            "runner_leaving": self._announce_leaving,
+            "runner_wait": self._ask_to_wait,
         }
         await handlers[fault.kind](fault)
 
@@ -179,6 +184,27 @@
         await asyncio.sleep(fault.duration_s)
         await self._fleet.store.put(endpoint.runner.key, endpoint.entry())
 
+    async def _announce_leaving(self, fault: PlannedFault) -> None:
+        """Let a runner say that it is leaving, and replace it by a new process."""
+        endpoint = self._target_endpoint(fault)
+        runner = endpoint.runner
+        runner.is_leaving = True
+        if fault.variant % 2:
+            await self._fleet.store.put(runner.key, endpoint.entry("draining"))
+        await asyncio.sleep(DRAIN_TIMEOUT_S + fault.duration_s)
+        await runner.stop()
+        runner.is_leaving = False
+        runner.born_ms += 1
+        await runner.start(runner.port)
+        await self._fleet.store.put(runner.key, endpoint.entry())
+
+    async def _ask_to_wait(self, fault: PlannedFault) -> None:
+        endpoint = self._target_endpoint(fault)
+        endpoint.runner.retry_after = STATED_WAITS[fault.variant % len(STATED_WAITS)]
+        endpoint.fault = Behaviour.REJECT
+        await asyncio.sleep(fault.duration_s)
+        endpoint.fault = None
+
     async def _change_configuration(self, _fault: PlannedFault) -> None:
         self._fleet.version += 1
         self._fleet.has_extra_route = not self._fleet.has_extra_route
--- a/tests/soak_harness/_fleet.py
+++ b/tests/soak_harness/_fleet.py
@@ -20,7 +20,7 @@
 
 from ._checks import Allowance, Arrival
 from ._processes import FRONT_PORT, READY_PORT, VmProcess
-from ._proxy import LoopbackProxy
+from ._proxy import LinkFault, LoopbackProxy
 
 VMS = (("vm-1", "east-a"), ("vm-2", "east-a"), ("vm-3", "west-a"), ("vm-4", "west-a"))
 RUNNERS = (
@@ -44,6 +44,19 @@
     address: tuple[str, int]
     fault: Behaviour | None = None
 
+    @property
+    def wait_s(self) -> float | None:
+        """Return the wait that the runner names in rejections.
+
+        ``None`` if it names no valid one, or if its answers may not arrive.
+        """
+        if self.proxy.fault is not LinkFault.NONE:
+            return None
+        try:
+            return float(self.runner.retry_after or "")
+        except ValueError:
+            return None
+
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Return the runner's store entry, with the address of the proxy."""
         return self.runner.entry(address="{}:{}".format(*self.address), state=state)
@@ -62,6 +75,8 @@
     store_links: list[LoopbackProxy] = field(default_factory=list)
     endpoints: list[Endpoint] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    rejections: list[Arrival] = field(default_factory=list)
+    """Requests that a runner answered with 503, without running them."""
     version: int = 1
     has_extra_route: bool = False
     """Whether the configuration contains the route ``/extra/``."""
@@ -107,10 +122,17 @@
             chosen = NORMAL_BEHAVIOURS_BY_SERVICE[endpoint.runner.service]
             if endpoint.fault is not None and rng.random() < 0.5:
                 chosen = endpoint.fault
-            if chosen is not Behaviour.REJECT:
-                identifier = received.headers.get("request-id", "")
-                runner = endpoint.runner
-                self.arrivals.append(Arrival(identifier, clock(), runner.id, runner.zone))
+            runner = endpoint.runner
+            arrival = Arrival(
+                received.headers.get("request-id", ""),
+                clock(),
+                runner.id,
+                runner.zone,
+                runner.born_ms,
+                runner.is_leaving,
+                endpoint.wait_s if chosen is Behaviour.REJECT else None,
+            )
+            (self.rejections if chosen is Behaviour.REJECT else self.arrivals).append(arrival)
             return chosen
 
         return choose
--- a/tests/soak_harness/_run.py
+++ b/tests/soak_harness/_run.py
@@ -11,6 +11,7 @@
 from ._fleet import ALLOWANCE, SoakFleet
 from ._processes import FRONT_PORT, VmProcess
 from ._schedule import schedule
+from ._statement_checks import find_statement_breaches
 
 KEYS_BY_PATH = {
     "/read/": "key-1",
@@ -54,6 +55,9 @@
             self.breaches += find_breaches(
                 callers.calls, self._fleet.arrivals, runners, ORGANISATIONS_BY_KEY, ALLOWANCE
             )
+            self.breaches += find_statement_breaches(
+                callers.calls, self._fleet.arrivals, self._fleet.rejections
+            )
             self._write_calls(callers.calls)
         finally:
             await self._fleet.stop()
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -22,6 +22,9 @@
     "runner_drain",
     "configuration",
 )
+STATEMENT_KINDS = ("runner_leaving", "runner_wait")
+"""Statements of runners, drawn apart from the faults, whose schedule of a seed is not changed."""
+STATEMENTS = 2
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -59,4 +62,15 @@
                     rng.randrange(1000),
                 )
             )
+    statements = random.Random(f"statements {seed}")
+    for _ in range(STATEMENTS):
+        faults.append(
+            PlannedFault(
+                statements.uniform(0.0, faults_s),
+                statements.choice(STATEMENT_KINDS),
+                statements.randrange(1000),
+                statements.uniform(0.2, 3.0),
+                statements.randrange(1000),
+            )
+        )
     return sorted(faults)
