Refuse chat requests while all engines have asked for a wait

What callers saw: on the product's own interface, engines that had all answered 503 with Retry-After were used as before: 20 of 20 requests reached them.

Cause: the wait was kept as an ejection, and ejections are ignored when all endpoints of a pool are ejected, as the fault may be this VM's. A wait is the engine's own word.

Change: the wait is the StatedWait of opaque traffic, with its bound, stagger and ramp. Endpoints that want nothing are not in the pool; without another one the request is refused at once, as `asked-to-wait`, with the shortest wait, or forwarded as before.

Plain services are unchanged: their answers are the callers' to read.

--- a/src/mangosaddle/gateway/_refusals.py
+++ b/src/mangosaddle/gateway/_refusals.py
@@ -24,6 +24,7 @@
     RefusalReason.NO_ENDPOINT: 503,
     RefusalReason.QUARANTINED: 422,
     RefusalReason.PROMPT_QUARANTINED: 422,
+    RefusalReason.ASKED_TO_WAIT: 503,
     RefusalReason.QUEUE_FULL: 503,
     RefusalReason.QUEUE_TIMEOUT: 503,
 }
@@ -37,6 +38,7 @@
     RefusalReason.PROMPT_QUARANTINED: (
         "requests that share the beginning of this prompt stopped several endpoints"
     ),
+    RefusalReason.ASKED_TO_WAIT: "all endpoints have asked for a wait",
     RefusalReason.QUEUE_FULL: "all endpoints and their queue are full",
     RefusalReason.QUEUE_TIMEOUT: "no endpoint had room in time",
 }
--- a/src/mangosaddle/routing/_endpoint_state.py
+++ b/src/mangosaddle/routing/_endpoint_state.py
@@ -5,6 +5,7 @@
 
 from .._affinity import hash64
 from .._entities import Endpoint
+from ..traffic import StatedWait
 
 LOAD_REPORT_VALID_S = 10.0
 """Age at which a load report is stale and only this VM's own requests are counted."""
@@ -44,7 +45,8 @@
         self._ejected_until: float | None = None
         self._probing = False
         self._refused_at: float | None = None
-        self._backs_off_until = 0.0
+        self.wait = StatedWait(endpoint.id)
+        """Time for which the endpoint has asked this VM to send nothing."""
 
     def capacity(self) -> float:
         """Return the number of requests that the endpoint runs concurrently, at least 1."""
@@ -71,6 +73,7 @@
     def record_start(self, now: float) -> None:
         """Count the start of an attempt; at an ejected endpoint it is the probe."""
         self.in_flight += 1
+        self.wait.record_sent(now)
         self._record_change(now, 1)
         if self._ejected_until is not None:
             self._probing = True
@@ -128,17 +131,11 @@
         """End a probe without a result, for example because the caller disconnected."""
         self._probing = False
 
-    def record_back_off(self, wait_s: float, now: float) -> None:
-        """Record that the endpoint wants no request for a time in seconds."""
-        self._backs_off_until = max(self._backs_off_until, now + min(wait_s, MAX_EJECTION_S))
-
     def is_ejected(self, now: float) -> bool:
         """Return whether the endpoint must get no request.
 
         When the ejection time is over, one probe at a time is allowed.
         """
-        if now < self._backs_off_until:
-            return True
         return self._ejected_until is not None and (now < self._ejected_until or self._probing)
 
     def restart_warm_up(self, now: float) -> None:
--- a/src/mangosaddle/routing/_local_region.py
+++ b/src/mangosaddle/routing/_local_region.py
@@ -94,6 +94,14 @@
                 available_versions.append(version)
         return available_versions
 
+    def stated_wait_s(
+        self, request: RouteRequest, versions: tuple[VersionId | None, ...], now: float
+    ) -> float | None:
+        """Return the shortest wait that endpoints of these versions have asked for, if any."""
+        pools = (self._pools.get((request.target(), version)) for version in versions)
+        waits_s = (pool.stated_wait_s(now) for pool in pools if pool is not None)
+        return min((wait_s for wait_s in waits_s if wait_s is not None), default=None)
+
     def place(
         self,
         request: RouteRequest,
--- a/src/mangosaddle/routing/_pool.py
+++ b/src/mangosaddle/routing/_pool.py
@@ -46,7 +46,9 @@
 
     def is_usable(self, state: EndpointState, now: float) -> bool:
         """Return whether the endpoint may receive new requests."""
-        return not state.leaving and (self.ignores_ejections or not state.is_ejected(now))
+        if state.leaving or state.wait.left_s(now) > 0.0:
+            return False
+        return self.ignores_ejections or not state.is_ejected(now)
 
 
 class Pool:
@@ -88,8 +90,15 @@
             self._ranking_by_digest.popitem(last=False)
         return ranking
 
+    def stated_wait_s(self, now: float) -> float | None:
+        """Return the shortest wait that an endpoint has asked for, or ``None`` without one."""
+        waits_s = [state.wait.left_s(now) for state in self._states if not state.leaving]
+        return min((wait_s for wait_s in waits_s if wait_s > 0.0), default=None)
+
     def _compute(self, now: float) -> PoolView:
-        present = [state for state in self._states if not state.leaving]
+        present = [
+            state for state in self._states if not state.leaving and state.wait.left_s(now) <= 0.0
+        ]
         healthy = [state for state in present if not state.is_ejected(now)]
         usable = healthy or present
         weights = tuple(state.weight(now) for state in usable)
--- a/src/mangosaddle/routing/_requests.py
+++ b/src/mangosaddle/routing/_requests.py
@@ -40,6 +40,8 @@
     NO_ENDPOINT = "no-endpoint"
     QUARANTINED = "quarantined"
     PROMPT_QUARANTINED = "prompt-quarantined"
+    ASKED_TO_WAIT = "asked-to-wait"
+    """All endpoints that could run the request want none from this VM for a time."""
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
 
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -63,8 +63,11 @@
     ``now + wall_offset_s``.
     """
 
-    def __init__(self, local_region: RegionName, *, wall_offset_s: float = 0.0) -> None:
+    def __init__(
+        self, local_region: RegionName, *, wall_offset_s: float = 0.0, vm: VmId | None = None
+    ) -> None:
         self._routing_table = RoutingTable(local_region, Configuration(revision=-1))
+        self._vm = vm or VmId("")
         self._wall_offset_s = wall_offset_s
         self._local_region = LocalRegion()
         self._vetoed_versions: set[tuple[ModelName, VersionId]] = set()
@@ -88,7 +91,7 @@
 
         Raises ``KeyError`` if the configuration does not contain the VM.
         """
-        router = cls(configuration.vms_by_id[vm].region, wall_offset_s=wall_offset_s)
+        router = cls(configuration.vms_by_id[vm].region, wall_offset_s=wall_offset_s, vm=vm)
         router.apply_configuration(configuration, now=float("-inf"))
         return router
 
@@ -230,7 +233,7 @@
         """Send an endpoint nothing for ``wait_s`` seconds, because it has asked for that."""
         state = self._local_region.state(endpoint)
         if state is not None:
-            state.record_back_off(wait_s, now)
+            state.wait.record(wait_s, self._vm, now)
 
     def veto_version(self, model: ModelName, version: VersionId) -> None:
         """Use a version, whose rollout was rolled back, only for requests that accept no other.
@@ -377,6 +380,9 @@
         if reachable:
             return Forward(rng.choice(reachable))
         if self._routing_table.allows_local_region(request):
+            wait_s = self._local_region.stated_wait_s(request, self._versions(request), now)
+            if wait_s is not None:
+                return Refused(RefusalReason.ASKED_TO_WAIT, wait_s)
             return Refused(RefusalReason.NO_ENDPOINT, RETRY_AFTER_S)
         if others:
             return Refused(RefusalReason.REGION_UNREACHABLE, RETRY_AFTER_S)
