--- a/src/mangosaddle/coordination/__init__.py
+++ b/src/mangosaddle/coordination/__init__.py
@@ -9,6 +9,7 @@
     StoreUnavailableError,
 )
 from ._prefix_watcher import PrefixListener, PrefixWatcher
+from ._restore_guard import HoldTimes, ItemOrder, RestoreGuard
 from ._store import Changes, CoordinationStore, Item, Put, Removal, Snapshot
 from ._vm_registration import LEASE_TTL_S, VmRecord, VmRegistration
 
@@ -18,13 +19,16 @@
     "CoordinationError",
     "CoordinationStore",
     "HistoryLostError",
+    "HoldTimes",
     "Item",
+    "ItemOrder",
     "LeaseEndedError",
     "OutcomeUnknownError",
     "PrefixListener",
     "PrefixWatcher",
     "Put",
     "Removal",
+    "RestoreGuard",
     "RevisionConflictError",
     "Snapshot",
     "StoreUnavailableError",
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -29,6 +29,7 @@
     RoutedRequest,
 )
 from ._attempt_timeouts import AttemptTimeouts
+from ._giving_up import GiveUpCheck
 from ._results import AnswerSink
 from ._wire_format import WireFormat
 
@@ -44,9 +45,9 @@
 its memory."""
 MAX_FAILURE_BODY_BYTES = 1024 * 1024
 """Maximum body size of an answer with which an endpoint rejects or fails a request."""
-FAILURE_BODY_TIMEOUT_S = 1.0
+FAILURE_BODY_TIMEOUT_S = 2.0
 """Maximum time from the head of such an answer to its end, in addition to the time that its bytes
-take: the endpoint does no work before it sends the body."""
+take: the endpoint does no work before it sends the body, but may pause for a second."""
 DEADLINE_MARGIN_S = 0.001
 """Time before a request's deadline from which the deadline counts as passed: more than the
 resolution of the clock."""
@@ -82,6 +83,8 @@
     """Whether the connection ended early, which may mean that the endpoint crashed."""
     ended_by_endpoint: bool = False
     """Whether the endpoint closed or reset it; otherwise this VM did, as the endpoint was lost."""
+    given_up: bool = False
+    """Whether this VM ended the attempt because the endpoint was silent."""
 
 
 @dataclass(slots=True)
@@ -93,6 +96,18 @@
     """Whether an event has been passed on, so that the next attempt has to continue after it."""
     attempt_began_at_s: float | None = None
     """Event loop time in seconds of the first event of the current attempt, if there was one."""
+    media_type: bytes = b""
+    """Media type of the answer that has been started."""
+
+    async def start(self, sink: AnswerSink, status: int, headers: HeaderList) -> None:
+        """Send the head of the first attempt that has an event."""
+        if not sink.started:
+            self.media_type = _media_type(headers)
+            await sink.start(status, headers)
+
+    def continues(self, sink: AnswerSink, status: int, headers: HeaderList) -> bool:
+        """Return whether an answer may follow what the sink has received."""
+        return not sink.started or (200 <= status < 300 and _media_type(headers) == self.media_type)
 
 
 class EndpointClient:
@@ -117,7 +132,8 @@
         self.connections_opened = 0
         self._timeouts = AttemptTimeouts()
         self._memory = BodyMemoryBudget(MAX_BUFFERED_BYTES)
-        self._repeatable_connections_by_endpoint: dict[EndpointId, set[UpstreamConnection]] = {}
+        self._checks_by_endpoint: dict[EndpointId, dict[UpstreamConnection, GiveUpCheck]] = {}
+        """Checks of the attempts in progress that may be repeated."""
 
     async def run(
         self,
@@ -126,8 +142,13 @@
         place: LocalPlacement,
         progress: StreamProgress,
         sink: AnswerSink,
+        may_replace: Callable[[], bool] = lambda: False,
     ) -> AttemptResult:
-        """Run one attempt; cancelling it closes the connection, which ends the endpoint's work."""
+        """Run one attempt; cancelling it closes the connection, which ends the endpoint's work.
+
+        ``may_replace`` is called before the attempt is given up for a silence of the endpoint: it
+        reserves another attempt and returns whether there is one. Without one, the wait goes on.
+        """
         view = place.endpoint
         clock = asyncio.get_running_loop().time
         max_idle_s = None if request.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
@@ -158,25 +179,29 @@
             left_s,
             resume_after,
         )
+        check = GiveUpCheck(connection, may_replace)
         if request.route.repeatable:
-            self._repeatable_connections_by_endpoint.setdefault(view.id, set()).add(connection)
+            self._checks_by_endpoint.setdefault(view.id, {})[connection] = check
         try:
             connection.send(encoded)
             sent_at_s = clock()
-            async with asyncio.timeout(self._timeouts.first_byte_timeout_s(request, left_s)):
+            timeout_s = self._timeouts.first_byte_timeout_s(request, left_s)
+            async with check.applied_from(None if timeout_s is None else sent_at_s + timeout_s):
                 head = await connection.head()
             waited_s = clock() - sent_at_s
-            result = await self._receive(request, connection, head, view, progress, sink)
+            result = await self._receive(request, connection, head, view, progress, sink, check)
         except ResponseBrokenError as error:
             return AttemptResult(
                 AttemptEnd.BROKEN,
                 str(error),
                 connection_lost=True,
                 ended_by_endpoint=error.by_server,
+                given_up=not error.by_server,
             )
         except TimeoutError:
             connection.abort()
-            return AttemptResult(AttemptEnd.BROKEN, "no answer for far longer than usual")
+            cause = "no answer for far longer than usual"
+            return AttemptResult(AttemptEnd.BROKEN, cause, given_up=True)
         except (EndlessResponseError, EventTooLargeError) as error:
             connection.abort()
             _mark_unreachable(view, str(error))
@@ -195,7 +220,7 @@
             connection.abort()
             raise
         finally:
-            self._repeatable_connections_by_endpoint.get(view.id, set()).discard(connection)
+            self._forget_check(view.id, connection)
         if result.end is AttemptEnd.DELIVERED:
             self._timeouts.record_first_byte(request, waited_s)
         if result.end is AttemptEnd.BROKEN:
@@ -204,12 +229,19 @@
             self._pool.give_back(address, connection)
         return result
 
-    def abort_repeatable(self, endpoint: EndpointId) -> int:
-        """Abort the attempts at a lost endpoint that may be retried elsewhere; return their number.
+    def _forget_check(self, endpoint: EndpointId, connection: UpstreamConnection) -> None:
+        checks = self._checks_by_endpoint.get(endpoint, {})
+        checks.pop(connection, None)
+        if not checks:
+            self._checks_by_endpoint.pop(endpoint, None)
+
+    def abort_replaceable(self, endpoint: EndpointId) -> int:
+        """Abort the attempts at an endpoint that others can replace; return their number.
 
         Other attempts continue: an endpoint that is silent may still be working on them.
         """
-        connections = self._repeatable_connections_by_endpoint.pop(endpoint, set())
+        checks = self._checks_by_endpoint.get(endpoint, {})
+        connections = [connection for connection, check in checks.items() if check()]
         for connection in connections:
             connection.abort()
         return len(connections)
@@ -222,6 +254,7 @@
         view: EndpointView,
         progress: StreamProgress,
         sink: AnswerSink,
+        check: GiveUpCheck,
     ) -> AttemptResult:
         now = asyncio.get_running_loop().time()
         view.health.last_data_at_s = now
@@ -236,9 +269,11 @@
             return AttemptResult(AttemptEnd.REJECTED, f"status {answer.status}", answer)
         if answer.succeeded and not answer.genuine:
             return AttemptResult(AttemptEnd.BROKEN, "answer is not the endpoint's own")
+        if answer.succeeded and not progress.continues(sink, answer.status, answer.headers):
+            return AttemptResult(AttemptEnd.BROKEN, "answer does not continue the stream")
         if answer.succeeded and request.route.kind is RequestKind.STREAM:
             return await self._receive_stream(
-                request, connection, head, view, answer, progress, sink
+                request, connection, head, view, answer, progress, sink, check
             )
         if not answer.succeeded:
             body = await connection.whole_body(
@@ -248,7 +283,10 @@
         timeout_s = self._timeouts.first_byte_timeout_s(request, request.left_s(now))
         with self._memory.reserve() as reservation:
             body = await connection.whole_body(
-                MAX_BUFFERED_BODY_BYTES, base_timeout_s=timeout_s, reservation=reservation
+                MAX_BUFFERED_BODY_BYTES,
+                base_timeout_s=timeout_s,
+                may_give_up=check,
+                reservation=reservation,
             )
             await sink.send_whole(answer.status, answer.headers, body)
         return AttemptResult(AttemptEnd.DELIVERED, answer=answer)
@@ -262,6 +300,7 @@
         answer: EndpointAnswer,
         progress: StreamProgress,
         sink: AnswerSink,
+        check: GiveUpCheck,
     ) -> AttemptResult:
         clock = asyncio.get_running_loop().time
         progress.splitter.discard_partial_event()
@@ -269,8 +308,7 @@
         timeout_s = self._timeouts.event_timeout_s(request)
         event_at_s = clock()
         while True:
-            deadline_s = None if timeout_s is None else event_at_s + timeout_s
-            async with asyncio.timeout_at(deadline_s):
+            async with check.applied_from(None if timeout_s is None else event_at_s + timeout_s):
                 data = await connection.body()
             if data is None:
                 break
@@ -285,7 +323,7 @@
             if events:
                 tokens = progress.splitter.take_event_count() * view.tokens_per_event
                 view.load.record_tokens(request.id, tokens, clock())
-                await _ensure_started(sink, answer.status, answer.headers)
+                await progress.start(sink, answer.status, answer.headers)
                 progress.must_resume = True
                 await sink.write(events)
                 event_at_s = clock()
@@ -297,7 +335,7 @@
                 response_started=True,
                 by_server=True,
             )
-        await _ensure_started(sink, answer.status, answer.headers)
+        await progress.start(sink, answer.status, answer.headers)
         if tail:
             await sink.write(tail)
         await sink.finish()
@@ -310,9 +348,9 @@
     view.health.mark_unreachable(asyncio.get_running_loop().time(), silent=True)
 
 
-async def _ensure_started(sink: AnswerSink, status: int, headers: HeaderList) -> None:
-    if not sink.started:
-        await sink.start(status, headers)
+def _media_type(headers: HeaderList) -> bytes:
+    content_type = next((v for name, v in headers if name.lower() == b"content-type"), b"")
+    return content_type.partition(b";")[0].strip().lower()
 
 
 def urgency_of(request: RoutedRequest) -> int:
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -31,6 +31,10 @@
             runner.behaviour = behaviour
 
 
+def _received(fleet: Fleet) -> list[ReceivedRequest]:
+    return [seen for runner in fleet.runners.values() for seen in runner.received_requests]
+
+
 def _total_runs(fleet: Fleet) -> int:
     return sum(sum(runner.runs_by_request_id.values()) for runner in fleet.runners.values())
 
@@ -86,6 +90,34 @@
     run_on_default_fleet(_scenario)
 
 
+@pytest.mark.parametrize(
+    ("has_id", "copy_has_id", "status"),
+    [(True, True, 200), (False, False, 200), (True, False, 502)],
+)
+def test_a_repeated_rejection_does_not_reject_a_request_that_runs(
+    has_id: bool, copy_has_id: bool, status: int
+) -> None:
+    """Guards against "not run" for a request that runs, and against a second run elsewhere."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        for runner in fleet.runners.values():
+            runner.rejections_have_ids = has_id
+            runner.repeated_rejections_have_ids = copy_has_id
+        for behaviour, expected in (
+            (Behaviour.REJECT, 503),
+            (Behaviour.REPEATED_REJECTION, status),
+        ):
+            _set_behaviour(fleet, behaviour)
+            # Runners that have rejected a request are taken as full for a moment.
+            await asyncio.sleep(0.3)
+            answer = await fleet.call(vm, "/order/x", method="POST", body=b"one")
+            assert answer.status == expected
+        assert _total_runs(fleet) == 1
+
+    run_on_default_fleet(_scenario)
+
+
 def test_an_unreachable_runner_is_skipped_and_checked_again() -> None:
     """Guards against losing requests, including non-idempotent ones, at a stopped runner."""
 
@@ -155,6 +187,35 @@
     run_on_default_fleet(_scenario)
 
 
+NO_CONTINUATIONS = [
+    Behaviour.FAIL,
+    Behaviour.REJECT,
+    Behaviour.OK,
+    Behaviour.NO_LENGTH,
+    Behaviour.UNSIGNED,
+    Behaviour.GARBAGE,
+    Behaviour.RESET,
+]
+
+
+@pytest.mark.parametrize("behaviour", NO_CONTINUATIONS)
+def test_an_answer_that_continues_no_stream_breaks_the_stream_off(behaviour: Behaviour) -> None:
+    """Guards against another answer in the middle of a stream, and against a false end."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        _set_behaviour(
+            fleet,
+            lambda seen: behaviour if "last-event-id" in seen.headers else Behaviour.CUT_STREAM,  # type: ignore[arg-type]
+        )
+        received = await fleet.call_until_broken(
+            fleet.vms["vm-1"], "/review/x", b"p", token_counts="100,28"
+        )
+        assert received == _events(1, 2)
+        assert len([seen for seen in _received(fleet) if "last-event-id" in seen.headers]) == 1
+
+    run_on_default_fleet(_scenario)
+
+
 def test_a_broken_stream_without_resumption_does_not_look_complete() -> None:
     """Guards against a partial response that looks complete."""
 
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -48,10 +48,16 @@
     """Sends a second response after the expected one."""
     STALE_ANSWER = "late"
     """Sends a response to another request before the expected one."""
+    REPEATED_REJECTION = "again"
+    """Sends the latest rejection of the connection, if there is one, before the response."""
     SHORT_BODY = "short"
     """Closes the connection before the body is complete."""
     SLOW = "slow"
     """Responds once ``release`` is set."""
+    PAUSED_HEAD = "paused_head"
+    """Responds, but the response stops within its head until ``release`` is set."""
+    PAUSED_FAILURE = "paused_failure"
+    """Like ``FAIL``, but the body follows once ``release`` is set."""
     SILENT = "silent"
     """Sends nothing."""
     ENDLESS_HEAD = "endless_head"
@@ -130,6 +136,8 @@
     """Delay before each event of a stream."""
     unframed_streams: bool = False
     """If set, streams have neither a length nor chunks and end with their connection."""
+    rejections_have_ids: bool = True
+    repeated_rejections_have_ids: bool = True
     limit_per_s: float | None = None
     """Requests a second that the runner names as its limit in all answers."""
     is_leaving: bool = False
@@ -151,6 +159,8 @@
     """Bytes of endless responses that were sent."""
     closed_after_s: list[float] = field(default_factory=list)
     """For each endless response, seconds until the peer closed the connection."""
+    silent_health_checks: bool = False
+    """If set, health checks are answered once ``release`` is set."""
     endless_health_checks: bool = False
     """If set, health checks get an endless response."""
     accepted_connections: int = 0
@@ -161,6 +171,7 @@
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _rejected_ids_by_writer: dict[asyncio.StreamWriter, str] = field(default_factory=dict)
 
     async def start(self, port: int = 0) -> None:
         """Listen on ``port``, or on any free port if it is 0."""
@@ -216,6 +227,7 @@
             self.cancelled_requests += 1
         finally:
             self._writers.discard(writer)
+            self._rejected_ids_by_writer.pop(writer, None)
             writer.close()
 
     async def _serve_request(
@@ -290,6 +302,8 @@
 
     async def _answer_health_check(self, writer: asyncio.StreamWriter) -> bool:
         self.health_checks += 1
+        if self.silent_health_checks:
+            await self.release.wait()
         if self.endless_health_checks:
             return await self._send_endlessly(Behaviour.ENDLESS_BODY, "", writer)
         is_sound = self.is_healthy and not self.is_leaving
@@ -309,11 +323,12 @@
     ) -> bool:
         request_id = request.headers.get("request-id", "")
         if behaviour is Behaviour.REJECT:
-            extra = b"Not-Run: 1\r\n" + self._statements()
+            self._rejected_ids_by_writer[writer] = request_id
+            extra = self._statements()
             if self.retry_after is not None:
                 extra += f"Retry-After: {self.retry_after}\r\n".encode()
             self.rejected_at_s.append(asyncio.get_running_loop().time())
-            writer.write(_head(503, request_id, 0, extra, signed=False))
+            writer.write(_rejection(request_id if self.rejections_have_ids else None, extra))
             return True
         self.runs_by_request_id[request_id] += 1
         self.request_started.set()
@@ -332,6 +347,13 @@
                 writer.write(full_response)
             case Behaviour.FAIL:
                 writer.write(_head(500, request_id, 6, statements) + b"failed")
+            case Behaviour.PAUSED_HEAD | Behaviour.PAUSED_FAILURE:
+                failure = _head(500, request_id, 6) + b"failed"
+                whole = full_response if behaviour is Behaviour.PAUSED_HEAD else failure
+                split = 20 if behaviour is Behaviour.PAUSED_HEAD else -6
+                writer.write(whole[:split])
+                await self.release.wait()
+                writer.write(whole[split:])
             case Behaviour.CRASH:
                 await self.stop()
                 return False
@@ -356,6 +378,14 @@
                 writer.write(full_response + _head(200, request_id, 5) + b"extra")
             case Behaviour.STALE_ANSWER:
                 writer.write(_head(200, "an-earlier-request", 4) + b"late" + full_response)
+            case Behaviour.REPEATED_REJECTION:
+                if writer in self._rejected_ids_by_writer:
+                    rejected_id = self._rejected_ids_by_writer[writer]
+                    writer.write(
+                        _rejection(rejected_id if self.repeated_rejections_have_ids else None)
+                    )
+                    await asyncio.sleep(0.05)
+                writer.write(full_response)
             case Behaviour.SHORT_BODY:
                 writer.write(_head(200, request_id, size) + self.body[:-3])
                 return False
@@ -431,6 +461,12 @@
         return has_left
 
 
+def _rejection(request_id: str | None, extra: bytes = b"") -> bytes:
+    lines = b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n" + extra
+    id_line = b"" if request_id is None else f"Request-Id: {request_id}\r\n".encode()
+    return lines + id_line + b"\r\n"
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import base64
+import copy
 import json
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
 from urllib.parse import parse_qs
 
+from mangosaddle._store_revisions import compose
 from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 
 ITEMS_PER_PAGE = 3
@@ -35,6 +38,16 @@
     """Returns the first page for each page of a range read."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """State of the store at one moment, from which it can be restored."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    leases: dict[int, set[str]]
+    next_lease: int
+
+
 class StoreStandIn:
     """Implements the HTTP calls of the platform's store; each port can have its own fault."""
 
@@ -43,7 +56,10 @@
         self.hold_watches = False
         """While set, watches bring no changes, as on connections that have gone silent."""
         self._faults: dict[int, StoreFault] = {}
-        self.revision = 1
+        self._number = 1
+        """Store revision, as responses state it."""
+        self.era = 1
+        """Number that each response states; it rises by one with each restore."""
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._oldest_kept_revision = 1
@@ -88,6 +104,11 @@
             self._changed.notify_all()
         return self.revision
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the latest change as the product sees it."""
+        return compose(self.era, self._number)
+
     async def remove(self, key: str) -> None:
         """Remove a key like the operator or a runner."""
         async with self._changed:
@@ -100,9 +121,14 @@
         return base64.b64decode(item["value"]) if item is not None else None
 
     def revision_of(self, key: str) -> int:
-        """Return the revision of a key's last change, or 0."""
+        """Return the revision of a key's last change as the product sees it, or 0."""
         item = self._items.get(key)
-        return int(item["revision"]) if item is not None else 0
+        return compose(self.era, int(item["revision"])) if item is not None else 0
+
+    def lease_of(self, key: str) -> int:
+        """Return the lease that a key is attached to, or 0."""
+        item = self._items.get(key)
+        return int(item["lease"]) if item is not None else 0
 
     def keys(self, prefix: str = "") -> list[str]:
         """Return the keys below a prefix."""
@@ -112,7 +138,33 @@
         """Discard the change history and wake pending watches."""
         async with self._changed:
             self._history.clear()
-            self._oldest_kept_revision = self.revision + 1
+            self._oldest_kept_revision = self._number + 1
+            self._changed.notify_all()
+
+    def copy_state(self) -> StoreCopy:
+        """Return a copy of the current state."""
+        return StoreCopy(
+            self._number,
+            copy.deepcopy(self._items),
+            copy.deepcopy(self._leases),
+            self._next_lease,
+        )
+
+    async def restore(self, state: StoreCopy) -> None:
+        """Go back to a copy: what was written since is gone, and its numbers are given out again.
+
+        Connections break, and watches from revisions that do not exist any more get status 410.
+        """
+        async with self._changed:
+            self.era += 1
+            self._number = state.revision
+            self._items = copy.deepcopy(state.items)
+            self._leases = copy.deepcopy(state.leases)
+            self._next_lease = state.next_lease
+            self._history.clear()
+            self._oldest_kept_revision = self._number + 1
+            for server in self._servers:
+                server.abort_connections()
             self._changed.notify_all()
 
     async def expire_all_leases(self) -> None:
@@ -137,8 +189,9 @@
     async def _handle(self, exchange: ServerExchange, fault: StoreFault) -> None:
         path, _, query = exchange.target.decode().partition("?")
         self.calls.append(f"{exchange.method.decode()} {path}")
+        era = [(b"Store-Era", str(self.era).encode())]
         if fault in (StoreFault.BUSY, StoreFault.RATE_LIMITED):
-            await exchange.respond(503 if fault is StoreFault.BUSY else 429, [])
+            await exchange.respond(503 if fault is StoreFault.BUSY else 429, era)
             return
         if fault is StoreFault.RESET:
             exchange.abort()
@@ -148,25 +201,26 @@
             parameters.pop("after", None)
         body = json.loads(exchange.body) if exchange.body else {}
         status, answer = await self._execute(exchange.method.decode(), path, parameters, body)
+        era = [(b"Store-Era", str(self.era).encode())]
         if fault is StoreFault.ANSWER_LOST:
             exchange.abort()
         elif fault is StoreFault.NOT_JSON:
-            await exchange.respond(status, [], b"<html>")
+            await exchange.respond(status, era, b"<html>")
         elif fault is StoreFault.DEEPLY_NESTED:
-            await exchange.respond(status, [], b"[" * 100_000)
+            await exchange.respond(status, era, b"[" * 100_000)
         elif fault is StoreFault.ENDLESS:
-            await exchange.start(status, [])
+            await exchange.start(status, era)
             while True:
                 await exchange.write(b" " * 65_536)
         else:
-            await exchange.respond(status, [], json.dumps(answer).encode())
+            await exchange.respond(status, era, json.dumps(answer).encode())
 
     async def _execute(
         self, method: str, path: str, parameters: dict[str, str], body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
         if path == "/api/kv-key":
             item = self._items.get(parameters["key"])
-            return (404, {}) if item is None else (200, item | {"store_revision": self.revision})
+            return (404, {}) if item is None else (200, item | {"store_revision": self._number})
         if path == "/api/kv-range":
             return self._range(parameters)
         if path == "/api/kv-watch":
@@ -181,7 +235,7 @@
         keys = [key for key in self.keys(parameters["prefix"]) if key > after]
         page = [self._items[key] for key in keys[:ITEMS_PER_PAGE]]
         more = len(keys) > ITEMS_PER_PAGE
-        return 200, {"items": page, "more_pages": more, "store_revision": self.revision}
+        return 200, {"items": page, "more_pages": more, "store_revision": self._number}
 
     async def _watch(self, parameters: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after, prefix = int(parameters["after"]), parameters["prefix"]
@@ -200,14 +254,17 @@
                     await self._changed.wait_for(
                         lambda: (
                             not self.hold_watches
-                            and (bool(_events()) or after < self._oldest_kept_revision - 1)
+                            and (bool(_events()) or not self._keeps_history_since(after))
                         )
                     )
             except TimeoutError:
                 pass
-            if after < self._oldest_kept_revision - 1:
+            if not self._keeps_history_since(after):
                 return 410, {}
-            return 200, {"events": _events(), "store_revision": self.revision}
+            return 200, {"events": _events(), "store_revision": self._number}
+
+    def _keeps_history_since(self, revision: int) -> bool:
+        return self._oldest_kept_revision - 1 <= revision <= self._number
 
     def _modify(self, method: str, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if path == "/api/kv-lease":
@@ -237,15 +294,15 @@
             self._put(row["key"], row["value"], row["lease"])
         for key in body["remove"]:
             self._remove(key)
-        return 200, {"revision": self.revision}
+        return 200, {"revision": self._number}
 
     def _put(self, key: str, value: str, lease: int) -> None:
-        self.revision += 1
-        created = self._items[key]["created"] if key in self._items else self.revision
+        self._number += 1
+        created = self._items[key]["created"] if key in self._items else self._number
         item = {
             "key": key,
             "value": value,
-            "revision": self.revision,
+            "revision": self._number,
             "created": created,
             "lease": lease,
         }
@@ -259,5 +316,5 @@
     def _remove(self, key: str) -> None:
         if self._items.pop(key, None) is None:
             return
-        self.revision += 1
-        self._history.append({"key": key, "revision": self.revision, "removed": True})
+        self._number += 1
+        self._history.append({"key": key, "revision": self._number, "removed": True})
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -1,12 +1,17 @@
 """Schedule of the faults of one run, drawn from its seed."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 FAULT_PHASE_S = 9.0
 """Length of the phase of a run in which faults start."""
 SERIES_LENGTHS = ((1, 0.6), (2, 0.3), (4, 0.1))
 """Pairs of the number of faults in a series and the probability of that number."""
+ADDED_SERIES = 3
+"""Series of a run that are drawn from ``ADDED_FAULT_KINDS``."""
+ADDED_FAULT_KINDS = ("store_restore",)
+"""Kinds that are drawn apart, so that earlier seeds keep their other faults."""
 FAULT_KINDS = (
     "kill",
     "pause",
@@ -22,9 +27,10 @@
     "runner_drain",
     "configuration",
 )
+STATEMENT_SERIES = 2
+"""Series of a run that are drawn from ``STATEMENT_KINDS``."""
 STATEMENT_KINDS = ("runner_leaving", "runner_wait")
-"""Statements of runners, drawn apart from the faults, whose schedule of a seed is not changed."""
-STATEMENTS = 2
+"""Statements of runners about themselves, drawn apart as well."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -45,11 +51,21 @@
 
     A series repeats one kind of fault with a fixed gap; several series may overlap.
     """
-    rng = random.Random(seed)
+    faults = _draw_series(random.Random(seed), FAULT_KINDS, faults_s, series)
+    added = random.Random(f"{seed} added kinds")
+    faults += _draw_series(added, ADDED_FAULT_KINDS, faults_s, ADDED_SERIES)
+    statements = random.Random(f"{seed} statements")
+    faults += _draw_series(statements, STATEMENT_KINDS, faults_s, STATEMENT_SERIES)
+    return sorted(faults)
+
+
+def _draw_series(
+    rng: random.Random, kinds: Sequence[str], faults_s: float, series: int
+) -> list[PlannedFault]:
     faults = []
     counts, weights = zip(*SERIES_LENGTHS, strict=True)
     for _ in range(series):
-        kind = rng.choice(FAULT_KINDS)
+        kind = rng.choice(kinds)
         at_s, gap_s = rng.uniform(0.0, faults_s), rng.uniform(0.05, 1.5)
         length = rng.choices(counts, weights)[0]
         for number in range(int(length)):
@@ -62,15 +78,4 @@
                     rng.randrange(1000),
                 )
             )
-    statements = random.Random(f"statements {seed}")
-    for _ in range(STATEMENTS):
-        faults.append(
-            PlannedFault(
-                statements.uniform(0.0, faults_s),
-                statements.choice(STATEMENT_KINDS),
-                statements.randrange(1000),
-                statements.uniform(0.2, 3.0),
-                statements.randrange(1000),
-            )
-        )
-    return sorted(faults)
+    return faults
