--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -131,6 +131,12 @@
         """Return the number of usable endpoints in this region, for the log."""
         return len(self._endpoints.usable(request.service))
 
+    def held_endpoints(self, request: RoutedRequest) -> dict[str, int]:
+        """Return the number of endpoints of this region that are held, by reason, for the log."""
+        now = asyncio.get_running_loop().time()
+        held = self._endpoints.held(request.service, self._own, self._region_vms(), now)
+        return {reason.value: count for reason, count in held.items()}
+
     def prompt_retry_after_s(self, request: RoutedRequest) -> float | None:
         """Return the seconds for which the request's prompt must not run, or ``None``."""
         return self._crashes.prompt_retry_after_s(request)
@@ -165,10 +171,7 @@
         now = asyncio.get_running_loop().time()
         attempt_id = self._rollouts.record_start(request, place, now)
         view.load.record_sent(request.id, place.work, place.forecast_s, now)
-        if view.cold_limiter.is_cold(now):
-            view.cold_limiter.record_sent()
-        if view.stated_limit.current(now) is not None:
-            view.stated_limit.record_sent()
+        view.statements.record_sent(now)
         if request.prompt is not None:
             view.prefixes.record(request.prompt.model, request.prompt.parts)
         view.health.last_request_at_s = now
@@ -470,6 +473,7 @@
             fields |= {
                 "refused": decision.cause.value,
                 "usable_endpoints": self._runner.usable_endpoints(request),
+                "held_endpoints": self._runner.held_endpoints(request),
                 "forecast_ms": round(decision.forecast_s * 1000),
                 "pace_ms": round(decision.time_per_token_s * 1000, 1),
             }
