--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -6,7 +6,6 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
@@ -18,11 +17,8 @@
 from .._store_revisions import start_order
 from .._tasks import BackgroundTasks
 from ..coordination import (
-    LEASE_TTL_S,
     CoordinationStore,
-    HoldTimes,
     PrefixWatcher,
-    RestoreGuard,
     VmRecord,
     VmRegistration,
 )
@@ -45,6 +41,7 @@
 from ._crash_reports import CRASHES, CrashReports
 from ._crash_tracker import CrashTracker
 from ._discovery import Discovery
+from ._entry_servers import EntryServers
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
 from ._load_reports import ENDPOINT_LOAD, FLEET_REPORT, LOAD_INTERVAL_S, LoadReports
@@ -58,12 +55,14 @@
 from ._runner import RequestRunner
 from ._settings import EntryProcessSettings
 from ._statement_exchange import ENDPOINT_LEAVING, ENDPOINT_LIMIT, StatementExchange
-from ._store_listeners import (
-    LAPSE_GRACE_S,
-    OperatorListener,
-    RegistrationListener,
-    VmEntryListener,
+from ._store_followers import (
+    OPERATOR_HOLD_TIMES,
+    REGISTRATION_HOLD_TIMES,
+    VM_ENTRY_HOLD_TIMES,
+    FollowedPrefix,
+    create_followers,
 )
+from ._store_listeners import OperatorListener, RegistrationListener, VmEntryListener
 from ._store_relay import STORE_ITEM, StoreRelay
 from ._watch_policy import WatchPolicy
 
@@ -100,13 +99,6 @@
 MAX_RESTORE_DELAY_S = 1.0
 """Maximum random delay after which a VM checks what a restored store has lost: by then another VM
 has usually written it again."""
-OPERATOR_HOLD_TIMES = HoldTimes(missing_s=3.0, outdated_s=3.0)
-"""The operator writes its keys again as soon as the store is back. An order that it withdraws in
-that moment has to take effect within 5 s."""
-REGISTRATION_HOLD_TIMES = HoldTimes(missing_s=LAPSE_GRACE_S, outdated_s=6.0)
-"""Live endpoints write again within 2 s; the entry of one that has left disappears with its missed
-heartbeats."""
-VM_ENTRY_HOLD_TIMES = HoldTimes(missing_s=LEASE_TTL_S, outdated_s=LEASE_TTL_S)
 REFUSE_AFTER_S = 3.0
 """Time after the stop signal from which new requests are refused: by then callers know that the VM
 stops, and requests accepted before can end within the grace period."""
@@ -120,14 +112,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class _Servers:
-    front: HttpServer
-    ready: HttpServer
-    discovery: HttpServer
-    metrics: HttpServer
-
-
 class EntryProcess:
     """One entry process of the fleet; must only be used on the event loop."""
 
@@ -265,22 +249,24 @@
             self._clock,
         )
         self._relay = StoreRelay(self._rng)
-        followed = (
-            (adapter.operator_prefix, self._operator_listener, OPERATOR_HOLD_TIMES),
-            (adapter.registration_prefix, self._registration_listener, REGISTRATION_HOLD_TIMES),
-            (VM_PREFIX, self._vm_entry_listener, VM_ENTRY_HOLD_TIMES),
-        )
-        self._followers = [
-            PrefixWatcher(
-                self._store,
-                prefix,
-                self._relay.wrap_listener(
-                    prefix, listener, RestoreGuard(hold_times, adapter.item_order, self._clock)
+        self._followers = create_followers(
+            self._store,
+            self._relay,
+            (
+                FollowedPrefix(
+                    adapter.operator_prefix, self._operator_listener, OPERATOR_HOLD_TIMES
                 ),
-                self._rng,
-            )
-            for prefix, listener, hold_times in followed
-        ]
+                FollowedPrefix(
+                    adapter.registration_prefix,
+                    self._registration_listener,
+                    REGISTRATION_HOLD_TIMES,
+                ),
+                FollowedPrefix(VM_PREFIX, self._vm_entry_listener, VM_ENTRY_HOLD_TIMES),
+            ),
+            adapter.item_order,
+            self._rng,
+            self._clock,
+        )
         self.pause_guard.watch(self._followers)
         self._rollout_records = RolloutRecords(
             settings.vm,
@@ -309,7 +295,7 @@
         )
         interface_handler = self._adapter.create_interface_handler(discovery, self.is_ready)
         default_limits = ServerLimits()
-        self._servers = _Servers(
+        self._servers = EntryServers(
             HttpServer(self.request_handler.handle, self._front_limits, self._log_bad_request),
             HttpServer(interface_handler.handle, lambda: default_limits),
             HttpServer(interface_handler.handle, lambda: default_limits),
@@ -352,13 +338,7 @@
 
     async def start(self) -> None:
         """Open the sockets and start to follow the store; raises ``OSError``."""
-        settings, servers = self.settings, self._servers
-        await servers.metrics.start(settings.host, settings.metrics_port)
-        if settings.ready is not None:
-            await servers.ready.start(*settings.ready)
-        if settings.discovery is not None:
-            await servers.discovery.start(*settings.discovery)
-        await servers.front.start(*settings.front)
+        await self._servers.start(self.settings)
         for follower in self._followers:
             self._tasks.spawn(follower.run())
         self._rollout_record_follower.set_enabled(False)
@@ -489,13 +469,7 @@
 
     async def stop(self) -> None:
         """Close the servers, the links, the background tasks and the connections."""
-        for server in (
-            self._servers.front,
-            self._servers.ready,
-            self._servers.discovery,
-            self._servers.metrics,
-        ):
-            await server.stop()
+        await self._servers.stop()
         if self._node is not None:
             await self._node.stop()
         await self._tasks.stop()
