--- a/tests/platform/test_fleet_after_a_restore.py
+++ b/tests/platform/test_fleet_after_a_restore.py
@@ -6,7 +6,8 @@
 import pytest
 
 from mangosaddle._identifiers import EndpointId
-from mangosaddle.entry._entry_process import HOUSEKEEPING_INTERVAL_S, OPERATOR_HOLD_TIMES
+from mangosaddle.entry._entry_process import HOUSEKEEPING_INTERVAL_S
+from mangosaddle.entry._store_followers import OPERATOR_HOLD_TIMES
 from mangosaddle.entry._store_relay import STORE_ITEM
 from platform_standins import (
     Fleet,
