Read the store again as soon as any call shows that it was restored

What callers saw: nothing yet; found by review. Only a watch that ended let a VM read a prefix again. Other calls of the VM, such as the renewal of its lease, had shown the new era long before.

--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -113,6 +113,14 @@
                 logger.exception("watch failed", extra={"prefix": self.prefix})
                 await self._handle_failure(error)
 
+    def follow_era(self, era: int) -> None:
+        """Read the prefix again if the store is in another era than at the latest reading.
+
+        A call that waits for changes since a revision of an earlier era may not end by itself.
+        """
+        if self.is_watching and self._era != era:
+            self.read_again()
+
     def read_again(self) -> None:
         """Read the whole prefix now, without waiting for the end of a pending watch call."""
         self._must_read_again = True
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -537,6 +537,8 @@
         now = self._clock()
         if self._node is not None and self._store_era != self._store.era:
             self._on_store_restored(self._node)
+        for follower in (*self._followers, self._rollout_record_follower):
+            follower.follow_era(self._store.era)
         self._registration_listener.remove_due()
         self._vm_entry_listener.remove_due()
         self._relay.release_held([row.prefix for row in self._followers if row.is_failing])
--- a/tests/platform/test_fleet_after_a_restore.py
+++ b/tests/platform/test_fleet_after_a_restore.py
@@ -49,6 +49,24 @@
     run_on_default_fleet(_scenario)
 
 
+def test_a_restore_is_noticed_while_all_watches_are_silent() -> None:
+    """Guards against VMs that wait for changes since a revision that does not exist any more."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        store = fleet.store
+        state = store.copy_state()
+        await store.put("op/config", default_configuration(2))
+        await wait_until(lambda: vm.catalogue.version == 2)
+        store.hold_watches = True
+        await store.restore(state, breaks_connections=False)
+        await store.put("op/config", default_configuration(3))
+        async with asyncio.timeout(vm.settings.bounds.configuration_s):
+            await wait_until(lambda: vm.catalogue.version == 3)
+
+    run_on_default_fleet(_scenario)
+
+
 def test_an_endpoint_that_begins_to_leave_after_a_restore_gets_no_more_requests() -> None:
     """Guards against VMs that drop an endpoint's leaving because its revision is a former one."""
 
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -150,10 +150,10 @@
             self._next_lease,
         )
 
-    async def restore(self, state: StoreCopy) -> None:
+    async def restore(self, state: StoreCopy, *, breaks_connections: bool = True) -> None:
         """Go back to a copy: what was written since is gone, and its numbers are given out again.
 
-        Connections break, and watches from revisions that do not exist any more get status 410.
+        Watches from revisions that do not exist any more get status 410.
         """
         async with self._changed:
             self.era += 1
@@ -163,7 +163,7 @@
             self._next_lease = state.next_lease
             self._history.clear()
             self._oldest_kept_revision = self._number + 1
-            for server in self._servers:
+            for server in self._servers if breaks_connections else ():
                 server.abort_connections()
             self._changed.notify_all()
 
