Test that VMs without a watch follow a restored store

The whole path of large fleets, where two VMs of a region watch the store and the others hear of it from them, with six VMs.

--- a/tests/platform/test_fleet_after_a_restore.py
+++ b/tests/platform/test_fleet_after_a_restore.py
@@ -8,6 +8,8 @@
 from mangosaddle._identifiers import EndpointId
 from mangosaddle.entry._entry_process import HOUSEKEEPING_INTERVAL_S, OPERATOR_HOLD_TIMES
 from mangosaddle.entry._store_relay import STORE_ITEM
+from mangosaddle.entry._watch_policy import WatchPolicy
+from mangosaddle.membership import WATCHERS_PER_REGION
 from platform_standins import (
     Fleet,
     RunnerStandIn,
@@ -20,6 +22,8 @@
 )
 
 WATCHES_PER_VM = 3
+SHARED_WATCH_VMS = 6
+MAX_EVACUATION_DELAY_S = 5.0
 MAX_WAIT_S = 10.0
 
 
@@ -133,6 +137,34 @@
     run_on_default_fleet(_scenario)
 
 
+def test_vms_without_a_watch_follow_a_restored_store() -> None:
+    """Guards against large fleets in which most VMs keep to an order that has been taken back."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", default_configuration())
+        await fleet.add_runner(RunnerStandIn("desk-1", "desk", "east-a"))
+        for number in range(SHARED_WATCH_VMS):
+            vm = await fleet.add_vm(f"vm-{number}")
+            vm.watch_policy = WatchPolicy(vm.settings.vm, vm.settings.region, SHARED_WATCH_VMS)
+        await fleet.wait_until_ready()
+        vms = fleet.vms.values()
+        registries = [vm.endpoints.registry for vm in vms]
+        followers = [follower for vm in vms for follower in vm._followers]
+        watches = WATCHERS_PER_REGION * WATCHES_PER_VM
+        await wait_until(lambda: sum(row.is_watching for row in followers) == watches)
+        state = fleet.store.copy_state()
+        await fleet.store.put("op/evacuate/east-a", {})
+        await wait_until(lambda: all(row.evacuated_zones for row in registries))
+        await fleet.store.restore(state)
+        await fleet.store.put("op/config", default_configuration(2))
+        await wait_until(lambda: all(vm.catalogue.version == 2 for vm in vms))
+        assert all(row.evacuated_zones for row in registries)
+        async with asyncio.timeout(MAX_EVACUATION_DELAY_S):
+            await wait_until(lambda: not any(row.evacuated_zones for row in registries))
+
+    run_on_empty_fleet(_scenario)
+
+
 def test_an_evacuation_stays_in_force_while_the_store_is_away_again() -> None:
     """Guards against an order that ends because the operator cannot write it again in time."""
 
