--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -48,6 +48,9 @@
 FAILURE_BODY_TIMEOUT_S = 2.0
 """Maximum time from the head of such an answer to its end, in addition to the time that its bytes
 take: the endpoint does no work before it sends the body, but may pause for a second."""
+MIN_SILENCE_S = 1.0
+"""Time without data after which an attempt may be given up because a health check has failed: an
+endpoint at its connection limit fails the check, too."""
 DEADLINE_MARGIN_S = 0.001
 """Time before a request's deadline from which the deadline counts as passed: more than the
 resolution of the clock."""
@@ -118,14 +121,14 @@
         wire: WireFormat,
         pool: ConnectionPool,
         may_send: Callable[[], bool] = lambda: True,
-        record_limit: Callable[[EndpointView, EndpointAnswer], None] = lambda view, answer: None,
+        record_answer: Callable[[EndpointView, EndpointAnswer], None] = lambda view, answer: None,
     ) -> None:
         """Create the client; connections are reused through the pool.
 
         ``may_send`` tells directly before a request is sent whether the choice of its endpoint may
-        still be relied upon. ``record_limit`` is called with the head of each answer.
+        still be relied upon. ``record_answer`` is called with the head of each answer.
         """
-        self._record_limit = record_limit
+        self._record_answer = record_answer
         self._wire = wire
         self._may_send = may_send
         self._pool = pool
@@ -166,6 +169,11 @@
             # A process that was paused or busy gets here before its timers have cancelled it.
             self._pool.give_back(address, connection)
             return AttemptResult(AttemptEnd.WITHHELD, "too late to send")
+        refusal = view.statements.refusal(clock())
+        if refusal is not None:
+            # The endpoint may have said so while the connection was opened.
+            self._pool.give_back(address, connection)
+            return AttemptResult(AttemptEnd.WITHHELD, refusal.value)
         encoded = self._wire.encode_request(
             opaque,
             view.registration,
@@ -230,13 +238,18 @@
         if not checks:
             self._checks_by_endpoint.pop(endpoint, None)
 
-    def abort_replaceable(self, endpoint: EndpointId) -> int:
-        """Abort the attempts at an endpoint that others can replace; return their number.
+    def abort_repeatable(self, endpoint: EndpointId, *, has_ended: bool) -> int:
+        """Abort the attempts at an endpoint that may be repeated; return their number.
 
-        Other attempts continue: an endpoint that is silent may still be working on them.
+        Unless the endpoint's process ``has_ended``, attempts that have received data lately or
+        cannot be replaced continue: the endpoint may still be working on them.
         """
-        checks = self._checks_by_endpoint.get(endpoint, {})
-        connections = [connection for connection, check in checks.items() if check()]
+        active_since_s = asyncio.get_running_loop().time() - MIN_SILENCE_S
+        connections = [
+            connection
+            for connection, check in self._checks_by_endpoint.get(endpoint, {}).items()
+            if has_ended or (connection.active_at_s < active_since_s and check())
+        ]
         for connection in connections:
             connection.abort()
         return len(connections)
@@ -254,7 +267,7 @@
         now = asyncio.get_running_loop().time()
         view.health.last_data_at_s = now
         answer = self._wire.decode_answer(head)
-        self._record_limit(view, answer)
+        self._record_answer(view, answer)
         if request.route.kind is not RequestKind.STREAM:
             view.load.record_first_byte(request.id, now)
         if answer.proves_not_run:
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -45,7 +45,6 @@
 from ._crash_reports import CRASHES, CrashReports
 from ._crash_tracker import CrashTracker
 from ._discovery import Discovery
-from ._endpoint_limits import ENDPOINT_LIMIT, EndpointLimits
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
 from ._load_reports import ENDPOINT_LOAD, FLEET_REPORT, LOAD_INTERVAL_S, LoadReports
@@ -58,6 +57,7 @@
 from ._rollouts import ROLLOUT_PROGRESS, ROLLOUT_VETO, TICK_S, RolloutTracker
 from ._runner import RequestRunner
 from ._settings import EntryProcessSettings
+from ._statement_exchange import ENDPOINT_LEAVING, ENDPOINT_LIMIT, StatementExchange
 from ._store_listeners import (
     LAPSE_GRACE_S,
     OperatorListener,
@@ -71,6 +71,7 @@
     STORE_ITEM,
     ENDPOINT_LOAD,
     ENDPOINT_LIMIT,
+    ENDPOINT_LEAVING,
     FLEET_REPORT,
     CRASHES,
     PROMPT_CRASHES,
@@ -112,6 +113,8 @@
 STOP_LISTENING_AFTER_S = 3.2
 EXIT_MARGIN_S = 0.6
 """Time before the end of the grace period at which the process exits in any case."""
+MIN_DEREGISTRATION_S = 0.3
+"""Time that the store gets to remove the entry of a VM that has used its whole grace period."""
 DRAIN_CHECK_INTERVAL_S = 0.05
 
 logger = logging.getLogger(__name__)
@@ -158,7 +161,7 @@
         self.catalogue = CatalogueHolder(self._clock)
         self.pause_guard = PauseGuard(self._on_pause)
         self.endpoints = Endpoints(settings.region)
-        self.endpoint_limits = EndpointLimits(settings.vm, self.endpoints, self._clock, time.time)
+        self.statements = StatementExchange(settings.vm, self.endpoints, self._clock, time.time)
         self.fleet = FleetView(settings.vm, self.is_ready)
         self.regions = RegionReports()
         self.quarantine = Quarantine()
@@ -188,7 +191,7 @@
             self._adapter.wire,
             self._pool,
             self.pause_guard.is_current,
-            self.endpoint_limits.record_answer,
+            self.statements.record_answer,
         )
         self.runner = RequestRunner(
             self.settings.vm,
@@ -218,6 +221,7 @@
             self._endpoint_client,
             self._tasks,
             self.crashes.record_endpoint_loss,
+            self.statements.record_answer,
             self._clock,
         )
 
@@ -403,7 +407,7 @@
         self._relay.connect(node)
         self.rollouts.connect(node)
         self.allowance_calls.connect(node)
-        self.endpoint_limits.connect(node)
+        self.statements.connect(node)
         self.crashes.reports = CrashReports(node, self.quarantine, time.time)
         self.crashes.prompt_exchange = PromptCrashExchange(node, self.prompt_quarantine, time.time)
         reports = LoadReports(
@@ -472,7 +476,12 @@
                 "took_s": round(self._clock() - began_s, 2),
             },
         )
-        await self._presence.deregister()
+        remaining_s = max(MIN_DEREGISTRATION_S, grace_s - (self._clock() - began_s))
+        try:
+            async with asyncio.timeout(remaining_s):
+                await self._presence.deregister()
+        except TimeoutError:
+            logger.warning("registration entry was not removed", extra={"cause": "timeout"})
 
     def _is_busy(self) -> bool:
         forwards = self._node.running_forward_count if self._node is not None else 0
@@ -532,7 +541,7 @@
             self._on_store_restored(self._node)
         self._registration_listener.remove_due()
         self._vm_entry_listener.remove_due()
-        self._relay.release_held()
+        self._relay.release_held([row.prefix for row in self._followers if row.is_failing])
         self.fleet.record_served_regions()
         self._pool.close_expired()
         for view in self.endpoints.views():
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -32,6 +32,8 @@
 not be reached."""
 MIN_ATTEMPT_S = 0.02
 """Remaining time below which another attempt cannot succeed."""
+RESERVATION_VALID_S = 0.1
+"""Time for which a reserved placement may be used: the silent attempt ends within it."""
 REJECTION_PENALTY_S = 0.15
 """Time for which an endpoint that has rejected a request is taken as full: the rest of this time is
 added to its forecasts."""
@@ -129,6 +131,12 @@
         """Return the number of usable endpoints in this region, for the log."""
         return len(self._endpoints.usable(request.service))
 
+    def held_endpoints(self, request: RoutedRequest) -> dict[str, int]:
+        """Return the number of endpoints of this region that are held, by reason, for the log."""
+        now = asyncio.get_running_loop().time()
+        held = self._endpoints.held(request.service, self._own, self._region_vms(), now)
+        return {reason.value: count for reason, count in held.items()}
+
     def prompt_retry_after_s(self, request: RoutedRequest) -> float | None:
         """Return the seconds for which the request's prompt must not run, or ``None``."""
         return self._crashes.prompt_retry_after_s(request)
@@ -163,10 +171,7 @@
         now = asyncio.get_running_loop().time()
         attempt_id = self._rollouts.record_start(request, place, now)
         view.load.record_sent(request.id, place.work, place.forecast_s, now)
-        if view.cold_limiter.is_cold(now):
-            view.cold_limiter.record_sent()
-        if view.stated_limit.current(now) is not None:
-            view.stated_limit.record_sent()
+        view.statements.record_sent(now)
         if request.prompt is not None:
             view.prefixes.record(request.prompt.model, request.prompt.parts)
         view.health.last_request_at_s = now
@@ -255,6 +260,12 @@
         """Latest error response of an endpoint to the request."""
         self._replacement: LocalPlacement | RemotePlacement | None = None
         """Reserved placement of the attempt that follows the current one if it is given up."""
+        self._reserved_at_s = 0.0
+        """Event loop time in seconds of that placement."""
+        self._is_charged = False
+        """Whether the next attempt has been charged to the retry budget."""
+        self._kept_at: set[EndpointId] = set()
+        """Endpoints at which an overdue attempt has been logged."""
 
     async def run_to_end(self) -> RunResult:
         while True:
@@ -290,24 +301,44 @@
         """Decide where the next attempt runs; a reserved placement is used rather than none."""
         decision = self._runner.decide(self._request, self._tried, self._tried_regions)
         reserved, self._replacement = self._replacement, None
+        now = asyncio.get_running_loop().time()
+        if now - self._reserved_at_s > RESERVATION_VALID_S:
+            reserved = None
         return reserved if reserved and isinstance(decision, PlacementRefusal) else decision
 
     def _reserve_replacement(self, view: EndpointView) -> bool:
         """Return whether another attempt can replace the one at an endpoint, and charge it."""
-        if self._replacement is not None:
-            return True
+        obstacle = self._reserve(view)
+        if not obstacle or view.id not in self._kept_at:
+            self._kept_at.add(view.id)
+            logger.info(
+                "attempt overdue",
+                extra={
+                    "request_id": self._request.id,
+                    "endpoint": view.id,
+                    "kept_because": obstacle,
+                    "answer_began": self._progress.must_resume,
+                },
+            )
+        return not obstacle
+
+    def _reserve(self, view: EndpointView) -> str:
+        """Reserve a replacement of the attempt at an endpoint; return what stands against it."""
         request = self._request
         if not request.route.repeatable or not self._allows_attempt_after(self._possible_runs + 1):
-            return False
+            return "no_attempt_left"
         if self._runner.prompt_retry_after_s(request) is not None:
-            return False
+            return "prompt_quarantined"
         decision = self._runner.decide(request, {*self._tried, view.id}, self._tried_regions)
         if isinstance(decision, PlacementRefusal):
-            return False
-        if not self._runner.try_spend_retry(request, sent=True, repeatable=True):
-            return False
+            return decision.cause.value
+        if not self._is_charged:
+            self._is_charged = self._runner.try_spend_retry(request, sent=True, repeatable=True)
+        if not self._is_charged:
+            return "no_retry_budget"
         self._replacement = decision
-        return True
+        self._reserved_at_s = asyncio.get_running_loop().time()
+        return ""
 
     def _allows_attempt_after(self, possible_runs: int) -> bool:
         """Return whether limits and time of the request allow an attempt after so many runs."""
@@ -330,10 +361,11 @@
             self._possible_runs += 1
         repeatable = request.route.repeatable
         allowed = (proven_not_run or repeatable) and self._allows_attempt_after(self._possible_runs)
-        if allowed and was_sent and self._replacement is None:
+        if allowed and was_sent and not self._is_charged:
             allowed = self._runner.try_spend_retry(
                 request, sent=not proven_not_run, repeatable=repeatable
             )
+        self._is_charged = False
         logger.info(
             "attempt failed",
             extra={
@@ -441,6 +473,7 @@
             fields |= {
                 "refused": decision.cause.value,
                 "usable_endpoints": self._runner.usable_endpoints(request),
+                "held_endpoints": self._runner.held_endpoints(request),
                 "forecast_ms": round(decision.forecast_s * 1000),
                 "pace_ms": round(decision.time_per_token_s * 1000, 1),
             }
--- a/tests/coordination/test_restore_guard.py
+++ b/tests/coordination/test_restore_guard.py
@@ -4,6 +4,7 @@
 
 from mangosaddle._store_revisions import compose
 from mangosaddle.coordination import HoldTimes, Item, Removal, RestoreGuard, Snapshot
+from mangosaddle.coordination._restore_guard import REMOVAL_RETENTION_S
 
 KEY = "keys/a"
 HOLD_TIMES = HoldTimes(missing_s=2.0, outdated_s=6.0)
@@ -53,6 +54,9 @@
         ([_item(1, 40, b"x"), _removal(1, 60)], _item(2, 61, b"x"), True),
         ([_item(1, 40, b"5 x"), _removal(1, 60)], _item(2, 57, b"5 x"), False),
         ([_item(1, 40, b"5 x"), _removal(1, 60)], _item(2, 57, b"6 x"), True),
+        ([_item(1, 50, b"x"), _removal(2, 43)], _item(3, 50, b"x"), False),
+        ([_item(1, 50, b"old"), _item(2, 43, b"x")], _item(3, 50, b"old"), False),
+        ([_item(1, 50, b"old"), _item(2, 43, b"x")], _item(3, 51, b"new"), True),
         ([_item(1, 60, b"x")], _item(1, 61, b"new"), True),
         ([], _item(2, 40, b"x"), True),
     ],
@@ -105,3 +109,40 @@
     """Guards against endpoints that are kept although they have left."""
     guard, _ = _guard(_item(1, 60, b"x"))
     assert guard.filter_snapshot(Snapshot((), compose(1, 61))).items == ()
+
+
+@pytest.mark.parametrize("number", [55, 61])
+def test_a_removal_that_no_vm_has_seen_is_held_back_whatever_its_number(number: int) -> None:
+    """Guards against keys that are dropped because another VM read the restored store later."""
+    guard, clock = _guard(_item(1, 60, b"x"))
+    removal = _removal(2, number)
+    assert not guard.admits(removal, observed=False)
+    clock.now_s += HOLD_TIMES.missing_s
+    assert guard.release_due() == [removal]
+
+
+def test_a_key_is_kept_while_its_writer_cannot_write_to_the_store() -> None:
+    """Guards against keys that are dropped because the store is away again after a restore."""
+    known = _item(1, 60, b"x")
+    guard, clock = _guard(known)
+    guard.filter_snapshot(Snapshot((), compose(2, 55)), after_outage=True)
+    clock.now_s += 2 * HOLD_TIMES.missing_s
+    assert guard.release_due(is_failing=True) == []
+    snapshot = Snapshot((), compose(2, 56))
+    assert guard.filter_snapshot(snapshot, after_outage=True).items == (known,)
+    assert guard.release_due() == []
+    clock.now_s += HOLD_TIMES.missing_s
+    assert guard.release_due() == [Removal(KEY, snapshot.revision)]
+
+
+def test_a_key_that_is_removed_twice_is_remembered_from_the_second_time() -> None:
+    """Guards against endpoints that come back because an earlier removal has been forgotten."""
+    guard, clock = _guard(_item(1, 40, b"x"), _removal(1, 41))
+    clock.now_s += REMOVAL_RETENTION_S - 1.0
+    item = _item(1, 60, b"x")
+    for event in (item, _removal(1, 61)):
+        guard.admits(event, observed=True)
+    clock.now_s += 2.0
+    guard.admits(Removal("keys/b", compose(1, 62)), observed=True)
+    copied = _item(2, 60, b"x")
+    assert guard.filter_snapshot(Snapshot((copied,), compose(2, 60))).items == ()
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -27,6 +27,10 @@
     "runner_drain",
     "configuration",
 )
+STATEMENT_SERIES = 2
+"""Series of a run that are drawn from ``STATEMENT_KINDS``."""
+STATEMENT_KINDS = ("runner_leaving", "runner_wait")
+"""Statements of runners about themselves, drawn apart as well."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -50,6 +54,8 @@
     faults = _draw_series(random.Random(seed), FAULT_KINDS, faults_s, series)
     added = random.Random(f"{seed} added kinds")
     faults += _draw_series(added, ADDED_FAULT_KINDS, faults_s, ADDED_SERIES)
+    statements = random.Random(f"{seed} statements")
+    faults += _draw_series(statements, STATEMENT_KINDS, faults_s, STATEMENT_SERIES)
     return sorted(faults)
 
 
