Write lost claims over those that are about to be released

Cause: a repeat claims the key for the moment until its claim is released, because the restored store is not settled. When the VM that ran the order wrote its lost claim again in this moment, it found the claim of another attempt, took its own for superseded and dropped it. The new test in tests/orders/test_executor.py does this in order and gets a second execution each time without the change.

The record of an order that was sent now replaces claims of other attempts as well. Without a restore there are none: a claim is only replaced once it is released. The release of the other attempt then finds a record that is not its own and leaves it.

--- a/src/mangosaddle/orders/_attempt_steps.py
+++ b/src/mangosaddle/orders/_attempt_steps.py
@@ -59,6 +59,8 @@
     """Effect: send the order to an endpoint, once."""
 
 
+_UNSENT_STATES = frozenset({ClaimState.RELEASED, ClaimState.CLAIMED})
+
 Effect = WriteRecord | ReadRecord | SendOrder
 WriteResult = Result[Written, WriteFailure]
 ReadResult = Result[StoreEntry | None, ReadFailure]
@@ -165,8 +167,9 @@
     the claim may still be in flight; it expects the old index, so it fails once the release has
     changed that index.
 
-    The record of an order that was sent is also written if the store has lost the claim: the key
-    is missing or released then, which claims of other attempts prevent otherwise.
+    The record of an order that was sent is also written if the store has lost the claim. The key
+    is then missing, or a repeat has claimed it, which sends nothing as long as lost claims are
+    being written again.
     """
     found = yield ReadRecord(pending.key)
     if not isinstance(found, Success):
@@ -180,7 +183,7 @@
     if pending.target.state is ClaimState.RELEASED:
         is_free = current_index == pending.expected_index
     else:
-        is_free = entry is None or (existing is not None and existing.state is ClaimState.RELEASED)
+        is_free = entry is None or (existing is not None and existing.state in _UNSENT_STATES)
     if not is_own_claim and not is_free:
         return True
     written = yield WriteRecord(pending.key, pending.target, current_index)
--- a/tests/orders/test_executor.py
+++ b/tests/orders/test_executor.py
@@ -248,6 +248,34 @@
     assert isinstance(second.execute(ORDER, fleet.send), Deliver)
 
 
+def test_a_lost_claim_is_written_over_one_that_is_about_to_be_released(fleet: Fleet) -> None:
+    """Guards against a lost claim that is given up because a repeat holds the key for a moment."""
+    first, second = fleet.executors
+    copy = fleet.store.copy()
+    delivered = first.execute(ORDER, fleet.send)
+    assert isinstance(delivered, Deliver)
+    fleet.restore(copy)
+    write = second._store.compare_and_swap_resolved
+
+    def write_and_pause(
+        key: str, value: bytes, expected_index: int, resolve_timeout_s: float = 1.0
+    ) -> WriteResult:
+        patch.undo()
+        written = write(key, value, expected_index, resolve_timeout_s)
+        first.handle_restore(fleet.store.epoch)
+        assert first.write_pending_updates() == 0
+        return written
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(second._store, "compare_and_swap_resolved", write_and_pause)
+        answer = second.execute(ORDER, fleet.send)
+    assert isinstance(answer, RefuseNotRun)
+    assert second.write_pending_updates() == 0
+    fleet.settled[0] = fleet.store.epoch
+    assert second.execute(ORDER, fleet.send) == Replay(delivered.response)
+    assert fleet.executions == 1
+
+
 def test_recent_claims_are_bounded() -> None:
     """Guards against claims and bodies that fill the memory of a VM."""
     recent = RecentClaims()
