--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .._store_revisions import era_of
+from .._store_revisions import era_of, format_revision
 from ._exceptions import CoordinationError, HistoryLostError
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
@@ -103,7 +103,7 @@
             except HistoryLostError:
                 logger.info(
                     "changes are no longer available, reading the prefix again",
-                    extra={"prefix": self.prefix, "revision": self._revision},
+                    extra={"prefix": self.prefix, "revision": format_revision(self._revision or 0)},
                 )
                 self._revision = None
             except CoordinationError as error:
@@ -113,6 +113,14 @@
                 logger.exception("watch failed", extra={"prefix": self.prefix})
                 await self._handle_failure(error)
 
+    def follow_era(self, era: int) -> None:
+        """Read the prefix again if the store is in another era than at the latest reading.
+
+        A call that waits for changes since a revision of an earlier era may not end by itself.
+        """
+        if self.is_watching and self._era != era:
+            self.read_again()
+
     def read_again(self) -> None:
         """Read the whole prefix now, without waiting for the end of a pending watch call."""
         self._must_read_again = True
@@ -177,7 +185,11 @@
             self._failing_since_s = self._clock()
             logger.warning(
                 "store is unreachable",
-                extra={"prefix": self.prefix, "cause": str(error), "revision": self._revision},
+                extra={
+                    "prefix": self.prefix,
+                    "cause": str(error),
+                    "revision": format_revision(self._revision or 0),
+                },
             )
         # Changes may have been missed and leases may have expired: read everything again.
         self._revision = None
--- a/src/mangosaddle/coordination/_restore_guard.py
+++ b/src/mangosaddle/coordination/_restore_guard.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .._store_revisions import era_of, number_of
+from .._store_revisions import era_of, format_revision, number_of
 from ._store import Item, Removal, Snapshot
 
 ItemOrder = Callable[[Item], tuple[int, ...] | None]
@@ -37,12 +37,16 @@
     event: Item | Removal
     """Latest change of the key that was admitted."""
     last_item: Item | None
+    highest_number: int
+    """Highest number of any change of the key; a copy may be from before several restores."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Held:
     event: Item | Removal
     due_s: float
+    was_read: bool
+    """Whether this VM has read it itself; another VM has relayed it otherwise."""
 
 
 class RestoreGuard:
@@ -60,11 +64,17 @@
         self._clock = clock
         self._known_by_key: dict[str, _Known] = {}
         self._held_by_key: dict[str, _Held] = {}
-        self._removals: deque[tuple[float, str]] = deque()
-        """Times and keys of the removals, oldest first."""
+        self._removals: deque[tuple[float, Removal]] = deque()
+        """Removals with their times, oldest first."""
 
-    def filter_snapshot(self, snapshot: Snapshot) -> Snapshot:
-        """Return the snapshot with known items in place of what may be an outdated copy."""
+    def filter_snapshot(self, snapshot: Snapshot, *, after_outage: bool = False) -> Snapshot:
+        """Return the snapshot with known items in place of what may be an outdated copy.
+
+        ``after_outage`` tells that the writers could not write for a while: the hold times begin
+        again.
+        """
+        if after_outage:
+            self._held_by_key.clear()
         era = era_of(snapshot.revision)
         present = {item.key for item in snapshot.items}
         admitted = map(self._admit_item, snapshot.items)
@@ -76,7 +86,7 @@
                 continue
             removal = Removal(key, snapshot.revision)
             if era_of(known.event.revision) < era:
-                self._hold(removal)
+                self._hold(removal, was_read=True)
                 items.append(known.event)
             else:
                 self._record(removal)
@@ -89,7 +99,7 @@
         """
         known = self._known_by_key.get(event.key)
         if known is not None and not observed and self._may_be_outdated(known, event):
-            self._hold(event)
+            self._hold(event, was_read=False)
             return False
         self._record(event)
         return True
@@ -102,10 +112,26 @@
         order, known_order = self._order_of(item), self._order_of(known.event)
         return order is not None and known_order is not None and order > known_order
 
-    def release_due(self) -> list[Item | Removal]:
-        """Return what was held back for long enough, and is to be applied now."""
+    def knows(self, key: str) -> bool:
+        """Return whether an item or a removal of a key is known."""
+        return key in self._known_by_key
+
+    def keep_missing(self, item: Item, revision: int) -> None:
+        """Keep an item of an earlier era that a reading at ``revision`` did not contain."""
+        self._record(item)
+        self._hold(Removal(item.key, revision), was_read=True)
+
+    def release_due(self, *, is_failing: bool = False) -> list[Item | Removal]:
+        """Return what was held back for long enough, and is to be applied now.
+
+        While the store is failing, what this VM has read itself is held back further.
+        """
         now = self._clock()
-        due = [held.event for held in self._held_by_key.values() if held.due_s <= now]
+        due = [
+            held.event
+            for held in self._held_by_key.values()
+            if held.due_s <= now and not (is_failing and held.was_read)
+        ]
         for event in due:
             self._record(event)
             logger.info(
@@ -120,40 +146,49 @@
         if known is None or not self._may_be_outdated(known, item):
             self._record(item)
             return item
-        self._hold(item)
+        self._hold(item, was_read=True)
         return known.event if isinstance(known.event, Item) else None
 
     def _may_be_outdated(self, known: _Known, event: Item | Removal) -> bool:
         """Return whether an event of a later era may show an earlier state than the known one."""
         if era_of(event.revision) <= era_of(known.event.revision):
             return False
+        was_removed = isinstance(known.event, Removal)
+        if isinstance(event, Removal):
+            # Its number may be that of the reading that lacked the key.
+            return not was_removed
         last = known.last_item
-        if isinstance(event, Item) and last is not None:
-            was_removed = isinstance(known.event, Removal)
+        if last is not None:
             if event.value == last.value and not was_removed:
                 return False
             order, last_order = self._order_of(event), self._order_of(last)
             if order is not None and last_order is not None:
                 return order <= last_order if was_removed else order < last_order
         # A copy contains no number above those that were seen before.
-        return number_of(event.revision) < number_of(known.event.revision)
+        number = number_of(event.revision)
+        if number == known.highest_number:
+            return number_of(known.event.revision) < number
+        return number < known.highest_number
 
     def _record(self, event: Item | Removal) -> None:
         self._held_by_key.pop(event.key, None)
+        known = self._known_by_key.get(event.key)
+        highest_number = max(number_of(event.revision), known.highest_number if known else 0)
         if isinstance(event, Item):
-            self._known_by_key[event.key] = _Known(event, event)
+            self._known_by_key[event.key] = _Known(event, event, highest_number)
             return
-        known = self._known_by_key.get(event.key)
-        self._known_by_key[event.key] = _Known(event, known.last_item if known else None)
+        last_item = known.last_item if known else None
+        self._known_by_key[event.key] = _Known(event, last_item, highest_number)
         now = self._clock()
-        self._removals.append((now, event.key))
+        self._removals.append((now, event))
         while now - self._removals[0][0] > REMOVAL_RETENTION_S:
-            _, key = self._removals.popleft()
-            former = self._known_by_key.get(key)
-            if former is not None and isinstance(former.event, Removal):
-                del self._known_by_key[key]
+            _, removal = self._removals.popleft()
+            former = self._known_by_key.get(removal.key)
+            # The key may have been written and removed again since.
+            if former is not None and former.event is removal:
+                del self._known_by_key[removal.key]
 
-    def _hold(self, event: Item | Removal) -> None:
+    def _hold(self, event: Item | Removal, *, was_read: bool) -> None:
         held = self._held_by_key.get(event.key)
         is_removal = isinstance(event, Removal)
         if held is None:
@@ -164,10 +199,10 @@
                 extra={
                     "key": event.key,
                     "removed": is_removal,
-                    "revision": number_of(event.revision),
-                    "known": number_of(self._known_by_key[event.key].event.revision),
+                    "revision": format_revision(event.revision),
+                    "known": format_revision(self._known_by_key[event.key].event.revision),
                 },
             )
         else:
             due_s = held.due_s
-        self._held_by_key[event.key] = _Held(event, due_s)
+        self._held_by_key[event.key] = _Held(event, due_s, was_read)
--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -4,9 +4,10 @@
 import logging
 import random
 import zlib
+from collections.abc import Collection
 from dataclasses import dataclass
 
-from .._store_revisions import era_of
+from .._store_revisions import era_of, format_revision
 from ..coordination import Item, PrefixListener, Removal, RestoreGuard, Snapshot
 from ..membership import HIGHEST_VERSION, Fact, FactKind
 from ..peers import EncodeError, PeerNode
@@ -26,8 +27,8 @@
 PRESENT, ABSENT = b"\x01", b"\x00"
 """First byte of the payload: whether the key exists."""
 OBSERVED = 2
-"""Added to the first byte if the change was seen by a watch, so that it is no part of a copy from
-which the store was restored."""
+"""Added to the first byte if the change was seen by a watch, or held back for long enough, so that
+it is no outdated part of a copy from which the store was restored."""
 
 logger = logging.getLogger(__name__)
 
@@ -71,11 +72,17 @@
         for event in unsent.values():
             self._schedule(event, 0.0)
 
-    def release_held(self) -> None:
-        """Apply what was held back after a restore of the store and has not been replaced since."""
-        for followed in self._followed_by_prefix.values():
-            for event in followed.guard.release_due() if followed.guard is not None else ():
-                if self.relay_if_new(event):
+    def release_held(self, failing_prefixes: Collection[str] = ()) -> None:
+        """Apply what was held back after a restore of the store and has not been replaced since.
+
+        ``failing_prefixes`` are those that this VM fails to read at present.
+        """
+        for prefix, followed in self._followed_by_prefix.items():
+            if followed.guard is None:
+                continue
+            for event in followed.guard.release_due(is_failing=prefix in failing_prefixes):
+                # Other VMs need not hold it back as well.
+                if self.relay_if_new(event, observed=True):
                     followed.listener.handle_change(event)
 
     def relay_if_new(self, event: Item | Removal, *, observed: bool = False) -> bool:
@@ -135,6 +142,14 @@
             (f for prefix, f in self._followed_by_prefix.items() if key.startswith(prefix)), None
         )
 
+    def _has_later_fact(self, fact: Fact, last_era: int) -> bool:
+        """Return whether there is a fact about the same key from a later era."""
+        key = _stored_key(fact)
+        return self._node is not None and any(
+            self._node.facts.find(STORE_ITEM.name, _key_in_era(key, era)) is not None
+            for era in range(era_of(fact.version) + 1, last_era + 1)
+        )
+
     def _on_fact(self, fact: Fact) -> None:
         """Pass an item that another VM has read to its listener unless it is already known."""
         key = _stored_key(fact)
@@ -151,16 +166,25 @@
         guard = followed.guard
         if is_of_earlier_era:
             # This VM has read the copy of a restored store, and the other one what came after it.
-            if guard is None or isinstance(event, Removal) or not guard.supersedes_known(event):
+            if guard is None or isinstance(event, Removal):
+                return
+            if guard.supersedes_known(event):
+                guard.admits(event, observed=True)
+            elif not guard.knows(key) and not self._has_later_fact(fact, era_of(known)):
+                guard.keep_missing(event, followed.snapshot_revision)
+            else:
                 return
-            guard.admits(event, observed=True)
         else:
             if guard is not None and not guard.admits(event, observed=_is_observed(fact)):
                 return
             self._revisions_by_key[key] = fact.version
         logger.info(
             "received relayed store item",
-            extra={"key": key, "revision": fact.version, "from_vm": fact.origin},
+            extra={
+                "key": key,
+                "revision": format_revision(fact.version),
+                "from_vm": fact.origin,
+            },
         )
         followed.listener.handle_change(event)
 
@@ -174,7 +198,7 @@
     def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
         """Relay the items that are new and pass on the snapshot."""
         if self._followed.guard is not None:
-            snapshot = self._followed.guard.filter_snapshot(snapshot)
+            snapshot = self._followed.guard.filter_snapshot(snapshot, after_outage=after_outage)
         self._followed.snapshot_revision = max(self._followed.snapshot_revision, snapshot.revision)
         for item in snapshot.items:
             self._relay.relay_if_new(item)
@@ -190,13 +214,17 @@
         else:
             # Usually another VM has relayed the change before.
             logger.info(
-                "store change is not newer", extra={"key": event.key, "revision": event.revision}
+                "store change is not newer",
+                extra={"key": event.key, "revision": format_revision(event.revision)},
             )
 
 
 def _fact_key(event: Item | Removal) -> str:
-    era = era_of(event.revision)
-    return f"{era}:{event.key}" if era else event.key
+    return _key_in_era(event.key, era_of(event.revision))
+
+
+def _key_in_era(key: str, era: int) -> str:
+    return f"{era}:{key}" if era else key
 
 
 def _stored_key(fact: Fact) -> str:
--- a/src/mangosaddle/orders/_attempt_steps.py
+++ b/src/mangosaddle/orders/_attempt_steps.py
@@ -14,6 +14,7 @@
     ValueTooLarge,
     WriteFailure,
     Written,
+    epoch_of,
 )
 from ._claim_machine import (
     AwaitOutcome,
@@ -83,16 +84,21 @@
 
 
 def run_attempt(
-    key: str, claim: Claim, wall_clock: Callable[[], float]
+    key: str,
+    claim: Claim,
+    wall_clock: Callable[[], float],
+    is_sound_epoch: Callable[[int], bool] = lambda _epoch: True,
 ) -> Generator[Effect, EffectResult, AttemptResult]:
     """Claim, send and record one order.
 
-    The caller performs each yielded effect and sends its result back into the generator.
+    The caller performs each yielded effect and sends its result back into the generator. Nothing
+    is sent under a claim written in an epoch of the store for which ``is_sound_epoch`` is false.
     """
     machine = ClaimMachine(claim)
     while True:
         written = yield WriteRecord(key, claim, machine.expected_index)
-        current = apply_event(machine, to_claim_event(written, wall_clock()))
+        event = to_claim_event(written, wall_clock(), is_sound_epoch)
+        current = apply_event(machine, event)
         if not isinstance(current.decision, WriteClaim):
             break
         machine = current.machine
@@ -127,7 +133,11 @@
     return AttemptResult(answer, None if isinstance(written, Success) else pending)
 
 
-def to_claim_event(written: EffectResult, now_s: float) -> ClaimEvent:
+def to_claim_event(
+    written: EffectResult,
+    now_s: float,
+    is_sound_epoch: Callable[[int], bool] = lambda _epoch: True,
+) -> ClaimEvent:
     """Convert the result of writing a claim to an event at the wall-clock time ``now_s``."""
     if not isinstance(written, Result):
         raise TypeError("expected a store result, got a send outcome")
@@ -135,7 +145,8 @@
         value = written.unwrap()
         if not isinstance(value, Written):
             raise TypeError("expected a write result, got a read result")
-        return ClaimWritten(value.modify_index, now_s)
+        is_sound = is_sound_epoch(epoch_of(value.modify_index))
+        return ClaimWritten(value.modify_index, now_s, after_restore=not is_sound)
     failure = written.failure()
     if isinstance(failure, Conflict):
         if failure.current_index is None:
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -9,7 +9,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from .._store_revisions import NUMBER_BITS, compose, era_of, number_of
+from .._store_revisions import NUMBER_BITS, compose, era_of, number_of, wrap_era
 from ..coordination import (
     Changes,
     HistoryLostError,
@@ -43,7 +43,7 @@
 """Maximum total size of the keys and values below one prefix. 10,000 registrations and a large
 configuration take a tenth of it."""
 MS_PER_S = 1000.0
-MAX_ERA_DIGITS = 9
+MAX_ERA_DIGITS = 18
 ERA_HEADER = b"store-era"
 """Header of each response: a number that rises by one when the store is restored from a copy."""
 
@@ -171,7 +171,11 @@
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease; does nothing if it has already ended."""
-        if lease and era_of(lease) != self.era:
+        try:
+            # The store may have been restored since the last call, and have given the number to
+            # others: the renewal tells.
+            await self.renew_lease(lease)
+        except LeaseEndedError:
             return
         response = await self._call("DELETE", f"/api/kv-lease-end/{number_of(lease)}", None)
         if response.status != 404:
@@ -215,6 +219,8 @@
         self._pool.give_back(self._address, connection)
         era = _decode_era(head)
         self._record_era(era)
+        if method == "GET" and 0 < era < self.era:
+            raise StoreUnavailableError(f"{method} {target}: response is from before a restore")
         decoded = _decode_object(response)
         if decoded is None and head.status == 200:
             if method == "GET":
@@ -240,7 +246,7 @@
 
 def _decode_era(head: ResponseHead) -> int:
     value = head.view.first(ERA_HEADER) or b""
-    return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
+    return wrap_era(int(value)) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else 0
 
 
 def _decode_object(body: bytes) -> dict[str, Any] | None:
--- a/tests/platform/test_fleet_after_a_restore.py
+++ b/tests/platform/test_fleet_after_a_restore.py
@@ -6,6 +6,11 @@
 import pytest
 
 from mangosaddle._identifiers import EndpointId
+from mangosaddle.entry._entry_process import HOUSEKEEPING_INTERVAL_S
+from mangosaddle.entry._store_followers import OPERATOR_HOLD_TIMES
+from mangosaddle.entry._store_relay import STORE_ITEM
+from mangosaddle.entry._watch_policy import WatchPolicy
+from mangosaddle.membership import WATCHERS_PER_REGION
 from platform_standins import (
     Fleet,
     RunnerStandIn,
@@ -18,6 +23,8 @@
 )
 
 WATCHES_PER_VM = 3
+SHARED_WATCH_VMS = 6
+MAX_EVACUATION_DELAY_S = 5.0
 MAX_WAIT_S = 10.0
 
 
@@ -47,6 +54,24 @@
     run_on_default_fleet(_scenario)
 
 
+def test_a_restore_is_noticed_while_all_watches_are_silent() -> None:
+    """Guards against VMs that wait for changes since a revision that does not exist any more."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        store = fleet.store
+        state = store.copy_state()
+        await store.put("op/config", default_configuration(2))
+        await wait_until(lambda: vm.catalogue.version == 2)
+        store.hold_watches = True
+        await store.restore(state, breaks_connections=False)
+        await store.put("op/config", default_configuration(3))
+        async with asyncio.timeout(vm.settings.bounds.configuration_s):
+            await wait_until(lambda: vm.catalogue.version == 3)
+
+    run_on_default_fleet(_scenario)
+
+
 def test_an_endpoint_that_begins_to_leave_after_a_restore_gets_no_more_requests() -> None:
     """Guards against VMs that drop an endpoint's leaving because its revision is a former one."""
 
@@ -113,6 +138,52 @@
     run_on_default_fleet(_scenario)
 
 
+def test_vms_without_a_watch_follow_a_restored_store() -> None:
+    """Guards against large fleets in which most VMs keep to an order that has been taken back."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", default_configuration())
+        await fleet.add_runner(RunnerStandIn("desk-1", "desk", "east-a"))
+        for number in range(SHARED_WATCH_VMS):
+            vm = await fleet.add_vm(f"vm-{number}")
+            vm.watch_policy = WatchPolicy(vm.settings.vm, vm.settings.region, SHARED_WATCH_VMS)
+        await fleet.wait_until_ready()
+        vms = fleet.vms.values()
+        registries = [vm.endpoints.registry for vm in vms]
+        followers = [follower for vm in vms for follower in vm._followers]
+        watches = WATCHERS_PER_REGION * WATCHES_PER_VM
+        await wait_until(lambda: sum(row.is_watching for row in followers) == watches)
+        state = fleet.store.copy_state()
+        await fleet.store.put("op/evacuate/east-a", {})
+        await wait_until(lambda: all(row.evacuated_zones for row in registries))
+        await fleet.store.restore(state)
+        await fleet.store.put("op/config", default_configuration(2))
+        await wait_until(lambda: all(vm.catalogue.version == 2 for vm in vms))
+        assert all(row.evacuated_zones for row in registries)
+        async with asyncio.timeout(MAX_EVACUATION_DELAY_S):
+            await wait_until(lambda: not any(row.evacuated_zones for row in registries))
+
+    run_on_empty_fleet(_scenario)
+
+
+def test_an_evacuation_stays_in_force_while_the_store_is_away_again() -> None:
+    """Guards against an order that ends because the operator cannot write it again in time."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        registry = fleet.vms["vm-1"].endpoints.registry
+        state = fleet.store.copy_state()
+        await fleet.store.put("op/evacuate/east-a", {})
+        await wait_until(lambda: registry.evacuated_zones)
+        await _restore(fleet, state)
+        await fleet.store.set_fault(StoreFault.RESET)
+        await asyncio.sleep(OPERATOR_HOLD_TIMES.missing_s + 2 * HOUSEKEEPING_INTERVAL_S)
+        assert registry.evacuated_zones
+        await fleet.store.set_fault(StoreFault.NONE)
+        await wait_until(lambda: not registry.evacuated_zones)
+
+    run_on_default_fleet(_scenario)
+
+
 @pytest.mark.parametrize("is_removed", [False, True])
 def test_an_endpoint_that_has_left_is_not_used_again_after_a_restore(is_removed: bool) -> None:
     """Guards against requests to an endpoint that the copy shows as ready."""
@@ -159,6 +230,37 @@
     run_on_empty_fleet(_scenario)
 
 
+@pytest.mark.parametrize("is_taken_back", [False, True])
+def test_a_vm_that_starts_after_a_restore_keeps_to_orders_that_the_copy_lacks(
+    is_taken_back: bool,
+) -> None:
+    """Guards against requests to an evacuated zone from a VM that has not seen the order."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", default_configuration())
+        await fleet.add_runner(RunnerStandIn("desk-1", "desk", "east-a"))
+        first = await fleet.add_vm("vm-1")
+        await fleet.wait_until_ready()
+        state = fleet.store.copy_state()
+        await fleet.store.put("op/evacuate/east-a", {})
+        await wait_until(lambda: first.endpoints.registry.evacuated_zones)
+        await _restore(fleet, state)
+        if is_taken_back:
+            await fleet.store.put("op/evacuate/east-a", {})
+            await fleet.store.remove("op/evacuate/east-a")
+            await wait_until(lambda: not first.endpoints.registry.evacuated_zones)
+        registry = (await fleet.add_vm("vm-2")).endpoints.registry
+        await fleet.wait_until_ready()
+        if not is_taken_back:
+            await wait_until(lambda: registry.evacuated_zones)
+        async with asyncio.timeout(MAX_EVACUATION_DELAY_S):
+            await wait_until(lambda: not registry.evacuated_zones)
+        await asyncio.sleep(1.0)
+        assert not registry.evacuated_zones
+
+    run_on_empty_fleet(_scenario)
+
+
 async def _two_linked_vms(fleet: Fleet) -> StoreCopy:
     """Start two linked VMs and return the state of the store before them."""
     await fleet.store.put("op/config", default_configuration())
@@ -184,6 +286,25 @@
     run_on_empty_fleet(_scenario)
 
 
+def test_a_store_with_a_large_era_is_followed_like_others() -> None:
+    """Guards against revisions that do not fit into messages, and equal orders of two processes."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        fleet.store.era = 70_000
+        state = await _two_linked_vms(fleet)
+        killed = await fleet.kill_vm("vm-2")
+        await _restore(fleet, state)
+        started = await fleet.restart_vm(killed)
+        await fleet.wait_until_ready()
+        await wait_until(lambda: "vm-2" in {live.vm for live in fleet.vms["vm-1"].fleet.live()})
+        node = started.fleet.node
+        assert node is not None
+        await wait_until(lambda: bool(list(node.facts.facts(STORE_ITEM.name))))
+        assert all(fact.version < 2**64 for fact in node.facts.facts(STORE_ITEM.name))
+
+    run_on_empty_fleet(_scenario)
+
+
 def test_vms_use_the_peer_secret_that_the_store_has_after_a_restore() -> None:
     """Guards against VMs that refuse each other for ever after one has created another secret."""
 
--- a/tests/platform/test_store_faults.py
+++ b/tests/platform/test_store_faults.py
@@ -16,6 +16,7 @@
     RevisionConflictError,
     StoreUnavailableError,
 )
+from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 from mangosaddle.platform import PlatformStore, _store
 from platform_standins import (
     Behaviour,
@@ -43,6 +44,51 @@
     asyncio.run(_main())
 
 
+def test_a_lease_from_before_a_restore_is_not_revoked_for_its_new_owner() -> None:
+    """Guards against a VM that stops after a restore and removes the entry of another one."""
+
+    async def _scenario(store: StoreStandIn, client: PlatformStore) -> None:
+        await client.read("keys/")
+        state = store.copy_state()
+        lease = await client.create_lease(10.0)
+        await store.restore(state)
+        other = PlatformStore(await store.start())
+        await other.write([Put("keys/a", b"x", await other.create_lease(10.0))])
+        assert number_of(lease) == store.lease_of("keys/a")
+        await client.revoke_lease(lease)
+        other.close()
+        assert store.value("keys/a") == b"x"
+
+    _run_with_store(_scenario)
+
+
+def test_a_late_response_from_before_a_restore_is_not_used() -> None:
+    """Guards against orders that come back older with a response that was delayed."""
+
+    async def _main() -> None:
+        is_restored = asyncio.Event()
+
+        async def _handle(exchange: ServerExchange) -> None:
+            era = b"2"
+            if b"late" in exchange.target:
+                era = b"1"
+                await is_restored.wait()
+            body = b'{"items": [], "store_revision": 60}'
+            await exchange.respond(200, [(b"Store-Era", era)], body)
+
+        server = HttpServer(_handle, ServerLimits)
+        client = PlatformStore(await server.start("127.0.0.1", 0))
+        late = asyncio.create_task(client.read("late/"))
+        await client.read("keys/")
+        is_restored.set()
+        with pytest.raises(StoreUnavailableError):
+            await late
+        client.close()
+        await server.stop()
+
+    asyncio.run(_main())
+
+
 @pytest.mark.parametrize(
     ("fault", "read_error", "write_error", "written"),
     [
