Take an answer without a length as whole only if its server closes

Cause: UpstreamConnection took the end of a connection without an error as the end of such an answer. An abort by this side also ends a connection without an error. Ruled out: the framing of the answer to the caller, and the health check itself, which ends the attempt rightly as others are free.

Change: only an end of file that the server sent, while this side had not closed the connection, ends an answer without a length. Everything else is a broken answer, so that the request runs at another endpoint where it may.

--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -96,6 +96,8 @@
         self._received_bytes = 0
         self._data_or_end = asyncio.Event()
         self._connection_ended = False
+        self._closed_by_server = False
+        """Whether the server has closed its side in an orderly way, rather than this side."""
         self._aborted = False
         """Whether this side has closed the connection."""
         self._error: Exception | None = None
@@ -152,6 +154,7 @@
 
     def eof_received(self) -> bool:
         """Record that the server closed the connection."""
+        self._closed_by_server = not self._aborted
         self._connection_ended = True
         self._data_or_end.set()
         return False
@@ -374,9 +377,12 @@
             )
 
     async def _feed_parser(self) -> None:
-        """Feed the next bytes to the parser, or the end of a response without a length."""
+        """Feed the next bytes to the parser, or the end of a response without a length.
+
+        Only the server can end such a response: the connection also ends if this side aborts it.
+        """
         if not await self._wait_for_data():
-            if self._error is not None or self._framed:
+            if self._framed or not self._closed_by_server:
                 raise self._broken_response_error()
             self._parser.receive_data(b"")
             return
--- a/tests/platform_standins/_fleet.py
+++ b/tests/platform_standins/_fleet.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from mangosaddle._identifiers import RegionName, VmId, ZoneName
+from mangosaddle._identifiers import RegionName, ServiceName, VmId, ZoneName
 from mangosaddle.entry import EntryProcess, EntryProcessSettings, FleetBounds
 from mangosaddle.http11 import (
     HeaderList,
@@ -150,6 +150,16 @@
         """Wait until a VM has the registrations of these endpoints."""
         await wait_until(lambda: set(endpoints) <= set(vm.endpoints.registry.registrations_by_id()))
 
+    async def wait_for_region(self, vm: EntryProcess, region: str, *services: str) -> None:
+        """Wait until a VM may forward requests for services to a region, which has to report."""
+        clock = asyncio.get_running_loop().time
+        await wait_until(
+            lambda: all(
+                vm.regions.find(ServiceName(service), RegionName(region), clock())
+                for service in services
+            )
+        )
+
     async def call(
         self,
         vm: EntryProcess,
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -40,6 +40,8 @@
     """Responds with 200 and a body marked as gzip."""
     NO_LENGTH = "no_length"
     """Responds without a length: the body ends when the connection is closed."""
+    NO_LENGTH_HELD = "no_length_held"
+    """Like ``NO_LENGTH``, but sends the second half of the body once ``release`` is set."""
     NO_LENGTH_RESET = "no_length_reset"
     """Like ``NO_LENGTH``, but resets the connection instead of closing it."""
     GARBAGE = "garbage"
@@ -365,6 +367,11 @@
             case Behaviour.ENCODED:
                 writer.write(_head(200, request_id, size, b"Content-Encoding: gzip\r\n"))
                 writer.write(self.body)
+            case Behaviour.NO_LENGTH_HELD:
+                writer.write(_head(200, request_id, None) + self.body[: size // 2])
+                await self.release.wait()
+                writer.write(self.body[size // 2 :])
+                return False
             case Behaviour.NO_LENGTH | Behaviour.NO_LENGTH_RESET:
                 writer.write(_head(200, request_id, None) + self.body)
                 await writer.drain()
