Break off or resume a stream that ends inside an event

The stream was not resumed at another endpoint, and nothing counted against the faulty one.

Cause: bytes after the last complete event meant a broken stream only where the answer had neither a length nor chunks. The answers that other VMs forward were treated alike.

Change: whatever the framing, a part of an event at the end of a stream of events is a broken answer. It is resumed where that is allowed, broken off otherwise, and counts as a failure of the endpoint, but not as a lost connection, which would be evidence of a crash. Line ends after the last event are no part of one, and answers that state another media type than that of events are judged by their framing alone, as before.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -51,6 +51,8 @@
 MIN_SILENCE_S = 1.0
 """Time without data after which an attempt may be given up because a health check has failed: an
 endpoint at its connection limit fails the check, too."""
+EVENT_MEDIA_TYPES = frozenset({b"text/event-stream", b""})
+"""Media types of answers that consist of events; endpoints may leave out the type of a stream."""
 DEADLINE_MARGIN_S = 0.001
 """Time before a request's deadline from which the deadline counts as passed: more than the
 resolution of the clock."""
@@ -335,15 +337,19 @@
                 progress.must_resume = True
                 await sink.write(events)
                 event_at_s = clock()
-        tail = progress.splitter.take_remainder()
-        if not head.self_delimited and (tail or progress.attempt_began_at_s is None):
+        has_partial_event = progress.splitter.has_partial_event
+        if not head.self_delimited and (has_partial_event or progress.attempt_began_at_s is None):
             connection.abort()
             raise ResponseBrokenError(
                 "connection ended: no event, or a partial one",
                 response_started=True,
                 by_server=True,
             )
+        if has_partial_event and is_event_stream(answer.headers):
+            # The framing is complete, so the connection was not lost with the endpoint.
+            return AttemptResult(AttemptEnd.BROKEN, "stream ended inside an event")
         await progress.start(sink, answer.status, answer.headers)
+        tail = progress.splitter.take_remainder()
         if tail:
             await sink.write(tail)
         await sink.finish()
@@ -361,6 +367,11 @@
     return content_type.partition(b";")[0].strip().lower()
 
 
+def is_event_stream(headers: HeaderList) -> bool:
+    """Return whether an answer consists of events, so that it cannot end inside one."""
+    return _media_type(headers) in EVENT_MEDIA_TYPES
+
+
 def urgency_of(request: RoutedRequest) -> int:
     """Return the urgency for the endpoint's engine; 0 is the most urgent."""
     return max(0, request.priority)
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -32,7 +32,12 @@
     ServiceShare,
     allowed_regions,
 )
-from ._attempt import MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_BYTES, StreamProgress
+from ._attempt import (
+    MAX_BUFFERED_BODY_BYTES,
+    MAX_BUFFERED_BYTES,
+    StreamProgress,
+    is_event_stream,
+)
 from ._pause_guard import PauseGuard
 from ._results import AnswerSink, Ending, RunResult
 from ._runner import RequestRunner
@@ -169,6 +174,9 @@
     if not is_stream:
         await sink.send_whole(head.status, _headers(head), body)
         return RunResult(Ending.DELIVERED, status=head.status)
+    if progress.splitter.has_partial_event and is_event_stream(_headers(head)):
+        ending = Ending.TRUNCATED if sink.started else Ending.UNKNOWN
+        return RunResult(ending, "forwarded stream ended inside an event")
     await progress.start(sink, head.status, _headers(head))
     tail = progress.splitter.take_remainder()
     if tail:
--- a/src/mangosaddle/traffic/_events.py
+++ b/src/mangosaddle/traffic/_events.py
@@ -73,6 +73,11 @@
         """Discard the incomplete event of an interrupted attempt before the next attempt."""
         self.take_remainder()
 
+    @property
+    def has_partial_event(self) -> bool:
+        """Whether a part of an event has been received, other than line ends between events."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     def take_remainder(self) -> bytes:
         """Return and discard the bytes after the last complete event."""
         remainder = bytes(self._buffer)
--- a/tests/entry/test_endless_forwards.py
+++ b/tests/entry/test_endless_forwards.py
@@ -165,3 +165,13 @@
     result, sink, _ = _forward(kind, answers)
     assert result.ending is Ending.DELIVERED
     assert sink.data == EVENT
+
+
+@pytest.mark.parametrize("last_event", [EVENT[:1], EVENT[:-1], EVENT + EVENT[:7]])
+def test_stream_that_another_vm_ends_inside_an_event_is_not_complete(last_event: bytes) -> None:
+    """Guards against a truncated stream that a VM of an older version takes for a whole one."""
+    end = ForwardEnd(True, "delivered", "")
+    answers: list[ForwardResponsePart] = [ForwardHead(200, ""), ForwardChunk(last_event), end]
+    result, sink, _ = _forward(RequestKind.STREAM, answers)
+    assert result.ending is (Ending.TRUNCATED if EVENT in last_event else Ending.UNKNOWN)
+    assert sink.started is (EVENT in last_event)
--- a/tests/http11/test_response_ends.py
+++ b/tests/http11/test_response_ends.py
@@ -1,4 +1,4 @@
-"""Who may say that a response is complete: its framing, or the server that closes the connection."""
+"""Who may say that a response is complete: its framing, or the server that closes it."""
 
 import asyncio
 import socket
@@ -28,8 +28,7 @@
 @asynccontextmanager
 async def _connected(script: Script) -> AsyncIterator[UpstreamConnection]:
     """Yield a connection that has sent a request to a server that answers with ``script``."""
-
-    writers = []
+    writers: list[asyncio.StreamWriter] = []
 
     async def _serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writers.append(writer)
@@ -37,7 +36,8 @@
         await script(writer)
 
     server = await asyncio.start_server(_serve, "127.0.0.1")
-    connection = await UpstreamConnection.open(*server.sockets[0].getsockname()[:2], 1.0)
+    host, port = server.sockets[0].getsockname()[:2]
+    connection = await UpstreamConnection.open(host, port, 1.0)
     connection.send(REQUEST)
     try:
         yield connection
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -24,6 +24,8 @@
     """Streams the events after ``Last-Event-Id`` up to number ``event_count``."""
     CUT_STREAM = "cut_stream"
     """Closes the connection within the event that follows event ``cut_after``."""
+    TRUNCATED_STREAM = "truncated_stream"
+    """Ends the body as usual after ``truncated_bytes`` of the event that follows ``cut_after``."""
     HOLD_STREAM = "hold_stream"
     """Streams up to event ``cut_after`` and the rest once ``release`` is set."""
     FAIL = "fail"
@@ -127,6 +129,9 @@
     body: bytes = b"the whole answer"
     event_count: int = 4
     cut_after: int = 2
+    truncated_bytes: int = 7
+    has_stream_length: bool = False
+    """If set, truncated streams are sent with a length instead of chunks."""
     cold_ms: int = 0
     is_healthy: bool = True
     version: str = "v1"
@@ -334,6 +339,9 @@
             return True
         self.runs_by_request_id[request_id] += 1
         self.request_started.set()
+        if behaviour is Behaviour.TRUNCATED_STREAM:
+            writer.write(self._truncated_stream(request))
+            return True
         if behaviour in (Behaviour.STREAM, Behaviour.CUT_STREAM, Behaviour.HOLD_STREAM):
             return await self._stream(behaviour, request, reader, writer, event_interval_s)
         if behaviour.startswith(("endless", "drip")):
@@ -421,6 +429,16 @@
             self.closed_after_s.append(loop.time() - started_s)
         return False
 
+    def _truncated_stream(self, request: ReceivedRequest) -> bytes:
+        after = int(request.headers.get("last-event-id", "0") or 0)
+        events = b"".join(_event(number) for number in range(after + 1, self.cut_after + 1))
+        events += _event(self.cut_after + 1)[: self.truncated_bytes]
+        extra = b"Content-Type: text/event-stream\r\n" + self._statements()
+        request_id = request.headers.get("request-id", "")
+        if self.has_stream_length:
+            return _head(200, request_id, len(events), extra) + events
+        return _head(200, request_id, None, CHUNKED + extra) + _chunk(events) + b"0\r\n\r\n"
+
     async def _stream(
         self,
         behaviour: Behaviour,
@@ -435,7 +453,7 @@
         extra = framing + b"Content-Type: text/event-stream\r\n" + self._statements()
         writer.write(_head(200, request.headers.get("request-id", ""), None, extra))
         for number in range(after + 1, self.event_count + 1):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = _event(number)
             if event_interval_s > 0:
                 await asyncio.sleep(event_interval_s)
             if self.has_lost_power:
@@ -474,6 +492,10 @@
     return lines + id_line + b"\r\n"
 
 
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
 def _chunk(data: bytes) -> bytes:
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
