Let VMs read from the store what the relay cannot bring them

A configuration of more than 512 KiB after compression does not fit into a fact; it was logged and dropped, and the others never learnt of it.

Cause: nothing told a VM that depends on the relay that a change exists which it does not get. The same holds for an item that it cannot decode, for a change that its listener fails to apply, which counted as known from then on, and for a VM whose first reading fails while others watch: it paused its watch without ever having read, and facts expire after an hour.

Ruled out: a loss on the links, since the digests of the heartbeats make neighbours exchange facts that one of them lacks.

Change: an item that is too large is relayed without its value. A VM that gets such a fact, or one that it cannot decode or apply, reads the prefix from the store after a random delay of at most a second, unless it knows the change by then. A paused watcher makes such a reading, and repeats it until it has succeeded; it does not pause before its first reading.

--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -67,8 +67,12 @@
         self._retry_pause_s = MIN_RETRY_PAUSE_S
         self._enabled = asyncio.Event()
         self._enabled.set()
+        self._resumed = asyncio.Event()
+        """Set when a paused watcher is enabled or has to read once."""
         self._watch_call: asyncio.Task[Changes] | None = None
-        self._must_read_again = False
+        self._requested_readings = 0
+        self._served_readings = 0
+        """Number of requests that the latest successful reading has served."""
 
     @property
     def is_watching(self) -> bool:
@@ -82,6 +86,7 @@
         logger.info("watch enabled or paused", extra={"prefix": self.prefix, "wanted": enabled})
         if enabled:
             self._enabled.set()
+            self._resumed.set()
         else:
             self._enabled.clear()
 
@@ -93,11 +98,12 @@
     async def run(self) -> None:
         """Watch the prefix until cancelled."""
         while True:
-            if not self._enabled.is_set():
+            if not self._enabled.is_set() and not self._must_read:
                 # Changes during the pause are missed: read the prefix again afterwards.
                 self._revision = None
                 self._failing_since_s = None
-                await self._enabled.wait()
+                self._resumed.clear()
+                await self._resumed.wait()
             try:
                 await self._read_or_watch()
             except HistoryLostError:
@@ -122,11 +128,19 @@
             self.read_again()
 
     def read_again(self) -> None:
-        """Read the whole prefix now, without waiting for the end of a pending watch call."""
-        self._must_read_again = True
+        """Read the whole prefix now, without waiting for the end of a pending watch call.
+
+        A paused watcher reads it once, and tries until it has succeeded.
+        """
+        self._requested_readings += 1
+        self._resumed.set()
         if self._watch_call is not None:
             self._watch_call.cancel()
 
+    @property
+    def _must_read(self) -> bool:
+        return self._served_readings < self._requested_readings
+
     async def _watch(self, revision: int) -> Changes | None:
         """Return the next changes, or ``None`` if the prefix has to be read again."""
         call = asyncio.create_task(self._store.watch(self.prefix, revision, WATCH_TIMEOUT_S))
@@ -135,23 +149,24 @@
             return await call
         except asyncio.CancelledError:
             call.cancel()
-            if self._must_read_again:
+            if self._must_read:
                 return None
             raise
         finally:
             self._watch_call = None
 
     async def _read_or_watch(self) -> None:
-        if self._must_read_again:
-            self._must_read_again = False
+        if self._must_read:
             self._revision = None
         if self._revision is None:
+            requested = self._requested_readings
             snapshot = await self._store.read(self.prefix)
             ended_outage = self._record_success()
             self._revision = snapshot.revision
             era, self._era = self._era, era_of(snapshot.revision)
             was_restored = era is not None and era != self._era
             self._listener.handle_snapshot(snapshot, after_outage=ended_outage or was_restored)
+            self._served_readings = requested
             return
         changes = await self._watch(self._revision)
         if changes is not None:
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -281,6 +281,7 @@
         self._rollout_record_follower = PrefixWatcher(
             self._store, prefix, self._relay.wrap_listener(prefix, self._rollout_records), self._rng
         )
+        self._relay.add_reader(prefix, self._rollout_record_follower.read_again)
 
     def _assemble_servers(self) -> None:
         discovery = Discovery(
@@ -553,7 +554,8 @@
         region_vms = self.fleet.region_vms(self.settings.region)
         is_watcher = self.watch_policy.should_watch(len(self.fleet.all_vms()), region_vms, now)
         for follower in self._followers:
-            follower.set_enabled(is_watcher)
+            # What was relayed before this VM started may no longer be among the facts.
+            follower.set_enabled(is_watcher or follower.last_contact_s is None)
 
     # Servers
 
--- a/src/mangosaddle/entry/_store_followers.py
+++ b/src/mangosaddle/entry/_store_followers.py
@@ -47,5 +47,7 @@
     for row in followed:
         guard = RestoreGuard(row.hold_times, item_order, clock)
         listener = relay.wrap_listener(row.prefix, row.listener, guard)
-        watchers.append(PrefixWatcher(store, row.prefix, listener, rng))
+        watcher = PrefixWatcher(store, row.prefix, listener, rng)
+        relay.add_reader(row.prefix, watcher.read_again)
+        watchers.append(watcher)
     return watchers
--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -4,8 +4,8 @@
 import logging
 import random
 import zlib
-from collections.abc import Collection
-from dataclasses import dataclass
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
 
 from .._store_revisions import era_of, format_revision
 from ..coordination import Item, PrefixListener, Removal, RestoreGuard, Snapshot
@@ -19,13 +19,17 @@
 need these facts."""
 MAX_RELAY_DELAY_S = 0.3
 """Maximum random delay before an item is relayed: by then another VM has usually relayed it."""
+MAX_READING_DELAY_S = 1.0
+"""Maximum random delay before a VM reads an item that could not be relayed to it: the readings of a
+large fleet are spread, and still end within the time in which a change has to take effect."""
 LAPSE_RELAY_DELAY_S = 2.3
 """Time after an outage of the store before lapsed keys are relayed as removed: endpoints that are
 alive register again within two seconds."""
 MAX_VALUE_BYTES = 4 * 1024 * 1024
 """Maximum size of a relayed value after decompression; the store holds values of up to 1 MiB."""
-PRESENT, ABSENT = b"\x01", b"\x00"
-"""First byte of the payload: whether the key exists."""
+PRESENT, ABSENT, TOO_LARGE = b"\x01", b"\x00", b"\x04"
+"""First byte of the payload: whether the key exists, and whether its value is left out because it
+does not fit into a fact."""
 OBSERVED = 2
 """Added to the first byte if the change was seen by a watch, or held back for long enough, so that
 it is no outdated part of a copy from which the store was restored."""
@@ -40,6 +44,10 @@
     """Guards against outdated content of a restored store; ``None`` if the listener does."""
     snapshot_revision: int = 0
     """Revision of the latest snapshot, which includes all older changes."""
+    read_again: Callable[[], None] | None = None
+    """Makes this VM read the prefix itself."""
+    unread_by_key: dict[str, int] = field(default_factory=dict)
+    """Revisions that a scheduled reading has to include."""
 
 
 class StoreRelay:
@@ -61,6 +69,10 @@
         followed = self._followed_by_prefix[prefix] = _FollowedPrefix(listener, guard)
         return _RelayingListener(self, prefix, followed)
 
+    def add_reader(self, prefix: str, read_again: Callable[[], None]) -> None:
+        """Use ``read_again`` to read a prefix when the links cannot bring one of its changes."""
+        self._followed_by_prefix[prefix].read_again = read_again
+
     def connect(self, node: PeerNode) -> None:
         """Use the links of a peer node.
 
@@ -83,12 +95,11 @@
             for event in followed.guard.release_due(is_failing=prefix in failing_prefixes):
                 # Other VMs need not hold it back as well.
                 if self.relay_if_new(event, observed=True):
-                    followed.listener.handle_change(event)
+                    self._apply(followed, event)
 
     def relay_if_new(self, event: Item | Removal, *, observed: bool = False) -> bool:
         """Schedule the relay of a change read from the store; return whether it is new."""
-        known = self._revisions_by_key.get(event.key, 0)
-        if event.revision <= known:
+        if event.revision <= self._known_revision(event.key):
             return False
         self._revisions_by_key[event.key] = event.revision
         self._schedule(event, 0.0, observed=observed)
@@ -111,7 +122,7 @@
                 latest_by_key[key] = fact
         for key, fact in latest_by_key.items():
             is_missing = key not in present and fact.version < snapshot.revision
-            if is_missing and _kind(fact.payload) == PRESENT:
+            if is_missing and _kind(fact.payload) != ABSENT:
                 removal = Removal(key, snapshot.revision)
                 self._schedule(removal, LAPSE_RELAY_DELAY_S if after_outage else 0.0)
 
@@ -133,10 +144,16 @@
         try:
             fact = self._node.new_fact(STORE_ITEM.name, fact_key, event.revision, payload)
         except EncodeError as error:
-            logger.warning("cannot relay store item", extra={"key": event.key, "cause": str(error)})
-            return
+            logger.warning(
+                "store item is too large to relay, the other VMs read it themselves",
+                extra={"key": event.key, "cause": str(error)},
+            )
+            fact = self._node.new_fact(STORE_ITEM.name, fact_key, event.revision, TOO_LARGE)
         self._node.publish(fact)
 
+    def _known_revision(self, key: str) -> int:
+        return self._revisions_by_key.get(key, 0)
+
     def _find_followed(self, key: str) -> _FollowedPrefix | None:
         return next(
             (f for prefix, f in self._followed_by_prefix.items() if key.startswith(prefix)), None
@@ -156,12 +173,14 @@
         followed = self._find_followed(key)
         if followed is None:
             return
-        known = max(self._revisions_by_key.get(key, 0), followed.snapshot_revision)
+        known = max(self._known_revision(key), followed.snapshot_revision)
         is_of_earlier_era = era_of(fact.version) < era_of(known)
         if fact.version <= known and not is_of_earlier_era:
             return
         event = _decode(fact)
         if event is None:
+            if not is_of_earlier_era:
+                self._schedule_reading(followed, key, fact.version)
             return
         guard = followed.guard
         if is_of_earlier_era:
@@ -186,7 +205,36 @@
                 "from_vm": fact.origin,
             },
         )
-        followed.listener.handle_change(event)
+        self._apply(followed, event)
+
+    def _apply(self, followed: _FollowedPrefix, event: Item | Removal) -> None:
+        """Pass on a change; if the listener fails, the prefix is read again as after a watch."""
+        try:
+            followed.listener.handle_change(event)
+        # An unexpected error of one change must not end the work of the caller.
+        except Exception:
+            logger.exception("relayed store item not applied", extra={"key": event.key})
+            self._revisions_by_key.pop(event.key, None)
+            self._schedule_reading(followed, event.key, event.revision)
+
+    def _schedule_reading(self, followed: _FollowedPrefix, key: str, revision: int) -> None:
+        """Let this VM read a prefix after a random delay, unless it knows the change by then."""
+        is_scheduled = bool(followed.unread_by_key)
+        followed.unread_by_key[key] = max(revision, followed.unread_by_key.get(key, 0))
+        if not is_scheduled:
+            delay_s = self._rng.uniform(0.0, MAX_READING_DELAY_S)
+            asyncio.get_running_loop().call_later(delay_s, self._read_missed, followed)
+
+    def _read_missed(self, followed: _FollowedPrefix) -> None:
+        unread, followed.unread_by_key = followed.unread_by_key, {}
+        missed = [
+            key
+            for key, revision in unread.items()
+            if max(self._known_revision(key), followed.snapshot_revision) < revision
+        ]
+        if missed and followed.read_again is not None:
+            logger.info("reading store items that were not relayed", extra={"keys": missed})
+            followed.read_again()
 
 
 class _RelayingListener:
@@ -247,8 +295,11 @@
 
 
 def _decode(fact: Fact) -> Item | Removal | None:
+    """Return the change, or ``None`` if its value is left out or cannot be decoded."""
     if _kind(fact.payload) == ABSENT:
         return Removal(_stored_key(fact), fact.version)
+    if _kind(fact.payload) == TOO_LARGE:
+        return None
     try:
         return Item(_stored_key(fact), _decompress(fact.payload), fact.version)
     except (ValueError, zlib.error) as error:
--- a/tests/coordination/test_prefix_watcher.py
+++ b/tests/coordination/test_prefix_watcher.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from mangosaddle.coordination import Changes, Item, PrefixWatcher, Removal, Snapshot
+from mangosaddle.coordination import (
+    Changes,
+    Item,
+    PrefixWatcher,
+    Removal,
+    Snapshot,
+    StoreUnavailableError,
+)
 
 KEY = "op/config"
 
@@ -16,7 +23,7 @@
 
     def __init__(self, read_errors: list[Exception]) -> None:
         self.revision = 1
-        self.read_errors = read_errors
+        self.read_errors: list[Exception] = read_errors
 
     async def read(self, _prefix: str) -> Snapshot:
         if self.read_errors:
@@ -67,3 +74,30 @@
         task.cancel()
 
     asyncio.run(_main())
+
+
+@pytest.mark.parametrize("read_errors", [0, 3])
+def test_a_paused_watcher_reads_when_asked_to(read_errors: int) -> None:
+    """Guards against a VM that relies on others, and never reads what they cannot tell it."""
+
+    async def _main() -> None:
+        listener = _Listener(0)
+        store = _Store([])
+        watcher = PrefixWatcher(cast(Any, store), "op/", listener, random.Random(1))
+        watcher.set_enabled(False)
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.05)
+        assert listener.revisions == []
+        for revision in (3, 5):
+            store.revision = revision
+            store.read_errors = [StoreUnavailableError("busy") for _ in range(read_errors)]
+            watcher.read_again()
+            async with asyncio.timeout(5.0):
+                while not listener.revisions or listener.revisions[-1] < revision:
+                    await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        assert listener.revisions == [3, 5]
+        assert not watcher.is_watching
+        task.cancel()
+
+    asyncio.run(_main())
--- a/tests/entry/test_store_relay.py
+++ b/tests/entry/test_store_relay.py
@@ -1,16 +1,14 @@
 """Relay of store changes to VMs that do not read the store themselves."""
 
 import asyncio
-import random
 import zlib
-from collections.abc import Callable
 from typing import Any, cast
 
 import pytest
+from relay_fleet import KEY, OTHER_KEY, Node, create_item, create_relay
 
-from mangosaddle._identifiers import Incarnation, VmId
 from mangosaddle._store_revisions import compose
-from mangosaddle.coordination import HoldTimes, Item, Removal, RestoreGuard, Snapshot
+from mangosaddle.coordination import HoldTimes, Removal, RestoreGuard, Snapshot
 from mangosaddle.entry._store_listeners import LAPSE_GRACE_S
 from mangosaddle.entry._store_relay import (
     ABSENT,
@@ -18,66 +16,16 @@
     MAX_VALUE_BYTES,
     PRESENT,
     STORE_ITEM,
-    StoreRelay,
 )
-from mangosaddle.membership import Fact, FactTable
-
-PREFIX = "servers/"
-KEY, OTHER_KEY = "servers/a", "servers/b"
-
-
-class _Listener:
-    def __init__(self) -> None:
-        self.events: list[Item | Removal] = []
-
-    def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
-        pass
-
-    def handle_change(self, event: Item | Removal) -> None:
-        self.events.append(event)
-
-
-class _Node:
-    """A VM's fact table whose publications reach the other nodes at once."""
-
-    def __init__(self) -> None:
-        self.facts = FactTable([STORE_ITEM])
-        self.others: list[_Node] = []
-        self.listener: Callable[[Fact], None] | None = None
-
-    def on_fact(self, _kind: str, listener: Callable[[Fact], None]) -> None:
-        self.listener = listener
-
-    def new_fact(self, kind: str, key: str, version: int, payload: bytes) -> Fact:
-        return Fact(kind, key, VmId("vm"), Incarnation("i"), 1, version, payload, 1e12)
-
-    def publish(self, fact: Fact) -> None:
-        for node in (self, *self.others):
-            if node.facts.merge([fact], 0.0) and node.listener is not None:
-                node.listener(fact)
-
-
-def _relay(
-    node: _Node | None = None, guard: RestoreGuard | None = None
-) -> tuple[StoreRelay, Any, _Listener]:
-    relay, listener = StoreRelay(random.Random(1)), _Listener()
-    relaying = relay.wrap_listener(PREFIX, listener, guard)
-    if node is not None:
-        relay.connect(cast(Any, node))
-    return relay, relaying, listener
-
-
-def _item(key: str, revision: int) -> Item:
-    return Item(key, b"value", revision)
 
 
 def test_items_whose_delay_ends_before_the_links_exist_are_published() -> None:
     """Guards against VMs that never learn what this VM read before it had links."""
 
     async def _main() -> None:
-        node = _Node()
-        relay, relaying, _ = _relay()
-        relaying.handle_change(_item(KEY, 5))
+        node = Node()
+        relay, relaying, _ = create_relay()
+        relaying.handle_change(create_item(KEY, 5))
         await asyncio.sleep(2 * MAX_RELAY_DELAY_S)
         relay.connect(cast(Any, node))
         await asyncio.sleep(2 * MAX_RELAY_DELAY_S)
@@ -97,12 +45,14 @@
     monkeypatch.setattr("mangosaddle.entry._store_relay.LAPSE_RELAY_DELAY_S", 0.1)
 
     async def _main() -> None:
-        reading, other = _Node(), _Node()
+        reading, other = Node(), Node()
         reading.others = [other]
-        _, relaying, _ = _relay(reading)
-        _, _, listener = _relay(other)
+        _, relaying, _ = create_relay(reading)
+        _, _, listener = create_relay(other)
         reading.publish(reading.new_fact(STORE_ITEM.name, KEY, 5, PRESENT + zlib.compress(b"v")))
-        relaying.handle_snapshot(Snapshot((_item(OTHER_KEY, 4),), 9), after_outage=after_outage)
+        relaying.handle_snapshot(
+            Snapshot((create_item(OTHER_KEY, 4),), 9), after_outage=after_outage
+        )
         await asyncio.sleep(0.1 + 2 * MAX_RELAY_DELAY_S)
         assert Removal(KEY, 9) in listener.events
         assert [event.key for event in listener.events if isinstance(event, Removal)] == [KEY]
@@ -114,13 +64,13 @@
     """Guards against endpoints that are dropped while they register again after an outage."""
 
     async def _main() -> None:
-        reading, other = _Node(), _Node()
+        reading, other = Node(), Node()
         reading.others = [other]
-        _, relaying, _ = _relay(reading)
-        _, _, listener = _relay(other)
+        _, relaying, _ = create_relay(reading)
+        _, _, listener = create_relay(other)
         reading.publish(reading.new_fact(STORE_ITEM.name, KEY, 5, PRESENT + zlib.compress(b"v")))
         relaying.handle_snapshot(Snapshot((), 9), after_outage=True)
-        relaying.handle_change(_item(KEY, 10))
+        relaying.handle_change(create_item(KEY, 10))
         await asyncio.sleep(LAPSE_GRACE_S + 2 * MAX_RELAY_DELAY_S)
         assert not any(isinstance(event, Removal) for event in listener.events)
 
@@ -135,8 +85,8 @@
     """Guards against a relayed item of another version that stops the relay or empties a key."""
 
     async def _main() -> None:
-        node = _Node()
-        _, _, listener = _relay(node)
+        node = Node()
+        _, _, listener = create_relay(node)
         node.publish(node.new_fact(STORE_ITEM.name, KEY, 5, payload))
         assert listener.events == []
         node.publish(node.new_fact(STORE_ITEM.name, KEY, 6, ABSENT))
@@ -149,8 +99,8 @@
     """Guards against a small message that expands to hundreds of megabytes."""
 
     async def _main() -> None:
-        node = _Node()
-        _, _, listener = _relay(node)
+        node = Node()
+        _, _, listener = create_relay(node)
         bomb = zlib.compress(b"\0" * (MAX_VALUE_BYTES + 1))
         node.publish(node.new_fact(STORE_ITEM.name, KEY, 5, PRESENT + bomb))
         assert listener.events == []
@@ -162,13 +112,13 @@
     """Guards against VMs without a watch that keep a key for the hold times of two VMs."""
 
     async def _main() -> None:
-        reading, other = _Node(), _Node()
+        reading, other = Node(), Node()
         reading.others = [other]
         now = 0.0
         guards = [RestoreGuard(HoldTimes(3.0, 3.0), clock=lambda: now) for _ in range(2)]
-        relay, relaying, _ = _relay(reading, guards[0])
-        _, _, listener = _relay(other, guards[1])
-        relaying.handle_change(_item(KEY, compose(1, 60)))
+        relay, relaying, _ = create_relay(reading, guards[0])
+        _, _, listener = create_relay(other, guards[1])
+        relaying.handle_change(create_item(KEY, compose(1, 60)))
         await asyncio.sleep(2 * MAX_RELAY_DELAY_S)
         relaying.handle_snapshot(Snapshot((), compose(2, 55)), after_outage=True)
         now = 3.0
--- a/tests/entry/test_watch_policy.py
+++ b/tests/entry/test_watch_policy.py
@@ -1,5 +1,11 @@
 """Shared watches: in a large fleet few VMs watch the store, and all VMs learn of changes."""
 
+import asyncio
+import base64
+import random
+import zlib
+from collections.abc import Collection
+
 import pytest
 
 from mangosaddle._identifiers import RegionName, VmId
@@ -8,11 +14,14 @@
     WATCHER_REPORT_VALID_S,
     WatchPolicy,
 )
+from mangosaddle.peers._gossip import MAX_FACT_BYTES
 from platform_standins import (
     Fleet,
     RunnerStandIn,
+    StoreFault,
     default_configuration,
     run_on_empty_fleet,
+    tenant,
     wait_until,
 )
 
@@ -20,6 +29,14 @@
 REGION_VMS = [VmId(f"vm-{number}") for number in range(8)]
 
 
+class _OthersWatch(WatchPolicy):
+    """Policy of a VM for which enough others watch."""
+
+    def should_watch(self, fleet_vms: int, region_vms: Collection[VmId], now: float) -> bool:
+        """Return False."""
+        return False
+
+
 def _policies() -> dict[VmId, WatchPolicy]:
     policies = {vm: WatchPolicy(vm, EAST) for vm in REGION_VMS}
     for policy in policies.values():
@@ -83,3 +100,46 @@
         await wait_until(lambda: all(vm.catalogue.version == 3 for vm in vms))
 
     run_on_empty_fleet(_body)
+
+
+def test_a_configuration_too_large_to_relay_comes_into_force_at_all_vms() -> None:
+    """Guards against VMs that serve a withdrawn key, as they neither watch nor are told."""
+
+    async def _body(fleet: Fleet) -> None:
+        rng = random.Random(1)
+        keys = [base64.b64encode(rng.randbytes(900)).decode() for _ in range(600)]
+        many = [tenant(f"t{number}", key) for number, key in enumerate(keys)]
+        document = default_configuration()
+        await fleet.store.put("op/config", document)
+        vms = []
+        for number in range(6):
+            vms.append(await fleet.add_vm(f"vm-{number}"))
+            vms[-1].watch_policy = WatchPolicy(vms[-1].settings.vm, EAST, min_fleet_vms=1)
+        await fleet.wait_until_ready()
+        await wait_until(lambda: sum(vm._followers[0].is_watching for vm in vms) == 2)
+        for version in (2, 3):
+            tenants = [tenant("acme", f"key-{version}"), *many]
+            await fleet.store.put("op/config", document | {"version": version, "tenants": tenants})
+            async with asyncio.timeout(vms[0].settings.bounds.configuration_s):
+                await wait_until(lambda v=version: all(vm.catalogue.version == v for vm in vms))
+        assert len(zlib.compress(fleet.store.value("op/config") or b"")) > MAX_FACT_BYTES
+        assert sum(vm._followers[0].is_watching for vm in vms) == 2
+        for vm in vms:
+            assert (await fleet.call(vm, "/read/x", key="key-1")).status == 401
+
+    run_on_empty_fleet(_body)
+
+
+def test_a_vm_reads_the_store_once_before_it_relies_on_others() -> None:
+    """Guards against a new VM that knows only what is still among the relayed facts."""
+
+    async def _body(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", default_configuration())
+        await fleet.store.set_fault(StoreFault.BUSY)
+        vm = await fleet.add_vm("vm-1")
+        vm.watch_policy = _OthersWatch(vm.settings.vm, EAST)
+        await asyncio.sleep(0.3)
+        await fleet.store.set_fault(StoreFault.NONE)
+        await wait_until(lambda: vm.catalogue.version == 1)
+
+    run_on_empty_fleet(_body)
