Keep what was relayed later than a reading of the store

The guard against restored stores compares eras only. The configuration was safe, as its own version never goes back. Before the links exist, an older change could also replace a later one among the unsent ones.

Ruled out: the order of the watch's events, and readings that overlap: a watcher makes one call at a time.

It holds for all kinds of items, with and without a guard.

--- a/src/mangosaddle/entry/_store_relay.py
+++ b/src/mangosaddle/entry/_store_relay.py
@@ -58,7 +58,8 @@
         self._rng = rng
         self._node: PeerNode | None = None
         self._followed_by_prefix: dict[str, _FollowedPrefix] = {}
-        self._revisions_by_key: dict[str, int] = {}
+        self._latest_by_key: dict[str, Item | Removal] = {}
+        """Latest change of each key, whether read by this VM or received over the links."""
         self._unsent_by_key: dict[str, Item | Removal] = {}
         """Latest change of each key whose relay delay has ended before there were links."""
 
@@ -101,10 +102,29 @@
         """Schedule the relay of a change read from the store; return whether it is new."""
         if event.revision <= self._known_revision(event.key):
             return False
-        self._revisions_by_key[event.key] = event.revision
+        self._latest_by_key[event.key] = event
         self._schedule(event, 0.0, observed=observed)
         return True
 
+    def correct_snapshot(self, prefix: str, snapshot: Snapshot) -> Snapshot:
+        """Return the snapshot with the changes that were received over the links since its reading.
+
+        A reading can take longer than a change takes to arrive from another VM.
+        """
+        items_by_key = {item.key: item for item in snapshot.items}
+        for key, latest in self._latest_by_key.items():
+            if not key.startswith(prefix) or latest.revision <= snapshot.revision:
+                continue
+            read = items_by_key.get(key)
+            if read is not None and read.revision > latest.revision:
+                # Later pages of a reading may contain later changes.
+                continue
+            if isinstance(latest, Item):
+                items_by_key[key] = latest
+            else:
+                items_by_key.pop(key, None)
+        return Snapshot(tuple(items_by_key.values()), snapshot.revision)
+
     def relay_missing(self, prefix: str, snapshot: Snapshot, *, after_outage: bool) -> None:
         """Schedule the relay of removals that no VM may have seen as a change.
 
@@ -134,7 +154,9 @@
 
     def _publish(self, event: Item | Removal, observed: bool = False) -> None:
         if self._node is None:
-            self._unsent_by_key[event.key] = event
+            unsent = self._unsent_by_key.get(event.key)
+            if unsent is None or unsent.revision < event.revision:
+                self._unsent_by_key[event.key] = event
             return
         fact_key = _fact_key(event)
         known = self._node.facts.find(STORE_ITEM.name, fact_key)
@@ -152,7 +174,8 @@
         self._node.publish(fact)
 
     def _known_revision(self, key: str) -> int:
-        return self._revisions_by_key.get(key, 0)
+        latest = self._latest_by_key.get(key)
+        return latest.revision if latest is not None else 0
 
     def _find_followed(self, key: str) -> _FollowedPrefix | None:
         return next(
@@ -196,7 +219,7 @@
         else:
             if guard is not None and not guard.admits(event, observed=_is_observed(fact)):
                 return
-            self._revisions_by_key[key] = fact.version
+            self._latest_by_key[key] = event
         logger.info(
             "received relayed store item",
             extra={
@@ -214,7 +237,7 @@
         # An unexpected error of one change must not end the work of the caller.
         except Exception:
             logger.exception("relayed store item not applied", extra={"key": event.key})
-            self._revisions_by_key.pop(event.key, None)
+            self._latest_by_key.pop(event.key, None)
             self._schedule_reading(followed, event.key, event.revision)
 
     def _schedule_reading(self, followed: _FollowedPrefix, key: str, revision: int) -> None:
@@ -245,6 +268,7 @@
 
     def handle_snapshot(self, snapshot: Snapshot, *, after_outage: bool) -> None:
         """Relay the items that are new and pass on the snapshot."""
+        snapshot = self._relay.correct_snapshot(self._prefix, snapshot)
         if self._followed.guard is not None:
             snapshot = self._followed.guard.filter_snapshot(snapshot, after_outage=after_outage)
         self._followed.snapshot_revision = max(self._followed.snapshot_revision, snapshot.revision)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -55,6 +55,8 @@
         self.calls: list[str] = []
         self.hold_watches = False
         """While set, watches bring no changes, as on connections that have gone silent."""
+        self.reading_delay_s = 0.0
+        """Time that the answers to readings of a prefix take on their way."""
         self._faults: dict[int, StoreFault] = {}
         self._number = 1
         """Store revision, as responses state it."""
@@ -222,7 +224,9 @@
             item = self._items.get(parameters["key"])
             return (404, {}) if item is None else (200, item | {"store_revision": self._number})
         if path == "/api/kv-range":
-            return self._range(parameters)
+            answer = self._range(parameters)
+            await asyncio.sleep(self.reading_delay_s)
+            return answer
         if path == "/api/kv-watch":
             return await self._watch(parameters)
         async with self._changed:
