Keep a rollout state that this VM wrote later than a reading

A reading, a watched change or a second read that was older than the own write replaced the written state, so that an ended rollout counted as running until the next write was refused.

Change: records are ordered by their revisions, like the relayed changes.

--- a/src/mangosaddle/entry/_rollout_records.py
+++ b/src/mangosaddle/entry/_rollout_records.py
@@ -121,8 +121,10 @@
         """Apply all records."""
         del after_outage  # Records have no lease and cannot lapse.
         self._era = era_of(snapshot.revision)
-        self._revisions_by_service.clear()
-        self._stored_by_service.clear()
+        for service, revision in list(self._revisions_by_service.items()):
+            # A record that this VM wrote after the reading is kept.
+            if revision <= snapshot.revision:
+                self._forget(service)
         for item in snapshot.items:
             self._apply_item(item)
         for rollout in self._rollouts.active():
@@ -135,14 +137,19 @@
             self._apply_item(event)
             return
         service = self._service_of(event.key)
-        if service is not None:
-            self._revisions_by_service.pop(service, None)
-            self._stored_by_service.pop(service, None)
-            self._stored_by_service.pop(service, None)
+        if service is not None and self._is_newer(service, event.revision):
+            self._forget(service)
+
+    def _is_newer(self, service: ServiceName, revision: int) -> bool:
+        return revision > self._revisions_by_service.get(service, 0)
+
+    def _forget(self, service: ServiceName) -> None:
+        self._revisions_by_service.pop(service, None)
+        self._stored_by_service.pop(service, None)
 
     def _apply_item(self, item: Item) -> None:
         service = self._service_of(item.key)
-        if service is None:
+        if service is None or not self._is_newer(service, item.revision):
             return
         self._revisions_by_service[service] = item.revision
         decoded = self._codec.decode_status(item.key, item.value)
@@ -215,9 +222,10 @@
             revision = await self._store.write(
                 [Put(key, self._codec.encode_status(record))], expected=expected
             )
-            self._revisions_by_service[order.service] = revision
-            self._stored_by_service[order.service] = record
-            self._rollouts.apply_record(order.service, record)
+            if self._is_newer(order.service, revision):
+                self._revisions_by_service[order.service] = revision
+                self._stored_by_service[order.service] = record
+                self._rollouts.apply_record(order.service, record)
             logger.info(
                 "rollout state written",
                 extra=fields | {"revision": format_revision(revision), "reason": rollout.reason},
@@ -233,6 +241,7 @@
 
     async def _reread(self, service: ServiceName, key: str) -> None:
         """Read the record again after a write that was refused or whose outcome is unknown."""
+        known = self._revisions_by_service.get(service)
         try:
             item = await self._store.find(key)
         except CoordinationError as error:
@@ -242,6 +251,5 @@
             return
         if item is not None:
             self._apply_item(item)
-        else:
-            self._revisions_by_service.pop(service, None)
-            self._stored_by_service.pop(service, None)
+        elif self._revisions_by_service.get(service) == known:
+            self._forget(service)
--- a/tests/entry/test_rollout_records.py
+++ b/tests/entry/test_rollout_records.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import pytest
+
 from mangosaddle._identifiers import ServiceName, VersionId, VmId
 from mangosaddle._tasks import BackgroundTasks
 from mangosaddle.coordination import (
@@ -12,7 +14,9 @@
     Item,
     OutcomeUnknownError,
     Put,
+    Removal,
     RevisionConflictError,
+    Snapshot,
     StoreUnavailableError,
 )
 from mangosaddle.entry._rollout_records import WRITE_RETRY_S, RolloutRecords
@@ -154,3 +158,25 @@
     vm = _run(store, RolloutState.COMPLETED, rounds=1)
     assert vm.applied_states == [RolloutState.REVERTED]
     assert _stored_state(store) is RolloutState.REVERTED
+
+
+@pytest.mark.parametrize("lateness", [1, 5])
+@pytest.mark.parametrize("kind", ["snapshot", "empty snapshot", "change", "removal"])
+def test_what_was_read_before_the_own_write_does_not_replace_it(kind: str, lateness: int) -> None:
+    """Guards against an ended rollout that an older reading shows as running or missing."""
+    store = FakeStore()
+    vm = _run(store, RolloutState.COMPLETED)
+    assert store.item is not None
+    revision = store.item.revision - lateness
+    record = RolloutRecord(SERVICE, VersionId("v2"), RolloutState.IN_PROGRESS, 7, 0.0)
+    older = Item(KEY, codec.encode_status(record), revision)
+    if "snapshot" in kind:
+        items = () if kind == "empty snapshot" else (older,)
+        vm.records.handle_snapshot(Snapshot(items, revision), after_outage=False)
+    else:
+        vm.records.handle_change(older if kind == "change" else Removal(KEY, revision))
+    assert vm.applied_states[-1] is RolloutState.COMPLETED
+    vm.pending_state = RolloutState.COMPLETED
+    asyncio.run(vm.advance())
+    assert not vm.records._revisions_by_service.keys() - {SERVICE}
+    assert store.writes[-1] == vm.records._revisions_by_service[SERVICE]
