Fetch a configuration that is announced during a fetch

A revision that was announced meanwhile started no second fetch, and the running one ended with the revision that it was started for. Unless the VM was a watcher, it stayed at the older configuration until the next change.

Change: the fetch goes on until this VM applies the newest revision that has been announced.

--- a/src/mangosaddle/daemon/_configuration_service.py
+++ b/src/mangosaddle/daemon/_configuration_service.py
@@ -313,16 +313,19 @@
         if fact.payload and self._holder.is_loaded:
             self._apply_delta(fact.payload)
         if fact.version > self._holder.current.revision:
-            self._tasks.spawn(self._pull_until_current(fact))
+            self._tasks.spawn(self._pull_until_current())
 
-    async def _pull_until_current(self, fact: Fact) -> None:
-        """Fetch the configuration from the fact's origin or another VM until it is applied."""
+    async def _pull_until_current(self) -> None:
+        """Fetch the configuration from its fact's origin or another VM until it is applied.
+
+        A fact that arrives meanwhile starts no further task, so the newest one counts.
+        """
         if self._is_pulling:
             return
         self._is_pulling = True
         try:
             retry_delay_s = RETRY_INITIAL_S
-            while fact.version > self._holder.current.revision:
+            while (fact := self._missing_fact()) is not None:
                 if not await self._pull_from(fact.origin):
                     await self._pull_from_any()
                 if fact.version > self._holder.current.revision:
@@ -331,6 +334,11 @@
         finally:
             self._is_pulling = False
 
+    def _missing_fact(self) -> Fact | None:
+        """Return the newest fact if this VM does not apply its revision yet."""
+        fact = self._peers.facts.find(CONFIGURATION_KIND.name, CONFIGURATION_KEY)
+        return fact if fact and fact.version > self._holder.current.revision else None
+
     async def _pull_from_any(self) -> None:
         linked_vms = sorted(self._peers.linked_vms())
         self._rng.shuffle(linked_vms)
