Refuse an answer whose head is not whole, in the own interface

It could happen here in the own interface: the standard library takes the end of a connection for the end of a head. A service's answer, an engine's confirmation of a cancellation, and a VM's answer to the callers' library then looked whole and empty; streams did not, as they need their end marker. The entry processes were sound: their parser needs the blank line (tests/http11/test_response_ends.py).

Change: these clients use connections that note the last line of a head and accept nothing but a blank one.

--- a/src/mangosaddle/cli/_admin_client.py
+++ b/src/mangosaddle/cli/_admin_client.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from .._whole_heads import create_pool_manager
 from ..configuration import (
     DEFLATE_ENCODING,
     Finding,
@@ -44,7 +44,7 @@
         self._urls = urls
         self._token = token
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = create_pool_manager(retries=False)
 
     def configuration(self) -> Json:
         """Return the current revision, inventory, rules and keys."""
--- a/src/mangosaddle/client/_http.py
+++ b/src/mangosaddle/client/_http.py
@@ -6,6 +6,8 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from .._whole_heads import create_pool_manager
+
 CONNECT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS_PER_VM = 16
 
@@ -34,7 +36,7 @@
 
     def __init__(self) -> None:
         """Create an empty pool."""
-        self._pool = urllib3.PoolManager(
+        self._pool = create_pool_manager(
             maxsize=MAX_CONNECTIONS_PER_VM, retries=False, num_pools=64
         )
 
--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -12,6 +12,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from .._whole_heads import WholeHeadConnection, WholeHeadPool, create_pool_manager
 from ..providers import parse_retry_after
 from ._exceptions import EndpointCutError, EndpointRefusedError, EndpointTimeoutError, NotSentError
 
@@ -28,7 +29,7 @@
 MAX_ANSWER_BYTES = 1_048_576
 
 
-class _CloseDelimitedConnection(HTTPConnection):
+class _CloseDelimitedConnection(WholeHeadConnection):
     """Sends HTTP/1.0 requests, so that the end of the connection delimits the response body.
 
     The relay can then pass bytes on without decoding chunked framing. The end marker of the event
@@ -165,7 +166,7 @@
         """Create the connection pools; connections are opened on demand."""
         self._identifying_urls: set[str] = set()
         """Base URLs of services whose latest answer carried the id of its request."""
-        self._manager = urllib3.PoolManager(
+        self._manager = create_pool_manager(
             num_pools=64,
             maxsize=8,
             retries=False,
@@ -199,7 +200,7 @@
             return answer
         parsed = urllib3.util.parse_url(url)
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S)
-        single = HTTPConnectionPool(str(parsed.host), parsed.port, timeout=timeout, retries=False)
+        single = WholeHeadPool(str(parsed.host), parsed.port, timeout=timeout, retries=False)
         try:
             answer, is_identified = _call(single, method, path, headers, body, must_identify=False)
         finally:
--- a/src/mangosaddle/providers/_http.py
+++ b/src/mangosaddle/providers/_http.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from .._whole_heads import create_pool_manager
 from ._metrics import PlatformMetrics
 
 CONNECT_TIMEOUT_S = 1.0
@@ -74,7 +75,7 @@
         self._metrics = metrics
         self._connect_timeout_s = connect_timeout_s
         self._read_timeout_s = read_timeout_s
-        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS_PER_HOST, retries=False)
+        self._pool = create_pool_manager(maxsize=CONNECTIONS_PER_HOST, retries=False)
 
     def send(
         self,
@@ -96,7 +97,7 @@
         """
         pool = self._pool
         if on_new_connection:
-            pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+            pool = create_pool_manager(num_pools=1, maxsize=1, retries=False)
         try:
             result = self._request(
                 pool, method, path, body, headers, self._read_timeout_s + extra_wait_s, limit_bytes
--- /dev/null
+++ b/tests/gateway/test_truncated_heads.py
@@ -0,0 +1,114 @@
+"""Endpoints and services of the platform that stop within the head of their answer."""
+
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import pytest
+from prometheus_client import CollectorRegistry
+from returns.result import Success
+
+from mangosaddle._identifiers import RequestId
+from mangosaddle.client._http import AttemptFailed, HttpClient, Request, read_all
+from mangosaddle.gateway import EndpointError, ServiceClient
+from mangosaddle.gateway._endpoint import open_stream
+from mangosaddle.providers import EngineClient, PlatformMetrics
+
+HEADS = {
+    "no length": b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Other: y\r\n\r\n",
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Other: y\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Other: y\r\n\r\n0\r\n\r\n",
+    "line feeds": b"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+    "events": b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Other: y\r\n\r\n",
+}
+MAX_CALL_S = 6.0
+"""Time in which a call must end however slowly the head arrives."""
+
+
+@contextmanager
+def _server(script: Callable[[socket.socket], None]) -> Iterator[str]:
+    """Serve each connection with ``script`` once its request has arrived."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def _serve(connection: socket.socket) -> None:
+        with connection:
+            connection.recv(65_536)
+            try:
+                script(connection)
+                # A connection that is closed with unread bytes would be reset.
+                connection.shutdown(socket.SHUT_WR)
+                connection.settimeout(MAX_CALL_S)
+                while connection.recv(65_536):
+                    pass
+            except OSError:
+                return
+
+    def _accept() -> None:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=_serve, args=(connection,), daemon=True).start()
+
+    threading.Thread(target=_accept, daemon=True).start()
+    try:
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
+    finally:
+        listener.close()
+
+
+def _call_service(url: str) -> bool:
+    try:
+        ServiceClient().call(url, "GET", "/", {}, b"", may_repeat=True)
+    except EndpointError:
+        return False
+    return True
+
+
+def _open_stream(url: str) -> bool:
+    try:
+        open_stream(url, {}, "request-1", 0).socket.close()
+    except EndpointError:
+        return False
+    return True
+
+
+def _cancel_at_engine(url: str) -> bool:
+    return isinstance(
+        EngineClient(url, PlatformMetrics.from_registry(CollectorRegistry())).cancel(
+            RequestId("request-1")
+        ),
+        Success,
+    )
+
+
+def _call_vm(url: str) -> bool:
+    try:
+        read_all(HttpClient().open(url, Request("GET", "/", {}), 5.0))
+    except AttemptFailed:
+        return False
+    return True
+
+
+CALLS = {
+    "service": _call_service,
+    "engine": _cancel_at_engine,
+    "entry VM": _call_vm,
+    "stream": _open_stream,
+}
+
+
+@pytest.mark.parametrize("head", HEADS)
+@pytest.mark.parametrize("name", CALLS)
+def test_an_answer_that_stops_within_its_head_is_no_answer(name: str, head: str) -> None:
+    """Guards against an empty success for a server that stopped in the middle of its head."""
+    sent = b""
+    with _server(lambda connection: connection.sendall(sent)) as url:
+        whole = HEADS[head].index(b"\n\r\n" if b"\r\n" in HEADS[head] else b"\n\n") + 1
+        for size in range(0, whole, 3):
+            sent = HEADS[head][:size]
+            assert not CALLS[name](url), sent
+        sent = HEADS[head]
+        assert CALLS[name](url) == ((head == "events") if name == "stream" else True)
