--- a/tests/gateway/test_truncated_heads.py
+++ b/tests/gateway/test_truncated_heads.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -112,3 +113,20 @@
             assert not CALLS[name](url), sent
         sent = HEADS[head]
         assert CALLS[name](url) == ((head == "events") if name == "stream" else True)
+
+
+@pytest.mark.parametrize("name", CALLS)
+@pytest.mark.parametrize("part", [b"X-Noise: y\r\n", b"x", b"HTTP/1.1 100 Continue\r\n\r\n"])
+def test_a_head_without_end_is_abandoned(part: bytes, name: str) -> None:
+    """Guards against a thread, or memory, that a server occupies for as long as it likes."""
+
+    def _script(connection: socket.socket) -> None:
+        connection.sendall(b"" if part.startswith(b"HTTP") else b"HTTP/1.1 200 OK\r\n")
+        for _ in range(400):
+            connection.sendall(part)
+            time.sleep(0.05)
+
+    with _server(_script) as url:
+        started_s = time.monotonic()
+        assert not CALLS[name](url)
+        assert time.monotonic() - started_s < MAX_CALL_S
