Answer the requests that still run when a stopping VM exits

It could happen here: new requests are refused from 3 s on, but one that was taken before, or that still ran, kept the deadline of its caller and was cut with its connection when the process exited, unsafe ones too.

Change: from the stop signal on, no request of a caller lasts longer than until 0.2 s before the exit. It is placed, and its endpoint told, with the time that is left, so that one that cannot be completed is refused at once; one that still runs then gets 504, or 503 if nothing was sent. Requests that other VMs have forwarded are left out: those VMs repeat them elsewhere, where that is allowed, when the link is closed.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -105,6 +105,9 @@
 STOP_LISTENING_AFTER_S = 3.2
 EXIT_MARGIN_S = 0.6
 """Time before the end of the grace period at which the process exits in any case."""
+ANSWER_MARGIN_S = 0.2
+"""Time before the exit at which the requests that still run are ended, so that their callers get an
+answer rather than a closed connection."""
 MIN_DEREGISTRATION_S = 0.3
 """Time that the store gets to remove the entry of a VM that has used its whole grace period."""
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -443,6 +446,7 @@
         logger.info(
             "stopping", extra={"busy": self._servers.front.active_requests, "grace_s": grace_s}
         )
+        self.runner.end_requests_by(began_s + grace_s - ANSWER_MARGIN_S)
         await asyncio.sleep(min(REFUSE_AFTER_S, grace_s))
         self.request_handler.refuses_new_requests = True
         await asyncio.sleep(max(0.0, began_s + STOP_LISTENING_AFTER_S - self._clock()))
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Collection
 from dataclasses import replace
 from functools import partial
@@ -92,6 +93,21 @@
         self._region_vms = region_vms
         self._new_budget = new_budget
         self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
+        self._latest_end_s = math.inf
+        """Event loop time in seconds by which the requests of callers have to end."""
+        self._deadlines: set[asyncio.Timeout] = set()
+        """Deadlines of the callers' requests that run."""
+
+    def end_requests_by(self, at_s: float) -> None:
+        """End the requests of callers, also those still to come, by an event loop time in seconds.
+
+        Requests of other VMs are left out: they go on elsewhere when the link is closed.
+        """
+        self._latest_end_s = at_s
+        for deadline in self._deadlines:
+            when_s = deadline.when()
+            if when_s is not None and when_s > at_s:
+                deadline.reschedule(at_s)
 
     async def run(
         self, request: RoutedRequest, opaque: OpaqueRequest, sink: AnswerSink
@@ -99,12 +115,18 @@
         """Run a request until its answer is delivered, it fails, or its deadline passes."""
         if not request.forwarded:
             self._budget(request.service).record_request()
+            request = replace(request, deadline_s=min(request.deadline_s, self._latest_end_s))
         run = _Run(self, request, opaque, sink)
+        deadline = asyncio.timeout_at(request.deadline_s)
         try:
-            async with asyncio.timeout_at(request.deadline_s):
+            async with deadline:
+                if not request.forwarded:
+                    self._deadlines.add(deadline)
                 return await run.run_to_end()
         except TimeoutError:
             return run.timed_out()
+        finally:
+            self._deadlines.discard(deadline)
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         budget = self._budgets_by_service.get(service)
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -1,6 +1,6 @@
 """Stand-ins for the users' platform: its store, its runners and its operator."""
 
-from ._fleet import Fleet, running_fleet, wait_until
+from ._fleet import CallerResponse, Fleet, running_fleet, wait_until
 from ._operator_documents import configuration, engine_service, plain_service, route, tenant
 from ._rollout_cases import (
     OrderOutcome,
@@ -24,6 +24,7 @@
     "Arrival",
     "Behaviour",
     "Call",
+    "CallerResponse",
     "Fleet",
     "OrderOutcome",
     "PlacedOrder",
