Grant a burst only once when the VMs of a group change

In processes of the first start a new bucket was full whenever it was created, hours later too: for each VM that became the owner of a bucket since the group shrank or lost its owner, and for an organisation that lost its limit and got it again.

Change: a bucket starts full only when its organisation gets its first limit in this process, on the first start of the fleet; it starts empty otherwise. A tenant whose owner is lost has to wait for its burst to fill again.

--- a/src/mangosaddle/traffic/_allowance_limiter.py
+++ b/src/mangosaddle/traffic/_allowance_limiter.py
@@ -97,13 +97,19 @@
     def __init__(self, own: VmId, extra_burst: float = 0.0, *, first_start: bool = False) -> None:
         """Create a limiter without organisations; ``extra_burst`` is added to each burst.
 
-        Buckets start full only on the ``first_start`` of the fleet, before any VM has admitted a
-        request. Otherwise they start empty: a process may have used up the burst just before it
-        restarted, and a rolling restart would grant the burst again on every VM.
+        Buckets start full only on the ``first_start`` of the fleet, when an organisation gets its
+        limit, before any VM has admitted a request. Otherwise they start empty: a process may have
+        used up the burst just before it restarted, and a rolling restart would grant the burst
+        again on every VM. The same holds for a VM that becomes the owner of a bucket later, because
+        the group has changed.
         """
         self._own = own
         self._extra_burst = extra_burst
-        self._start_level = 1.0 if first_start else 0.0
+        self._is_first_start = first_start
+        self._seen: set[OrganisationId] = set()
+        """Organisations that have had a limit; one that gets a limit again has used its burst."""
+        self._unused: set[OrganisationId] = set()
+        """Organisations that have just got their first limit."""
         self._limits_by_id: dict[OrganisationId, AllowanceLimits] = {}
         self._buckets_by_id: dict[OrganisationId, _Bucket] = {}
         self._demand_by_id: dict[OrganisationId, _DemandAverage] = {}
@@ -122,10 +128,14 @@
     ) -> None:
         """Replace the limits; organisations that are not in the mapping are not limited."""
         self._limits_by_id = dict(limits_by_id)
+        if self._is_first_start:
+            self._unused = self._limits_by_id.keys() - self._seen
+        self._seen |= self._limits_by_id.keys()
         for buckets in (self._buckets_by_id, self._deputy_buckets_by_id):
             for organisation in buckets.keys() - self._limits_by_id.keys():
                 del buckets[organisation]
         self.rebalance(now)
+        self._unused = set()
 
     def set_vms(self, vms: frozenset[VmId], now: float) -> None:
         """Set the VMs that share the allowances."""
@@ -221,7 +231,7 @@
                 continue
             bucket = self._buckets_by_id.get(organisation)
             if bucket is None:
-                level = capacity * self._start_level
+                level = capacity if organisation in self._unused else 0.0
                 self._buckets_by_id[organisation] = _Bucket(rate, capacity, level, now)
                 continue
             bucket.refill(now)
