Count each start of an endpoint that a request crashes

Change: entry processes count the processes of endpoints, which their registrations tell apart, as they do for prompt parts already. The own interface does not learn when an engine starts, and counts by id as before.

Before: 2 of 2 new tests of test_crashing_prompt_parts.py failed (the third request got through at each VM); after: passed.

--- a/src/mangosaddle/_quarantine.py
+++ b/src/mangosaddle/_quarantine.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ._identifiers import EndpointId
-
 QUARANTINE_CRASHED_ENDPOINTS = 2
 """Number of different endpoints a request has to crash before it is quarantined."""
 CRASH_REPORT_TTL_S = 600.0
@@ -42,8 +40,12 @@
         self._expiry_by_crash: dict[tuple[str, str], float] = {}
         self._endpoints_by_fingerprint: dict[str, set[str]] = {}
 
-    def record_crash(self, fingerprint: str, endpoint: EndpointId, wall_time: float) -> None:
-        """Record that an endpoint was lost while it ran the request."""
+    def record_crash(self, fingerprint: str, endpoint: str, wall_time: float) -> None:
+        """Record that an endpoint was lost while it ran the request.
+
+        ``endpoint`` tells its processes apart where their starts are known: a request crashes one
+        endpoint as often as it starts again.
+        """
         self._add(fingerprint, endpoint, wall_time + CRASH_REPORT_TTL_S)
 
     def record_answer(self, fingerprint: str, wall_time: float) -> None:
--- a/src/mangosaddle/entry/_crash_tracker.py
+++ b/src/mangosaddle/entry/_crash_tracker.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable
 
-from .._identifiers import EndpointId
 from .._prompt_crash_exchange import PromptCrashExchange, record_prompt_crash
 from .._prompt_quarantine import (
     MAX_SUSPECT_PARTS,
@@ -84,7 +83,7 @@
     def record_endpoint_loss(self, view: EndpointView) -> None:
         """Record a crash for each request whose connection was lost with the endpoint."""
         reports = [
-            self._record_crash(fingerprint, view.id)
+            self._record_crash(fingerprint, view.incarnation)
             for fingerprint in view.crash_suspect_fingerprints
         ]
         if reports and self.reports is not None:
@@ -93,7 +92,7 @@
             self._record_prompt_crash(view)
         view.clear_crash_suspects()
 
-    def _record_crash(self, fingerprint: str, endpoint: EndpointId) -> CrashReport:
+    def _record_crash(self, fingerprint: str, endpoint: str) -> CrashReport:
         now = self._wall_clock()
         was_quarantined = self._quarantine.is_quarantined(fingerprint, now)
         self._quarantine.record_crash(fingerprint, endpoint, now)
--- a/tests/platform/test_crashing_prompt_parts.py
+++ b/tests/platform/test_crashing_prompt_parts.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import pytest
+
 from mangosaddle.entry import EntryProcess
 from platform_standins import (
     Behaviour,
+    CallerResponse,
     Fleet,
     ReceivedRequest,
     RunnerStandIn,
@@ -92,3 +95,53 @@
         assert await _ask(fleet, restarted, CRASHING_PART, 300) == 503
 
     run_on_empty_fleet(_scenario)
+
+
+async def _restart(fleet: Fleet, runner: RunnerStandIn) -> None:
+    """Start a crashed runner again under its id and address."""
+    await asyncio.sleep(RESTART_S)
+    runner.born_ms += 1000
+    await runner.start(runner.port)
+    await fleet.store.put(runner.key, runner.entry())
+    for vm in fleet.vms.values():
+        await wait_until(
+            lambda vm=vm: (
+                vm.endpoints.registry.registrations_by_id()[runner.id].incarnation.endswith(
+                    str(runner.born_ms)
+                )
+                and len(vm.endpoints.usable("desk")) == 1
+            )
+        )
+
+
+@pytest.mark.parametrize("path", ["/order/deadly", "/read/deadly"])
+def test_a_request_that_crashes_the_only_runner_again_and_again_is_refused(path: str) -> None:
+    """Guards against crashes that count once, as the runner starts again under its former id."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await fleet.store.put("op/config", default_configuration())
+        runner = await fleet.add_runner(RunnerStandIn("desk-1", "desk", "east-a"))
+        runner.behaviour = lambda seen: (
+            Behaviour.CRASH if seen.target.endswith("deadly") else Behaviour.OK
+        )
+        for name in ("vm-1", "vm-2"):
+            await fleet.add_vm(name)
+        await fleet.wait_until_ready()
+        for vm in fleet.vms.values():
+            await fleet.wait_for_endpoints(vm, "desk-1")
+        for number in range(6):
+            vm = fleet.vms[f"vm-{number % 2 + 1}"]
+            answer = await fleet.call(vm, path, method="POST", body=b"deadly")
+            assert answer.status in ((502,) if number < 2 else (503,))
+            assert (await _serve_again(fleet, runner, vm)).status == 200
+        targets = [seen.target for seen in runner.received_requests]
+        assert targets.count(path) == 2
+
+    run_on_empty_fleet(_scenario)
+
+
+async def _serve_again(fleet: Fleet, runner: RunnerStandIn, vm: EntryProcess) -> CallerResponse:
+    """Restart the runner if it has crashed, and call it with a sound order."""
+    if not runner.is_listening:
+        await _restart(fleet, runner)
+    return await fleet.call(vm, "/order/sound", method="POST", body=b"sound")
