Reset a stream to an HTTP/1.0 caller that is not finished

A stream that was broken off, whose handler failed, or that a stopping server cancelled ended like a whole one.

Change: such a connection is reset. With HTTP/1.1 the missing final chunk tells, so that these connections are closed as before and the caller keeps the events that are under way.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -15,7 +15,7 @@
     has_too_much_framing,
 )
 from ._headers import HeaderList, HeaderView
-from ._sockets import set_tcp_options
+from ._sockets import reset_on_close, set_tcp_options
 
 READ_CHUNK_BYTES = 64 * 1024
 MAX_PIPELINED_BYTES = 256 * 1024
@@ -56,6 +56,7 @@
         """Whether the head of the response has been sent."""
         self.finished = False
         self._connection = connection
+        self._http_version = request.http_version
 
     async def respond(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send a complete response."""
@@ -67,6 +68,7 @@
     async def start(self, status: int, headers: HeaderList) -> None:
         """Send the head of a response of unknown length (chunked encoding)."""
         self._begin(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+        self._connection.has_open_end = self._http_version < b"1.1"
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body, and wait while the client reads too slowly."""
@@ -76,13 +78,13 @@
     async def finish(self) -> None:
         """End the response."""
         self._connection.send(h11.EndOfMessage())
+        self._connection.has_open_end = False
         self.finished = True
         await self._connection.writer.drain()
 
     def abort(self) -> None:
         """Abort the connection, so that an incomplete response cannot look complete."""
-        self._connection.broken = True
-        self._connection.writer.transport.abort()
+        self._connection.abort()
 
     def close_after_response(self) -> None:
         """Send ``Connection: close`` with the response and close the connection after it."""
@@ -153,7 +155,7 @@
     def abort_connections(self) -> None:
         """Abort all connections, including those with requests in progress."""
         for connection in list(self._connections):
-            connection.writer.transport.abort()
+            connection.abort()
 
     async def stop(self) -> None:
         """Close the listening socket and cancel all requests."""
@@ -176,8 +178,8 @@
             logger.debug("client connection closed by the server")
         finally:
             self._connections.discard(connection)
-            if connection.broken:
-                writer.transport.abort()
+            if connection.broken or connection.has_open_end:
+                connection.abort()
             else:
                 writer.close()
 
@@ -200,6 +202,9 @@
         self.busy = False
         self.broken = False
         self.close_after_response = False
+        self.has_open_end = False
+        """Whether a response is being sent that ends with the connection, as HTTP/1.0 has no
+        chunks."""
         self.task = asyncio.current_task()
         self._reader = reader
         self._must_end = False
@@ -223,6 +228,13 @@
         if data:
             self.writer.write(data)
 
+    def abort(self) -> None:
+        """Close the connection at once; a response that would end with it is reset."""
+        self.broken = True
+        if self.has_open_end:
+            reset_on_close(self.writer.transport)
+        self.writer.transport.abort()
+
     def end_idle_wait(self) -> None:
         """Close the connection unless a part of a request has arrived."""
         if self._idle_wait is not None and not self._idle_wait.expired():
