Order the limits that endpoints state whatever the clocks say

After a VM whose clock was ahead, as after a step of the clock, later statements of other VMs lost against its own: VMs that send the endpoint nothing kept to a limit that had been lifted, or missed a new one, for up to a minute.

Change: a statement's version is above that of the one that its VM knows.

--- a/src/mangosaddle/entry/_statement_exchange.py
+++ b/src/mangosaddle/entry/_statement_exchange.py
@@ -16,7 +16,8 @@
 ENDPOINT_LIMIT = FactKind(
     "endpoint-limit", HIGHEST_VERSION, lifetime_s=LIMIT_TTL_S, regional=True, reconciled=False
 )
-"""Limit that an endpoint has stated; the version is the wall-clock time in milliseconds."""
+"""Limit that an endpoint has stated; the version is the wall-clock time in milliseconds, or higher
+than that of the statement before."""
 LEAVING_LIFETIME_S = 600.0
 """Time for which VMs that start learn that an endpoint is leaving: longer than one takes to end."""
 ENDPOINT_LEAVING = FactKind("endpoint-leaving", HIGHEST_VERSION, lifetime_s=LEAVING_LIFETIME_S)
@@ -96,7 +97,10 @@
     def _publish_limit(self, endpoint: EndpointId, limit_per_s: float | None) -> None:
         if self._node is None:
             return
-        version_ms = int(self._wall_clock() * MS_PER_S)
+        # The clock of the VM that published before may be ahead of this one.
+        known = self._node.facts.find(ENDPOINT_LIMIT.name, endpoint)
+        next_ms = known.version + 1 if known is not None else 0
+        version_ms = max(int(self._wall_clock() * MS_PER_S), next_ms)
         payload = cbor2.dumps(limit_per_s)
         fact = self._node.new_fact(ENDPOINT_LIMIT.name, endpoint, version_ms, payload)
         self._node.publish(fact)
--- a/tests/platform/test_endpoint_limits.py
+++ b/tests/platform/test_endpoint_limits.py
@@ -1,9 +1,11 @@
 """Limits on their requests that endpoints name in their answers."""
 
 import asyncio
+import time
 
 import pytest
 
+from mangosaddle.entry import EntryProcess
 from platform_standins import (
     Behaviour,
     Fleet,
@@ -11,6 +13,7 @@
     Traffic,
     default_configuration,
     run_on_empty_fleet,
+    wait_until,
 )
 
 LIMIT_PER_S = 1.0
@@ -62,3 +65,32 @@
         assert {call.status for call in traffic.calls} == {200}
 
     run_on_empty_fleet(_scenario)
+
+
+@pytest.mark.parametrize("ahead_s", [-60.0, 60.0])
+def test_a_later_statement_replaces_one_of_a_vm_with_another_clock(ahead_s: float) -> None:
+    """Guards against a limit that lasts on at VMs whose latest word came from a fast clock."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _start(fleet, "desk", Behaviour.OK)
+        await fleet.store.remove(fleet.runners["free"].key)
+        limited = fleet.runners["limited"]
+        vms = list(fleet.vms.values())
+        await wait_until(lambda: all(len(list(vm.endpoints.views())) == 1 for vm in vms))
+        vms[0].statements._wall_clock = lambda: time.time() + ahead_s
+        for limit_per_s, asked in ((50.0, vms[0]), (None, vms[1]), (40.0, vms[0])):
+            limited.limit_per_s = limit_per_s
+            await _call_until_served(fleet, asked)
+            await wait_until(lambda wanted=limit_per_s: {_limit(vm) for vm in vms} == {wanted})
+
+    run_on_empty_fleet(_scenario)
+
+
+async def _call_until_served(fleet: Fleet, vm: EntryProcess) -> None:
+    while (await fleet.call(vm, "/read/x")).status != 200:
+        await asyncio.sleep(0.1)
+
+
+def _limit(vm: EntryProcess) -> float | None:
+    (view,) = vm.endpoints.views()
+    return view.statements.limit.current(asyncio.get_running_loop().time())
