Draw half answers, truncated streams and slow readings in the soak

One seed in ten has twelve VMs, of which only some watch the store. The kinds are drawn apart, so that earlier seeds keep their other faults.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
     ADDED_FAULT_KINDS,
     FAULT_KINDS,
     FAULT_PHASE_S,
+    ORDER_KINDS,
     STATEMENT_KINDS,
     run_seed,
     schedule,
@@ -28,7 +29,7 @@
     """Guards against failures that cannot be reproduced from their seed."""
     assert schedule(7) == schedule(7) != schedule(8)
     faults = [fault for seed in range(200) for fault in schedule(seed)]
-    kinds = {*FAULT_KINDS, *ADDED_FAULT_KINDS, *STATEMENT_KINDS}
+    kinds = {*FAULT_KINDS, *ADDED_FAULT_KINDS, *STATEMENT_KINDS, *ORDER_KINDS}
     assert {fault.kind for fault in faults} == kinds
     assert all(0.0 <= fault.at_s <= FAULT_PHASE_S for fault in faults)
 
--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -59,6 +59,7 @@
             endpoint.fault = None
             endpoint.runner.retry_after = None
         await self._fleet.store.set_fault(StoreFault.NONE)
+        self._fleet.store.reading_delay_s = 0.0
 
     async def inject(self, fault: PlannedFault) -> None:
         """Wait until the fault is due, inject it and clear it after its duration."""
@@ -80,6 +81,10 @@
             "configuration": self._change_configuration,
             "runner_leaving": self._announce_leaving,
             "runner_wait": self._ask_to_wait,
+            "runner_dark": self._darken_runner,
+            "runner_truncates": self._truncate_streams,
+            "slow_reading": self._read_slowly,
+            "large_configuration": self._enlarge_configuration,
         }
         await handlers[fault.kind](fault)
 
@@ -224,6 +229,51 @@
         self._fleet.has_extra_route = not self._fleet.has_extra_route
         await self._fleet.put_configuration()
 
+    async def _darken_runner(self, fault: PlannedFault) -> None:
+        """Let a runner send half of its answers without a length, fall silent and reset them."""
+        endpoint = self._target_endpoint(fault)
+        runner = endpoint.runner
+        is_desk = runner.service == "desk"
+        runner.release.clear()
+        runner.silent_health_checks = runner.unframed_streams = True
+        endpoint.fault = Behaviour.NO_LENGTH_HELD if is_desk else Behaviour.HOLD_STREAM
+        await asyncio.sleep(fault.duration_s)
+        await runner.stop()
+        endpoint.fault = None
+        runner.silent_health_checks = runner.unframed_streams = False
+        runner.release.set()
+        await runner.start(runner.port)
+
+    async def _truncate_streams(self, fault: PlannedFault) -> None:
+        endpoint = self._target_endpoint(fault)
+        if endpoint.runner.service != "engine":
+            return
+        endpoint.runner.truncated_bytes = 1 + fault.variant % 15
+        endpoint.runner.has_stream_length = bool(fault.variant % 2)
+        endpoint.fault = Behaviour.TRUNCATED_STREAM
+        await asyncio.sleep(fault.duration_s)
+        endpoint.fault = None
+
+    async def _read_slowly(self, fault: PlannedFault) -> None:
+        """Let some VMs read the store again, and change it before their readings arrive."""
+        store = self._fleet.store
+        store.reading_delay_s = fault.duration_s / 2
+        for number in range(len(self._fleet.vms)):
+            if number % 2 == fault.target % 2:
+                await store.set_fault(StoreFault.RESET, number)
+                await store.set_fault(StoreFault.NONE, number)
+        await asyncio.sleep(REWRITE_DELAY_S)
+        await self._change_configuration(fault)
+        await self._drain_runner(fault)
+        store.reading_delay_s = 0.0
+
+    async def _enlarge_configuration(self, fault: PlannedFault) -> None:
+        self._fleet.has_many_tenants = True
+        await self._change_configuration(fault)
+        await asyncio.sleep(fault.duration_s)
+        self._fleet.has_many_tenants = False
+        await self._change_configuration(fault)
+
     def _begin_disturbance(self, vm: VmProcess) -> Disturbance:
         disturbance = Disturbance(_now())
         vm.disturbances.append(disturbance)
--- a/tests/soak_harness/_fleet.py
+++ b/tests/soak_harness/_fleet.py
@@ -1,12 +1,15 @@
 """Fleet of one run: entry processes, and stand-ins for the store and runners behind proxies."""
 
 import asyncio
+import base64
 import itertools
 import random
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import cache
 from pathlib import Path
+from typing import Any
 
 from mangosaddle.http11 import HttpError, UpstreamConnection, UpstreamRequest
 from platform_standins import (
@@ -22,8 +25,13 @@
 from ._checks import Allowance, Arrival
 from ._processes import FRONT_PORT, READY_PORT, VmProcess
 from ._proxy import LinkFault, LoopbackProxy
+from ._schedule import has_large_fleet
 
 VMS = (("vm-1", "east-a"), ("vm-2", "east-a"), ("vm-3", "west-a"), ("vm-4", "west-a"))
+LARGE_FLEET_VMS = 12
+"""Fleet size from which only some VMs watch the store."""
+MANY_TENANTS, KEY_BYTES = 600, 900
+"""Tenants of a configuration that is too large to be relayed, and size of the key of each."""
 RUNNERS = (
     ("desk-1", "desk", "east-a"),
     ("desk-2", "desk", "west-a"),
@@ -84,6 +92,8 @@
     version: int = 1
     has_extra_route: bool = False
     """Whether the configuration contains the route ``/extra/``."""
+    has_many_tenants: bool = False
+    """Whether the configuration is too large to be relayed."""
 
     async def start(self) -> None:
         """Start all parts and wait until all VMs are ready; raises ``TimeoutError``."""
@@ -96,7 +106,7 @@
             runner.behaviour = self._behaviour_chooser(endpoint)
             self.endpoints.append(endpoint)
             await self.store.put(runner.key, endpoint.entry())
-        for number, (name, zone) in enumerate(VMS, 1):
+        for number, (name, zone) in enumerate(self._planned_vms(), 1):
             link = LoopbackProxy(*await self.store.start())
             self.store_links.append(link)
             host = f"{self.network}.{number}"
@@ -107,6 +117,10 @@
         for vm in self.vms:
             await self.wait_until_ready(vm, START_TIMEOUT_S)
 
+    def _planned_vms(self) -> list[tuple[str, str]]:
+        count = LARGE_FLEET_VMS if has_large_fleet(self.seed) else len(VMS)
+        return [(f"vm-{number + 1}", VMS[number % len(VMS)][1]) for number in range(count)]
+
     async def stop(self) -> None:
         """Stop all VMs, proxies, runners and the store."""
         for vm in self.vms:
@@ -153,6 +167,8 @@
                 "bell", "key-2", rate_per_s=int(ALLOWANCE.rate_per_s), burst=int(ALLOWANCE.burst)
             ),
         ]
+        if self.has_many_tenants:
+            tenants += _many_tenants()
         await self.store.put("op/config", default | {"routes": routes, "tenants": tenants})
 
     async def rewrite_entries(self) -> None:
@@ -188,3 +204,10 @@
             return False
         connection.abort()
         return head.status == 200
+
+
+@cache
+def _many_tenants() -> list[dict[str, Any]]:
+    rng = random.Random(1)
+    keys = [base64.b64encode(rng.randbytes(KEY_BYTES)).decode() for _ in range(MANY_TENANTS)]
+    return [tenant(f"t{number}", key) for number, key in enumerate(keys)]
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -31,6 +31,14 @@
 """Series of a run that are drawn from ``STATEMENT_KINDS``."""
 STATEMENT_KINDS = ("runner_leaving", "runner_wait")
 """Statements of runners about themselves, drawn apart as well."""
+ORDER_SERIES = 3
+"""Series of a run that are drawn from ``ORDER_KINDS``."""
+ORDER_KINDS = ("runner_dark", "runner_truncates", "slow_reading", "large_configuration")
+"""Faults in which something partial or older arrives late: half an answer before its runner goes
+dark, a part of an event, a reading of the store while other VMs relay what has changed since, and a
+configuration that is too large to be relayed."""
+LARGE_FLEET_SHARE = 0.1
+"""Share of the seeds whose fleet is so large that only some VMs watch the store."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -56,9 +64,16 @@
     faults += _draw_series(added, ADDED_FAULT_KINDS, faults_s, ADDED_SERIES)
     statements = random.Random(f"{seed} statements")
     faults += _draw_series(statements, STATEMENT_KINDS, faults_s, STATEMENT_SERIES)
+    order = random.Random(f"{seed} order of events")
+    faults += _draw_series(order, ORDER_KINDS, faults_s, ORDER_SERIES)
     return sorted(faults)
 
 
+def has_large_fleet(seed: int) -> bool:
+    """Return whether a run has so many VMs that most of them depend on relayed changes."""
+    return random.Random(f"{seed} size").random() < LARGE_FLEET_SHARE
+
+
 def _draw_series(
     rng: random.Random, kinds: Sequence[str], faults_s: float, series: int
 ) -> list[PlannedFault]:
