Excuse a restart since an endpoint's statement that it is leaving

The users' rule (DRAIN) excuses a restart or a freeze of the machine since then; the check knew kills and pauses only, not a stop by SIGTERM.

Change: a process of the VM that began since the statement excuses it. The check of stated waits stays as it is, since no trace shows such a case there.

--- a/tests/soak_harness/_processes.py
+++ b/tests/soak_harness/_processes.py
@@ -53,6 +53,8 @@
     expected_to_run: bool = False
     was_started: bool = False
     disturbances: list[Disturbance] = field(default_factory=list)
+    started_at_s: list[float] = field(default_factory=list)
+    """Event loop times of the starts of its processes."""
 
     @property
     def settings_path(self) -> Path:
@@ -89,6 +91,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.started_at_s.append(asyncio.get_running_loop().time())
         self.expected_to_run = self.was_started = True
 
     def signal(self, number: signal.Signals) -> None:
@@ -113,6 +116,10 @@
             self.signal(signal.SIGKILL)
             await self.process.wait()
 
+    def was_started_in(self, begin_s: float, end_s: float) -> bool:
+        """Return whether a process of this VM began within the given time span."""
+        return any(begin_s <= at_s <= end_s for at_s in self.started_at_s)
+
     def was_disturbed(self, begin_s: float, end_s: float) -> bool:
         """Return whether a disturbance overlaps the given time span."""
         return any(d.begin_s <= end_s and begin_s <= d.end_s for d in self.disturbances)
--- a/tests/soak_harness/_statement_checks.py
+++ b/tests/soak_harness/_statement_checks.py
@@ -31,6 +31,7 @@
 
 
 def _check_leaving(received: list[tuple[Arrival, Call]]) -> Iterator[str]:
+    """Yield breaches of a statement of leaving; a pause or a start of the VM since excuses it."""
     told_at_s: dict[tuple[str, int, str], float] = {}
     for arrival, call in received:
         key = (arrival.endpoint, arrival.born_ms, call.vm.name)
@@ -39,6 +40,7 @@
             since_s is not None
             and call.sent_s > since_s + DRAIN_TIMEOUT_S
             and not call.vm.was_disturbed(since_s, arrival.at_s)
+            and not call.vm.was_started_in(since_s, arrival.at_s)
         ):
             yield f"{call.id} reached {arrival.endpoint}, which had told that it was leaving"
         if arrival.is_leaving and call.says_leaving:
