Refuse a chunk whose size is cut off, in the own interface

Found with tests that cut a body at each byte: the standard library reads the size of a chunk up to the end of the connection, so that "0", the first digit of a size with leading zeros, passes for the last chunk.

Change: the stream of a response returns no part of a line that the connection cut off, in the head and in the chunks after it.

--- a/src/mangosaddle/_whole_heads.py
+++ b/src/mangosaddle/_whole_heads.py
@@ -1,7 +1,8 @@
 """urllib3 connections that accept a response only if its head is whole.
 
-The standard library takes the end of a connection for the end of a head. A server that stops within
-a head would then seem to have sent an empty response.
+The standard library takes the end of a connection for the end of a head, or of the line with the
+size of a chunk. A server that stops within a head would seem to have sent an empty response, and
+one that stops after the first digit of a size the last chunk.
 """
 
 import http.client
@@ -23,66 +24,76 @@
     """The connection ended within the head, or the head is too large."""
 
 
-class _HeadReader:
-    """Reads the lines of a response head within the limits of this module."""
+class _WholeLineReader:
+    """Stream of a response whose lines are whole; those of the head come within its limits."""
 
     def __init__(self, stream: Any) -> None:  # noqa: ANN401
         self.last_line = b""
         self._stream = stream
-        self._read_bytes = 0
+        self._is_in_head = True
+        self._head_bytes = 0
         self._heads = 0
         self._deadline_s: float | None = None
 
-    def readline(self, limit: int) -> bytes:
-        """Return the next line, or less at the end of the connection or after ``limit`` bytes.
+    def __getattr__(self, name: str) -> Any:  # noqa: ANN401
+        """Return an attribute of the underlying stream."""
+        return getattr(self._stream, name)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line, or its first ``limit`` bytes; empty if the stream ends within it.
 
         Raises ``IncompleteHeadError``, and ``TimeoutError`` if the head takes too long.
         """
         line = bytearray()
-        while len(line) < limit and not line.endswith(b"\n"):
+        while len(line) != limit and not line.endswith(b"\n"):
             available = self._stream.peek(1)
-            now = time.monotonic()
-            if self._deadline_s is None:
-                self._deadline_s = now + HEAD_TIMEOUT_S
-            elif now > self._deadline_s:
-                raise TimeoutError("response head takes too long")
-            end = available.find(b"\n") + 1 or len(available)
-            line += self._stream.read(min(end, limit - len(line)))
             if not available:
+                line.clear()
                 break
-        self._read_bytes += len(line)
-        if self._read_bytes > MAX_HEAD_BYTES:
-            raise IncompleteHeadError(f"response head exceeds {MAX_HEAD_BYTES} B")
+            end = available.find(b"\n") + 1 or len(available)
+            line += self._stream.read(end if limit < 0 else min(end, limit - len(line)))
+            if self._is_in_head:
+                self._check_duration()
         self.last_line = bytes(line)
-        if self.last_line in LINE_ENDS:
-            self._end_head()
+        if self._is_in_head:
+            self._check_size()
         return self.last_line
 
-    def _end_head(self) -> None:
-        self._deadline_s = None
-        self._heads += 1
-        if self._heads > MAX_INFORMATIONAL_RESPONSES + 1:
-            raise IncompleteHeadError("too many informational responses")
+    def end_head(self) -> None:
+        """Check that the head is whole, and apply its limits no longer."""
+        self._is_in_head = False
+        if self.last_line not in LINE_ENDS:
+            raise IncompleteHeadError("connection ended within the response head")
 
-    def close(self) -> None:
-        """Close the underlying stream; responses without a body do so after their head."""
-        self._stream.close()
+    def _check_duration(self) -> None:
+        now = time.monotonic()
+        if self._deadline_s is None:
+            self._deadline_s = now + HEAD_TIMEOUT_S
+        elif now > self._deadline_s:
+            raise TimeoutError("response head takes too long")
+
+    def _check_size(self) -> None:
+        self._head_bytes += len(self.last_line)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise IncompleteHeadError(f"response head exceeds {MAX_HEAD_BYTES} B")
+        if self.last_line in LINE_ENDS:
+            self._deadline_s = None
+            self._heads += 1
+            if self._heads > MAX_INFORMATIONAL_RESPONSES + 1:
+                raise IncompleteHeadError("too many informational responses")
 
 
 class _WholeHeadResponse(http.client.HTTPResponse):
     def begin(self) -> None:
-        """Read the head; raises ``IncompleteHeadError``."""
-        stream = self.fp
-        reader = _HeadReader(stream)
+        """Read the head; raises ``IncompleteHeadError`` and ``TimeoutError``."""
+        reader = _WholeLineReader(self.fp)
         self.fp = cast(Any, reader)
+        super().begin()
         try:
-            super().begin()
-        finally:
-            if cast(Any, self.fp) is reader:
-                self.fp = stream
-        if reader.last_line not in LINE_ENDS:
+            reader.end_head()
+        except IncompleteHeadError:
             self.close()
-            raise IncompleteHeadError("connection ended within the response head")
+            raise
 
 
 class WholeHeadConnection(HTTPConnection):
--- a/tests/gateway/test_truncated_heads.py
+++ b/tests/gateway/test_truncated_heads.py
@@ -115,6 +115,26 @@
         assert CALLS[name](url) == ((head == "events") if name == "stream" else True)
 
 
+BODIES = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + b"x" * 20,
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("body", BODIES)
+@pytest.mark.parametrize("name", ["service", "engine", "entry VM"])
+def test_an_answer_that_stops_within_its_body_is_no_answer(name: str, body: str) -> None:
+    """Guards against a part of a body that is taken for the whole one."""
+    sent = b""
+    with _server(lambda connection: connection.sendall(sent)) as url:
+        whole = len(BODIES[body]) - (2 if body == "chunks" else 0)
+        for size in range(BODIES[body].index(b"\r\n\r\n") + 4, whole):
+            sent = BODIES[body][:size]
+            assert not CALLS[name](url), sent
+        sent = BODIES[body]
+        assert CALLS[name](url)
+
+
 @pytest.mark.parametrize("name", CALLS)
 @pytest.mark.parametrize("part", [b"X-Noise: y\r\n", b"x", b"HTTP/1.1 100 Continue\r\n\r\n"])
 def test_a_head_without_end_is_abandoned(part: bytes, name: str) -> None:
