Let the soak reset what it says it resets

Change: the proxy and the stopped runners of the soak send resets. The checks are unchanged. The stand-in of the platform tests stops as before.

--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -9,6 +9,8 @@
 
 import h11
 
+from mangosaddle.http11._sockets import reset_on_close
+
 from ._version_fault import NO_EFFECT, VersionFault
 
 
@@ -185,11 +187,16 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    async def stop(self) -> None:
-        """Stop listening and abort all connections, as in a crash."""
+    async def stop(self, *, resets: bool = False) -> None:
+        """Stop listening and abort all connections, as in a crash.
+
+        Without ``resets`` the peer sees an orderly end, unless it has sent bytes that are not read.
+        """
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
+            if resets:
+                reset_on_close(writer.transport)
             writer.transport.abort()
 
     @property
@@ -385,7 +392,8 @@
                 await writer.drain()
                 if behaviour is Behaviour.NO_LENGTH_RESET:
                     await asyncio.sleep(0)
-                    _reset(writer)
+                    reset_on_close(writer.transport)
+                    writer.transport.abort()
                 return False
             case Behaviour.GARBAGE:
                 writer.write(b"\x00\x01 this is no answer\r\n\r\n")
@@ -547,13 +555,3 @@
             return chunked, b"400\r\n" + b"x" * 1024 + b"\r\n"
         case _:
             return chunked, letter
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Reset the connection: with a linger time of zero, closing sends RST instead of FIN."""
-    import socket
-    import struct
-
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -188,9 +188,9 @@
 
     async def _crash_runner(self, fault: PlannedFault) -> None:
         runner = self._target_endpoint(fault).runner
-        await runner.stop()
+        await runner.stop(resets=True)
         await asyncio.sleep(fault.duration_s)
-        await runner.stop()
+        await runner.stop(resets=True)
         await runner.start(runner.port)
 
     async def _drain_runner(self, fault: PlannedFault) -> None:
@@ -210,7 +210,7 @@
             endpoint.state = "draining"
             await self._fleet.store.put(runner.key, endpoint.entry())
         await asyncio.sleep(DRAIN_TIMEOUT_S + fault.duration_s)
-        await runner.stop()
+        await runner.stop(resets=True)
         runner.is_leaving = False
         runner.born_ms += 1
         endpoint.state = "ready"
@@ -238,7 +238,7 @@
         runner.silent_health_checks = runner.unframed_streams = True
         endpoint.fault = Behaviour.NO_LENGTH_HELD if is_desk else Behaviour.HOLD_STREAM
         await asyncio.sleep(fault.duration_s)
-        await runner.stop()
+        await runner.stop(resets=True)
         endpoint.fault = None
         runner.silent_health_checks = runner.unframed_streams = False
         runner.release.set()
--- a/tests/soak_harness/_proxy.py
+++ b/tests/soak_harness/_proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 from enum import StrEnum
 
+from mangosaddle.http11._sockets import reset_on_close
+
 CHUNK_BYTES = 64 * 1024
 DELAY_S = 0.3
 
@@ -58,18 +60,18 @@
 
     def _reset_all(self) -> None:
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.fault is LinkFault.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         for source, sink, is_response in (
             (reader, target_writer, False),
@@ -95,6 +97,12 @@
                 await sink.drain()
             sink.close()
         except OSError:
-            sink.transport.abort()
+            _reset(sink)
         finally:
             self._writers.discard(sink)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection: an orderly end would complete an answer without a length."""
+    reset_on_close(writer.transport)
+    writer.transport.abort()
