--- a/tests/gateway/test_service_connections.py
+++ b/tests/gateway/test_service_connections.py
@@ -1,12 +1,12 @@
 """Connections to plain services: answers sent twice, and answers that never end."""
 
 import socket
-import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
+from contextlib import AbstractContextManager
 
 import pytest
+from scripted_servers import serve
 
 from mangosaddle.gateway import EndpointError, ServiceClient
 from mangosaddle.gateway._endpoint import open_stream
@@ -24,10 +24,8 @@
     return (head + body).encode()
 
 
-@contextmanager
-def _service(script: Script) -> Iterator[str]:
+def _service(script: Script) -> AbstractContextManager[str]:
     """Serve connections with ``script``, which gets the connection and the id of each request."""
-    listener = socket.create_server(("127.0.0.1", 0))
 
     def _serve(connection: socket.socket) -> None:
         with connection, connection.makefile("rb") as stream:
@@ -42,19 +40,7 @@
                     except OSError:
                         return
 
-    def _accept() -> None:
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=_serve, args=(connection,), daemon=True).start()
-
-    threading.Thread(target=_accept, daemon=True).start()
-    try:
-        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
-    finally:
-        listener.close()
+    return serve(_serve)
 
 
 def _call(client: ServiceClient, url: str, request_id: str) -> str:
--- a/tests/gateway/test_truncated_heads.py
+++ b/tests/gateway/test_truncated_heads.py
@@ -1,14 +1,14 @@
 """Endpoints and services of the platform that stop within the head of their answer."""
 
 import socket
-import threading
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
+from contextlib import AbstractContextManager
 
 import pytest
 from prometheus_client import CollectorRegistry
 from returns.result import Success
+from scripted_servers import serve
 
 from mangosaddle._identifiers import RequestId
 from mangosaddle.client._http import AttemptFailed, HttpClient, Request, read_all
@@ -27,10 +27,8 @@
 """Time in which a call must end however slowly the head arrives."""
 
 
-@contextmanager
-def _server(script: Callable[[socket.socket], None]) -> Iterator[str]:
+def _server(script: Callable[[socket.socket], None]) -> AbstractContextManager[str]:
     """Serve each connection with ``script`` once its request has arrived."""
-    listener = socket.create_server(("127.0.0.1", 0))
 
     def _serve(connection: socket.socket) -> None:
         with connection:
@@ -45,19 +43,7 @@
             except OSError:
                 return
 
-    def _accept() -> None:
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=_serve, args=(connection,), daemon=True).start()
-
-    threading.Thread(target=_accept, daemon=True).start()
-    try:
-        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
-    finally:
-        listener.close()
+    return serve(_serve)
 
 
 def _call_service(url: str) -> bool:
--- a/tests/platform/test_truncated_streams.py
+++ b/tests/platform/test_truncated_streams.py
@@ -8,8 +8,8 @@
     Fleet,
     ReceivedRequest,
     RunnerStandIn,
-    default_configuration,
     run_on_empty_fleet,
+    start_vm_with,
 )
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 5)]
@@ -18,9 +18,7 @@
 
 async def _start(fleet: Fleet, *, is_forwarded: bool) -> list[RunnerStandIn]:
     """Start a VM and two runners, of which the first one that gets a request truncates it."""
-    await fleet.store.put("op/config", default_configuration())
-    zone = "west-a" if is_forwarded else "east-a"
-    runners = [RunnerStandIn(f"engine-{number}", "engine", zone) for number in (1, 2)]
+    runners = [RunnerStandIn(f"engine-{number}", "engine", "east-a") for number in (1, 2)]
 
     def _behave(seen: ReceivedRequest) -> Behaviour:
         is_first = sum(len(runner.received_requests) for runner in runners) == 1
@@ -28,15 +26,7 @@
 
     for runner in runners:
         runner.behaviour = _behave
-        await fleet.add_runner(runner)
-    await fleet.add_vm("vm-1")
-    if is_forwarded:
-        await fleet.add_vm("vm-2", "west-a")
-    await fleet.wait_until_ready()
-    for vm in fleet.vms.values():
-        await fleet.wait_for_endpoints(vm, "engine-1", "engine-2")
-    if is_forwarded:
-        await fleet.wait_for_region(fleet.vms["vm-1"], "west", "engine")
+    await start_vm_with(fleet, runners, is_forwarded=is_forwarded)
     return runners
 
 
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -7,8 +7,8 @@
     Fleet,
     ReceivedRequest,
     RunnerStandIn,
-    default_configuration,
     run_on_empty_fleet,
+    start_vm_with,
 )
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in range(1, 5))
@@ -16,9 +16,7 @@
 
 async def _start(fleet: Fleet, service: str, *, is_forwarded: bool, body: bytes) -> None:
     """Start a VM and two runners, of which the first one that gets a request goes dark."""
-    await fleet.store.put("op/config", default_configuration())
-    zone = "west-a" if is_forwarded else "east-a"
-    runners = [RunnerStandIn(f"{service}-{number}", service, zone, body=body) for number in (1, 2)]
+    runners = [RunnerStandIn(f"{service}-{n}", service, "east-a", body=body) for n in (1, 2)]
 
     def _behave(seen: ReceivedRequest) -> Behaviour:
         if any(runner.silent_health_checks for runner in runners):
@@ -29,15 +27,7 @@
     for runner in runners:
         runner.behaviour = _behave
         runner.unframed_streams = True
-        await fleet.add_runner(runner)
-    await fleet.add_vm("vm-1")
-    if is_forwarded:
-        await fleet.add_vm("vm-2", "west-a")
-    await fleet.wait_until_ready()
-    for vm in fleet.vms.values():
-        await fleet.wait_for_endpoints(vm, *(runner.id for runner in runners))
-    if is_forwarded:
-        await fleet.wait_for_region(fleet.vms["vm-1"], "west", service)
+    await start_vm_with(fleet, runners, is_forwarded=is_forwarded)
 
 
 @pytest.mark.parametrize("is_forwarded", [False, True])
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -15,7 +15,13 @@
 )
 from ._rollout_operator import PlacedOrder, RolloutOperator
 from ._runner import Arrival, Behaviour, ReceivedRequest, RunnerStandIn
-from ._scenario import Scenario, default_configuration, run_on_default_fleet, run_on_empty_fleet
+from ._scenario import (
+    Scenario,
+    default_configuration,
+    run_on_default_fleet,
+    run_on_empty_fleet,
+    start_vm_with,
+)
 from ._store import StoreCopy, StoreFault, StoreStandIn
 from ._traffic import Call, Traffic
 from ._version_fault import VersionFault
@@ -52,6 +58,7 @@
     "run_on_empty_fleet",
     "run_rollout_case",
     "running_fleet",
+    "start_vm_with",
     "tenant",
     "wait_until",
     "write_invalid_orders",
--- a/tests/platform_standins/_scenario.py
+++ b/tests/platform_standins/_scenario.py
@@ -50,3 +50,19 @@
             await scenario(fleet)
 
     asyncio.run(_main())
+
+
+async def start_vm_with(fleet: Fleet, runners: list[RunnerStandIn], *, is_forwarded: bool) -> None:
+    """Start ``vm-1`` and runners in its region or, for forwarded requests, in that of ``vm-2``."""
+    await fleet.store.put("op/config", default_configuration())
+    for runner in runners:
+        runner.zone = "west-a" if is_forwarded else "east-a"
+        await fleet.add_runner(runner)
+    await fleet.add_vm("vm-1")
+    if is_forwarded:
+        await fleet.add_vm("vm-2", "west-a")
+    await fleet.wait_until_ready()
+    for vm in fleet.vms.values():
+        await fleet.wait_for_endpoints(vm, *(runner.id for runner in runners))
+    if is_forwarded:
+        await fleet.wait_for_region(fleet.vms["vm-1"], "west", runners[0].service)
