--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -187,11 +187,10 @@
         endpoint.fault = None
 
     async def _crash_runner(self, fault: PlannedFault) -> None:
-        runner = self._target_endpoint(fault).runner
-        await runner.stop(resets=True)
+        endpoint = self._target_endpoint(fault)
+        await endpoint.runner.stop(resets=True)
         await asyncio.sleep(fault.duration_s)
-        await runner.stop(resets=True)
-        await runner.start(runner.port)
+        await endpoint.restart()
 
     async def _drain_runner(self, fault: PlannedFault) -> None:
         endpoint = self._target_endpoint(fault)
@@ -210,11 +209,10 @@
             endpoint.state = "draining"
             await self._fleet.store.put(runner.key, endpoint.entry())
         await asyncio.sleep(DRAIN_TIMEOUT_S + fault.duration_s)
-        await runner.stop(resets=True)
         runner.is_leaving = False
         runner.born_ms += 1
         endpoint.state = "ready"
-        await runner.start(runner.port)
+        await endpoint.restart()
         await self._fleet.store.put(runner.key, endpoint.entry())
 
     async def _ask_to_wait(self, fault: PlannedFault) -> None:
@@ -238,11 +236,10 @@
         runner.silent_health_checks = runner.unframed_streams = True
         endpoint.fault = Behaviour.NO_LENGTH_HELD if is_desk else Behaviour.HOLD_STREAM
         await asyncio.sleep(fault.duration_s)
-        await runner.stop(resets=True)
         endpoint.fault = None
+        await endpoint.restart()
         runner.silent_health_checks = runner.unframed_streams = False
         runner.release.set()
-        await runner.start(runner.port)
 
     async def _truncate_streams(self, fault: PlannedFault) -> None:
         endpoint = self._target_endpoint(fault)
--- a/tests/soak_harness/_fleet.py
+++ b/tests/soak_harness/_fleet.py
@@ -68,6 +68,15 @@
         except ValueError:
             return None
 
+    async def restart(self) -> None:
+        """Reset the runner's connections and let it listen on another port behind the proxy.
+
+        The former port may have been taken by a connection while the runner was down.
+        """
+        await self.runner.stop(resets=True)
+        await self.runner.start()
+        self.proxy.set_target("127.0.0.1", self.runner.port)
+
     def entry(self) -> dict[str, object]:
         """Return the runner's next store entry, with the address of the proxy."""
         address = "{}:{}".format(*self.address)
--- a/tests/soak_harness/_proxy.py
+++ b/tests/soak_harness/_proxy.py
@@ -33,6 +33,10 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def set_target(self, host: str, port: int) -> None:
+        """Forward new connections to another address."""
+        self._target = (host, port)
+
     async def start(self) -> tuple[str, int]:
         """Listen on a free loopback port and return the address."""
         self._server = await asyncio.start_server(self._handle_connection, "127.0.0.1", 0)
