--- a/tests/platform_standins/_rollout_cases.py
+++ b/tests/platform_standins/_rollout_cases.py
@@ -180,7 +180,8 @@
                     )
                     for row in map(vars, records)
                     if "order" in row
-                ],
+                ]
+                + _call_traces(traffic.calls, fleet.killed_at_times_s, placed),
                 max(stalls),
             )
 
@@ -243,6 +244,30 @@
     ]
 
 
+def _call_traces(
+    calls: list[Call], killed_at_times_s: list[float], placed: list[list[PlacedOrder]]
+) -> list[str]:
+    """Return a line for each lost call, with the runners that got it; times are in seconds."""
+    lines = []
+    for service, orders in ((rows[0].service, rows) for rows in placed):
+        began_s = orders[0].placed_at_s
+        runners = {row.id: row for each in orders for row in each.old_runners + each.new_runners}
+        for call in _lost_calls(calls, killed_at_times_s, service):
+            arrivals = [
+                f"{name} {arrival.started_at_s - began_s:.2f} to "
+                + (f"{arrival.ended_at_s - began_s:.2f}" if arrival.ended_at_s else "never")
+                for name, runner in runners.items()
+                for arrival in runner.arrivals
+                if arrival.target == call.path
+            ]
+            lines.append(
+                f"lost {call.path} at {call.vm}, {call.sent_at_s - began_s:.2f} to"
+                f" {call.ended_at_s - began_s:.2f}, status {call.status}, {call.cause},"
+                f" at {arrivals}"
+            )
+    return lines
+
+
 @contextmanager
 def _captured_log_records() -> Iterator[list[logging.LogRecord]]:
     records: list[logging.LogRecord] = []
