Log the evidence of both versions at the end of a rollout

The log shows a reason only for a rejected version, so it cannot tell whether the answers were too few, were not slow by the VM's own measure, or whether the version was suspect all along. The line "rollout ended" has the counts and the median of both versions by route now, and the failing test prints it.

Only the log changes.

--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -193,7 +193,8 @@
             self._excluded_by_service.setdefault(service, set()).add(rollout.order.target)
         if rollout.end is RolloutState.COMPLETED and rollout.reason:
             self._log("rejected version completed by another VM", rollout)
-        self._log("rollout ended", rollout, state=rollout.end.value)
+        evidence = rollout.describe_evidence()
+        self._log("rollout ended", rollout, state=rollout.end.value, evidence=evidence)
 
     def ended(self) -> list[OrderedRollout]:
         """Return the rollouts that have ended and whose orders are not withdrawn."""
--- a/src/mangosaddle/rollouts/_control.py
+++ b/src/mangosaddle/rollouts/_control.py
@@ -218,6 +218,20 @@
             return False
         return self._find_fault(plan, self._window(wall_time), rules) is not None
 
+    def describe_evidence(self, model: ModelName) -> str:
+        """Return the counts of both versions by route, for logs; empty without a plan."""
+        plan = self._configuration.rollouts_by_model.get(model)
+        if plan is None:
+            return ""
+        totals: dict[tuple[str, VersionId], Counter] = {}
+        for key, counter in self._evidence.merged_counters(model).items():
+            if key.window > ALL_TIME:
+                totals.setdefault((key.route, key.version), Counter()).add(counter)
+        return "; ".join(
+            f"{route} {'new' if version == plan.new else 'old'}: {counter.describe()}"
+            for (route, version), counter in sorted(totals.items())
+        )
+
     def vetoes(self) -> tuple[Veto, ...]:
         """Return all vetoes, sorted by model and version."""
         return tuple(veto for _, veto in sorted(self._vetoes.items()))
--- a/src/mangosaddle/rollouts/_evidence.py
+++ b/src/mangosaddle/rollouts/_evidence.py
@@ -97,6 +97,12 @@
                 return bucket
         return None
 
+    def describe(self) -> str:
+        """Return the counts and the median, in the unit of the recorded latencies, for logs."""
+        median = self.median_bucket()
+        edge = "none" if median is None else f"{EDGES_S[min(median, BUCKET_COUNT - 1)]:.2g}"
+        return f"{self.requests} ended, {self.failures} failed, median up to {edge}"
+
     def answers_above(self, bucket: int) -> int:
         """Return the number of answers slower than the bucket's upper edge."""
         return sum(count for number, count in self.buckets.items() if number > bucket)
--- a/src/mangosaddle/rollouts/_ordered_rollout.py
+++ b/src/mangosaddle/rollouts/_ordered_rollout.py
@@ -188,6 +188,10 @@
             self.advance_elapsed_time(elapsed_s, now)
             self.is_progress_known = True
 
+    def describe_evidence(self) -> str:
+        """Return the counts of both versions by route, for logs."""
+        return self.control.describe_evidence(self._model)
+
     # Decisions
 
     def evaluate(self, now: float) -> tuple[Veto, ...]:
--- a/tests/platform_standins/_rollout_cases.py
+++ b/tests/platform_standins/_rollout_cases.py
@@ -23,7 +23,16 @@
 STORE_OUTAGE_S = 3.0
 INVALID_ORDER_WAIT_S = 1.0
 """Wait between the invalid orders and the first valid one."""
-LOGGED_ORDER_FIELDS = ("service", "order", "state", "elapsed_s", "share", "reason", "cause")
+LOGGED_ORDER_FIELDS = (
+    "service",
+    "order",
+    "state",
+    "elapsed_s",
+    "share",
+    "reason",
+    "cause",
+    "evidence",
+)
 """Fields shown of log records about orders."""
 STALL_CHECK_INTERVAL_S = 0.02
 REQUESTS_PER_S = 40.0
--- a/tests/rollouts/test_ordered_rollout.py
+++ b/tests/rollouts/test_ordered_rollout.py
@@ -206,3 +206,17 @@
     _deliver_progress(rollout, make_rollout(OTHER), now)
     assert _state(rollout, now) is state
     assert _state(rollout, START_S + DURATION_S - 0.9) is RolloutState.COMPLETED
+
+
+def test_evidence_of_all_vms_is_described_by_route_and_version(make_rollout: MakeRollout) -> None:
+    """Guards against a completed bad version of which the log does not show what was seen."""
+    now = START_S + DURATION_S * 0.4
+    rollout, other = make_rollout(OWN), make_rollout(OTHER)
+    for slowness in (0.9, 5.0, 5.0, None):
+        other.record_answer("v2", "/chat/", slowness, None, now)
+    rollout.record_answer("v1", "/chat/", 1.0, None, now)
+    _deliver_progress(rollout, other, now)
+    assert rollout.describe_evidence() == (
+        "/chat/ old: 1 ended, 0 failed, median up to 1.1; "
+        "/chat/ new: 4 ended, 1 failed, median up to 5.1"
+    )
