Report a fallback to an old version before it is sent

test_no_request_is_lost_when_the_old_runners_are_stopped[vm_killed-engine] of KNOWN-RED.txt: callers lost requests when the operator stopped the old runners of a completed rollout.

Evidence, of a run on at a load average of 21.7: /chat/221, sent to vm-1 5.42 s after the order, reached the old runner engine-2 at 5.87 s; the rollout was completed at 6.0 s and the runner stopped at 6.15 s. The longest stall of the event loop was 0.26 s.

Cause: a VM at the full share still sends requests to old versions, if the target would start them too late or an attempt has failed. It had reported that none ran there; the next report was due up to 0.25 s later, and a report counts for 3 s. So another VM completed the rollout in between. Ruled out: a stall of the loop, and a completion forced by the deadline, which is from 7 s on.

Now such a start is reported to the others before the request is sent, at most twice a second, and a VM counts as finished 0.5 s after the last one. What remains is the time of one message between VMs. Not changed: near the deadline the rollout is completed in any case.

The new tests failed before: nothing was published, and the rollout was completed. The two entries of vm_restarted have their cause now; it is in the test's fleet, and is not mended.

--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -245,8 +245,8 @@
         )
         self._running[request.service, version] += 1
         rollout = self._rollouts_by_service.get(request.service)
-        if rollout is not None:
-            rollout.record_start(version)
+        if rollout is not None and rollout.record_start(version, now):
+            self._publish_progress(rollout, now)
         return number
 
     def record_end(
--- a/src/mangosaddle/rollouts/_ordered_rollout.py
+++ b/src/mangosaddle/rollouts/_ordered_rollout.py
@@ -1,5 +1,6 @@
 """State of a rollout that an operator ordered with a deadline, on one VM."""
 
+import math
 from collections.abc import Collection
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -23,6 +24,9 @@
 MIN_FINAL_MARGIN_S = 1.0
 """Time before the deadline from which the rollout is completed even while requests run at old
 versions: as a fraction of the duration, and its minimum."""
+QUIET_S = 0.5
+"""Time without a new request at another version after which a VM counts as finished. It covers two
+reports of the others: a VM at the full share still falls back to other versions."""
 PROGRESS_MAX_AGE_S = 3.0
 """Age at which the progress reported by another VM expires."""
 ELAPSED_TOLERANCE_S = 0.5
@@ -73,6 +77,8 @@
         self.control = RolloutControl.from_configuration(own, configuration, policy=policy)
         self._progress_by_vm: dict[VmId, VmProgress] = {}
         self._full_share_since_s: float | None = None
+        self._others_used_at_s = -math.inf
+        """Time at which a request was last sent to another version."""
 
     # Time
 
@@ -123,10 +129,22 @@
         chosen = self.control.version_for(self._model, digest, self._plan_time(now))
         return chosen == self.order.target
 
-    def record_start(self, version: str) -> None:
-        """Count a request when it is sent."""
-        if self.end is None:
-            self.control.record_start(self._model, self._version_label(version))
+    def record_start(self, version: str, now: float) -> bool:
+        """Count a request when it is sent.
+
+        Returns whether other VMs may take this VM for finished and have to learn that it is not.
+        """
+        if self.end is not None:
+            return False
+        self.control.record_start(self._model, self._version_label(version))
+        if version == self.order.target:
+            return False
+        was_quiet = not self._uses_other_versions(now)
+        self._others_used_at_s = now
+        return was_quiet and self.share(now) >= 1.0
+
+    def _uses_other_versions(self, now: float) -> bool:
+        return now - self._others_used_at_s < QUIET_S
 
     def record_answer(
         self,
@@ -159,7 +177,7 @@
 
     def payload(self, old_running: int, now: float) -> bytes:
         """Return this VM's progress and evidence as a payload for other VMs."""
-        is_at_full_share = self.share(now) >= 1.0
+        is_at_full_share = self.share(now) >= 1.0 and not self._uses_other_versions(now)
         elapsed_ms = round(self.elapsed_s(now) * 1000) if self.is_progress_known else 0
         evidence = self.control.evidence_payload()
         return cbor2.dumps(
@@ -244,7 +262,9 @@
             return True
         if now - self._full_share_since_s < OBSERVATION_FRACTION * duration_s:
             return False
-        if old_running or not all(self._has_finished(vm, now) for vm in others):
+        if old_running or self._uses_other_versions(now):
+            return False
+        if not all(self._has_finished(vm, now) for vm in others):
             return False
         # The end of the old endpoints cannot be undone: a few more answers may show a fault.
         return not self.control.is_suspect(self._model, self._plan_time(now))
--- a/tests/entry/test_rollout_choices.py
+++ b/tests/entry/test_rollout_choices.py
@@ -2,6 +2,7 @@
 
 from typing import Any, cast
 
+import cbor2
 import pytest
 
 from mangosaddle._identifiers import EndpointId, RegionName, ServiceName, VersionId, VmId, ZoneName
@@ -196,6 +197,28 @@
     assert [row.order.target for row in rollouts.active()] == ["v3"]
 
 
+def test_fallback_to_an_old_version_is_reported_before_it_is_sent(
+    rollouts: RolloutTracker, endpoints: Endpoints, clock: Clock
+) -> None:
+    """Guards against an operator who stops an old endpoint to which a request is on its way."""
+    published: list[bytes] = []
+    node: Any = type("Node", (), {})()
+    node.new_fact = lambda kind, key, number, payload: payload
+    node.publish = published.append
+    node.on_fact = lambda name, listener: None
+    node.facts = type("Facts", (), {"find": lambda *_: None})()
+    rollouts.connect(node)
+    _apply_order(rollouts, "v3", 1)
+    clock.now += 7.0
+    _run_attempt(rollouts, endpoints, clock, "v3", AttemptEnd.DELIVERED)
+    assert published == []
+    for _ in range(3):
+        _run_attempt(rollouts, endpoints, clock, "v1", AttemptEnd.DELIVERED)
+    (payload,) = published
+    revision, _, is_finished, running, _ = cbor2.loads(payload)
+    assert (revision, is_finished, running) == (1, False, 1)
+
+
 def test_overdue_requests_get_a_slow_version_rejected(
     rollouts: RolloutTracker, endpoints: Endpoints, clock: Clock
 ) -> None:
--- a/tests/platform_standins/_rollout_cases.py
+++ b/tests/platform_standins/_rollout_cases.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable, Coroutine, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -190,7 +191,7 @@
                     for row in map(vars, records)
                     if "order" in row
                 ]
-                + _call_traces(traffic.calls, fleet.killed_at_times_s, placed),
+                + _call_traces(traffic.calls, fleet.killed_at_times_s, placed, records),
                 max(stalls),
             )
 
@@ -254,29 +255,48 @@
 
 
 def _call_traces(
-    calls: list[Call], killed_at_times_s: list[float], placed: list[list[PlacedOrder]]
+    calls: list[Call],
+    killed_at_times_s: list[float],
+    placed: list[list[PlacedOrder]],
+    records: list[logging.LogRecord],
 ) -> list[str]:
-    """Return a line for each lost call, with the runners that got it; times are in seconds."""
+    """Return the runners that got each lost call, and what the VMs logged about it, in seconds."""
     lines = []
+    wall_s = time.time() - asyncio.get_running_loop().time()
     for service, orders in ((rows[0].service, rows) for rows in placed):
         began_s = orders[0].placed_at_s
         runners = {row.id: row for each in orders for row in each.old_runners + each.new_runners}
         for call in _lost_calls(calls, killed_at_times_s, service):
             arrivals = [
-                f"{name} {arrival.started_at_s - began_s:.2f} to "
-                + (f"{arrival.ended_at_s - began_s:.2f}" if arrival.ended_at_s else "never")
+                (name, arrival)
                 for name, runner in runners.items()
                 for arrival in runner.arrivals
                 if arrival.target == call.path
             ]
+            runs = [
+                f"{name} {arrival.started_at_s - began_s:.2f} to "
+                + (f"{arrival.ended_at_s - began_s:.2f}" if arrival.ended_at_s else "never")
+                for name, arrival in arrivals
+            ]
+            ids = {arrival.request_id for _, arrival in arrivals}
             lines.append(
                 f"lost {call.path} at {call.vm}, {call.sent_at_s - began_s:.2f} to"
                 f" {call.ended_at_s - began_s:.2f}, status {call.status}, {call.cause},"
-                f" at {arrivals}"
+                f" at {runs}"
             )
+            lines += [
+                f"  {record.created - wall_s - began_s:.2f} {record.msg} {_extra_fields(record)}"
+                for record in records
+                if getattr(record, "request_id", None) in ids
+            ]
     return lines
 
 
+def _extra_fields(record: logging.LogRecord) -> dict[str, object]:
+    standard = vars(logging.makeLogRecord({}))
+    return {name: value for name, value in vars(record).items() if name not in standard}
+
+
 @contextmanager
 def _captured_log_records() -> Iterator[list[logging.LogRecord]]:
     records: list[logging.LogRecord] = []
--- a/tests/rollouts/test_ordered_rollout.py
+++ b/tests/rollouts/test_ordered_rollout.py
@@ -148,6 +148,32 @@
     assert _state_after_observation(0, 0) is RolloutState.COMPLETED
 
 
+@pytest.mark.parametrize("user", [OWN, OTHER])
+def test_rollout_is_not_completed_just_after_a_vm_fell_back_to_old_endpoints(
+    make_rollout: MakeRollout, user: VmId
+) -> None:
+    """Old endpoints that are stopped while a VM falls back to them would cut its requests."""
+    rollout, other = make_rollout(), make_rollout(OTHER)
+    rollout.record = _record(RolloutState.IN_PROGRESS)
+    _state(rollout, FULL_SHARE_S)
+    now = FULL_SHARE_S + DURATION_S * 0.16
+    used = rollout if user == OWN else other
+    assert used.record_start("v1", now - 0.4)
+    assert not used.record_start("v1", now - 0.3), "reported twice"
+    _deliver_progress(rollout, other, now)
+    assert _state(rollout, now) is None
+    _deliver_progress(rollout, other, now + 0.3)
+    assert _state(rollout, now + 0.3) is RolloutState.COMPLETED
+
+
+@pytest.mark.parametrize(("version", "at_s"), [("v2", FULL_SHARE_S), ("v1", START_S + 1.0)])
+def test_usual_requests_are_not_reported_at_once(
+    make_rollout: MakeRollout, version: str, at_s: float
+) -> None:
+    """Guards against a message to all VMs for each request."""
+    assert not make_rollout().record_start(version, at_s)
+
+
 def test_silent_vm_delays_completion_only_until_shortly_before_the_deadline(
     make_rollout: MakeRollout,
 ) -> None:
