Log each request that was read and ended without an answer

Change: the HTTP server reports each request that reached its handler and ended without a complete response, with one of seven causes. An entry process logs it with the request's id and the age of the configuration, and counts it by cause.

No behaviour towards callers is changed.

--- a/src/mangosaddle/entry/_caller_requests.py
+++ b/src/mangosaddle/entry/_caller_requests.py
@@ -11,7 +11,7 @@
 from .._identifiers import ServiceName
 from .._problems import Execution, Problem, RequestFinding
 from .._quarantine import fingerprint
-from ..http11 import ServerExchange
+from ..http11 import ServerExchange, UnansweredCause
 from ..traffic import (
     Catalogue,
     HomeDemand,
@@ -41,6 +41,7 @@
 MAX_RETRY_WAIT_SHARE = 0.3
 """Maximum retry time as a share of the caller's remaining time: after a longer wait the caller
 would not come back at all."""
+MS_PER_S = 1000.0
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 logger = logging.getLogger(__name__)
@@ -87,6 +88,12 @@
             ["organisation", "ending"],
             registry=registry,
         )
+        self._unanswered = Counter(
+            "mangosaddle_unanswered_requests",
+            "Requests that were read and ended without a complete answer, by cause",
+            ["cause"],
+            registry=registry,
+        )
         self._latency = Histogram(
             "mangosaddle_request_seconds",
             "Time from a request's first byte to the end of its answer",
@@ -116,6 +123,25 @@
             return
         await self._run(exchange, opaque, admitted)
 
+    def record_unanswered(self, exchange: ServerExchange, cause: UnansweredCause) -> None:
+        """Log and count a request that was read and ended without a complete answer."""
+        self._unanswered.labels(cause.value).inc()
+        is_expected = cause is UnansweredCause.CLIENT_DISCONNECTED
+        elapsed_s = asyncio.get_running_loop().time() - exchange.received_at_s
+        logger.log(
+            logging.INFO if is_expected else logging.WARNING,
+            "request ended without an answer",
+            extra={
+                "request_id": self._wire.decode_request_id(exchange.view),
+                "cause": cause.value,
+                "answer_began": exchange.started,
+                "ms": round(elapsed_s * MS_PER_S),
+                "stopping": self.refuses_new_requests,
+                "configuration": self._catalogue.version,
+                "configuration_age_s": round(self._catalogue.age_s(), 2),
+            },
+        )
+
     # Admission
 
     async def _admit(self, opaque: OpaqueRequest, began_s: float) -> AdmittedRequest | Problem:
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -300,7 +300,12 @@
         interface_handler = self._adapter.create_interface_handler(discovery, self.is_ready)
         default_limits = ServerLimits()
         self._servers = EntryServers(
-            HttpServer(self.request_handler.handle, self._front_limits, self._log_bad_request),
+            HttpServer(
+                self.request_handler.handle,
+                self._front_limits,
+                self._log_bad_request,
+                self.request_handler.record_unanswered,
+            ),
             HttpServer(interface_handler.handle, lambda: default_limits),
             HttpServer(interface_handler.handle, lambda: default_limits),
             HttpServer(self._metrics_page, lambda: default_limits),
--- a/src/mangosaddle/http11/__init__.py
+++ b/src/mangosaddle/http11/__init__.py
@@ -16,7 +16,7 @@
 )
 from ._headers import HeaderList, HeaderView, without_hop_by_hop
 from ._pool import ConnectionPool
-from ._server import HttpServer, ServerExchange, ServerLimits
+from ._server import HttpServer, ServerExchange, ServerLimits, UnansweredCause
 from ._sockets import set_tcp_options
 from ._upstream import ResponseHead, UpstreamConnection, UpstreamRequest
 
@@ -36,6 +36,7 @@
     "ResponseHead",
     "ServerExchange",
     "ServerLimits",
+    "UnansweredCause",
     "UpstreamConnection",
     "UpstreamRequest",
     "set_tcp_options",
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
 import h11
@@ -40,6 +41,22 @@
     """Time that a connection may be idle between requests."""
 
 
+class UnansweredCause(StrEnum):
+    """Reason why a request that was read ended without a complete response."""
+
+    CLIENT_DISCONNECTED = "client_disconnected"
+    TOO_MUCH_PIPELINED = "too_much_pipelined"
+    """The client sent too many bytes of later requests."""
+    HANDLER_FAILED = "handler_failed"
+    HANDLER_CANCELLED = "handler_cancelled"
+    """A wait of the handler was cancelled, but neither by the client nor by the server."""
+    HANDLER_RETURNED = "handler_returned"
+    """The handler returned without a response."""
+    ABORTED = "aborted"
+    """The handler broke off a response that it had started."""
+    SERVER_STOPPED = "server_stopped"
+
+
 class ServerExchange:
     """One complete request and the operations that respond to it."""
 
@@ -84,7 +101,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that an incomplete response cannot look complete."""
-        self._connection.abort()
+        self._connection.abort_exchange()
 
     def close_after_response(self) -> None:
         """Send ``Connection: close`` with the response and close the connection after it."""
@@ -100,6 +117,13 @@
 
 
 Handler = Callable[[ServerExchange], Awaitable[None]]
+UnansweredListener = Callable[[ServerExchange, UnansweredCause], None]
+
+
+def _log_unanswered(exchange: ServerExchange, cause: UnansweredCause) -> None:
+    logger.info(
+        "request ended without an answer", extra={"cause": cause.value, "began": exchange.started}
+    )
 
 
 class HttpServer:
@@ -110,17 +134,20 @@
         handler: Handler,
         limits: Callable[[], ServerLimits],
         on_bad_request: Callable[[int, str], None] | None = None,
+        on_unanswered: UnansweredListener | None = None,
     ) -> None:
         """Create the server.
 
         ``limits`` is called for each request. ``on_bad_request`` gets the status and the reason of
-        each request that is rejected before it reaches the handler.
+        each request that is rejected before it reaches the handler, ``on_unanswered`` each request
+        that reached the handler and ended without a complete response.
         """
         self.handler = handler
         self.limits = limits
         self.closing = False
         """Whether each response closes its connection."""
         self.on_bad_request = on_bad_request
+        self.on_unanswered = on_unanswered or _log_unanswered
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
 
@@ -209,6 +236,8 @@
         self._reader = reader
         self._must_end = False
         """Whether the wait for the next request has been ended."""
+        self._unanswered_cause = UnansweredCause.HANDLER_RETURNED
+        """Reason why the current request has no complete response, if it ends without one."""
         self._idle_since_s = 0.0
         self._idle_wait: asyncio.Timeout | None = None
         """Time limit of the wait for the next request, while there is one."""
@@ -235,6 +264,11 @@
             reset_on_close(self.writer.transport)
         self.writer.transport.abort()
 
+    def abort_exchange(self) -> None:
+        """Abort the connection for the handler of the current request."""
+        self._set_unanswered_cause(UnansweredCause.ABORTED)
+        self.abort()
+
     def end_idle_wait(self) -> None:
         """Close the connection unless a part of a request has arrived."""
         if self._idle_wait is not None and not self._idle_wait.expired():
@@ -252,10 +286,16 @@
             if exchange is None:
                 return
             self.busy = True
+            self._unanswered_cause = UnansweredCause.HANDLER_RETURNED
             try:
                 await self._handle(exchange)
+            except asyncio.CancelledError:
+                self._unanswered_cause = UnansweredCause.SERVER_STOPPED
+                raise
             finally:
                 self.busy = False
+                if not exchange.finished:
+                    self.server.on_unanswered(exchange, self._unanswered_cause)
             if not exchange.finished:
                 self.broken = True
                 return
@@ -391,14 +431,23 @@
             await asyncio.gather(task, return_exceptions=True)
             raise
         if task.cancelled():
+            self._set_unanswered_cause(UnansweredCause.HANDLER_CANCELLED)
             return
         error = task.exception()
         if error is None:
             return
         self.broken = True
-        if not isinstance(error, OSError):
+        if isinstance(error, OSError):
+            self._set_unanswered_cause(UnansweredCause.CLIENT_DISCONNECTED)
+        else:
+            self._set_unanswered_cause(UnansweredCause.HANDLER_FAILED)
             logger.error("request handler failed", exc_info=error)
 
+    def _set_unanswered_cause(self, cause: UnansweredCause) -> None:
+        """Set the cause unless an earlier one is known."""
+        if self._unanswered_cause is UnansweredCause.HANDLER_RETURNED:
+            self._unanswered_cause = cause
+
     async def _wait_for_handler(self, task: "asyncio.Future[None]") -> None:
         """Wait for the handler; cancel it if the client disconnects or pipelines too many bytes."""
         pipelined, _ = self._parser.trailing_data
@@ -423,6 +472,9 @@
             self.close_after_response = True
             if task.done():
                 return
+            self._set_unanswered_cause(
+                UnansweredCause.TOO_MUCH_PIPELINED if data else UnansweredCause.CLIENT_DISCONNECTED
+            )
             self.broken = True
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
