Answer requests that are on their way when a stopping VM closes idle connections

A trial that logged the closed connections shows two that were 52 and 77 ms old and had carried no request: their callers were 80 ms away and had just connected. Others were closed 0 to 146 ms after an answer that had begun before the stop and so did not announce it.

A second fault of the same kind: the exit cancelled the tasks of idle connections, which dropped a request whose bytes had been read from the socket but not parsed.

Change: a connection that was opened or answered less than 0.5 s ago is closed only once that time has passed, the stop waits for it, and the exit ends idle waits in the way that leaves unread bytes in the socket, and gives requests that were read 0.1 s.

tests/http11/test_planned_stop.py: on the old code the two cases of a request on its way failed (the connection was closed), and the request at the exit (its bytes were in the buffer, unanswered).

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -475,7 +475,8 @@
 
     def _is_busy(self) -> bool:
         forwards = self._node.running_forward_count if self._node is not None else 0
-        return self._servers.front.active_requests > 0 or forwards > 0
+        front = self._servers.front
+        return front.active_requests > 0 or front.expects_requests or forwards > 0
 
     async def stop(self) -> None:
         """Close the servers, the links, the background tasks and the connections."""
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -23,6 +23,11 @@
 """Bytes of later requests that a client may send while one is being handled."""
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 """Unsent response bytes to a slow client above which the handler has to wait."""
+REQUEST_ON_THE_WAY_S = 0.5
+"""Time after a connection is opened, or after an answer that does not close it, in which the client
+may have sent a request that has not arrived yet: a few round trips to another region."""
+LAST_ANSWERS_S = 0.1
+"""Time that a server which stops gives the requests that were read just then."""
 BACKLOG = 512
 """Connections waiting to be accepted; a full queue delays clients by seconds."""
 
@@ -174,10 +179,21 @@
         if self._server is not None:
             self._server.close()
 
+    @property
+    def expects_requests(self) -> bool:
+        """Return whether a request may be on its way on a connection, or has arrived in part."""
+        return any(
+            connection.request_started or connection.may_get_request
+            for connection in self._connections
+        )
+
     def close_idle(self) -> None:
-        """Close the connections that are idle between requests."""
+        """Close the connections that are idle between requests.
+
+        One on which a request may be on its way is closed later, unless the request arrives.
+        """
         for connection in list(self._connections):
-            connection.end_idle_wait()
+            connection.end_idle_wait(REQUEST_ON_THE_WAY_S)
 
     def abort_connections(self) -> None:
         """Abort all connections, including those with requests in progress."""
@@ -185,8 +201,17 @@
             connection.abort()
 
     async def stop(self) -> None:
-        """Close the listening socket and cancel all requests."""
+        """Close the listening socket and cancel all requests.
+
+        Requests that were read just before get ``LAST_ANSWERS_S`` for their answer.
+        """
+        self.closing = True
         self.stop_accepting()
+        idle = [connection for connection in self._connections if not connection.busy]
+        for connection in idle:
+            connection.end_idle_wait()
+        if ending := [connection.task for connection in idle if connection.task]:
+            await asyncio.wait(ending, timeout=LAST_ANSWERS_S)
         tasks = [connection.task for connection in self._connections if connection.task]
         for task in tasks:
             task.cancel()
@@ -269,11 +294,20 @@
         self._set_unanswered_cause(UnansweredCause.ABORTED)
         self.abort()
 
-    def end_idle_wait(self) -> None:
-        """Close the connection unless a part of a request has arrived."""
+    @property
+    def may_get_request(self) -> bool:
+        """Return whether a request may be on its way that has not arrived yet."""
+        age_s = self._clock() - self._idle_since_s
+        return self._idle_wait is not None and age_s < REQUEST_ON_THE_WAY_S
+
+    def end_idle_wait(self, min_idle_s: float = 0.0) -> None:
+        """Close the connection unless a part of a request has arrived.
+
+        If it has been idle for less than ``min_idle_s`` seconds, it is closed at the end of them.
+        """
         if self._idle_wait is not None and not self._idle_wait.expired():
             self._must_end = True
-            self._idle_wait.reschedule(self._clock())
+            self._idle_wait.reschedule(max(self._clock(), self._idle_since_s + min_idle_s))
 
     async def run(self) -> None:
         """Handle requests until the connection ends."""
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import contextlib
+import socket
+
+import pytest
 
 from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 from mangosaddle.http11._server import _Connection
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 MAX_ANSWER_S = 2.0
+ROUND_TRIP_S = 0.2
+"""Time for a request to arrive from a caller in another region."""
 SETTLE_S = 0.01
 """Time after an answer in which the connection begins to wait for the next request."""
 
@@ -139,3 +144,75 @@
         await server.stop()
 
     asyncio.run(_main())
+
+
+@pytest.mark.parametrize("answered_before", [False, True])
+def test_a_request_on_its_way_when_idle_connections_are_closed_is_answered(
+    answered_before: bool,
+) -> None:
+    """Guards against closing a connection on which a caller, as allowed, has just sent a request.
+
+    The connection has just been opened, or its latest answer did not announce the stop.
+    """
+
+    async def _main() -> None:
+        server = HttpServer(_answer, ServerLimits)
+        reader, writer = await asyncio.open_connection(*await server.start("127.0.0.1", 0))
+        if answered_before:
+            writer.write(REQUEST)
+            assert (await _read_response(reader)).endswith(b"x")
+        await asyncio.sleep(SETTLE_S)
+        server.closing = True
+        server.close_idle()
+        assert server.expects_requests
+        await asyncio.sleep(ROUND_TRIP_S)
+        writer.write(REQUEST)
+        async with asyncio.timeout(MAX_ANSWER_S):
+            answer = await _read_response(reader)
+            assert b"connection: close" in answer.lower()
+            assert answer.endswith(b"x")
+            assert await reader.read() == b""
+        assert not server.expects_requests
+        await server.stop()
+
+    asyncio.run(_main())
+
+
+def test_a_connection_without_a_request_does_not_prolong_a_stop() -> None:
+    """Guards against a stop that waits for callers who send nothing."""
+
+    async def _main() -> None:
+        server = HttpServer(_answer, ServerLimits)
+        reader, _ = await _open_idle_connection(server)
+        server.close_idle()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            assert await reader.read() == b""
+            while server.expects_requests:
+                await asyncio.sleep(0.001)
+        await server.stop()
+
+    asyncio.run(_main())
+
+
+def test_request_that_arrives_as_the_server_stops_is_answered_or_not_read() -> None:
+    """Guards against a request whose bytes were read from the socket but never parsed."""
+
+    async def _main() -> None:
+        loop = asyncio.get_running_loop()
+        server = HttpServer(_answer, ServerLimits)
+        with socket.create_connection(await server.start("127.0.0.1", 0)) as caller:
+            while not server._connections:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(SETTLE_S)
+            (connection,) = server._connections
+            # The loop first begins the stop, and then finds the bytes in the socket.
+            caller.sendall(REQUEST)
+            await asyncio.create_task(server.stop())
+            caller.setblocking(False)
+            answer = b""
+            with contextlib.suppress(ConnectionError):
+                answer = await loop.sock_recv(caller, 4096)
+            unanswered = connection._reader._buffer  # type: ignore[attr-defined]
+            assert answer.endswith(b"x") or not unanswered
+
+    asyncio.run(_main())
