Answer requests whose handling fails or is cancelled from inside a VM

Callers would have seen their connection closed without an answer: when decoding, the wait after a pause, the refund of a charge or the record of the end raised, when a wait of the handler was cancelled by something other than the caller, or when any connection but the caller's was reset, which was taken for a caller that has left.

Change: a cancellation counts as the caller's only if the task was cancelled or the caller's connection is closed. All else is refused with 503 before the request is sent, and ends with 502 afterwards. Accounting can no longer keep an answer back. The HTTP server answers 500 for a handler that ends without a response.

--- a/src/mangosaddle/entry/_caller_requests.py
+++ b/src/mangosaddle/entry/_caller_requests.py
@@ -104,22 +104,23 @@
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Answer one request; cancelled when the caller disconnects."""
-        decoded = self._wire.decode_request(exchange)
-        if isinstance(decoded, Failure):
-            request_id = self._wire.decode_request_id(exchange.view)
-            problem = _bad_request(decoded.failure())
-            await self._refuse(exchange, request_id, problem, "")
-            return
-        opaque = decoded.unwrap()
-        await self._pause_guard.wait_until_current()
+        request_id = self._wire.decode_request_id(exchange.view)
         try:
+            decoded = self._wire.decode_request(exchange)
+            if isinstance(decoded, Failure):
+                await self._refuse(exchange, request_id, _bad_request(decoded.failure()), "")
+                return
+            opaque = decoded.unwrap()
+            await self._pause_guard.wait_until_current()
             admitted = await self._admit(opaque, exchange.received_at_s)
         # Without an answer, the caller could not tell that the request has not run.
-        except Exception:
-            logger.exception("admission failed", extra={"request_id": opaque.id})
+        except (Exception, asyncio.CancelledError):
+            if _has_caller_left(exchange):
+                raise
+            logger.exception("admission failed", extra={"request_id": request_id})
             admitted = _unavailable("internal-error", "admission failed", UNAVAILABLE_RETRY_S)
         if isinstance(admitted, Problem):
-            await self._refuse(exchange, opaque.id, admitted, "")
+            await self._refuse(exchange, request_id, admitted, "")
             return
         await self._run(exchange, opaque, admitted)
 
@@ -238,18 +239,17 @@
         request = admitted.request
         try:
             result = await self._runner.run(request, opaque, CallerSink(exchange))
-        except (asyncio.CancelledError, ConnectionError):
-            self._record_end(request, RunResult(Ending.TRUNCATED, "caller has gone"), "caller_gone")
-            raise
-        except Exception:
+        except (Exception, asyncio.CancelledError):
+            if _has_caller_left(exchange):
+                caller_gone = RunResult(Ending.TRUNCATED, "caller has gone")
+                self._record_end(request, caller_gone, "caller_gone")
+                raise
             logger.exception("request failed", extra={"request_id": request.id})
             if exchange.finished:
                 return
             ending = Ending.TRUNCATED if exchange.started else Ending.UNKNOWN
             result = RunResult(ending, "internal error")
-        if result.ending is Ending.NOT_RUN and admitted.organisation is not None:
-            self._allowances.refund(admitted.organisation.id, admitted.cost)
-        self._record_end(request, result, result.ending.value)
+        self._account(admitted, result)
         if result.ending is Ending.DELIVERED:
             return
         if result.ending is Ending.TRUNCATED:
@@ -258,6 +258,16 @@
         problem = problem_for_result(result, request.left_s(asyncio.get_running_loop().time()))
         await self._refuse(exchange, request.id, problem, request.organisation or "")
 
+    def _account(self, admitted: AdmittedRequest, result: RunResult) -> None:
+        """Return the charge of a request that did not run, and record the end of the request."""
+        try:
+            if result.ending is Ending.NOT_RUN and admitted.organisation is not None:
+                self._allowances.refund(admitted.organisation.id, admitted.cost)
+            self._record_end(admitted.request, result, result.ending.value)
+        # The caller still needs its answer.
+        except Exception:
+            logger.exception("accounting failed", extra={"request_id": admitted.request.id})
+
     async def _refuse(
         self, exchange: ServerExchange, request_id: str, problem: Problem, organisation: str
     ) -> None:
@@ -299,6 +309,15 @@
         )
 
 
+def _has_caller_left(exchange: ServerExchange) -> bool:
+    """Return whether a request ends because its caller has left or the server stops.
+
+    Otherwise a cancelled wait or a reset connection is a failure inside this VM.
+    """
+    task = asyncio.current_task()
+    return exchange.disconnected or (task is not None and task.cancelling() > 0)
+
+
 def problem_for_result(result: RunResult, left_s: float) -> Problem:
     """Return the problem document for a request that got no answer.
 
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -1,10 +1,12 @@
 """HTTP server that reads complete requests and handles one at a time per connection."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -80,6 +82,11 @@
         self._connection = connection
         self._http_version = request.http_version
 
+    @property
+    def disconnected(self) -> bool:
+        """Return whether the connection is closed, so that no response can be sent."""
+        return self._connection.writer.transport.is_closing()
+
     async def respond(self, status: int, headers: HeaderList, body: bytes = b"") -> None:
         """Send a complete response."""
         self._begin(status, [*headers, (b"Content-Length", str(len(body)).encode())])
@@ -466,16 +473,26 @@
             raise
         if task.cancelled():
             self._set_unanswered_cause(UnansweredCause.HANDLER_CANCELLED)
+        elif (error := task.exception()) is not None:
+            if isinstance(error, OSError) and exchange.disconnected:
+                self._set_unanswered_cause(UnansweredCause.CLIENT_DISCONNECTED)
+            else:
+                self._set_unanswered_cause(UnansweredCause.HANDLER_FAILED)
+                logger.error("request handler failed", exc_info=error)
+        if not exchange.finished:
+            await self._answer_for_handler(exchange)
+
+    async def _answer_for_handler(self, exchange: ServerExchange) -> None:
+        """Respond to a request whose handler ended without a response, where that is possible."""
+        can_respond = self._parser.our_state is h11.SEND_RESPONSE and not self.broken
+        if not can_respond or exchange.disconnected:
             return
-        error = task.exception()
-        if error is None:
-            return
-        self.broken = True
-        if isinstance(error, OSError):
-            self._set_unanswered_cause(UnansweredCause.CLIENT_DISCONNECTED)
-        else:
-            self._set_unanswered_cause(UnansweredCause.HANDLER_FAILED)
-            logger.error("request handler failed", exc_info=error)
+        logger.error(
+            "request answered for its handler", extra={"cause": self._unanswered_cause.value}
+        )
+        self.close_after_response = True
+        with contextlib.suppress(OSError):
+            await exchange.respond(HTTPStatus.INTERNAL_SERVER_ERROR, [])
 
     def _set_unanswered_cause(self, cause: UnansweredCause) -> None:
         """Set the cause unless an earlier one is known."""
