--- a/tests/soak_harness/__init__.py
+++ b/tests/soak_harness/__init__.py
@@ -1,5 +1,7 @@
 """Randomised soak test: real entry processes under faults drawn from a seed."""
 
+from ._fleet import SoakFleet
+from ._planned_work import run_planned_work
 from ._run import run_seed
 from ._schedule import (
     ADDED_FAULT_KINDS,
@@ -18,6 +20,8 @@
     "ORDER_KINDS",
     "STATEMENT_KINDS",
     "PlannedFault",
+    "SoakFleet",
+    "run_planned_work",
     "run_seed",
     "schedule",
 ]
--- /dev/null
+++ b/tests/soak_harness/_planned_work.py
@@ -0,0 +1,167 @@
+"""Planned work only: changes of the configuration, restarts, reloads and endpoints that pause.
+
+Nothing fails, so each request has to end with a complete answer or refusal, whatever its moment.
+"""
+
+import asyncio
+import json
+import random
+import signal
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from platform_standins import default_configuration, engine_service, plain_service, route, tenant
+
+from ._callers import Call, Callers, Outcome
+from ._fleet import SoakFleet
+from ._processes import EXIT_GRACE_S
+from ._proxy import LinkFault
+
+KEYS_BY_PATH = {
+    "/read/": "key-1",
+    "/order/": "key-1",
+    "/chat/": "key-1",
+    "/review/": "key-1",
+    "/west/": "key-1",
+    "/open/": "key-2",
+    "/bell/": "key-2",
+}
+PLANNED_WORK_S = 12.0
+CALLERS_PER_VM = 6
+COMPLETE_STATUSES = frozenset({200, 401, 404, 429, 503})
+"""Statuses of answers and refusals; the others say that a request was lost on the way."""
+MAX_PAUSE_S = 1.2
+"""Time for which a sound endpoint may send nothing."""
+START_TIMEOUT_S = 20.0
+INTERPRETER_START_S = 0.2
+"""Time after the start of a process in which a signal may arrive before its first line runs."""
+UNANSWERED_MESSAGE = "request ended without an answer"
+EXPECTED_CAUSE = "client_disconnected"
+
+
+class PlannedWork:
+    """Runs planned work in overlapping series, drawn from a seed, beside callers."""
+
+    def __init__(self, seed: int, fleet: SoakFleet) -> None:
+        self.calls: list[Call] = []
+        self.breaches: list[str] = []
+        self._seed = seed
+        self._fleet = fleet
+        self._version = 1
+
+    async def run(self) -> None:
+        """Start the fleet, do the planned work and collect the breaches."""
+        try:
+            await self._fleet.start()
+            callers = Callers(self._fleet.vms, self._seed, KEYS_BY_PATH)
+            callers.start(CALLERS_PER_VM)
+            series = (self._change_configuration, self._reload, self._pause, self._restart)
+            ends_at_s = asyncio.get_running_loop().time() + PLANNED_WORK_S
+            await asyncio.gather(*(one(ends_at_s) for one in series))
+            await callers.stop()
+            self.calls = callers.calls
+            self.breaches += find_losses(self.calls)
+        finally:
+            await self._fleet.stop()
+        self.breaches += _find_logged_losses(self._fleet.folder)
+
+    def _rng(self, name: str) -> random.Random:
+        return random.Random(f"{self._seed} {name}")
+
+    async def _change_configuration(self, ends_at_s: float) -> None:
+        rng = self._rng("configuration")
+        while asyncio.get_running_loop().time() < ends_at_s:
+            self._version += 1
+            await self._fleet.store.put("op/config", _draw_configuration(self._version, rng))
+            await asyncio.sleep(rng.uniform(0.02, 0.6))
+
+    async def _reload(self, ends_at_s: float) -> None:
+        rng = self._rng("reload")
+        while asyncio.get_running_loop().time() < ends_at_s:
+            vm = rng.choice(self._fleet.vms)
+            now = asyncio.get_running_loop().time()
+            if now - vm.started_at_s[-1] > INTERPRETER_START_S:
+                vm.signal(signal.SIGHUP)
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
+
+    async def _pause(self, ends_at_s: float) -> None:
+        rng = self._rng("pause")
+        while asyncio.get_running_loop().time() < ends_at_s:
+            proxy = rng.choice(self._fleet.endpoints).proxy
+            proxy.set_fault(LinkFault.PAUSE)
+            await asyncio.sleep(rng.uniform(0.3, MAX_PAUSE_S))
+            proxy.set_fault(LinkFault.NONE)
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+
+    async def _restart(self, ends_at_s: float) -> None:
+        rng = self._rng("restart")
+        while asyncio.get_running_loop().time() < ends_at_s:
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            vm = rng.choice(self._fleet.vms)
+            vm.expected_to_run = False
+            vm.signal(signal.SIGTERM)
+            code = await vm.wait(EXIT_GRACE_S)
+            if code != 0:
+                self.breaches.append(f"{vm.name} ended with {code}")
+                await vm.stop()
+            await vm.start()
+            await self._fleet.wait_until_ready(vm, START_TIMEOUT_S)
+
+
+def _draw_configuration(version: int, rng: random.Random) -> dict[str, Any]:
+    """Return a configuration in which one or two parts differ from the default one."""
+    default = default_configuration(version)
+    routes = [*default["routes"], route("/bell/", "safe", "desk")]
+    tenants = [tenant("acme", "key-1"), tenant("bell", "key-2", rate_per_s=100, burst=1000)]
+    services = [plain_service("desk"), engine_service("engine")]
+    limits = dict(default["limits"])
+    for change in rng.sample(range(8), rng.choice((1, 2))):
+        if change == 0:
+            limits["idle_timeout_ms"] = rng.choice((300, 1_000, 5_000, 60_000))
+        elif change == 1:
+            routes = [row | {"timeout_ms": rng.choice((2_500, 6_000))} for row in routes]
+        elif change == 2:
+            del routes[rng.randrange(len(routes))]
+        elif change == 3:
+            tenants[0] = tenant("acme", "key-1", rate_per_s=rng.choice((200, 4000)), burst=400)
+        elif change == 4:
+            tenants = [tenant("acme", "key-1")]
+        elif change == 5:
+            tenants = [tenant("bell", "key-2", rate_per_s=1, burst=1)]
+        elif change == 6:
+            services[1] = engine_service("engine", connection_limit=rng.choice((8, 200)))
+        else:
+            limits["header_bytes"] = rng.choice((4_096, 32_768))
+    parts = {"routes": routes, "tenants": tenants, "services": services, "limits": limits}
+    return default | parts
+
+
+def find_losses(calls: list[Call]) -> Iterator[str]:
+    """Yield a description of each request that had no complete answer, as its caller saw it."""
+    for call in calls:
+        if call.outcome is not Outcome.ANSWERED or call.status not in COMPLETE_STATUSES:
+            yield (
+                f"{call.id} ({call.path}) at {call.vm.name}: {call.outcome} {call.status} "
+                f"after {call.ended_s - call.sent_s:.3f} s"
+            )
+
+
+def _find_logged_losses(folder: Path) -> Iterator[str]:
+    """Yield a description of each request that a VM logged as ended without an answer."""
+    for path in sorted(folder.glob("vm-*.log")):
+        for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+            if UNANSWERED_MESSAGE not in line:
+                continue
+            fields = json.loads(line)
+            if fields["cause"] != EXPECTED_CAUSE:
+                yield f"{fields['request_id']} at {fields['entry_vm']}: {fields['cause']}"
+
+
+async def run_planned_work(seed: int, folder: Path, network: str) -> tuple[list[str], Counter[int]]:
+    """Run one seed; return the breaches and the number of answers by status."""
+    folder.mkdir(parents=True, exist_ok=True)
+    work = PlannedWork(seed, SoakFleet(seed, folder, network))
+    await work.run()
+    return work.breaches, Counter(call.status for call in work.calls)
--- a/tests/soak_harness/_proxy.py
+++ b/tests/soak_harness/_proxy.py
@@ -21,6 +21,8 @@
     """Requests are forwarded, responses are dropped."""
     SILENT = "silent"
     """All bytes are dropped; connections stay open."""
+    PAUSE = "pause"
+    """All bytes are kept back until the fault ends, as by a peer that pauses and goes on."""
 
 
 class LoopbackProxy:
@@ -29,6 +31,8 @@
     def __init__(self, host: str, port: int) -> None:
         self._target = (host, port)
         self.fault = LinkFault.NONE
+        self._resumed = asyncio.Event()
+        self._resumed.set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -61,6 +65,10 @@
         if fault is LinkFault.RESET or (fault is LinkFault.NONE and self.fault in lossy):
             self._reset_all()
         self.fault = fault
+        if fault is LinkFault.PAUSE:
+            self._resumed.clear()
+        else:
+            self._resumed.set()
 
     def _reset_all(self) -> None:
         for writer in list(self._writers):
@@ -93,6 +101,7 @@
             while data := await source.read(CHUNK_BYTES):
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(DELAY_S)
+                await self._resumed.wait()
                 if self.fault is LinkFault.SILENT:
                     continue
                 if is_response and self.fault is LinkFault.NO_ANSWERS:
