End a forwarded run also when it fails, is abandoned or has no finite retry time

If the VM that runs a forwarded request cannot build the final part, the caller waits until the deadline of the request and gets 504 in place of a refusal. If the other VM abandons a stream whose queue of 64 parts is full, the task of the run never ends and keeps its memory.

Cause: the final part was built and queued in a `finally`. Nobody reads the queue after the forward was abandoned, and an error in building the part (an infinite retry time) lost it. An error of the run itself left no line in the log of the VM that ran the request.

Change: a run that is abandoned queues nothing, one that fails is logged and ends with an unknown outcome, and the retry time is limited to 3600 s.

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -48,6 +48,8 @@
 FORWARD_WORK_S = 0.05
 """Load time that a forwarded request adds to another region until the region's next report: the
 time to read a typical prompt."""
+MAX_RETRY_AFTER_S = 3600.0
+"""Largest retry time in seconds that another VM is told: infinite ones cannot be encoded."""
 ENDINGS_BY_VALUE = {ending.value: ending for ending in Ending}
 
 logger = logging.getLogger(__name__)
@@ -219,6 +221,13 @@
     )
 
 
+def _encode_retry_ms(retry_after_s: float | None) -> int:
+    """Return a retry time in milliseconds as ``ForwardEnd`` has it; 0 if it is not known."""
+    if retry_after_s is None or not retry_after_s > 0.0:
+        return 0
+    return int(min(retry_after_s, MAX_RETRY_AFTER_S) * MS_PER_S)
+
+
 class ForwardedRequests:
     """Runs the requests that other VMs forward to this one."""
 
@@ -282,23 +291,31 @@
     async def _run(
         self, request: RoutedRequest, opaque: OpaqueRequest, sink: LinkSink, vm: VmId
     ) -> None:
-        result = RunResult(Ending.UNKNOWN, "handler failed")
         try:
             result = await self._runner.run(request, opaque, sink)
-        finally:
-            complete = result.ending is Ending.DELIVERED
-            logger.info(
-                "forwarded request ended",
-                extra={
-                    "request_id": request.id,
-                    "from_vm": vm,
-                    "ending": result.ending.value,
-                    "cause": result.cause,
-                },
-            )
-            retry_ms = int((result.retry_after_s or 0.0) * MS_PER_S)
-            end = ForwardEnd(complete, result.ending.value, result.cause, retry_after_ms=retry_ms)
-            await sink.end(end)
+        # Without an end, the other VM would wait until the deadline of the request.
+        except (Exception, asyncio.CancelledError):
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                # The other VM has abandoned the request: nobody reads the queue, which may be full.
+                raise
+            extra = {"request_id": request.id, "from_vm": vm}
+            logger.exception("forwarded request failed", extra=extra)
+            result = RunResult(Ending.UNKNOWN, "handler failed")
+        logger.info(
+            "forwarded request ended",
+            extra={
+                "request_id": request.id,
+                "from_vm": vm,
+                "ending": result.ending.value,
+                "cause": result.cause,
+            },
+        )
+        complete = result.ending is Ending.DELIVERED
+        retry_ms = _encode_retry_ms(result.retry_after_s)
+        await sink.end(
+            ForwardEnd(complete, result.ending.value, result.cause, retry_after_ms=retry_ms)
+        )
 
     def _decode(
         self, forward: ForwardRequest, traffic: OpaqueTraffic, route_label: str, now: float
