Report a forwarded request that cannot be decoded as not run

What callers would see: 502 with an unknown outcome, which forbids a retry of an unsafe request, for a request that no endpoint has received.

Cause: the error of decoding escaped from the handler, and the links report every failed handler as unknown.

Change: the handler answers that the request has not run, so that the other VM can place it elsewhere, and logs why.

tests/entry/test_forwarded_endings.py -k decoded: both cases failed before with the error of the decoding (ValueError, UnicodeEncodeError).

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -260,7 +260,14 @@
             return
         now = asyncio.get_running_loop().time()
         label = route.label if route is not None else ""
-        request, opaque = self._decode(forward, forward.opaque, label, now)
+        try:
+            request, opaque = self._decode(forward, forward.opaque, label, now)
+        except (ValueError, ArithmeticError) as error:
+            # A VM of another version may send values that this one does not know.
+            extra = {"request_id": forward.request_id, "from_vm": vm, "cause": str(error)}
+            logger.warning("forwarded request cannot be decoded", extra=extra)
+            yield ForwardEnd(False, Ending.NOT_RUN.value, "cannot be decoded here")
+            return
         sink = LinkSink()
         task = asyncio.create_task(self._run(request, opaque, sink, vm))
         try:
--- a/tests/entry/test_forwarded_endings.py
+++ b/tests/entry/test_forwarded_endings.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any, cast
 
 import pytest
@@ -58,10 +59,10 @@
     return forwarded, runner
 
 
-async def _end_of(run: Run) -> ForwardEnd:
+async def _end_of(run: Run, request: ForwardRequest = REQUEST) -> ForwardEnd:
     forwarded, _ = _requests(run)
     async with asyncio.timeout(END_S):
-        parts = [part async for part in forwarded.handle(VM, REQUEST)]
+        parts = [part async for part in forwarded.handle(VM, request)]
     assert isinstance(parts[-1], ForwardEnd)
     return parts[-1]
 
@@ -121,3 +122,17 @@
     end = asyncio.run(_end_of(_refuse))
     assert end.execution == Ending.NOT_RUN.value
     assert 0 <= end.retry_after_ms < 2**63
+
+
+@pytest.mark.parametrize(
+    "request_",
+    [
+        replace(REQUEST, opaque=replace(OPAQUE, kind="newer")),
+        replace(REQUEST, path="/\u20ac"),
+    ],
+    ids=["kind", "path"],
+)
+def test_a_forward_that_cannot_be_decoded_is_not_run(request_: ForwardRequest) -> None:
+    """Guards against an unknown outcome of a request that no endpoint has received."""
+    end = asyncio.run(_end_of(_fail, request_))
+    assert (end.complete, end.execution) == (False, Ending.NOT_RUN.value)
