Send the end of a forwarded request whose handler is cancelled from inside

What callers would see: they wait until the deadline of their request and get 504, and a VM that stops waits its whole grace period for the request.

Cause: the VM that runs the request reports each `Exception` of its handler, but not a `CancelledError` of something that the handler waits for. No end was sent, and the request stayed among the active ones.

Change: a cancellation counts as that of the other VM only if the task itself was cancelled. All else is logged and reported as an unknown outcome.

tests/peers/test_forward_endings.py: all 3 cases failed on the old code by the timeout of 5 s, with 0, 1 and 32 parts sent before.

--- a/src/mangosaddle/peers/_forward.py
+++ b/src/mangosaddle/peers/_forward.py
@@ -161,7 +161,11 @@
         try:
             end = replace(await self._run_handler(link, number, active), number=number)
         # Any handler failure has to be reported, or the other VM would wait for the response.
-        except Exception:
+        except (Exception, asyncio.CancelledError):
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                self._active_requests.pop((link, number), None)
+                raise
             self._metrics.count_drop("forward_handler_failed")
             logger.exception(
                 "forward handler failed", extra={"request_id": active.request.request_id}
--- /dev/null
+++ b/tests/peers/test_forward_endings.py
@@ -0,0 +1,56 @@
+"""Forwarded requests whose end is at risk on the VM that runs them, or on the link."""
+
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
+
+import pytest
+from peer_fleet import Fleet, run_with_fleet
+
+from mangosaddle._identifiers import OrganisationId, RequestId, VmId
+from mangosaddle.peers import (
+    ForwardChunk,
+    ForwardEnd,
+    ForwardRequest,
+    ForwardResponsePart,
+)
+from mangosaddle.peers._forward import MAX_CHUNK_BYTES, WINDOW_BYTES
+
+ADDIS, GONDAR = VmId("addis-1"), VmId("gondar-1")
+END_S = 5.0
+"""Time in which a forwarded request has to end."""
+REQUEST = ForwardRequest(
+    "POST", "/v1", "text/plain", b"body", OrganisationId("o"), "patient", RequestId("r1")
+)
+
+
+async def _end_of(fleet: Fleet) -> ForwardEnd:
+    async with asyncio.timeout(END_S), aclosing(_forward(fleet)) as parts:
+        async for part in parts:
+            if isinstance(part, ForwardEnd):
+                return part
+    raise AssertionError("no end")
+
+
+def _forward(fleet: Fleet) -> AsyncGenerator[ForwardResponsePart, None]:
+    return fleet.nodes_by_vm[ADDIS].forward(GONDAR, REQUEST)
+
+
+@pytest.mark.parametrize("parts_before", [0, 1, 2 * WINDOW_BYTES // MAX_CHUNK_BYTES])
+def test_a_handler_that_is_cancelled_from_inside_ends_the_response(parts_before: int) -> None:
+    """Guards against a VM that waits for an answer, and a stop that waits for the request."""
+
+    async def _cancelled(_vm: VmId, _request: ForwardRequest) -> AsyncIterator[ForwardResponsePart]:
+        for _ in range(parts_before):
+            yield ForwardChunk(bytes(MAX_CHUNK_BYTES))
+        future = asyncio.get_running_loop().create_future()
+        future.cancel()
+        await future
+
+    async def _scenario(fleet: Fleet) -> None:
+        fleet.nodes_by_vm[GONDAR].on_forward(_cancelled)
+        end = await _end_of(fleet)
+        assert (end.complete, end.execution) == (False, "unknown")
+        assert fleet.nodes_by_vm[GONDAR].running_forward_count == 0
+
+    run_with_fleet(_scenario, "addis-1", "gondar-1")
