Send the end of a forwarded request without its details if they cannot be encoded

What callers would see: they wait until the deadline of their request and get 504 in place of a refusal.

Cause: the cause that an end states is the text of an error, without a limit, and its retry time any number. An error in encoding the end escaped from the task after the request had been taken off the active ones, so nobody was told.

Change: the cause is limited to 1000 characters, and an end that still cannot be encoded is logged and sent with its ending only.

--- a/src/mangosaddle/peers/_forward.py
+++ b/src/mangosaddle/peers/_forward.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from .._identifiers import VmId
+from ._exceptions import EncodeError
 from ._link import Link
 from ._messages import (
     MAX_HOPS,
@@ -38,6 +39,9 @@
 """Largest request body that can be forwarded."""
 MAX_FORWARDS_PER_LINK = 4096
 """Forwarded requests that may run at the same time for one link."""
+MAX_REASON_CHARS = 1000
+"""Largest length of the cause that the end of a response states; it is the text of an error and may
+contain what an endpoint sent."""
 
 ForwardHandler = Callable[[VmId, ForwardRequest], AsyncIterator[ForwardResponsePart]]
 """Runs a forwarded request and yields the parts of its response.
@@ -172,7 +176,16 @@
             )
             end = ForwardEnd(False, "unknown", "handler_failed", number)
         if self._active_requests.pop((link, number), None) is not None and not link.closed.is_set():
-            link.send(end)
+            self._send_end(link, end)
+
+    def _send_end(self, link: Link, end: ForwardEnd) -> None:
+        """Send the end of a response, without its details if they cannot be encoded."""
+        try:
+            link.send(replace(end, reason=end.reason[:MAX_REASON_CHARS]))
+        except EncodeError:
+            self._metrics.count_drop("forward_end_not_encodable")
+            logger.exception("end of a forward cannot be encoded")
+            link.send(ForwardEnd(end.complete, end.execution, "end_not_encodable", end.number))
 
     async def _run_handler(self, link: Link, number: int, active: _ActiveRequest) -> ForwardEnd:
         if self.handler is None:
--- a/tests/peers/test_forward_endings.py
+++ b/tests/peers/test_forward_endings.py
@@ -14,6 +14,7 @@
     ForwardRequest,
     ForwardResponsePart,
 )
+from mangosaddle.peers._codec import MAX_MESSAGE_BYTES
 from mangosaddle.peers._forward import MAX_CHUNK_BYTES, WINDOW_BYTES
 
 ADDIS, GONDAR = VmId("addis-1"), VmId("gondar-1")
@@ -54,3 +55,28 @@
         assert fleet.nodes_by_vm[GONDAR].running_forward_count == 0
 
     run_with_fleet(_scenario, "addis-1", "gondar-1")
+
+
+@pytest.mark.parametrize(
+    "end",
+    [
+        ForwardEnd(False, "not_run", "x" * MAX_MESSAGE_BYTES),
+        ForwardEnd(False, "not_run", "\ud800"),
+        ForwardEnd(False, "not_run", "full", retry_after_ms=2**65),
+        ForwardEnd(False, "not_run", "full", retry_after_ms=0.5),  # type: ignore[arg-type]
+    ],
+    ids=["long", "surrogate", "number", "type"],
+)
+def test_an_end_that_cannot_be_encoded_is_reported_without_its_details(end: ForwardEnd) -> None:
+    """Guards against an end that is lost, so that the other VM waits until the deadline."""
+
+    async def _refuse(_vm: VmId, _request: ForwardRequest) -> AsyncIterator[ForwardResponsePart]:
+        yield end
+
+    async def _scenario(fleet: Fleet) -> None:
+        fleet.nodes_by_vm[GONDAR].on_forward(_refuse)
+        received = await _end_of(fleet)
+        assert (received.complete, received.execution) == (False, "not_run")
+        assert fleet.nodes_by_vm[GONDAR].running_forward_count == 0
+
+    run_with_fleet(_scenario, "addis-1", "gondar-1")
