Never drop the flow-control credits of a forwarded stream

What callers would see: a long answer of another region stops in the middle and stays so until the deadline, if the link to that VM was congested for a moment.

Cause: credits travel in the control queue, which drops messages above 4 MiB. Facts are repaired by anti-entropy, credits by nothing: the VM that runs the request waits for them, and the one that forwarded it for the next part.

Change: credits are queued also when the control queue is full. Their number is limited by the data that was received, one for each 64 KiB.

tests/peers/test_forward_endings.py -k control: failed on the old code by its timeout of 20 s, with 1 MiB to be passed on and a control queue that was full whenever a part was taken.

--- a/src/mangosaddle/peers/_link.py
+++ b/src/mangosaddle/peers/_link.py
@@ -17,6 +17,7 @@
     ForwardBody,
     ForwardCancel,
     ForwardChunk,
+    ForwardCredit,
     ForwardEnd,
     ForwardHead,
     ForwardOpen,
@@ -27,7 +28,8 @@
 MAX_CONTROL_QUEUE_BYTES = 4 * 1024 * 1024
 """Size of the control queue above which messages to a slow link are dropped.
 
-Anti-entropy exchanges repair facts that are lost in this way.
+Anti-entropy exchanges repair facts that are lost in this way. Flow-control credits are never
+dropped, as nothing would repair them; there is one per quarter of a window that was received.
 """
 FORWARD_QUEUE_LIMIT_BYTES = 1024 * 1024
 """Size of the forward queue above which producers wait for a slow link."""
@@ -90,18 +92,23 @@
     def send(self, message: object) -> int:
         """Queue a message; raises ``EncodeError``. See ``send_encoded``."""
         queue = Queue.FORWARD if isinstance(message, FORWARD_TYPES) else Queue.CONTROL
-        return self.send_encoded(CODEC.encode(message), queue)
+        may_drop = not isinstance(message, ForwardCredit)
+        return self.send_encoded(CODEC.encode(message), queue, may_drop=may_drop)
 
-    def send_encoded(self, body: bytes, queue: Queue = Queue.CONTROL) -> int:
+    def send_encoded(
+        self, body: bytes, queue: Queue = Queue.CONTROL, *, may_drop: bool = True
+    ) -> int:
         """Queue an encoded message and return the number of messages ever queued for forwards.
 
         For a message of the forward queue this is its number, to be passed to ``is_written``. A
-        control message is dropped and counted when its queue is full. On a closed link nothing is
-        queued, and ``is_written`` stays False for the returned number.
+        control message that ``may_drop`` allows to drop is dropped and counted when its queue is
+        full. On a closed link nothing is queued, and ``is_written`` stays False for the returned
+        number.
         """
         if self.closed.is_set():
             return self._forward_queued + 1
-        if queue is Queue.CONTROL and self._queued_bytes[queue] > MAX_CONTROL_QUEUE_BYTES:
+        is_full = self._queued_bytes[queue] > MAX_CONTROL_QUEUE_BYTES
+        if queue is Queue.CONTROL and is_full and may_drop:
             self._metrics.count_drop("control_queue_full")
             return 0
         self._queues[queue].append(body)
--- a/tests/peers/test_forward_endings.py
+++ b/tests/peers/test_forward_endings.py
@@ -11,11 +11,14 @@
 from mangosaddle.peers import (
     ForwardChunk,
     ForwardEnd,
+    ForwardHead,
     ForwardRequest,
     ForwardResponsePart,
 )
 from mangosaddle.peers._codec import MAX_MESSAGE_BYTES
 from mangosaddle.peers._forward import MAX_CHUNK_BYTES, WINDOW_BYTES
+from mangosaddle.peers._link import MAX_CONTROL_QUEUE_BYTES
+from mangosaddle.peers._messages import Response
 
 ADDIS, GONDAR = VmId("addis-1"), VmId("gondar-1")
 END_S = 5.0
@@ -80,3 +83,32 @@
         assert fleet.nodes_by_vm[GONDAR].running_forward_count == 0
 
     run_with_fleet(_scenario, "addis-1", "gondar-1")
+
+
+def test_a_stream_goes_on_although_the_control_queue_is_full() -> None:
+    """Guards against dropped credits, after which the other VM sends nothing any more."""
+    size_bytes = 4 * WINDOW_BYTES
+    other = Response(0, bytes(MAX_MESSAGE_BYTES // 2))
+
+    async def _stream(_vm: VmId, _request: ForwardRequest) -> AsyncIterator[ForwardResponsePart]:
+        yield ForwardHead(200, "text/plain")
+        for _ in range(size_bytes // MAX_CHUNK_BYTES):
+            yield ForwardChunk(bytes(MAX_CHUNK_BYTES))
+        yield ForwardEnd(True)
+
+    async def _scenario(fleet: Fleet) -> None:
+        fleet.nodes_by_vm[GONDAR].on_forward(_stream)
+        link = fleet.nodes_by_vm[ADDIS]._connector.links_by_vm[GONDAR]
+        received_bytes = 0
+        async with asyncio.timeout(4 * END_S), aclosing(_forward(fleet)) as parts:
+            async for part in parts:
+                received_bytes += len(part.data) if isinstance(part, ForwardChunk) else 0
+                # The next parts arrive, so that taking one sends a credit without a wait in which
+                # the queue would be written.
+                await asyncio.sleep(0.01)
+                for _ in range(MAX_CONTROL_QUEUE_BYTES // len(other.body) + 1):
+                    link.send(other)
+        assert received_bytes == size_bytes
+        assert fleet.counter(ADDIS, "dropped_total", reason="control_queue_full") > 0
+
+    run_with_fleet(_scenario, "addis-1", "gondar-1")
