Run the requests of organisations whose names a header cannot hold

What callers would see: after a change of the configuration that names an organisation in characters outside of Latin-1, or with a control character or an outer space, each request with its keys ends with 502 and an unknown outcome, on all VMs.

Cause: the name is passed to endpoints in a header and was encoded as Latin-1 without a check. Other characters raised an error, in the codec or in h11, after the endpoint was chosen.

Change: Latin-1 names are sent as before, others as UTF-8, and bytes that a header value cannot contain are percent-encoded. Refusing the configuration instead would hold back its other changes, such as withdrawn keys. The same holds for the ids of endpoints.

--- a/src/mangosaddle/platform/_requests.py
+++ b/src/mangosaddle/platform/_requests.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+import re
 from collections.abc import Collection
 
 from returns.result import Failure, Result, Success
@@ -63,6 +64,8 @@
     }
 )
 """Caller headers that are not forwarded to a runner; the system sets or omits them itself."""
+UNSAFE_HEADER_BYTE = re.compile(rb"[\x00-\x1f\x7f]|\A | \Z")
+"""Control characters, and spaces at the ends, which HTTP does not keep."""
 MAX_INTEGER_DIGITS = 18
 """Maximum number of digits of an integer in a header; such a number fits into 64 bits."""
 NOT_RUN_STATUSES = frozenset({421})
@@ -191,9 +194,9 @@
         if resume_after is None or name.lower() != LAST_EVENT_ID_HEADER
     ]
     headers.append((b"Deadline-Milliseconds", str(max(1, int(left_s * MS_PER_S))).encode()))
-    headers.append((b"Expect-Instance", registration.id.encode("latin-1")))
+    headers.append((b"Expect-Instance", _encode_header_value(registration.id)))
     if organisation is not None:
-        headers.append((b"Tenant", organisation.encode("latin-1")))
+        headers.append((b"Tenant", _encode_header_value(organisation)))
     if request.prompt is not None:
         headers.append((b"Request-Urgency", str(min(urgency, MAX_URGENCY)).encode()))
     if resume_after is not None:
@@ -208,6 +211,19 @@
     )
 
 
+def _encode_header_value(name: str) -> bytes:
+    """Return a name from the configuration or the store as a header value.
+
+    Names that are not Latin-1 are sent as UTF-8. Bytes that a header value cannot contain are
+    percent-encoded.
+    """
+    try:
+        value = name.encode("latin-1")
+    except UnicodeEncodeError:
+        value = name.encode("utf-8", "replace")
+    return UNSAFE_HEADER_BYTE.sub(lambda match: b"%%%02X" % match[0][0], value)
+
+
 def decode_answer(head: ResponseHead) -> EndpointAnswer:
     """Decode the status and headers of a runner's response."""
     view = head.view
