Report an endpoint connection that ends before the request is written as not sent

What callers would see: 502 with an unknown outcome for an unsafe request, and a spent retry for a safe one, when an endpoint accepts a connection and closes it at once, as one at its connection limit or one that stops does.

Cause: the connection may have ended by the time its opener goes on. Sending on it raised the error of a lost answer, though nothing had been written.

Change: the attempt checks the connection and ends as not sent, which marks the endpoint as unreachable until a health check, as a refused connection does.

tests/entry/test_unsendable_requests.py -k ends_before: both cases failed before with the end BROKEN.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -166,6 +166,11 @@
             except ConnectFailedError as error:
                 return AttemptResult(AttemptEnd.NOT_SENT, str(error))
             self.connections_opened += 1
+        if not connection.usable:
+            # An endpoint at its connection limit, or one that stops, closes it as it is opened.
+            connection.abort()
+            cause = "connection ended before the request was sent"
+            return AttemptResult(AttemptEnd.NOT_SENT, cause)
         resume_after = progress.splitter.last_id if progress.must_resume else None
         left_s = request.left_s(clock())
         if left_s < DEADLINE_MARGIN_S or not self._may_send():
--- a/tests/entry/test_unsendable_requests.py
+++ b/tests/entry/test_unsendable_requests.py
@@ -1,6 +1,7 @@
 """Requests that cannot be written to an endpoint."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, cast
 
 import pytest
@@ -8,7 +9,7 @@
 
 from mangosaddle._identifiers import EndpointId, RegionName, ServiceName, ZoneName
 from mangosaddle.entry._attempt import AttemptEnd, EndpointClient, StreamProgress
-from mangosaddle.http11 import ConnectionPool, UpstreamRequest
+from mangosaddle.http11 import ConnectionPool, UpstreamConnection, UpstreamRequest
 from mangosaddle.traffic import (
     EndpointPhase,
     EndpointView,
@@ -20,6 +21,7 @@
 )
 
 ATTEMPTS = 3
+OPAQUE = OpaqueRequest("id", b"GET", b"/", "h", "/", [], b"", None, None, None, None)
 
 
 class _Wire:
@@ -34,18 +36,7 @@
         return self._request
 
 
-async def _run_attempts(request: UpstreamRequest | None) -> tuple[list[AttemptEnd], bytes, int]:
-    """Return the ends of some attempts, the bytes received, and the connections still open."""
-    received, open_connections = b"", 0
-
-    async def _receive(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        nonlocal received, open_connections
-        open_connections += 1
-        received += await reader.read()
-        open_connections -= 1
-        writer.close()
-
-    server = await asyncio.start_server(_receive, "127.0.0.1", 0)
+def _place(server: asyncio.Server) -> LocalPlacement:
     registration = Registration(
         EndpointId("e"),
         ServiceName("desk"),
@@ -59,16 +50,30 @@
         0.0,
         None,
     )
-    place = LocalPlacement(EndpointView(registration, None), Work(0, 0), 0.03, 0.03, 0.008)
+    return LocalPlacement(EndpointView(registration, None), Work(0, 0), 0.03, 0.03, 0.008)
+
+
+async def _run_attempts(request: UpstreamRequest | None) -> tuple[list[AttemptEnd], bytes, int]:
+    """Return the ends of some attempts, the bytes received, and the connections still open."""
+    received, open_connections = b"", 0
+
+    async def _receive(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal received, open_connections
+        open_connections += 1
+        received += await reader.read()
+        open_connections -= 1
+        writer.close()
+
+    server = await asyncio.start_server(_receive, "127.0.0.1", 0)
+    place = _place(server)
     pool = ConnectionPool()
     client = EndpointClient(cast(Any, _Wire(request)), pool)
-    opaque = OpaqueRequest("id", b"GET", b"/", "h", "/", [], b"", None, None, None, None)
     ends = []
     for _ in range(ATTEMPTS):
         deadline_s = asyncio.get_running_loop().time() + 1.0
         progress = StreamProgress(EventSplitter())
         routed = _request(deadline_s)
-        result = await client.run(routed, opaque, place, progress, cast(Any, None))
+        result = await client.run(routed, OPAQUE, place, progress, cast(Any, None))
         ends.append(result.end)
     pool.close()
     await asyncio.sleep(0.1)
@@ -92,3 +97,29 @@
     assert ends == [AttemptEnd.WITHHELD] * ATTEMPTS
     assert received == b""
     assert open_connections == 0
+
+
+@pytest.mark.parametrize("ends", [UpstreamConnection.eof_received, UpstreamConnection.abort])
+def test_a_connection_that_ends_before_the_request_is_written_is_not_sent(
+    ends: Callable[[UpstreamConnection], object], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an unknown outcome when an endpoint closes a connection as it is opened."""
+    open_connection = UpstreamConnection.open
+
+    async def _open(host: str, port: int, timeout_s: float) -> UpstreamConnection:
+        connection = await open_connection(host, port, timeout_s)
+        ends(connection)
+        return connection
+
+    async def _main() -> None:
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        request = UpstreamRequest(b"GET", b"/", [(b"Host", b"h")], b"")
+        client = EndpointClient(cast(Any, _Wire(request)), ConnectionPool())
+        routed = _request(asyncio.get_running_loop().time() + 1.0)
+        progress = StreamProgress(EventSplitter())
+        result = await client.run(routed, OPAQUE, _place(server), progress, cast(Any, None))
+        assert result.end is AttemptEnd.NOT_SENT
+        server.close()
+
+    monkeypatch.setattr(UpstreamConnection, "open", _open)
+    asyncio.run(_main())
