Answer running requests when a step of a planned stop fails or the grace period is short

What callers would see: connections closed without an answer at a VM that is stopped as planned.

Cause: an error in any step of the stop, such as announcing it over the links or removing the entry in the store, ended the process at once with all requests that ran. And the stop waited 3.2 s before it closed its listeners whatever the grace period, and kept fixed margins of 0.6 and 0.2 s, so that a grace period shorter than these was exceeded and the process killed.

Change: each step that fails is logged and the stop goes on. Waits end before the exit, and a margin takes at most a quarter of its period. For the usual 8 s nothing changes.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable
+from functools import partial
 
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
@@ -108,6 +109,8 @@
 ANSWER_MARGIN_S = 0.2
 """Time before the exit at which the requests that still run are ended, so that their callers get an
 answer rather than a closed connection."""
+MAX_MARGIN_SHARE = 0.25
+"""Maximum share of a short grace period, or of the time until the exit, that a margin takes."""
 MIN_DEREGISTRATION_S = 0.3
 """Time that the store gets to remove the entry of a VM that has used its whole grace period."""
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -115,6 +118,11 @@
 logger = logging.getLogger(__name__)
 
 
+def _time_until_exit_s(grace_s: float) -> float:
+    """Return the time from the stop signal to the exit, for a grace period in seconds."""
+    return grace_s - min(EXIT_MARGIN_S, MAX_MARGIN_SHARE * grace_s)
+
+
 class EntryProcess:
     """One entry process of the fleet; must only be used on the event loop."""
 
@@ -294,7 +302,7 @@
             self._rng,
             self._clock,
             self.settings.bounds.discovery_ttl_s,
-            min(REFUSE_AFTER_S, self.settings.bounds.grace_s - EXIT_MARGIN_S),
+            min(REFUSE_AFTER_S, _time_until_exit_s(self.settings.bounds.grace_s)),
             self.registry,
         )
         interface_handler = self._adapter.create_interface_handler(discovery, self.is_ready)
@@ -440,25 +448,29 @@
         Callers move to other VMs, and running requests may finish within the grace period.
         """
         began_s = self._clock()
-        grace_s = self.settings.bounds.grace_s - EXIT_MARGIN_S
+        grace_s = _time_until_exit_s(self.settings.bounds.grace_s)
+        answer_within_s = grace_s - min(ANSWER_MARGIN_S, MAX_MARGIN_SHARE * grace_s)
         if self.is_ready():
-            self.fleet.start_leaving()
+            self._try_step("announce", self.fleet.start_leaving)
         self._leaving = True
         self._servers.front.closing = True
-        self._presence.mark_leaving()
+        self._try_step("mark entry", self._presence.mark_leaving)
         if self._node is not None:
-            self._node.leave()
+            self._try_step("leave fleet", self._node.leave)
         logger.info(
             "stopping", extra={"busy": self._servers.front.active_requests, "grace_s": grace_s}
         )
-        self.runner.end_requests_by(began_s + grace_s - ANSWER_MARGIN_S)
-        await asyncio.sleep(min(REFUSE_AFTER_S, grace_s))
+        self._try_step(
+            "limit requests", partial(self.runner.end_requests_by, began_s + answer_within_s)
+        )
+        await asyncio.sleep(min(REFUSE_AFTER_S, answer_within_s))
         self.request_handler.refuses_new_requests = True
-        await asyncio.sleep(max(0.0, began_s + STOP_LISTENING_AFTER_S - self._clock()))
-        self._servers.front.stop_accepting()
+        stop_listening_at_s = began_s + min(STOP_LISTENING_AFTER_S, answer_within_s)
+        await asyncio.sleep(max(0.0, stop_listening_at_s - self._clock()))
+        self._try_step("stop accepting", self._servers.front.stop_accepting)
         while self._clock() - began_s < grace_s and self._is_busy():
-            self._servers.front.close_idle()
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+            self._try_step("close idle connections", self._servers.front.close_idle)
+            await asyncio.sleep(min(DRAIN_CHECK_INTERVAL_S, MAX_MARGIN_SHARE * grace_s))
         logger.info(
             "stopped",
             extra={
@@ -472,6 +484,17 @@
                 await self._presence.deregister()
         except TimeoutError:
             logger.warning("registration entry was not removed", extra={"cause": "timeout"})
+        # The entry expires with its lease.
+        except Exception:
+            logger.exception("step of the stop failed", extra={"step": "remove entry"})
+
+    @staticmethod
+    def _try_step(step: str, action: Callable[[], object]) -> None:
+        """Take a step of the stop; a failure is logged and does not cut the running requests."""
+        try:
+            action()
+        except Exception:
+            logger.exception("step of the stop failed", extra={"step": step})
 
     def _is_busy(self) -> bool:
         forwards = self._node.running_forward_count if self._node is not None else 0
