Leave deadlines that have passed alone when a stop shortens the others

What callers would see: connections closed without an answer when a VM stops within the moment in which another request times out and its connection to the endpoint is being closed.

Cause: asyncio refuses to change a timeout that is expiring, with RuntimeError. A deadline later than the new one can only be in this state if the new one lies in the past, as with a grace period shorter than the margins, or after a pause of the process.

Change: such deadlines are skipped; their requests are ending.

tests/platform/test_failing_stops.py -k timing_out: failed before with "Cannot change state of expiring Timeout".

--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -106,7 +106,8 @@
         self._latest_end_s = at_s
         for deadline in self._deadlines:
             when_s = deadline.when()
-            if when_s is not None and when_s > at_s:
+            # A deadline that has passed cannot be changed while its request is ending.
+            if when_s is not None and when_s > at_s and not deadline.expired():
                 deadline.reschedule(at_s)
 
     async def run(
--- a/tests/platform/test_failing_stops.py
+++ b/tests/platform/test_failing_stops.py
@@ -114,3 +114,24 @@
         assert drained_at_s <= began_s + grace_s
 
     run_on_empty_fleet(_scenario)
+
+
+def test_a_request_that_is_timing_out_does_not_end_the_stop() -> None:
+    """Guards against changing a deadline that has passed while its request is still ending."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = await _start(fleet, Behaviour.SILENT, GRACE_S)
+        at_s = asyncio.get_running_loop().time() - 1.0
+        async with asyncio.timeout(None) as outer:
+            try:
+                async with asyncio.timeout(0.01) as deadline:
+                    vm.runner._deadlines.add(deadline)
+                    try:
+                        await asyncio.Event().wait()
+                    finally:
+                        vm.runner.end_requests_by(at_s)
+            except TimeoutError:
+                outer.reschedule(None)
+        assert deadline.expired()
+
+    run_on_empty_fleet(_scenario)
