Answer requests although a record that is kept of them fails

What callers would see: 502 with an unknown outcome, for a request that was not sent or whose answer was complete.

Cause: the records of an attempt for rollouts, crashes and the statements of endpoints run on the path of the request, before it is sent and before its answer is passed on. An error in one of them ended the run, and one at the end left the request counted at its endpoint.

Change: these records are guarded and their failures logged. The report of a fallback is published again by the next tick if it failed.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -284,7 +284,11 @@
         now = asyncio.get_running_loop().time()
         view.health.last_data_at_s = now
         answer = self._wire.decode_answer(head)
-        self._record_answer(view, answer)
+        try:
+            self._record_answer(view, answer)
+        # What the endpoint states about itself does not matter to this request.
+        except Exception:
+            logger.exception("statements not recorded", extra={"endpoint": view.id})
         if request.route.kind is not RequestKind.STREAM:
             view.load.record_first_byte(request.id, now)
         if answer.proves_not_run:
--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -246,9 +246,17 @@
         self._running[request.service, version] += 1
         rollout = self._rollouts_by_service.get(request.service)
         if rollout is not None and rollout.record_start(version, now):
-            self._publish_progress(rollout, now)
+            try:
+                self._publish_progress(rollout, now)
+            # The request is sent all the same; ``tick`` publishes the progress again.
+            except Exception:
+                self._log_failed_report(request.id, rollout)
         return number
 
+    def _log_failed_report(self, request_id: str, rollout: OrderedRollout) -> None:
+        extra = {"request_id": request_id, "service": rollout.order.service}
+        logger.exception("rollout progress not published", extra=extra)
+
     def record_end(
         self, number: int, result: AttemptResult | None, tokens: int, now: float
     ) -> None:
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -192,7 +192,7 @@
         """
         view = place.endpoint
         now = asyncio.get_running_loop().time()
-        attempt_id = self._rollouts.record_start(request, place, now)
+        attempt_id = self._record_start(request, place, now)
         view.load.record_sent(request.id, place.work, place.forecast_s, now)
         view.statements.record_sent(now)
         if request.prompt is not None:
@@ -204,12 +204,43 @@
                 request, opaque, place, progress, sink, may_replace
             )
         finally:
-            tokens = view.load.tokens_of(request.id)
-            self._rollouts.record_end(attempt_id, result, tokens, asyncio.get_running_loop().time())
-            view.load.record_end(request.id)
-        self._record_result(request, view, result, progress)
+            self._record_end(request, view, attempt_id, result)
+        try:
+            self._record_result(request, view, result, progress)
+        # The result decides about the answer; the record is only used for other requests.
+        except Exception:
+            logger.exception("result not recorded", extra={"request_id": request.id})
         return result
 
+    def _record_start(
+        self, request: RoutedRequest, place: LocalPlacement, now: float
+    ) -> int | None:
+        """Record an attempt for the rollouts and return its number, if it has one."""
+        try:
+            return self._rollouts.record_start(request, place, now)
+        # Nothing has been sent yet, and the request does not depend on the record.
+        except Exception:
+            logger.exception("start of an attempt not recorded", extra={"request_id": request.id})
+            return None
+
+    def _record_end(
+        self,
+        request: RoutedRequest,
+        view: EndpointView,
+        attempt_id: int | None,
+        result: AttemptResult | None,
+    ) -> None:
+        tokens = view.load.tokens_of(request.id)
+        view.load.record_end(request.id)
+        if attempt_id is None:
+            return
+        now = asyncio.get_running_loop().time()
+        try:
+            self._rollouts.record_end(attempt_id, result, tokens, now)
+        # An error here would replace the result, or the error, of the attempt.
+        except Exception:
+            logger.exception("end of an attempt not recorded", extra={"request_id": request.id})
+
     def _record_result(
         self,
         request: RoutedRequest,
--- a/tests/entry/test_rollout_choices.py
+++ b/tests/entry/test_rollout_choices.py
@@ -219,6 +219,28 @@
     assert (revision, is_finished, running) == (1, False, 1)
 
 
+def test_a_report_that_cannot_be_published_does_not_fail_the_request(
+    rollouts: RolloutTracker, endpoints: Endpoints, clock: Clock
+) -> None:
+    """Guards against requests that end as unknown before they are sent, and stay counted."""
+
+    def _fail(_fact: object) -> None:
+        raise RuntimeError("unexpected")
+
+    node: Any = type("Node", (), {})()
+    node.new_fact = lambda kind, key, number, payload: payload
+    node.publish = _fail
+    node.on_fact = lambda name, listener: None
+    node.facts = type("Facts", (), {"find": lambda *_: None})()
+    rollouts.connect(node)
+    _apply_order(rollouts, "v3", 1)
+    clock.now += 7.0
+    for version in ("v3", "v1", "v1"):
+        _run_attempt(rollouts, endpoints, clock, version, AttemptEnd.DELIVERED)
+    assert not rollouts._running
+    assert not rollouts._attempts_by_number
+
+
 def test_overdue_requests_get_a_slow_version_rejected(
     rollouts: RolloutTracker, endpoints: Endpoints, clock: Clock
 ) -> None:
