Answer a forwarded request that another VM calls delivered without an answer

What callers would see: neither an answer nor a refusal.

Cause: the ending of an incomplete answer was taken from the other VM as it was. A run that is delivered is not answered again, though nothing of it had reached the caller.

Change: an incomplete answer, or one without a head, is unknown unless the other VM states that the request has not run.

tests/entry/test_endless_forwards.py -k delivered: its 4 cases failed before, ending DELIVERED.

--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -168,8 +168,8 @@
         ending = ENDINGS_BY_VALUE.get(end.execution, Ending.UNKNOWN)
         if sink.started:
             ending = Ending.TRUNCATED
-        elif ending is Ending.TRUNCATED:
-            # The other VM sent part of an answer, but none of it has reached the caller.
+        elif ending in (Ending.TRUNCATED, Ending.DELIVERED):
+            # The other VM sent part of an answer or none; nothing has reached the caller.
             ending = Ending.UNKNOWN
         retry_after_s = end.retry_after_ms / MS_PER_S if end.retry_after_ms else None
         return RunResult(ending, end.reason, retry_after_s=retry_after_s)
--- a/tests/entry/test_endless_forwards.py
+++ b/tests/entry/test_endless_forwards.py
@@ -175,3 +175,16 @@
     result, sink, _ = _forward(RequestKind.STREAM, answers)
     assert result.ending is (Ending.TRUNCATED if EVENT in last_event else Ending.UNKNOWN)
     assert sink.started is (EVENT in last_event)
+
+
+@pytest.mark.parametrize("parts_before", [0, 1])
+@pytest.mark.parametrize("kind", [RequestKind.ONCE, RequestKind.STREAM])
+def test_an_incomplete_answer_is_not_taken_as_delivered(
+    kind: RequestKind, parts_before: int
+) -> None:
+    """Guards against a request without any answer, as a delivered one is not answered again."""
+    head: list[ForwardResponsePart] = [ForwardHead(200, "")] * parts_before
+    for end in (ForwardEnd(False, "delivered", ""), ForwardEnd(parts_before == 0, "delivered", "")):
+        result, sink, _ = _forward(kind, [*head, end])
+        assert result.ending is Ending.UNKNOWN
+        assert not sink.started
