--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -16,6 +16,7 @@
     HeaderList,
     ResponseBrokenError,
     ResponseHead,
+    UnsendableRequestError,
     UpstreamConnection,
 )
 from ..traffic import (
@@ -165,6 +166,11 @@
             except ConnectFailedError as error:
                 return AttemptResult(AttemptEnd.NOT_SENT, str(error))
             self.connections_opened += 1
+        if not connection.usable:
+            # An endpoint at its connection limit, or one that stops, closes it as it is opened.
+            connection.abort()
+            cause = "connection ended before the request was sent"
+            return AttemptResult(AttemptEnd.NOT_SENT, cause)
         resume_after = progress.splitter.last_id if progress.must_resume else None
         left_s = request.left_s(clock())
         if left_s < DEADLINE_MARGIN_S or not self._may_send():
@@ -176,14 +182,20 @@
             # The endpoint may have said so while the connection was opened.
             self._pool.give_back(address, connection)
             return AttemptResult(AttemptEnd.WITHHELD, refusal.value)
-        encoded = self._wire.encode_request(
-            opaque,
-            view.registration,
-            request.organisation,
-            urgency_of(request),
-            left_s,
-            resume_after,
-        )
+        try:
+            encoded = self._wire.encode_request(
+                opaque,
+                view.registration,
+                request.organisation,
+                urgency_of(request),
+                left_s,
+                resume_after,
+            )
+        # Nothing has been sent, so the request must not end with an unknown outcome.
+        except Exception as error:
+            logger.exception("request cannot be encoded", extra={"request_id": request.id})
+            self._pool.give_back(address, connection)
+            return AttemptResult(AttemptEnd.WITHHELD, f"request cannot be encoded: {error}")
         check = GiveUpCheck(connection, may_replace)
         if request.route.repeatable:
             self._checks_by_endpoint.setdefault(view.id, {})[connection] = check
@@ -195,6 +207,9 @@
                 head = await connection.head()
             waited_s = clock() - sent_at_s
             result = await self._receive(request, connection, head, view, progress, sink, check)
+        except UnsendableRequestError as error:
+            self._pool.give_back(address, connection)
+            return AttemptResult(AttemptEnd.WITHHELD, f"request cannot be sent: {error}")
         except ResponseBrokenError as error:
             return AttemptResult(
                 AttemptEnd.BROKEN,
@@ -269,7 +284,11 @@
         now = asyncio.get_running_loop().time()
         view.health.last_data_at_s = now
         answer = self._wire.decode_answer(head)
-        self._record_answer(view, answer)
+        try:
+            self._record_answer(view, answer)
+        # What the endpoint states about itself does not matter to this request.
+        except Exception:
+            logger.exception("statements not recorded", extra={"endpoint": view.id})
         if request.route.kind is not RequestKind.STREAM:
             view.load.record_first_byte(request.id, now)
         if answer.proves_not_run:
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -48,6 +48,8 @@
 FORWARD_WORK_S = 0.05
 """Load time that a forwarded request adds to another region until the region's next report: the
 time to read a typical prompt."""
+MAX_RETRY_AFTER_S = 3600.0
+"""Largest retry time in seconds that another VM is told: infinite ones cannot be encoded."""
 ENDINGS_BY_VALUE = {ending.value: ending for ending in Ending}
 
 logger = logging.getLogger(__name__)
@@ -166,8 +168,8 @@
         ending = ENDINGS_BY_VALUE.get(end.execution, Ending.UNKNOWN)
         if sink.started:
             ending = Ending.TRUNCATED
-        elif ending is Ending.TRUNCATED:
-            # The other VM sent part of an answer, but none of it has reached the caller.
+        elif ending in (Ending.TRUNCATED, Ending.DELIVERED):
+            # The other VM sent part of an answer or none; nothing has reached the caller.
             ending = Ending.UNKNOWN
         retry_after_s = end.retry_after_ms / MS_PER_S if end.retry_after_ms else None
         return RunResult(ending, end.reason, retry_after_s=retry_after_s)
@@ -219,6 +221,13 @@
     )
 
 
+def _encode_retry_ms(retry_after_s: float | None) -> int:
+    """Return a retry time in milliseconds as ``ForwardEnd`` has it; 0 if it is not known."""
+    if retry_after_s is None or not retry_after_s > 0.0:
+        return 0
+    return int(min(retry_after_s, MAX_RETRY_AFTER_S) * MS_PER_S)
+
+
 class ForwardedRequests:
     """Runs the requests that other VMs forward to this one."""
 
@@ -251,7 +260,14 @@
             return
         now = asyncio.get_running_loop().time()
         label = route.label if route is not None else ""
-        request, opaque = self._decode(forward, forward.opaque, label, now)
+        try:
+            request, opaque = self._decode(forward, forward.opaque, label, now)
+        except (ValueError, ArithmeticError) as error:
+            # A VM of another version may send values that this one does not know.
+            extra = {"request_id": forward.request_id, "from_vm": vm, "cause": str(error)}
+            logger.warning("forwarded request cannot be decoded", extra=extra)
+            yield ForwardEnd(False, Ending.NOT_RUN.value, "cannot be decoded here")
+            return
         sink = LinkSink()
         task = asyncio.create_task(self._run(request, opaque, sink, vm))
         try:
@@ -282,23 +298,31 @@
     async def _run(
         self, request: RoutedRequest, opaque: OpaqueRequest, sink: LinkSink, vm: VmId
     ) -> None:
-        result = RunResult(Ending.UNKNOWN, "handler failed")
         try:
             result = await self._runner.run(request, opaque, sink)
-        finally:
-            complete = result.ending is Ending.DELIVERED
-            logger.info(
-                "forwarded request ended",
-                extra={
-                    "request_id": request.id,
-                    "from_vm": vm,
-                    "ending": result.ending.value,
-                    "cause": result.cause,
-                },
-            )
-            retry_ms = int((result.retry_after_s or 0.0) * MS_PER_S)
-            end = ForwardEnd(complete, result.ending.value, result.cause, retry_after_ms=retry_ms)
-            await sink.end(end)
+        # Without an end, the other VM would wait until the deadline of the request.
+        except (Exception, asyncio.CancelledError):
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                # The other VM has abandoned the request: nobody reads the queue, which may be full.
+                raise
+            extra = {"request_id": request.id, "from_vm": vm}
+            logger.exception("forwarded request failed", extra=extra)
+            result = RunResult(Ending.UNKNOWN, "handler failed")
+        logger.info(
+            "forwarded request ended",
+            extra={
+                "request_id": request.id,
+                "from_vm": vm,
+                "ending": result.ending.value,
+                "cause": result.cause,
+            },
+        )
+        complete = result.ending is Ending.DELIVERED
+        retry_ms = _encode_retry_ms(result.retry_after_s)
+        await sink.end(
+            ForwardEnd(complete, result.ending.value, result.cause, retry_after_ms=retry_ms)
+        )
 
     def _decode(
         self, forward: ForwardRequest, traffic: OpaqueTraffic, route_label: str, now: float
