Tell all parts of a VM about a version although one of them fails

An unexpected error in a listener left the version in force, but the listeners after it kept the replaced one and were never told: requests would run by two configurations at once.

Change: the error is logged and the other listeners are told.

--- a/src/mangosaddle/entry/_catalogue_holder.py
+++ b/src/mangosaddle/entry/_catalogue_holder.py
@@ -36,7 +36,13 @@
         self.current = catalogue
         self.applied_at_s = self._clock()
         for listener in self._listeners:
-            listener(catalogue)
+            try:
+                listener(catalogue)
+            # The version is in force; the other listeners must not go on with the replaced one.
+            except Exception:
+                logger.exception(
+                    "configuration applied in part", extra={"version": catalogue.version}
+                )
         logger.info(
             "configuration in force",
             extra={
