Answer chat requests whose id is not ASCII

Callers saw neither an answer nor a refusal, and the connection stayed open: an X-Request-Id with a letter or digit of latin-1 beyond ASCII, such as caf\xe9, was accepted. The head of the answer is encoded as ASCII, so sending the first events raised, and so did the refusal. The event loop closed the connection of the engine for it, which counted as two crashes of engines, and the prompt was quarantined for the organisation.

Change: such an id is replaced, as others with unsuitable characters are.

tests/gateway/test_running_fleet.py -k beyond_ascii: 4 of 4 failed before (the first without an answer for 10 s, the other three refused as quarantined), 26 tests of this file and test_http_frontend.py pass now.

--- a/src/mangosaddle/gateway/_http_frontend.py
+++ b/src/mangosaddle/gateway/_http_frontend.py
@@ -191,8 +191,10 @@
 
 
 def _request_id(headers: dict[bytes, bytes]) -> RequestId:
+    """Return the caller's id if it is short ASCII, as it is written into heads, or a new one."""
     given = headers.get(b"X-Request-Id", b"").decode("latin-1")
-    if given and len(given) <= 64 and all(c.isalnum() or c in "-_." for c in given):
+    is_plain = given.isascii() and all(c.isalnum() or c in "-_." for c in given)
+    if given and len(given) <= 64 and is_plain:
         return RequestId(given)
     return RequestId(secrets.token_hex(12))
 
--- a/tests/gateway/test_running_fleet.py
+++ b/tests/gateway/test_running_fleet.py
@@ -260,3 +260,29 @@
     assert (answer.status, answer.json()["execution"]) == (503, "not_run")
     assert answer.headers["Retry-After"] == "1"
     assert len(answer.json()["entry_vms"]) == 6
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["streamed", "buffered"])
+@pytest.mark.parametrize("request_id", ["caf\xe9", "1\xb2"], ids=["letter", "digit"])
+def test_a_request_id_beyond_ascii_does_not_keep_the_answer_back(
+    fleet: LocalFleet, stream: bool, request_id: str
+) -> None:
+    """Guards against a chat request without an answer because its id cannot be written."""
+    key = fleet.standins.key_of("tower-trust")
+    body = {"model": MODEL, "messages": [{"role": "user", "content": "Late?"}], "stream": stream}
+    head = f"Authorization: Bearer {key}\r\nX-Request-Id: {request_id}\r\n"
+    received = _exchange(fleet, head.encode("latin-1"), json.dumps(body).encode())
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.isascii()
+
+
+def _exchange(fleet: LocalFleet, headers: bytes, body: bytes) -> bytes:
+    """Send a chat request and return all bytes until the connection ends."""
+    address = urlsplit(fleet.url("addis-1"))
+    head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + headers
+    with socket.create_connection((address.hostname, address.port), TIMEOUT_S) as caller:
+        caller.sendall(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        received = b""
+        while block := caller.recv(65_536):
+            received += block
+    return received
