Exit on a second SIGTERM and report the end to the callers

Callers of a VM that is told to stop at once would have seen their connection cut without an answer: after a second SIGTERM the process did not exit at all, until the platform killed it with the requests that still ran. Only the step of the first signal told the drain to go on to the release of the slots. In the same way a node that stops with open answers closed their connections without a word, and dropped what was not yet sent.

Change: the drain goes on in the phase that the second signal enters. Open answers of models end with 503, or an error event, that says that they may have run; the exit waits up to 5 s until callers have taken what was written.

The wait for unsent bytes has no test of its own.

--- a/src/mangosaddle/daemon/_fleet_service.py
+++ b/src/mangosaddle/daemon/_fleet_service.py
@@ -10,7 +10,7 @@
 from .._identifiers import RegionName, VmId
 from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Vm
-from ..membership import Drain, DrainAction, VmListEntry, VmState
+from ..membership import Drain, DrainAction, DrainPhase, VmListEntry, VmState
 from ..peers import ForwardRequest, ForwardResponsePart, PeerNode
 from ..providers import ListedVmRow, ListedVmState, VmListClient
 from ._blocking import BlockingCalls
@@ -121,19 +121,23 @@
         """Forward a request to another VM."""
         return self.peers.forward(vm, request)
 
-    def handle_sigterm(self) -> None:
-        """Start draining on the first SIGTERM; cut running answers on the second."""
+    def handle_sigterm(self) -> bool:
+        """Start draining on the first SIGTERM; return whether running answers end now.
+
+        They do on the second one.
+        """
         step = self._drain.handle_sigterm(self._clock())
         self._drain = step.drain
         if DrainAction.PUBLISH_LEAVING in step.actions:
             _log.info("draining")
             self.peers.leave()
+        return DrainAction.ABORT_RUNNING in step.actions
 
     def advance_drain(self, active: int) -> bool:
         """Advance the drain with the number of active requests.
 
         Returns whether the slots should be released now.
         """
-        step = self._drain.advance(self._clock(), active)
-        self._drain = step.drain
-        return DrainAction.RELEASE_SLOTS in step.actions
+        self._drain = self._drain.advance(self._clock(), active).drain
+        # A second SIGTERM enters the phase as well, so the action of this step is not enough.
+        return self._drain.phase is DrainPhase.RELEASING
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -76,6 +76,8 @@
 CLAIM_RETRY_INTERVAL_S = 0.2
 SLOT_RELEASE_TIMEOUT_S = 5.0
 START_TIMEOUT_S = 30.0
+UNSENT_LIMIT_S = 5.0
+"""Time that callers get at the exit to read the ends of their answers."""
 STOP_TIMEOUT_S = 30.0
 FACT_KINDS = (
     CONFIGURATION_KIND,
@@ -384,12 +386,13 @@
             _log.warning("claims written again", extra={"epoch": epoch, "claims": count})
 
     def terminate(self) -> None:
-        """Start draining on the first call; cut running answers on the second."""
+        """Start draining on the first call; end running answers with an error on the second."""
         self.control.post(self._terminate)
 
     def _terminate(self) -> None:
         first = not self.fleet.is_leaving
-        self.fleet.handle_sigterm()
+        if self.fleet.handle_sigterm():
+            self._end_answers()
         if first:
             self._tasks.spawn(self._drain())
 
@@ -401,6 +404,10 @@
         _log.info("drained", extra={"vm": self.settings.vm})
         self._drained.set()
 
+    def _end_answers(self) -> None:
+        if ended := self.chat_service.end_all():
+            _log.warning("running answers ended", extra={"answers": ended})
+
     def _active(self) -> int:
         return (
             self.chat_service.active
@@ -413,7 +420,7 @@
         return self._drained.wait(timeout_s)
 
     def stop(self) -> None:
-        """Stop all threads and abort running requests."""
+        """Stop all threads; running requests end with an error."""
         self._http_frontend.stop()
         self.control.run(self._stop(), STOP_TIMEOUT_S)
         self.control.stop()
@@ -422,6 +429,8 @@
         self._drained.set()
 
     async def _stop(self) -> None:
+        self._end_answers()
+        await self.chat_service.wait_until_sent(UNSENT_LIMIT_S)
         await self._tasks.stop()
         await self._peers.stop()
 
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+import weakref
 from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
@@ -24,6 +25,7 @@
 from ._metrics import GatewayMetrics
 from ._refusals import (
     INCOMPLETE_ANSWER,
+    STOPPED_ANSWER,
     mark_possibly_executed,
     refuse_draining,
     refuse_exceeded_allowance,
@@ -51,6 +53,7 @@
 CHAT_ROUTE = "/v1/chat/completions"
 
 SLOW_CALLER_LIMIT_S = 60.0
+SENT_POLL_INTERVAL_S = 0.05
 MAX_OPEN_CHATS = 4_096
 """Maximum number of admitted requests of a process; each holds up to two sockets."""
 
@@ -122,6 +125,7 @@
         self._wall_clock = wall_clock
         self._open_chats_by_relay: dict[Relay, OpenChat] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._sinks: weakref.WeakSet[StreamSink | BufferedResponseSink] = weakref.WeakSet()
         self._admitted = 0
 
     @property
@@ -256,6 +260,7 @@
         else:
             sink = BufferedResponseSink(relay, open_chat.chat.model)
         await attach_caller(sink, caller)
+        self._sinks.add(sink)
         self._start_source(open_chat, relay, sink, stream)
 
     async def run_forwarded(
@@ -474,6 +479,21 @@
             relay.fail(refuse_withdrawn_stream())
         return len(relays)
 
+    def end_all(self) -> int:
+        """End all open answers because the VM stops, and return their number."""
+        relays = list(self._open_chats_by_relay)
+        for relay in relays:
+            relay.fail(STOPPED_ANSWER)
+        return len(relays)
+
+    async def wait_until_sent(self, timeout_s: float) -> None:
+        """Wait up to ``timeout_s`` seconds until the callers have taken their answers."""
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        while any(sink.has_unsent_bytes for sink in self._sinks):
+            if asyncio.get_running_loop().time() > deadline_s:
+                return
+            await asyncio.sleep(SENT_POLL_INTERVAL_S)
+
     def abort_stalled_sources(self, now: float) -> None:
         """Drop sources without data and callers that stopped reading, after their limits.
 
--- a/src/mangosaddle/gateway/_refusals.py
+++ b/src/mangosaddle/gateway/_refusals.py
@@ -127,6 +127,13 @@
     return Problem(401, "key-withdrawn", "the key has been withdrawn", Execution.UNKNOWN)
 
 
+STOPPED_ANSWER = Problem(
+    status=503,
+    code="shutting-down",
+    detail="this entry VM has stopped before the answer was complete",
+    execution=Execution.UNKNOWN,
+    retry_after_s=1.0,
+)
 INCOMPLETE_ANSWER = Problem(
     status=502,
     code="answer-cut",
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -240,7 +240,13 @@
         transport.set_write_buffer_limits(high=CALLER_BUFFER_BYTES)
         self._transport = transport
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether the caller has not taken all of the answer so far."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
         self._relay.sink_lost()
 
     def eof_received(self) -> bool:
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -2,16 +2,22 @@
 
 import signal
 import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
+import pytest
 import urllib3
 
 from entry_processes import EXIT_TIMEOUT_S, AuthorityProcesses
 from mangosaddle.client import Client, ClientError
 from mangosaddle.demo import wait_for
+from mangosaddle.membership import STALE_DISCOVERY_GRACE_S
 
 QUESTION = [{"role": "user", "content": "How far does the tower clock drift?"}]
 TOKENS = 40
+LONG_TOKENS = 1_500
+"""An answer takes 15 s at the speed of these engines."""
 CALLERS = 12
 DETECTION_TIMEOUT_S = 15.0
 
@@ -122,3 +128,48 @@
     services = processes.standins.services_by_id.values()
     assert sum(service.executions_by_key["order-2"] for service in services) == 0
     assert entry_issued.status == 201
+
+
+def _open_streams(processes: AuthorityProcesses, vm: str) -> int:
+    answer = processes.get(vm, "/admin/v1/status")
+    return 0 if answer is None else int(answer.json()["open_streams"])
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["streamed", "buffered"])
+def test_a_second_sigterm_ends_a_request_with_a_reported_error(
+    processes: AuthorityProcesses, stream: bool
+) -> None:
+    """Guards against a request without an answer at a VM that is told to stop at once.
+
+    The process must exit as well; otherwise the platform kills it and cuts the request.
+    """
+    key = processes.standins.key_of("tower-trust")
+    body = {"model": "advisor", "messages": QUESTION, "max_tokens": LONG_TOKENS, "stream": stream}
+    url = processes.url("gondar-2") + "/v1/chat/completions"
+
+    def send() -> urllib3.BaseHTTPResponse:
+        """Send the request until the allowance admits it, which may need a share first."""
+        while True:
+            answer = urllib3.request(
+                "POST", url, headers={"Authorization": f"Bearer {key}"}, json=body, retries=False
+            )
+            if answer.status != 429:
+                return answer
+            time.sleep(0.2)
+
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(send)
+        wait_for(
+            lambda: _open_streams(processes, "gondar-2") == 1, "the request runs", EXIT_TIMEOUT_S
+        )
+        processes.signal("gondar-2", signal.SIGTERM)
+        time.sleep(STALE_DISCOVERY_GRACE_S + 0.5)
+        processes.signal("gondar-2", signal.SIGTERM)
+        code = processes.processes_by_vm["gondar-2"].wait(EXIT_TIMEOUT_S)
+        answer = pending.result(EXIT_TIMEOUT_S)
+    assert code == 0
+    if stream:
+        assert b"event: error" in answer.data
+        assert b'"execution": "unknown"' in answer.data
+    else:
+        assert (answer.status, answer.json()["execution"]) == (503, "unknown")
