Answer requests whose hand-over or response fails

Callers would have waited without an answer, on an open connection, if the hand-over of a chat request to the event loop raised: the front end had marked its head as sent. If a response could not be written, they got a plain text without the state of execution, and for any error in a handler the statement that their request had not run, although it may have been sent. A caller that repeats it under a new key then runs an order twice. A chat request whose handling raised also stayed admitted for good: its endpoint counted as busy, and a VM that stops waited for it without end. The answer to HEAD had a body, which a caller takes for the beginning of the next answer on the connection.

Change: a socket that was not taken goes back to the front end, which answers 500 with `unknown` in all these cases; a request that fails is settled and its endpoint is released. No body is sent after the head for HEAD.

The release of the endpoint has no test of its own.

--- a/src/mangosaddle/gateway/_chat_handler.py
+++ b/src/mangosaddle/gateway/_chat_handler.py
@@ -12,6 +12,7 @@
 from ._endpoint import EndpointStream, open_stream
 from ._exceptions import EndpointError
 from ._messages import CallerRequest, CallerResponse, HandlerResult, SocketHandover
+from ._refusals import INCOMPLETE_ANSWER
 
 Value = TypeVar("Value")
 ADMISSION_TIMEOUT_S = 120.0
@@ -47,7 +48,13 @@
         )
         if not isinstance(admitted, Success):
             return CallerResponse.from_problem(admitted.failure(), request.request_id)
-        return self._open(admitted.unwrap())
+        open_chat = admitted.unwrap()
+        try:
+            return self._open(open_chat)
+        except Exception:
+            # A request that stays admitted would keep its endpoint busy and the VM from stopping.
+            self._loop.run(self._service.settle_failed(open_chat, INCOMPLETE_ANSWER))
+            raise
 
     def _open(self, open_chat: OpenChat) -> HandlerResult:
         while isinstance(open_chat.target, ChosenEndpoint):
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -244,7 +244,11 @@
             self._record(open_chat, None, open_chat.target.endpoint if lost else None)
 
     async def settle_failed(self, open_chat: OpenChat, problem: Problem) -> None:
-        """Settle a request that failed before its relay started."""
+        """Settle a request that failed before its relay started, and release its target."""
+        if isinstance(open_chat.target, PendingTarget):
+            self._target_selector.abandon(open_chat.target)
+        elif isinstance(open_chat.target, ChosenEndpoint):
+            self._target_selector.record_cancellation(open_chat.route, open_chat.target)
         self._admitted -= 1
         self._settle(open_chat.reservation, 0)
         self._count(open_chat.organisation, open_chat.chat.request_class, problem.code)
@@ -259,9 +263,19 @@
             sink = StreamSink(relay)
         else:
             sink = BufferedResponseSink(relay, open_chat.chat.model)
-        await attach_caller(sink, caller)
+        try:
+            await attach_caller(sink, caller)
+        except BaseException:
+            if stream is not None:
+                stream.socket.close()
+            await self.settle_failed(open_chat, INCOMPLETE_ANSWER)
+            raise
         self._sinks.add(sink)
-        self._start_source(open_chat, relay, sink, stream)
+        try:
+            self._start_source(open_chat, relay, sink, stream)
+        except Exception:
+            _log.exception("start of an answer failed", extra={"request_id": relay.request_id})
+            relay.fail(INCOMPLETE_ANSWER)
 
     async def run_forwarded(
         self, chat: ChatRequest, organisation: OrganisationId, version: VersionId | None
--- a/src/mangosaddle/gateway/_http_frontend.py
+++ b/src/mangosaddle/gateway/_http_frontend.py
@@ -15,7 +15,7 @@
 from cheroot.server import Gateway, HTTPServer
 
 from .._identifiers import RequestId
-from .._problems import Problem, RequestFinding
+from .._problems import Execution, Problem, RequestFinding
 from ._messages import CallerRequest, CallerResponse, HandlerResult, SocketHandover
 
 BODY_LIMIT_BYTES = 1_048_576
@@ -51,6 +51,18 @@
     def respond(self) -> None:
         """Read the request, call the handler, and write its response or hand over the socket."""
         request_id = _request_id(self.req.inheaders)
+        try:
+            self._respond(request_id)
+        except OSError:
+            # The caller has left; cheroot closes the connection.
+            raise
+        except Exception:
+            _log.exception("response failed", extra={"request_id": request_id})
+            self.req.close_connection = True
+            if not self.req.sent_headers:
+                self._write(_failure_response(request_id), request_id)
+
+    def _respond(self, request_id: RequestId) -> None:
         try:
             body = self._read_body()
         except BodyTooLargeError as error:
@@ -78,8 +90,7 @@
             return handler(request)
         except Exception:
             _log.exception("request handler failed", extra={"request_id": request.request_id})
-            problem = _body_problem(500, "internal-error", "the gateway failed")
-            return CallerResponse.from_problem(problem, request.request_id)
+            return _failure_response(request.request_id)
 
     def _request(self, body: bytes, request_id: RequestId) -> CallerRequest:
         headers = {
@@ -131,16 +142,19 @@
         self._write(CallerResponse.from_problem(problem, request_id), request_id)
 
     def _write(self, response: CallerResponse, request_id: RequestId) -> None:
-        self.req.status = f"{response.status} {_reason(response.status)}".encode("ascii")
+        status = f"{response.status} {_reason(response.status)}".encode("ascii")
         headers = [
             ("Content-Type", response.content_type),
             ("Content-Length", str(len(response.body))),
             ("X-Request-Id", request_id),
             *response.headers,
         ]
-        self.req.outheaders = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        encoded = [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
+        self.req.status, self.req.outheaders = status, encoded
         self.req.ensure_headers_sent()
-        self.req.write(response.body)
+        if self.req.method != b"HEAD":
+            # The caller would take a body for the beginning of the next response.
+            self.req.write(response.body)
 
     def _hand_over(self, handover: SocketHandover) -> None:
         connection = self.req.conn
@@ -148,7 +162,13 @@
         connection.linger = True
         self.req.close_connection = True
         self.req.sent_headers = True
-        handover.take(caller)
+        try:
+            handover.take(caller)
+        except Exception:
+            caller.close()
+            connection.linger = False
+            self.req.sent_headers = False
+            raise
 
 
 class HttpFrontend:
@@ -206,5 +226,11 @@
         return "Unknown"
 
 
+def _failure_response(request_id: RequestId) -> CallerResponse:
+    """Return the response to a request that an endpoint may have got before the gateway failed."""
+    problem = Problem(500, "internal-error", "the gateway failed", Execution.UNKNOWN)
+    return CallerResponse.from_problem(problem, request_id)
+
+
 def _body_problem(status: int, code: str, detail: str) -> Problem:
     return Problem(status, code, detail, findings=(RequestFinding("body", detail),))
--- a/src/mangosaddle/gateway/_messages.py
+++ b/src/mangosaddle/gateway/_messages.py
@@ -62,7 +62,10 @@
     """Takes ownership of a caller's socket in order to stream the response."""
 
     def __call__(self, caller: socket) -> None:
-        """Take ownership of the socket, which includes closing it."""
+        """Take ownership of the socket, which includes closing it.
+
+        If this raises, the socket has not been taken and nothing was written to it.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_http_frontend.py
+++ b/tests/gateway/test_http_frontend.py
@@ -9,11 +9,20 @@
 
 from mangosaddle.gateway import CallerRequest, CallerResponse, HttpFrontend
 from mangosaddle.gateway._http_frontend import BODY_LIMIT_BYTES
+from mangosaddle.gateway._messages import HandlerResult, SocketHandover
 
 
-def _echo(request: CallerRequest) -> CallerResponse:
+def _refuse_to_take(caller: socket.socket) -> None:
+    raise RuntimeError("secret detail")
+
+
+def _echo(request: CallerRequest) -> HandlerResult:
     if request.path == "/fail":
         raise RuntimeError("secret detail")
+    if request.path == "/hand-over":
+        return SocketHandover(_refuse_to_take)
+    if request.path == "/unwritable":
+        return CallerResponse(200, b"{}", "text/plain; charset=\u20ac")
     return CallerResponse.from_json({"size": len(request.body)})
 
 
@@ -90,3 +99,26 @@
     answer = urllib3.PoolManager().request("GET", f"http://127.0.0.1:{port}/fail")
     assert answer.status == 500
     assert b"secret" not in answer.data
+
+
+@pytest.mark.parametrize("path", [b"/fail", b"/hand-over", b"/unwritable"])
+def test_a_request_that_fails_inside_is_answered(port: int, path: bytes) -> None:
+    """Guards against a caller that gets no answer, or is told that its request did not run.
+
+    The handler may have sent the request to an endpoint before it failed.
+    """
+    head = b"GET " + path + b" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    status, document = _exchange(port, head)
+    assert (status, document.get("execution")) == (500, "unknown")
+
+
+def test_a_refused_head_request_leaves_its_connection_usable(port: int) -> None:
+    """Guards against a body after the answer to HEAD, which the caller takes for the next one."""
+    first = b"HEAD /fail HTTP/1.1\r\nHost: x\r\n\r\n"
+    second = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as caller:
+        caller.sendall(first + second)
+        received = b""
+        while block := caller.recv(65_536):
+            received += block
+    assert received.partition(b"\r\n\r\n")[2].startswith(b"HTTP/1.1 200 ")
