Ignore SIGHUP in the own entry process

Callers saw their connection end without an answer when SIGHUP reached the process, as when the terminal or session that started it is closed: its default action ended the process at once. The command of the own interface has nothing to reload, its configuration comes from the store.

Change: the command ignores the signal before it imports the services.

tests/e2e/test_processes.py -k sighup, with real processes: failed before (connection closed without a response), passes; it also sends the signal at several moments of a start. SIGHUP in the first moments of the interpreter still ends a process that serves nobody yet.

--- a/src/mangosaddle/cli/_processes.py
+++ b/src/mangosaddle/cli/_processes.py
@@ -1,5 +1,6 @@
 """Commands that run an entry VM, the demo and the measurement."""
 
+import signal
 from importlib import import_module
 
 import click
@@ -42,6 +43,9 @@
 @option("--log-level", envvar="LOG_LEVEL", help="DEBUG, INFO, WARNING or ERROR.")
 def entry(**flags: str | None) -> None:
     """Run an entry VM until SIGTERM, then shut it down gracefully."""
+    # Its default action would cut all requests, for example when a terminal is closed. The
+    # configuration comes from the store, so there is nothing to reload.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from ..daemon import EntrySettings, run_entry
 
     values: dict[str, object] = {name: value for name, value in flags.items() if value is not None}
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -5,6 +5,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pytest
 import urllib3
@@ -173,3 +174,46 @@
         assert b'"execution": "unknown"' in answer.data
     else:
         assert (answer.status, answer.json()["execution"]) == (503, "unknown")
+
+
+def test_sighup_does_not_cut_requests(processes: AuthorityProcesses) -> None:
+    """Guards against a signal, such as that of a closed terminal, that ends the process at once.
+
+    It is sent while the first VM answers requests and at several moments of another one's start.
+    """
+    key = processes.standins.key_of("tower-trust")
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(
+            urllib3.request,
+            "POST",
+            processes.url("gondar-1") + "/v1/chat/completions",
+            headers={"Authorization": f"Bearer {key}"},
+            json={"model": "advisor", "messages": QUESTION, "max_tokens": 200},
+            retries=False,
+        )
+        wait_for(
+            lambda: _open_streams(processes, "gondar-1") == 1, "the request runs", EXIT_TIMEOUT_S
+        )
+        processes.signal("gondar-1", signal.SIGHUP)
+        answer = pending.result(EXIT_TIMEOUT_S)
+    assert answer.status == 200
+    assert len(answer.json()["choices"][0]["message"]["content"].split()) == 200
+
+    processes.signal("gondar-2", signal.SIGTERM)
+    processes.processes_by_vm["gondar-2"].wait(EXIT_TIMEOUT_S)
+    processes.start_vm("gondar-2")
+    restarted = processes.processes_by_vm["gondar-2"]
+    # The interpreter needs some time until any code of the package can ignore the signal.
+    wait_for(lambda: _ignores(restarted.pid, signal.SIGHUP), "the signal is ignored", 10.0)
+    while processes.get("gondar-2", "/readyz") is None:
+        restarted.send_signal(signal.SIGHUP)
+        assert restarted.poll() is None
+        time.sleep(0.05)
+    assert restarted.poll() is None
+
+
+def _ignores(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores a signal."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    (mask,) = [line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:")]
+    return bool(int(mask, 16) >> (number - 1) & 1)
