Tell the caller when a forward ends in an unexpected way

Callers would have waited for 75 s without an answer, past their own deadlines: when reading a forwarded answer raised an error of another kind, when the dial of the link that it waited for was cancelled, or when the choice of another target raised, the task ended and nothing told the relay; only its limit for silent sources did. `CancelledError` passes `except Exception`, so that tasks of a chat request had the same gap.

Change: any end of a forward is passed on to the relay, and a cancellation ends a task silently only if the task itself was cancelled.

tests/gateway/test_forwarded_source.py: 3 of 4 cases failed before (no end within 2 s), all pass; the fourth guards the silent end. None of these ends was seen in a running fleet.

--- a/src/mangosaddle/_tasks.py
+++ b/src/mangosaddle/_tasks.py
@@ -40,6 +40,12 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def is_current_task_cancelled() -> bool:
+    """Return whether the running task itself was cancelled, and not only what it waits for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 async def _repeat(interval_s: float, action: Callable[[], Awaitable[None] | None]) -> None:
     while True:
         try:
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -12,6 +12,7 @@
 
 from .._identifiers import EndpointId, OrganisationId, VersionId, VmId
 from .._problems import Problem
+from .._tasks import is_current_task_cancelled
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
 from ..peers import ForwardEnd, ForwardResponsePart
@@ -326,10 +327,16 @@
 
     async def _run_for(self, relay: Relay, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task of a relay; an unexpected error ends the answer, or its caller would wait."""
+        extra = {"request_id": relay.request_id}
         try:
             await coroutine
+        except asyncio.CancelledError:
+            if is_current_task_cancelled():
+                raise
+            _log.exception("wait of a chat request was cancelled", extra=extra)
+            relay.fail(INCOMPLETE_ANSWER)
         except Exception:
-            _log.exception("task of a chat request failed", extra={"request_id": relay.request_id})
+            _log.exception("task of a chat request failed", extra=extra)
             relay.fail(INCOMPLETE_ANSWER)
 
     async def _wait_and_connect(self, open_chat: OpenChat, relay: Relay) -> None:
--- a/src/mangosaddle/gateway/_forwarding.py
+++ b/src/mangosaddle/gateway/_forwarding.py
@@ -1,6 +1,7 @@
 """Both sides of forwarding chat requests between VMs."""
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator
 from typing import Protocol
 
@@ -8,6 +9,7 @@
 
 from .._identifiers import OrganisationId
 from .._problems import Execution, Problem
+from .._tasks import is_current_task_cancelled
 from ..peers import (
     ForwardChunk,
     ForwardEnd,
@@ -22,8 +24,11 @@
 from ._chat_request import ChatRequest, encode_payload, parse_chat
 from ._endpoint import EVENT_STREAM_TYPE
 from ._messages import CallerRequest
+from ._refusals import INCOMPLETE_ANSWER
 from ._relay import Relay
 
+_log = logging.getLogger(__name__)
+
 CHAT_PATH = "/v1/chat/completions"
 MAX_QUEUED_BYTES = 65_536
 
@@ -113,6 +118,14 @@
             end = ForwardEnd(False, Execution.NOT_RUN.value, str(error))
         except (TimeoutError, PeerError) as error:
             end = ForwardEnd(complete=False, reason=str(error))
+        except asyncio.CancelledError:
+            if is_current_task_cancelled():
+                raise
+            # A wait for something shared, such as the dial of a link, has been cancelled.
+            end = ForwardEnd(complete=False, reason="the wait for the link was cancelled")
+        except Exception:
+            _log.exception("forward failed", extra={"request_id": self._relay.request_id})
+            end = ForwardEnd(complete=False, reason="the forward failed")
         finally:
             close = getattr(self._answers, "aclose", None)
             if close is not None:
@@ -123,7 +136,11 @@
         if self._closed or self._relay.closed:
             return
         if end.execution == Execution.NOT_RUN.value and not received:
-            await self._refusal_handler.forward_refused(self._relay, end.reason)
+            try:
+                await self._refusal_handler.forward_refused(self._relay, end.reason)
+            except Exception:
+                _log.exception("no other target", extra={"request_id": self._relay.request_id})
+                self._relay.fail(INCOMPLETE_ANSWER)
         else:
             self._relay.source_ended()
 
