Serve requests that arrive while the own front end stops

Callers that keep their connections saw requests cut without an answer at each planned stop: answers of a stopping VM did not announce the end of their connection, and the exit closed idle connections whether or not a request had arrived on them. Connections that waited to be accepted were reset, and the limit of idle time could close a connection just as a request came.

Change: from SIGTERM on each answer says that its connection is closed.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -391,6 +391,7 @@
 
     def _terminate(self) -> None:
         first = not self.fleet.is_leaving
+        self._http_frontend.close_connections()
         if self.fleet.handle_sigterm():
             self._end_answers()
         if first:
--- a/src/mangosaddle/gateway/_http_frontend.py
+++ b/src/mangosaddle/gateway/_http_frontend.py
@@ -12,10 +12,11 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from cheroot.server import Gateway, HTTPServer
+from cheroot.server import Gateway
 
 from .._identifiers import RequestId
 from .._problems import Execution, Problem, RequestFinding
+from ._kept_connections import KeepingServer
 from ._messages import CallerRequest, CallerResponse, HandlerResult, SocketHandover
 
 BODY_LIMIT_BYTES = 1_048_576
@@ -187,7 +188,7 @@
         ``socket_timeout_s`` limits the time between two blocks of a request. ``body_limit`` may
         allow some requests larger bodies than ``BODY_LIMIT_BYTES``.
         """
-        self._server = HTTPServer(
+        self._server = KeepingServer(
             (address, port), _CherootGateway, minthreads=WORKER_THREADS, maxthreads=WORKER_THREADS
         )
         self._server.handler = handler  # type: ignore[attr-defined]
@@ -204,6 +205,10 @@
         self._thread.start()
         return int(self._server.bind_addr[1])
 
+    def close_connections(self) -> None:
+        """Let each response close its connection from now on, and tell the caller so."""
+        self._server.is_closing = True
+
     def stop(self) -> None:
         """Stop accepting and close idle connections, but not the streams that were handed over."""
         self._server.stop()
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -5,14 +5,16 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from urllib.parse import urlsplit
 
 import pytest
 import urllib3
 
 from entry_processes import EXIT_TIMEOUT_S, AuthorityProcesses
 from mangosaddle.client import Client, ClientError
-from mangosaddle.demo import wait_for
+from mangosaddle.demo import OPERATOR_TOKEN, wait_for
 from mangosaddle.membership import STALE_DISCOVERY_GRACE_S
 
 QUESTION = [{"role": "user", "content": "How far does the tower clock drift?"}]
@@ -212,6 +214,68 @@
     assert restarted.poll() is None
 
 
+def test_no_request_is_cut_at_a_planned_stop(processes: AuthorityProcesses) -> None:
+    """Guards against kept connections that are closed while a request is on its way.
+
+    Callers leave the VM once a response announces the end of its connection or a new connection
+    is refused. The configuration changes at the same time.
+    """
+    failures: list[str] = []
+    answered = [0] * CALLERS
+    threads = [
+        threading.Thread(target=_ask_until_stopped, args=(processes, number, answered, failures))
+        for number in range(CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    wait_for(lambda: min(answered) > 5, "all callers have answers", EXIT_TIMEOUT_S)
+    processes.signal("gondar-2", signal.SIGTERM)
+    _change_configuration(processes)
+    assert processes.processes_by_vm["gondar-2"].wait(EXIT_TIMEOUT_S) == 0
+    for thread in threads:
+        thread.join(EXIT_TIMEOUT_S)
+    assert failures == []
+
+
+def _ask_until_stopped(
+    processes: AuthorityProcesses, number: int, answered: list[int], failures: list[str]
+) -> None:
+    """Send requests on kept connections; the pause between them differs by caller."""
+    address = urlsplit(processes.url("gondar-2"))
+    pause_s = 0.005 + 0.09 * number
+    while True:
+        connection = HTTPConnection(str(address.hostname), address.port, timeout=EXIT_TIMEOUT_S)
+        try:
+            connection.connect()
+        except OSError:
+            return
+        is_kept = True
+        while is_kept:
+            try:
+                connection.request("GET", "/v1/models")
+                response = connection.getresponse()
+                response.read()
+            except (OSError, HTTPException) as error:
+                failures.append(f"caller {number} after {answered[number]}: {error!r}")
+                return
+            answered[number] += 1
+            is_kept = response.getheader("Connection") != "close"
+            time.sleep(pause_s)
+        connection.close()
+
+
+def _change_configuration(processes: AuthorityProcesses) -> None:
+    """Apply a changed configuration at another VM."""
+    url = processes.url("addis-1") + "/admin/v1/configuration"
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    current = urllib3.request("GET", url, headers=headers, retries=False)
+    document = {name: current.json()[name] for name in ("inventory", "rules")}
+    document["rules"]["allowances"][0]["rate_tokens_per_s"] += 1
+    headers["If-Match"] = current.headers["ETag"]
+    stored = urllib3.request("PUT", url, headers=headers, json=document, retries=False)
+    assert stored.status == 200, stored.data
+
+
 def _ignores(pid: int, number: signal.Signals) -> bool:
     """Return whether a process ignores a signal."""
     status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
