--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+import weakref
 from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
@@ -11,6 +12,7 @@
 
 from .._identifiers import EndpointId, OrganisationId, VersionId, VmId
 from .._problems import Problem
+from .._tasks import is_current_task_cancelled
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
 from ..peers import ForwardEnd, ForwardResponsePart
@@ -24,6 +26,7 @@
 from ._metrics import GatewayMetrics
 from ._refusals import (
     INCOMPLETE_ANSWER,
+    STOPPED_ANSWER,
     mark_possibly_executed,
     refuse_draining,
     refuse_exceeded_allowance,
@@ -51,6 +54,7 @@
 CHAT_ROUTE = "/v1/chat/completions"
 
 SLOW_CALLER_LIMIT_S = 60.0
+SENT_POLL_INTERVAL_S = 0.05
 MAX_OPEN_CHATS = 4_096
 """Maximum number of admitted requests of a process; each holds up to two sockets."""
 
@@ -122,6 +126,7 @@
         self._wall_clock = wall_clock
         self._open_chats_by_relay: dict[Relay, OpenChat] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._sinks: weakref.WeakSet[StreamSink | BufferedResponseSink] = weakref.WeakSet()
         self._admitted = 0
 
     @property
@@ -240,7 +245,11 @@
             self._record(open_chat, None, open_chat.target.endpoint if lost else None)
 
     async def settle_failed(self, open_chat: OpenChat, problem: Problem) -> None:
-        """Settle a request that failed before its relay started."""
+        """Settle a request that failed before its relay started, and release its target."""
+        if isinstance(open_chat.target, PendingTarget):
+            self._target_selector.abandon(open_chat.target)
+        elif isinstance(open_chat.target, ChosenEndpoint):
+            self._target_selector.record_cancellation(open_chat.route, open_chat.target)
         self._admitted -= 1
         self._settle(open_chat.reservation, 0)
         self._count(open_chat.organisation, open_chat.chat.request_class, problem.code)
@@ -255,8 +264,19 @@
             sink = StreamSink(relay)
         else:
             sink = BufferedResponseSink(relay, open_chat.chat.model)
-        await attach_caller(sink, caller)
-        self._start_source(open_chat, relay, sink, stream)
+        try:
+            await attach_caller(sink, caller)
+        except BaseException:
+            if stream is not None:
+                stream.socket.close()
+            await self.settle_failed(open_chat, INCOMPLETE_ANSWER)
+            raise
+        self._sinks.add(sink)
+        try:
+            self._start_source(open_chat, relay, sink, stream)
+        except Exception:
+            _log.exception("start of an answer failed", extra={"request_id": relay.request_id})
+            relay.fail(INCOMPLETE_ANSWER)
 
     async def run_forwarded(
         self, chat: ChatRequest, organisation: OrganisationId, version: VersionId | None
@@ -307,10 +327,16 @@
 
     async def _run_for(self, relay: Relay, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task of a relay; an unexpected error ends the answer, or its caller would wait."""
+        extra = {"request_id": relay.request_id}
         try:
             await coroutine
+        except asyncio.CancelledError:
+            if is_current_task_cancelled():
+                raise
+            _log.exception("wait of a chat request was cancelled", extra=extra)
+            relay.fail(INCOMPLETE_ANSWER)
         except Exception:
-            _log.exception("task of a chat request failed", extra={"request_id": relay.request_id})
+            _log.exception("task of a chat request failed", extra=extra)
             relay.fail(INCOMPLETE_ANSWER)
 
     async def _wait_and_connect(self, open_chat: OpenChat, relay: Relay) -> None:
@@ -474,6 +500,21 @@
             relay.fail(refuse_withdrawn_stream())
         return len(relays)
 
+    def end_all(self) -> int:
+        """End all open answers because the VM stops, and return their number."""
+        relays = list(self._open_chats_by_relay)
+        for relay in relays:
+            relay.fail(STOPPED_ANSWER)
+        return len(relays)
+
+    async def wait_until_sent(self, timeout_s: float) -> None:
+        """Wait up to ``timeout_s`` seconds until the callers have taken their answers."""
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        while any(sink.has_unsent_bytes for sink in self._sinks):
+            if asyncio.get_running_loop().time() > deadline_s:
+                return
+            await asyncio.sleep(SENT_POLL_INTERVAL_S)
+
     def abort_stalled_sources(self, now: float) -> None:
         """Drop sources without data and callers that stopped reading, after their limits.
 
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -2,16 +2,25 @@
 
 import signal
 import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from urllib.parse import urlsplit
 
+import pytest
 import urllib3
 
 from entry_processes import EXIT_TIMEOUT_S, AuthorityProcesses
 from mangosaddle.client import Client, ClientError
-from mangosaddle.demo import wait_for
+from mangosaddle.demo import OPERATOR_TOKEN, wait_for
+from mangosaddle.membership import STALE_DISCOVERY_GRACE_S
 
 QUESTION = [{"role": "user", "content": "How far does the tower clock drift?"}]
 TOKENS = 40
+LONG_TOKENS = 1_500
+"""An answer takes 15 s at the speed of these engines."""
 CALLERS = 12
 DETECTION_TIMEOUT_S = 15.0
 
@@ -122,3 +131,153 @@
     services = processes.standins.services_by_id.values()
     assert sum(service.executions_by_key["order-2"] for service in services) == 0
     assert entry_issued.status == 201
+
+
+def _open_streams(processes: AuthorityProcesses, vm: str) -> int:
+    answer = processes.get(vm, "/admin/v1/status")
+    return 0 if answer is None else int(answer.json()["open_streams"])
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["streamed", "buffered"])
+def test_a_second_sigterm_ends_a_request_with_a_reported_error(
+    processes: AuthorityProcesses, stream: bool
+) -> None:
+    """Guards against a request without an answer at a VM that is told to stop at once.
+
+    The process must exit as well; otherwise the platform kills it and cuts the request.
+    """
+    key = processes.standins.key_of("tower-trust")
+    body = {"model": "advisor", "messages": QUESTION, "max_tokens": LONG_TOKENS, "stream": stream}
+    url = processes.url("gondar-2") + "/v1/chat/completions"
+
+    def send() -> urllib3.BaseHTTPResponse:
+        """Send the request until the allowance admits it, which may need a share first."""
+        while True:
+            answer = urllib3.request(
+                "POST", url, headers={"Authorization": f"Bearer {key}"}, json=body, retries=False
+            )
+            if answer.status != 429:
+                return answer
+            time.sleep(0.2)
+
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(send)
+        wait_for(
+            lambda: _open_streams(processes, "gondar-2") == 1, "the request runs", EXIT_TIMEOUT_S
+        )
+        processes.signal("gondar-2", signal.SIGTERM)
+        time.sleep(STALE_DISCOVERY_GRACE_S + 0.5)
+        processes.signal("gondar-2", signal.SIGTERM)
+        code = processes.processes_by_vm["gondar-2"].wait(EXIT_TIMEOUT_S)
+        answer = pending.result(EXIT_TIMEOUT_S)
+    assert code == 0
+    if stream:
+        assert b"event: error" in answer.data
+        assert b'"execution": "unknown"' in answer.data
+    else:
+        assert (answer.status, answer.json()["execution"]) == (503, "unknown")
+
+
+def test_sighup_does_not_cut_requests(processes: AuthorityProcesses) -> None:
+    """Guards against a signal, such as that of a closed terminal, that ends the process at once.
+
+    It is sent while the first VM answers requests and at several moments of another one's start.
+    """
+    key = processes.standins.key_of("tower-trust")
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(
+            urllib3.request,
+            "POST",
+            processes.url("gondar-1") + "/v1/chat/completions",
+            headers={"Authorization": f"Bearer {key}"},
+            json={"model": "advisor", "messages": QUESTION, "max_tokens": 200},
+            retries=False,
+        )
+        wait_for(
+            lambda: _open_streams(processes, "gondar-1") == 1, "the request runs", EXIT_TIMEOUT_S
+        )
+        processes.signal("gondar-1", signal.SIGHUP)
+        answer = pending.result(EXIT_TIMEOUT_S)
+    assert answer.status == 200
+    assert len(answer.json()["choices"][0]["message"]["content"].split()) == 200
+
+    processes.signal("gondar-2", signal.SIGTERM)
+    processes.processes_by_vm["gondar-2"].wait(EXIT_TIMEOUT_S)
+    processes.start_vm("gondar-2")
+    restarted = processes.processes_by_vm["gondar-2"]
+    # The interpreter needs some time until any code of the package can ignore the signal.
+    wait_for(lambda: _ignores(restarted.pid, signal.SIGHUP), "the signal is ignored", 10.0)
+    while processes.get("gondar-2", "/readyz") is None:
+        restarted.send_signal(signal.SIGHUP)
+        assert restarted.poll() is None
+        time.sleep(0.05)
+    assert restarted.poll() is None
+
+
+def test_no_request_is_cut_at_a_planned_stop(processes: AuthorityProcesses) -> None:
+    """Guards against kept connections that are closed while a request is on its way.
+
+    Callers leave the VM once a response announces the end of its connection or a new connection
+    is refused. The configuration changes at the same time.
+    """
+    failures: list[str] = []
+    answered = [0] * CALLERS
+    threads = [
+        threading.Thread(target=_ask_until_stopped, args=(processes, number, answered, failures))
+        for number in range(CALLERS)
+    ]
+    for thread in threads:
+        thread.start()
+    wait_for(lambda: min(answered) > 5, "all callers have answers", EXIT_TIMEOUT_S)
+    processes.signal("gondar-2", signal.SIGTERM)
+    _change_configuration(processes)
+    assert processes.processes_by_vm["gondar-2"].wait(EXIT_TIMEOUT_S) == 0
+    for thread in threads:
+        thread.join(EXIT_TIMEOUT_S)
+    assert failures == []
+
+
+def _ask_until_stopped(
+    processes: AuthorityProcesses, number: int, answered: list[int], failures: list[str]
+) -> None:
+    """Send requests on kept connections; the pause between them differs by caller."""
+    address = urlsplit(processes.url("gondar-2"))
+    pause_s = 0.005 + 0.09 * number
+    while True:
+        connection = HTTPConnection(str(address.hostname), address.port, timeout=EXIT_TIMEOUT_S)
+        try:
+            connection.connect()
+        except OSError:
+            return
+        is_kept = True
+        while is_kept:
+            try:
+                connection.request("GET", "/v1/models")
+                response = connection.getresponse()
+                response.read()
+            except (OSError, HTTPException) as error:
+                failures.append(f"caller {number} after {answered[number]}: {error!r}")
+                return
+            answered[number] += 1
+            is_kept = response.getheader("Connection") != "close"
+            time.sleep(pause_s)
+        connection.close()
+
+
+def _change_configuration(processes: AuthorityProcesses) -> None:
+    """Apply a changed configuration at another VM."""
+    url = processes.url("addis-1") + "/admin/v1/configuration"
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    current = urllib3.request("GET", url, headers=headers, retries=False)
+    document = {name: current.json()[name] for name in ("inventory", "rules")}
+    document["rules"]["allowances"][0]["rate_tokens_per_s"] += 1
+    headers["If-Match"] = current.headers["ETag"]
+    stored = urllib3.request("PUT", url, headers=headers, json=document, retries=False)
+    assert stored.status == 200, stored.data
+
+
+def _ignores(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores a signal."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    (mask,) = [line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:")]
+    return bool(int(mask, 16) >> (number - 1) & 1)
