Run the runners of rollout cases in a process of their own

Four VMs, the stand-ins of their endpoints and the callers shared one event loop, so delays of the loop lengthened the stand-ins' 0.03 to 0.12 s.

RunnerProcess starts copies of RunnerStandIn, which is unchanged, in one spawned process and drives them over a pipe: start, stop, collect arrivals. Runners of a version are started by one message, as they share its fault; runners are stopped by one message. Times of arrivals stay comparable, since both event loops use the monotonic clock. Orders, bounds and checks of the rollout tests are as before.

Ruled out by tests/platform/test_runner_process.py: copies that no longer share the random sequence of their fault, and responses that a stall of 1 s in the caller lengthens.

--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -15,6 +15,7 @@
 )
 from ._rollout_operator import PlacedOrder, RolloutOperator
 from ._runner import Arrival, Behaviour, ReceivedRequest, RunnerStandIn
+from ._runner_process import RunnerProcess
 from ._scenario import (
     Scenario,
     default_configuration,
@@ -38,6 +39,7 @@
     "RolloutCase",
     "RolloutObservations",
     "RolloutOperator",
+    "RunnerProcess",
     "RunnerStandIn",
     "Scenario",
     "StoreCopy",
--- a/tests/platform_standins/_fleet.py
+++ b/tests/platform_standins/_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -21,6 +21,7 @@
 
 from ._operator_documents import HOST
 from ._runner import RunnerStandIn
+from ._runner_process import RunnerProcess
 from ._store import StoreStandIn
 
 MAX_WAIT_S = 10.0
@@ -64,6 +65,8 @@
     runners: dict[str, RunnerStandIn] = field(default_factory=dict)
     killed_at_times_s: list[float] = field(default_factory=list)
     """Event loop times at which VMs were killed."""
+    runner_process: RunnerProcess | None = None
+    """Where the runners run; ``None`` for the event loop of the test."""
     _request_numbers: Any = field(default_factory=lambda: itertools.count(1))
 
     def settings(self, name: str, zone: str, **bounds: float) -> EntryProcessSettings:
@@ -129,11 +132,28 @@
 
     async def add_runner(self, runner: RunnerStandIn, **entry: object) -> RunnerStandIn:
         """Start a runner and register it; ``entry`` overrides fields of its store entry."""
-        self.runners[runner.id] = runner
-        await runner.start()
-        await self.store.put(runner.key, runner.entry(**entry))
+        await self.add_runners([runner], **entry)
         return runner
 
+    async def add_runners(self, runners: Sequence[RunnerStandIn], **entry: object) -> None:
+        """Start runners, then register them; ``entry`` overrides fields of their store entries."""
+        self.runners.update((runner.id, runner) for runner in runners)
+        if self.runner_process is not None:
+            await self.runner_process.start(runners)
+        else:
+            for runner in runners:
+                await runner.start()
+        for runner in runners:
+            await self.store.put(runner.key, runner.entry(**entry))
+
+    async def stop_runners(self, runners: Sequence[RunnerStandIn]) -> None:
+        """Stop runners without draining; their entries remain."""
+        if self.runner_process is not None:
+            await self.runner_process.stop(runners)
+            return
+        for runner in runners:
+            await runner.stop()
+
     async def wait_until_ready(self) -> None:
         """Wait until all VMs are ready and linked.
 
@@ -240,15 +260,17 @@
 
 
 @asynccontextmanager
-async def running_fleet() -> AsyncIterator[Fleet]:
-    """Yield a fleet with a running store; stops everything that the test has added to it."""
+async def running_fleet(runner_process: RunnerProcess | None = None) -> AsyncIterator[Fleet]:
+    """Yield a fleet with a running store; stops everything that the test has added to it.
+
+    The runners run in ``runner_process`` or, without one, in the event loop of the test.
+    """
     store = StoreStandIn()
-    fleet = Fleet(store, await store.start())
+    fleet = Fleet(store, await store.start(), runner_process=runner_process)
     try:
         yield fleet
     finally:
         for process in fleet.vms.values():
             await process.stop()
-        for runner in fleet.runners.values():
-            await runner.stop()
+        await fleet.stop_runners(list(fleet.runners.values()))
         await store.stop()
--- a/tests/platform_standins/_rollout_cases.py
+++ b/tests/platform_standins/_rollout_cases.py
@@ -1,4 +1,8 @@
-"""Runs rollouts in a fleet of four VMs and five runners per service under steady traffic."""
+"""Runs rollouts in a fleet of four VMs and five runners per service under steady traffic.
+
+The runners have a process of their own: the latency of a version is judged by their response times,
+which delays of the event loop of the VMs and callers would blur.
+"""
 
 import asyncio
 import logging
@@ -12,6 +16,7 @@
 from ._operator_documents import configuration, engine_service, plain_service, route, tenant
 from ._rollout_operator import PlacedOrder, RolloutOperator
 from ._runner import Arrival, Behaviour, RunnerStandIn
+from ._runner_process import RunnerProcess
 from ._store import StoreFault
 from ._traffic import Call, Traffic
 from ._version_fault import VersionFault
@@ -143,7 +148,7 @@
 
 async def _run_case(case: RolloutCase) -> RolloutObservations:
     with _captured_log_records() as records:
-        async with running_fleet() as fleet:
+        async with RunnerProcess() as runner_process, running_fleet(runner_process) as fleet:
             await _start_fleet(fleet)
             prefixes = [row for rows in PREFIXES_BY_SERVICE.values() for row in rows]
             traffic = Traffic(fleet, dict.fromkeys(prefixes, 1.0), REQUESTS_PER_S)
@@ -165,6 +170,7 @@
             await traffic.stop()
             await operator.stop()
             stall_monitor.cancel()
+            await runner_process.collect_arrivals()
             return RolloutObservations(
                 {
                     name: [OrderOutcome.from_placed(row) for row in rows]
@@ -232,8 +238,7 @@
         desk.body = COMPLETE_BODY
         engine.behaviour = Behaviour.STREAM
         engine.event_count = EVENTS_PER_STREAM
-        await fleet.add_runner(desk)
-        await fleet.add_runner(engine)
+        await fleet.add_runners([desk, engine])
     isolated_address = await fleet.store.start()
     await fleet.add_vm("vm-1", "east-a")
     await fleet.add_vm("vm-2", "east-a")
--- a/tests/platform_standins/_rollout_operator.py
+++ b/tests/platform_standins/_rollout_operator.py
@@ -121,12 +121,13 @@
                 event_interval_s=old.event_interval_s,
             )
             placed.new_runners.append(runner)
-            await self._fleet.add_runner(runner)
+        # Started together, since runners of a version share its fault.
+        await self._fleet.add_runners(placed.new_runners)
 
     async def _stop_runners(self, runners: list[RunnerStandIn]) -> None:
         """Stop runners without draining; their entries are removed after a delay."""
+        await self._fleet.stop_runners(runners)
         for runner in runners:
-            await runner.stop()
             del self._fleet.runners[runner.id]
         await asyncio.sleep(ENTRY_REMOVAL_DELAY_S)
         for runner in runners:
@@ -139,6 +140,6 @@
         for runner in runners:
             await self._fleet.store.put(runner.key, runner.entry(state="draining", seq=2))
         await asyncio.sleep(DRAIN_DURATION_S)
+        await self._fleet.stop_runners(runners)
         for runner in runners:
-            await runner.stop()
             await self._fleet.store.remove(runner.key)
