Leave out only the stalls across which an answer was read

A VM subtracted all stalls of its event loop since a request was sent from the measured time. The endpoint goes on while the VM stands still, so on a VM that stands still most of the time nearly all of a slow answer's time was left out. While stand-ins shared the event loop of the VM, a stall did delay them, which hid this.

The time until the request is sent is left out too: stalls lengthen it, and the first requests to a new version all open connections. Slowness in accepting connections is no longer part of the latency evidence.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from .._identifiers import EndpointId
@@ -90,6 +90,8 @@
     """Whether the endpoint closed or reset it; otherwise this VM did, as the endpoint was lost."""
     given_up: bool = False
     """Whether this VM ended the attempt because the endpoint was silent."""
+    connecting_s: float = 0.0
+    """Seconds until the request was sent, of an attempt that was answered."""
 
 
 @dataclass(slots=True)
@@ -156,6 +158,7 @@
         """
         view = place.endpoint
         clock = asyncio.get_running_loop().time
+        began_s = clock()
         max_idle_s = None if request.route.repeatable else NON_REPEATABLE_MAX_IDLE_S
         address = view.registration.address
         connection = self._pool.take(address, max_idle_s)
@@ -232,7 +235,7 @@
             connection.abort()
         else:
             self._pool.give_back(address, connection)
-        return result
+        return replace(result, connecting_s=sent_at_s - began_s)
 
     def _forget_check(self, endpoint: EndpointId, connection: UpstreamConnection) -> None:
         checks = self._checks_by_endpoint.get(endpoint, {})
--- a/src/mangosaddle/entry/_rollouts.py
+++ b/src/mangosaddle/entry/_rollouts.py
@@ -64,18 +64,19 @@
     """Expected time to first byte at the usual speed."""
     tokens: int
     """Number of tokens that are expected to be generated."""
-    stalled_before_s: float = 0.0
-    """Time for which this process had stood still when the attempt began."""
     is_counted: bool = False
     """Whether the outcome is already part of the evidence."""
 
-    def slowness(self, tokens: int, now: float, stalled_s: float) -> float:
+    def slowness(
+        self, tokens: int, now: float, stalls: LoopStalls, connecting_s: float = 0.0
+    ) -> float:
         """Return the elapsed time as a multiple of the time expected for ``tokens`` tokens.
 
-        The time for which this process stood still in the meantime, of ``stalled_s`` in all, is
-        left out.
+        Left out are ``connecting_s``, since a stall lengthens it and the first requests to a new
+        version all open connections, and the time by which stalls delayed reading the answer.
         """
-        elapsed_s = now - self.sent_at_s - (stalled_s - self.stalled_before_s)
+        since_s = self.sent_at_s + connecting_s
+        elapsed_s = now - since_s - stalls.reading_delay_s(since_s, now)
         return max(0.0, elapsed_s) / (
             self.expected_first_byte_s + tokens * DEFAULT_TIME_PER_TOKEN_S
         )
@@ -241,7 +242,6 @@
             now,
             view.load.nominal_forecast_s(place.work, now),
             request.prompt.expected_tokens if request.prompt is not None else 0,
-            self.loop_stalls.total_s,
         )
         self._running[request.service, version] += 1
         rollout = self._rollouts_by_service.get(request.service)
@@ -265,7 +265,11 @@
             return
         status = result.answer.status if result.answer is not None else FAILURE_STATUS
         is_failure = result.end is not AttemptEnd.DELIVERED and status >= FAILURE_STATUS
-        slowness = None if is_failure else attempt.slowness(tokens, now, self.loop_stalls.total_s)
+        slowness = (
+            None
+            if is_failure
+            else attempt.slowness(tokens, now, self.loop_stalls, result.connecting_s)
+        )
         lost_endpoint = attempt.endpoint if result.connection_lost else None
         rollout.record_answer(attempt.version, attempt.route, slowness, lost_endpoint, now)
 
@@ -275,7 +279,7 @@
             rollout = self._rollouts_by_service.get(attempt.service)
             if rollout is None or rollout.end is not None or attempt.is_counted:
                 continue
-            slowness = attempt.slowness(attempt.tokens, now, self.loop_stalls.total_s)
+            slowness = attempt.slowness(attempt.tokens, now, self.loop_stalls)
             if slowness >= OVERDUE_FACTOR:
                 attempt.is_counted = True
                 rollout.record_answer(attempt.version, attempt.route, slowness, None, now)
