Enter cheaper time limits for each event of a stream

In the profile, the time limits of the wait for an event take as much as the parser: an asynchronous generator as context (four calls and a hook of the event loop for each), a timeout inside it, and another timeout in the connection, which has no deadline once the head is complete. Ruled out: the writes to the caller, of which there is one an event as it must be, and the event splitter (4% of the profile).

The context is now an object of a class, which enters no timeout if there is no limit, and the connection uses a timeout only if it has a deadline. When an attempt may be given up is unchanged.

--- a/src/mangosaddle/entry/_giving_up.py
+++ b/src/mangosaddle/entry/_giving_up.py
@@ -1,8 +1,8 @@
 """Limits on waits for an endpoint that end an attempt only if another one can replace it."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
+from types import TracebackType
 
 from ..http11 import UpstreamConnection
 
@@ -23,27 +23,45 @@
         # After a pause of this process, timers expire although data has arrived in the meantime.
         return not self._connection.has_unread_data and self._may_replace()
 
-    @asynccontextmanager
-    async def applied_from(self, due_s: float | None) -> AsyncIterator[None]:
-        """Raise ``TimeoutError`` in the body once the attempt may be given up.
+    def applied_from(self, due_s: float | None) -> "_GiveUpLimit":
+        """Raise ``TimeoutError`` in the body of the context once the attempt may be given up.
 
         ``due_s`` is the event loop time in seconds of the first check; ``None`` for no limit.
         """
+        return _GiveUpLimit(self, due_s)
+
+
+class _GiveUpLimit:
+    """Context of one wait; a stream enters one for each event, so that it has to be cheap."""
+
+    __slots__ = ("_check", "_due_s", "_limit", "_timer")
+
+    def __init__(self, check: GiveUpCheck, due_s: float | None) -> None:
+        self._check = check
+        self._due_s = due_s
+        self._limit: asyncio.Timeout | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def __aenter__(self) -> None:
+        if self._due_s is not None:
+            self._limit = asyncio.timeout(None)
+            await self._limit.__aenter__()
+            self._timer = asyncio.get_running_loop().call_at(self._due_s, self._give_up_or_recheck)
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if self._limit is not None and self._timer is not None:
+            self._timer.cancel()
+            await self._limit.__aexit__(exc_type, exc, traceback)
+
+    def _give_up_or_recheck(self) -> None:
+        assert self._limit is not None
         loop = asyncio.get_running_loop()
-        timer: asyncio.TimerHandle | None = None
-
-        def _check() -> None:
-            nonlocal timer
-            if self():
-                limit.reschedule(loop.time())
-            else:
-                timer = loop.call_later(RECHECK_INTERVAL_S, _check)
-
-        async with asyncio.timeout(None) as limit:
-            if due_s is not None:
-                timer = loop.call_at(due_s, _check)
-            try:
-                yield
-            finally:
-                if timer is not None:
-                    timer.cancel()
+        if self._check():
+            self._limit.reschedule(loop.time())
+        else:
+            self._timer = loop.call_later(RECHECK_INTERVAL_S, self._give_up_or_recheck)
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -400,10 +400,13 @@
         """Wait for bytes; return False at the end of the connection."""
         while not self.has_unread_data:
             try:
-                async with asyncio.timeout_at(self._deadline_s):
-                    self._parts_since_yield = 0
-                    self._data_or_end.clear()
+                self._parts_since_yield = 0
+                self._data_or_end.clear()
+                if self._deadline_s is None:
                     await self._data_or_end.wait()
+                else:
+                    async with asyncio.timeout_at(self._deadline_s):
+                        await self._data_or_end.wait()
             except TimeoutError as error:
                 # After a pause of this process, the timeout may expire although bytes have arrived.
                 if self.has_unread_data:
