Count requests without an answer in the soak, and pause runners

Cause: the soak judged a request without an answer only if it stayed silent, or was run and cut before its head. Runners that pause and go on came only as one of five kinds of a failed link.

Change: a run reports its calls by outcome and status, those without an answer (cut before or within the answer, silent) at disturbed and undisturbed VMs, and the log lines "request ended without an answer" by cause. A call that was cut at an undisturbed VM without such a line is listed, and so is a line about a request whose caller got a complete answer. run_seed returns this with the breaches; no check has changed. The kind runner_pause holds back all bytes of a runner for 0.5 to 1.2 s.

The tracebacks in the output of a run (KeyError 'after') come from the stand-in of the store: its fault SAME_PAGE drops the parameter from watches too.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
     FAULT_KINDS,
     FAULT_PHASE_S,
     ORDER_KINDS,
+    PAUSE_KINDS,
     STATEMENT_KINDS,
     run_seed,
     schedule,
@@ -29,7 +30,7 @@
     """Guards against failures that cannot be reproduced from their seed."""
     assert schedule(7) == schedule(7) != schedule(8)
     faults = [fault for seed in range(200) for fault in schedule(seed)]
-    kinds = {*FAULT_KINDS, *ADDED_FAULT_KINDS, *STATEMENT_KINDS, *ORDER_KINDS}
+    kinds = {*FAULT_KINDS, *ADDED_FAULT_KINDS, *STATEMENT_KINDS, *ORDER_KINDS, *PAUSE_KINDS}
     assert {fault.kind for fault in faults} == kinds
     assert all(0.0 <= fault.at_s <= FAULT_PHASE_S for fault in faults)
 
@@ -37,4 +38,6 @@
 @pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
 def test_guarantees_hold_under_faults(seed: int, tmp_path: Path) -> None:
     """Guards against broken guarantees when processes are killed, paused, stopped or isolated."""
-    assert asyncio.run(run_seed(seed, tmp_path, LOOPBACK_NETWORK)) == []
+    result = asyncio.run(run_seed(seed, tmp_path, LOOPBACK_NETWORK))
+    print(*result.unanswered.lines(), sep="\n")
+    assert result.breaches == []
--- a/tests/soak_harness/__init__.py
+++ b/tests/soak_harness/__init__.py
@@ -2,12 +2,13 @@
 
 from ._fleet import SoakFleet
 from ._planned_work import run_planned_work
-from ._run import run_seed
+from ._run import SoakResult, run_seed
 from ._schedule import (
     ADDED_FAULT_KINDS,
     FAULT_KINDS,
     FAULT_PHASE_S,
     ORDER_KINDS,
+    PAUSE_KINDS,
     STATEMENT_KINDS,
     PlannedFault,
     schedule,
@@ -18,9 +19,11 @@
     "FAULT_KINDS",
     "FAULT_PHASE_S",
     "ORDER_KINDS",
+    "PAUSE_KINDS",
     "STATEMENT_KINDS",
     "PlannedFault",
     "SoakFleet",
+    "SoakResult",
     "run_planned_work",
     "run_seed",
     "schedule",
--- a/tests/soak_harness/__main__.py
+++ b/tests/soak_harness/__main__.py
@@ -30,12 +30,15 @@
             seed = pending_seeds.pop()
             started_s = time.monotonic()
             network = f"127.{100 + os.getpid() % 100}.{slot}"
-            breaches = await run_seed(seed, folder / str(seed), network)
+            result = await run_seed(seed, folder / str(seed), network)
+            breaches = result.breaches
             click.echo(
                 f"seed {seed}: {len(breaches)} breaches, {time.monotonic() - started_s:.0f} s"
             )
             for breach in breaches[:10]:
                 click.echo(f"  {breach}")
+            for line in result.unanswered.lines():
+                click.echo(f"  {line}")
             if breaches:
                 failed_seeds.append(seed)
 
--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -38,6 +38,8 @@
     ),
 }
 STATED_WAITS = ("0.4", "1.25", "3", "0", "-2", "soon")
+RUNNER_PAUSES_S = (0.5, 0.8, 1.0, 1.2)
+"""Times for which a sound runner may send nothing and go on."""
 STORE_FAULTS = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
@@ -85,6 +87,7 @@
             "runner_truncates": self._truncate_streams,
             "slow_reading": self._read_slowly,
             "large_configuration": self._enlarge_configuration,
+            "runner_pause": self._pause_runner,
         }
         await handlers[fault.kind](fault)
 
@@ -271,6 +274,15 @@
         self._fleet.has_many_tenants = False
         await self._change_configuration(fault)
 
+    async def _pause_runner(self, fault: PlannedFault) -> None:
+        """Keep back all bytes to and from a runner, unless its link has another fault."""
+        proxy = self._target_endpoint(fault).proxy
+        if proxy.fault is not LinkFault.NONE:
+            return
+        proxy.set_fault(LinkFault.PAUSE)
+        await asyncio.sleep(RUNNER_PAUSES_S[fault.variant % len(RUNNER_PAUSES_S)])
+        proxy.end_fault(LinkFault.PAUSE)
+
     def _begin_disturbance(self, vm: VmProcess) -> Disturbance:
         disturbance = Disturbance(_now())
         vm.disturbances.append(disturbance)
--- a/tests/soak_harness/_planned_work.py
+++ b/tests/soak_harness/_planned_work.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import json
 import random
 import signal
 from collections import Counter
@@ -18,6 +17,7 @@
 from ._fleet import SoakFleet
 from ._processes import EXIT_GRACE_S
 from ._proxy import LinkFault
+from ._unanswered import EXPECTED_CAUSE, read_logged_ends
 
 KEYS_BY_PATH = {
     "/read/": "key-1",
@@ -37,8 +37,6 @@
 START_TIMEOUT_S = 20.0
 INTERPRETER_START_S = 0.2
 """Time after the start of a process in which a signal may arrive before its first line runs."""
-UNANSWERED_MESSAGE = "request ended without an answer"
-EXPECTED_CAUSE = "client_disconnected"
 
 
 class PlannedWork:
@@ -150,13 +148,9 @@
 
 def _find_logged_losses(folder: Path) -> Iterator[str]:
     """Yield a description of each request that a VM logged as ended without an answer."""
-    for path in sorted(folder.glob("vm-*.log")):
-        for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
-            if UNANSWERED_MESSAGE not in line:
-                continue
-            fields = json.loads(line)
-            if fields["cause"] != EXPECTED_CAUSE:
-                yield f"{fields['request_id']} at {fields['entry_vm']}: {fields['cause']}"
+    for end in read_logged_ends(folder):
+        if end.cause != EXPECTED_CAUSE:
+            yield f"{end.request_id} at {end.vm}: {end.cause}"
 
 
 async def run_planned_work(seed: int, folder: Path, network: str) -> tuple[list[str], Counter[int]]:
--- a/tests/soak_harness/_proxy.py
+++ b/tests/soak_harness/_proxy.py
@@ -70,6 +70,11 @@
         else:
             self._resumed.set()
 
+    def end_fault(self, fault: LinkFault) -> None:
+        """End a fault unless another one has replaced it."""
+        if self.fault is fault:
+            self.set_fault(LinkFault.NONE)
+
     def _reset_all(self) -> None:
         for writer in list(self._writers):
             _reset(writer)
--- a/tests/soak_harness/_run.py
+++ b/tests/soak_harness/_run.py
@@ -1,6 +1,8 @@
 """One soak run: starts the fleet, injects and clears the faults, and checks the guarantees."""
 
 import asyncio
+import time
+from dataclasses import dataclass
 from pathlib import Path
 
 from mangosaddle.http11 import HttpError, UpstreamConnection
@@ -12,6 +14,7 @@
 from ._processes import FRONT_PORT, VmProcess
 from ._schedule import schedule
 from ._statement_checks import find_statement_breaches
+from ._unanswered import UnansweredReport, read_logged_ends, report_unanswered
 
 KEYS_BY_PATH = {
     "/read/": "key-1",
@@ -29,11 +32,20 @@
 """Bound of the deployments: time until a new configuration applies."""
 
 
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """Breaches of one run, and the ends of its requests."""
+
+    breaches: list[str]
+    unanswered: UnansweredReport
+
+
 class SoakRun:
     """Runs one seed and collects the breaches."""
 
     def __init__(self, seed: int, fleet: SoakFleet) -> None:
         self.breaches: list[str] = []
+        self.calls: list[Call] = []
         self._seed = seed
         self._fleet = fleet
 
@@ -58,6 +70,7 @@
             self.breaches += find_statement_breaches(
                 callers.calls, self._fleet.arrivals, self._fleet.rejections
             )
+            self.calls = callers.calls
             self._write_calls(callers.calls)
         finally:
             await self._fleet.stop()
@@ -136,9 +149,10 @@
     return asyncio.get_running_loop().time()
 
 
-async def run_seed(seed: int, folder: Path, network: str) -> list[str]:
-    """Run one seed and return the breaches; logs of the processes are written to the folder."""
+async def run_seed(seed: int, folder: Path, network: str) -> SoakResult:
+    """Run one seed and return its result; logs of the processes are written to the folder."""
     folder.mkdir(parents=True, exist_ok=True)
+    began_s = time.time()
     run = SoakRun(seed, SoakFleet(seed, folder, network))
     await run.run()
-    return run.breaches
+    return SoakResult(run.breaches, report_unanswered(run.calls, read_logged_ends(folder, began_s)))
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -37,6 +37,10 @@
 """Faults in which something partial or older arrives late: half an answer before its runner goes
 dark, a part of an event, a reading of the store while other VMs relay what has changed since, and a
 configuration that is too large to be relayed."""
+PAUSE_SERIES = 3
+"""Series of a run that are drawn from ``PAUSE_KINDS``."""
+PAUSE_KINDS = ("runner_pause",)
+"""Pauses of sound runners, drawn apart as well."""
 LARGE_FLEET_SHARE = 0.1
 """Share of the seeds whose fleet is so large that only some VMs watch the store."""
 
@@ -66,6 +70,8 @@
     faults += _draw_series(statements, STATEMENT_KINDS, faults_s, STATEMENT_SERIES)
     order = random.Random(f"{seed} order of events")
     faults += _draw_series(order, ORDER_KINDS, faults_s, ORDER_SERIES)
+    pauses = random.Random(f"{seed} pauses")
+    faults += _draw_series(pauses, PAUSE_KINDS, faults_s, PAUSE_SERIES)
     return sorted(faults)
 
 
