Read the store again after a silence that may have dropped a watch call

The store was silent from 33.0 to 35.0 s. All six VMs had received version 137 at 33.0 s and sent their next watch calls, which the store never answered. The wait for such a call ends only after 27 s.

Change: the client of the store notes when the store answers again after a call that had no answer in time; the renewal of a VM's own entry is such a call each 2 s. A watch call that is older is given up, and its prefix is read again. Readings after that are not repeated.

What remains: a silence that falls between two renewals, shorter than 2 s, is not noticed, and a watch call that it drops still ends with its timeout.

--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -13,7 +13,8 @@
 
 WATCH_TIMEOUT_S = 25.0
 """Longest wait of a watch call, in seconds. The store allows up to 30 s. Dead connections need no
-shorter timeout, since TCP keep-alive probes detect them much earlier."""
+shorter timeout, since TCP keep-alive probes detect them much earlier. Calls that a live store has
+dropped are noticed by other calls, see ``PrefixWatcher.follow_recovery``."""
 MIN_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.8
 """Bounds of the exponential back-off while the store fails, in seconds. They are short enough for a
@@ -70,6 +71,8 @@
         self._resumed = asyncio.Event()
         """Set when a paused watcher is enabled or has to read once."""
         self._watch_call: asyncio.Task[Changes] | None = None
+        self._watch_began_at_s = 0.0
+        """Monotonic time at which the latest watch call was sent."""
         self._requested_readings = 0
         self._served_readings = 0
         """Number of requests that the latest successful reading has served."""
@@ -127,6 +130,19 @@
         if self.is_watching and self._era != era:
             self.read_again()
 
+    def follow_recovery(self, recovered_at_s: float | None) -> None:
+        """Read the prefix again if the pending watch call is older than a recovery of the store.
+
+        A store that is silent for a while may drop the calls that it gets meanwhile. A dropped
+        watch call on a live connection would end only with its timeout, 25 s and more later.
+        """
+        if (
+            recovered_at_s is not None
+            and self._watch_call is not None
+            and self._watch_began_at_s < recovered_at_s
+        ):
+            self.read_again()
+
     def read_again(self) -> None:
         """Read the whole prefix now, without waiting for the end of a pending watch call.
 
@@ -145,6 +161,7 @@
         """Return the next changes, or ``None`` if the prefix has to be read again."""
         call = asyncio.create_task(self._store.watch(self.prefix, revision, WATCH_TIMEOUT_S))
         self._watch_call = call
+        self._watch_began_at_s = self._clock()
         try:
             return await call
         except asyncio.CancelledError:
--- a/src/mangosaddle/coordination/_store.py
+++ b/src/mangosaddle/coordination/_store.py
@@ -64,6 +64,8 @@
 
     era: int
     """Era of the store according to its latest response."""
+    recovered_at_s: float | None
+    """Monotonic time of the first response after a call without one; ``None`` before that."""
 
     async def read(self, prefix: str) -> Snapshot:
         """Return all items below a prefix, at least as recent as the call."""
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -526,6 +526,7 @@
             self._on_store_restored(self._node)
         for follower in (*self._followers, self._rollout_record_follower):
             follower.follow_era(self._store.era)
+            follower.follow_recovery(self._store.recovered_at_s)
         self._registration_listener.remove_due()
         self._vm_entry_listener.remove_due()
         self._relay.release_held([row.prefix for row in self._followers if row.is_failing])
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -4,6 +4,7 @@
 import binascii
 import json
 import logging
+import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -26,6 +27,7 @@
     ConnectFailedError,
     ConnectionPool,
     HttpError,
+    RequestTimeoutError,
     ResponseHead,
     UpstreamConnection,
     UpstreamRequest,
@@ -77,6 +79,10 @@
         """Create a client of the store at ``address``; connections are opened on demand."""
         self.era = 0
         """Era of the store according to its latest response; 0 if it states none."""
+        self.recovered_at_s: float | None = None
+        """Monotonic time of the first response after a call without one; ``None`` before that."""
+        self._is_silent = False
+        """Whether a call had no response in time, and none has come since."""
         self._address = address
         self._pool = ConnectionPool()
         self._host = f"{address[0]}:{address[1]}".encode()
@@ -213,10 +219,14 @@
         try:
             head, response = await connection.call(request, timeout_s, MAX_RESPONSE_BYTES)
         except HttpError as error:
+            self._is_silent = self._is_silent or isinstance(error, RequestTimeoutError)
             if method == "GET":
                 raise StoreUnavailableError(f"{method} {target}: {error}") from error
             raise OutcomeUnknownError(f"{method} {target}: {error}") from error
         self._pool.give_back(self._address, connection)
+        if self._is_silent:
+            self._is_silent = False
+            self.recovered_at_s = time.monotonic()
         era = _decode_era(head)
         self._record_era(era)
         if method == "GET" and 0 < era < self.era:
--- a/tests/coordination/test_prefix_watcher.py
+++ b/tests/coordination/test_prefix_watcher.py
@@ -101,3 +101,36 @@
         task.cancel()
 
     asyncio.run(_main())
+
+
+def test_a_watch_call_from_before_a_recovery_is_replaced() -> None:
+    """Guards against a wait for a dropped call, and against readings that repeat without end."""
+
+    class _SilentStore(_Store):
+        readings = 0
+
+        async def read(self, prefix: str) -> Snapshot:
+            self.readings += 1
+            return await super().read(prefix)
+
+        async def watch(self, _prefix: str, _after: int, _wait_s: float) -> Changes:
+            await asyncio.Event().wait()
+            raise AssertionError("the call is never answered")
+
+    async def _main() -> None:
+        listener = _Listener(0)
+        store = _SilentStore([])
+        clock = asyncio.get_running_loop().time
+        watcher = PrefixWatcher(cast(Any, store), "op/", listener, random.Random(1), clock)
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.05)
+        before_s, store.revision = clock() - 1.0, 2
+        for recovered_at_s, readings in ((None, 1), (before_s, 1), (clock(), 2)):
+            for _ in range(3):
+                watcher.follow_recovery(recovered_at_s)
+                await asyncio.sleep(0.02)
+            assert store.readings == readings
+        assert listener.revisions == [1, 2]
+        task.cancel()
+
+    asyncio.run(_main())
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -55,6 +55,8 @@
         self.calls: list[str] = []
         self.hold_watches = False
         """While set, watches bring no changes, as on connections that have gone silent."""
+        self.drops_calls = False
+        """While set, calls are accepted and never answered, not even afterwards."""
         self.reading_delay_s = 0.0
         """Time that the answers to readings of a prefix take on their way."""
         self._faults: dict[int, StoreFault] = {}
@@ -191,6 +193,8 @@
     async def _handle(self, exchange: ServerExchange, fault: StoreFault) -> None:
         path, _, query = exchange.target.decode().partition("?")
         self.calls.append(f"{exchange.method.decode()} {path}")
+        if self.drops_calls:
+            await asyncio.Event().wait()
         era = [(b"Store-Era", str(self.era).encode())]
         if fault in (StoreFault.BUSY, StoreFault.RATE_LIMITED):
             await exchange.respond(503 if fault is StoreFault.BUSY else 429, era)
