Let a planned stop wait until its last answers are written

Cause: a connection left the server's set as soon as its request had ended, and a request ends once its answer is in the write buffer, which holds up to 256 KiB for a caller that reads slowly or is far away. A stopping VM then saw nothing to wait for, and its exit cut the answer.

A script with small socket buffers had 223376 bytes of a 250000-byte answer unsent after stop(), and its caller got 26665 bytes. test_a_server_expects_no_exit_before_its_last_answer_is_written fails without the wait (the connection is unknown while its answer is unsent) and passed three of three times with it.

Change: a connection stays in the set until its transport has written everything, and the stop waits while one has unsent bytes, at most for the grace period. stop() still cancels the wait (0.1 s with a caller that never reads).

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -499,7 +499,8 @@
     def _is_busy(self) -> bool:
         forwards = self._node.running_forward_count if self._node is not None else 0
         front = self._servers.front
-        return front.active_requests > 0 or front.expects_requests or forwards > 0
+        is_answering = front.active_requests > 0 or front.has_unsent_answers
+        return is_answering or front.expects_requests or forwards > 0
 
     async def stop(self) -> None:
         """Close the servers, the links, the background tasks and the connections."""
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -194,6 +194,14 @@
             for connection in self._connections
         )
 
+    @property
+    def has_unsent_answers(self) -> bool:
+        """Return whether a part of an answer has not been handed to the system yet."""
+        return any(
+            connection.writer.transport.get_write_buffer_size() > 0
+            for connection in self._connections
+        )
+
     def close_idle(self) -> None:
         """Close the connections that are idle between requests.
 
@@ -231,6 +239,10 @@
         self._connections.add(connection)
         try:
             await connection.run()
+            if not connection.broken and not connection.has_open_end:
+                # Until its last answer is sent, a planned stop waits for the connection.
+                writer.close()
+                await writer.wait_closed()
         except OSError as error:
             logger.info("client connection failed", extra={"cause": repr(error)})
         except asyncio.CancelledError:
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -216,3 +216,45 @@
             assert answer.endswith(b"x") or not unanswered
 
     asyncio.run(_main())
+
+
+def test_a_server_expects_no_exit_before_its_last_answer_is_written() -> None:
+    """Guards against an exit that cuts an answer which its caller has not read yet.
+
+    The request has ended for its handler, but a part of the answer is still in the process.
+    """
+    body = b"x" * 250_000
+    is_handled = asyncio.Event()
+
+    async def _answer_at_length(exchange: ServerExchange) -> None:
+        exchange.close_after_response()
+        await exchange.respond(200, [], body)
+        is_handled.set()
+
+    async def _main() -> None:
+        server = HttpServer(_answer_at_length, ServerLimits)
+        address = await server.start("127.0.0.1", 0)
+        assert server._server is not None
+        server._server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024)
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * 1024)
+            caller.connect(address)
+            caller.sendall(REQUEST)
+            await is_handled.wait()
+            await asyncio.sleep(SETTLE_S)
+            assert not server.active_requests
+            server.close_idle()
+            assert server.has_unsent_answers
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            answer = b""
+            async with asyncio.timeout(10 * MAX_ANSWER_S):
+                while part := await loop.sock_recv(caller, 65536):
+                    answer += part
+                while server.has_unsent_answers:
+                    await asyncio.sleep(0.001)
+            assert answer.endswith(b"\r\n\r\n" + body)
+        assert not server.has_unsent_answers
+        await server.stop()
+
+    asyncio.run(_main())
