Let a stopping VM learn of its last connections before it decides to exit

Cause: a connection that has been accepted is known to the server only a few rounds of the event loop later. A planned stop asked right after it had closed the listening socket whether a request may be on its way. Without other work it ended then, and stop() closed the connection, which has no minimum idle time there.

Change: the stop waits for one check interval (0.05 s, at most a quarter of the grace period) before it first asks. tests/platform/test_failing_stops.py, with its short grace periods, passed.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -468,9 +468,12 @@
         stop_listening_at_s = began_s + min(STOP_LISTENING_AFTER_S, answer_within_s)
         await asyncio.sleep(max(0.0, stop_listening_at_s - self._clock()))
         self._try_step("stop accepting", self._servers.front.stop_accepting)
+        check_interval_s = min(DRAIN_CHECK_INTERVAL_S, MAX_MARGIN_SHARE * grace_s)
+        # The server does not know the connections yet that were accepted last.
+        await asyncio.sleep(check_interval_s)
         while self._clock() - began_s < grace_s and self._is_busy():
             self._try_step("close idle connections", self._servers.front.close_idle)
-            await asyncio.sleep(min(DRAIN_CHECK_INTERVAL_S, MAX_MARGIN_SHARE * grace_s))
+            await asyncio.sleep(check_interval_s)
         logger.info(
             "stopped",
             extra={
