--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -468,9 +468,12 @@
         stop_listening_at_s = began_s + min(STOP_LISTENING_AFTER_S, answer_within_s)
         await asyncio.sleep(max(0.0, stop_listening_at_s - self._clock()))
         self._try_step("stop accepting", self._servers.front.stop_accepting)
+        check_interval_s = min(DRAIN_CHECK_INTERVAL_S, MAX_MARGIN_SHARE * grace_s)
+        # The server does not know the connections yet that were accepted last.
+        await asyncio.sleep(check_interval_s)
         while self._clock() - began_s < grace_s and self._is_busy():
             self._try_step("close idle connections", self._servers.front.close_idle)
-            await asyncio.sleep(min(DRAIN_CHECK_INTERVAL_S, MAX_MARGIN_SHARE * grace_s))
+            await asyncio.sleep(check_interval_s)
         logger.info(
             "stopped",
             extra={
@@ -499,7 +502,8 @@
     def _is_busy(self) -> bool:
         forwards = self._node.running_forward_count if self._node is not None else 0
         front = self._servers.front
-        return front.active_requests > 0 or front.expects_requests or forwards > 0
+        is_answering = front.active_requests > 0 or front.has_unsent_answers
+        return is_answering or front.expects_requests or forwards > 0
 
     async def stop(self) -> None:
         """Close the servers, the links, the background tasks and the connections."""
