Log unanswered requests of the own interface, and settle those whose caller has left

A request that was read and whose caller left, or whose response failed after its head, left no line that names it. Now each has `request ended without an answer` with its cause, and counts in mangosaddle_unanswered_requests_total.

The test of that line showed a fault: the end of a buffered answer to a caller that has closed its connection raised ENOTCONN when the sending side was closed. The request was never settled, its relay stayed open, its endpoint busy, and a stop of the VM failed. The error is ignored now, as nothing is left to send.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -33,6 +33,7 @@
     ServiceClient,
     ServiceHandler,
     TargetSelector,
+    UnansweredRequests,
 )
 from ..keys import KeyRing
 from ..membership import VmIdentity
@@ -318,6 +319,7 @@
             settings.port,
             application.handle,
             body_limit=admin.body_limit_bytes,
+            on_unanswered=UnansweredRequests(self._metrics).record,
         )
 
     def _is_watcher(self) -> bool:
--- a/src/mangosaddle/gateway/__init__.py
+++ b/src/mangosaddle/gateway/__init__.py
@@ -32,6 +32,7 @@
 from ._service_handler import ServiceHandler
 from ._service_request import SERVICES_PREFIX
 from ._target_selector import TargetSelector
+from ._unanswered import UnansweredRequests
 
 __all__ = [
     "ADMIN_PREFIX",
@@ -73,6 +74,7 @@
     "SocketHandover",
     "StreamSink",
     "TargetSelector",
+    "UnansweredRequests",
     "attach_caller",
     "attach_endpoint",
     "engine_payload",
--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -14,6 +14,7 @@
 from .._problems import Problem
 from .._tasks import is_current_task_cancelled
 from ..configuration import Configuration
+from ..http11 import UnansweredCause
 from ..keys import Caller, KeyRing
 from ..peers import ForwardEnd, ForwardResponsePart
 from ..rollouts import RolloutControl
@@ -39,6 +40,7 @@
 )
 from ._relay import BufferedResponseSink, Relay, Sink, StreamSink, attach_caller, attach_endpoint
 from ._target_selector import PendingTarget, TargetSelector
+from ._unanswered import UnansweredRequests
 
 _log = logging.getLogger(__name__)
 
@@ -124,6 +126,7 @@
         self._opener = opener
         self._metrics = metrics
         self._wall_clock = wall_clock
+        self._unanswered = UnansweredRequests(metrics)
         self._open_chats_by_relay: dict[Relay, OpenChat] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._sinks: weakref.WeakSet[StreamSink | BufferedResponseSink] = weakref.WeakSet()
@@ -454,6 +457,13 @@
         outcome = "complete" if complete else "caller-gone" if relay.caller_gone else "cut"
         self._count(open_chat.organisation, open_chat.chat.request_class, outcome)
         if open_chat.caller is not None:
+            if relay.caller_gone:
+                began = relay.buffer.tokens > open_chat.chat.resume_from
+                self._unanswered.record(
+                    relay.request_id,
+                    UnansweredCause.CLIENT_DISCONNECTED,
+                    answer_began=began and open_chat.chat.wants_stream,
+                )
             label = self._metrics.organisation_label(open_chat.organisation)
             elapsed_s = asyncio.get_running_loop().time() - open_chat.started_at
             self._metrics.answer_s.labels(label).observe(elapsed_s)
--- a/src/mangosaddle/gateway/_http_frontend.py
+++ b/src/mangosaddle/gateway/_http_frontend.py
@@ -11,11 +11,13 @@
 import time
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import Protocol
 
 from cheroot.server import Gateway
 
 from .._identifiers import RequestId
 from .._problems import Execution, Problem, RequestFinding
+from ..http11 import UnansweredCause
 from ._kept_connections import KeepingServer
 from ._messages import CallerRequest, CallerResponse, HandlerResult, SocketHandover
 
@@ -34,6 +36,15 @@
 _log = logging.getLogger(__name__)
 
 
+class UnansweredListener(Protocol):
+    """Is told about requests that were read and ended without a complete response."""
+
+    def __call__(
+        self, request_id: RequestId, cause: UnansweredCause, *, answer_began: bool
+    ) -> None:
+        """Record a request."""
+
+
 class BodyTooLargeError(Exception):
     """The body of a request exceeds the limit."""
 
@@ -55,13 +66,21 @@
         try:
             self._respond(request_id)
         except OSError:
-            # The caller has left; cheroot closes the connection.
+            # cheroot closes the connection.
+            self._report(request_id, UnansweredCause.CLIENT_DISCONNECTED)
             raise
         except Exception:
             _log.exception("response failed", extra={"request_id": request_id})
             self.req.close_connection = True
             if not self.req.sent_headers:
                 self._write(_failure_response(request_id), request_id)
+            else:
+                self._report(request_id, UnansweredCause.HANDLER_FAILED)
+
+    def _report(self, request_id: RequestId, cause: UnansweredCause) -> None:
+        on_unanswered: UnansweredListener | None = self.req.server.on_unanswered
+        if on_unanswered is not None:
+            on_unanswered(request_id, cause, answer_began=self.req.sent_headers)
 
     def _respond(self, request_id: RequestId) -> None:
         try:
@@ -182,17 +201,20 @@
         handler: Handler,
         socket_timeout_s: int = SOCKET_TIMEOUT_S,
         body_limit: BodyLimit | None = None,
+        on_unanswered: UnansweredListener | None = None,
     ) -> None:
         """Create the server; ``start`` binds it.
 
         ``socket_timeout_s`` limits the time between two blocks of a request. ``body_limit`` may
-        allow some requests larger bodies than ``BODY_LIMIT_BYTES``.
+        allow some requests larger bodies than ``BODY_LIMIT_BYTES``. ``on_unanswered`` is called
+        in worker threads for each request that was read and got no complete response.
         """
         self._server = KeepingServer(
             (address, port), _CherootGateway, minthreads=WORKER_THREADS, maxthreads=WORKER_THREADS
         )
         self._server.handler = handler  # type: ignore[attr-defined]
         self._server.body_limit = body_limit  # type: ignore[attr-defined]
+        self._server.on_unanswered = on_unanswered  # type: ignore[attr-defined]
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
         self._server.max_request_body_size = 0
         self._server.timeout = socket_timeout_s
--- a/src/mangosaddle/gateway/_metrics.py
+++ b/src/mangosaddle/gateway/_metrics.py
@@ -45,6 +45,12 @@
             ("outcome",),
             registry=registry,
         )
+        self.unanswered = Counter(
+            "mangosaddle_unanswered_requests",
+            "Requests that were read and ended without a complete answer, by cause",
+            ("cause",),
+            registry=registry,
+        )
         self.forwards = Counter(
             "mangosaddle_forwards_total", "Requests forwarded to another VM", registry=registry
         )
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import socket
 from typing import Protocol
@@ -272,7 +273,9 @@
         if self._transport is not None:
             # cheroot may still hold a duplicate of the socket, so closing alone would send no FIN.
             if self._transport.can_write_eof():
-                self._transport.write_eof()
+                # The caller may have reset the connection already.
+                with contextlib.suppress(OSError):
+                    self._transport.write_eof()
             self._transport.close()
 
 
--- a/tests/gateway/test_running_fleet.py
+++ b/tests/gateway/test_running_fleet.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from mangosaddle._identifiers import EndpointId, VmId
+from mangosaddle.daemon import EntryNode
 from mangosaddle.demo import LocalFleet, example_configuration, wait_for
 from mangosaddle.standins import EngineFaults, EngineSpeed
 
@@ -286,3 +287,56 @@
         while block := caller.recv(65_536):
             received += block
     return received
+
+
+def _leave_during_an_answer(fleet: LocalFleet, *, stream: bool) -> EntryNode:
+    """Send a chat request, disconnect while it runs, and return the VM that has read it."""
+    address = urlsplit(fleet.url("addis-1"))
+    key = fleet.standins.key_of("tower-trust")
+    body = json.dumps(
+        {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": f"Which bell, {stream}?"}],
+            "max_tokens": 100,
+            "stream": stream,
+        }
+    ).encode()
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Request-Id: left\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    node = fleet.nodes_by_vm[VmId("addis-1")]
+    with socket.create_connection((address.hostname, address.port), TIMEOUT_S) as caller:
+        caller.sendall(head.encode() + body)
+        if stream:
+            assert caller.recv(65_536).startswith(b"HTTP/1.1 200 ")
+        wait_for(lambda: node.chat_service.open_relays == 1, "the request runs", TIMEOUT_S)
+    return node
+
+
+def test_a_stream_whose_caller_left_is_told_in_the_log(
+    fleet: LocalFleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against requests that end without an answer and leave no line that names them."""
+    _leave_during_an_answer(fleet, stream=True)
+
+    def reports() -> list[object]:
+        return [
+            (getattr(record, "request_id", ""), getattr(record, "cause", ""))
+            for record in caplog.records
+            if record.getMessage() == "request ended without an answer"
+        ]
+
+    wait_for(lambda: bool(reports()), "the end is logged", TIMEOUT_S)
+    assert reports() == [("left", "client_disconnected")]
+    metrics = urllib3.request("GET", fleet.url("addis-1") + "/metrics").data
+    assert b'mangosaddle_unanswered_requests_total{cause="client_disconnected"}' in metrics
+
+
+@pytest.mark.parametrize("stream", [True, False], ids=["streamed", "buffered"])
+def test_a_request_whose_caller_has_closed_its_connection_ends(
+    fleet: LocalFleet, stream: bool
+) -> None:
+    """Guards against a request that stays open, and keeps its VM from stopping."""
+    node = _leave_during_an_answer(fleet, stream=stream)
+    wait_for(lambda: node.chat_service.open_relays == 0, "the request has ended", TIMEOUT_S)
