Report a forward as not sent if the dial of its link was cancelled

Found in review, read only: stopping the links cancels dials, and a request that waited for one got the cancellation, which ended it as unknown although nothing was sent.

--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -14,6 +14,7 @@
 
 from .._entities import Vm
 from .._identifiers import VmId
+from .._tasks import is_current_task_cancelled
 from ..membership import VmIdentity
 from ._authentication import (
     SUBPROTOCOL,
@@ -146,7 +147,12 @@
         if vm not in self._vms_by_id:
             raise NotSentError(f"VM {vm} is not in the inventory")
         dial = self._dials_by_vm.get(vm) or self._dial(vm)
-        await asyncio.shield(dial)
+        try:
+            await asyncio.shield(dial)
+        except asyncio.CancelledError:
+            if is_current_task_cancelled() or not dial.cancelled():
+                raise
+            raise NotSentError(f"the dial of VM {vm} was cancelled") from None
         link = self.links_by_vm.get(vm)
         if link is None:
             raise NotSentError(f"VM {vm} cannot be reached")
