Give requests on their way time beside short idle limits and at the directory

A change of the configuration may set any idle limit, and it applies to the next wait: with 50 ms a caller 80 ms away finds its connection closed under its first request. Idle waits last 0.5 s or more now.

The directory, whose answers did not announce a stop, is closed as the front is. A stop waits 1 s at most for the rest of a request that arrives slowly. The exit gives requests 0.1 s for their answers on all servers at once; before, only those that were just read.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -453,7 +453,7 @@
         if self.is_ready():
             self._try_step("announce", self.fleet.start_leaving)
         self._leaving = True
-        self._servers.front.closing = True
+        self._servers.start_closing()
         self._try_step("mark entry", self._presence.mark_leaving)
         if self._node is not None:
             self._try_step("leave fleet", self._node.leave)
@@ -472,7 +472,7 @@
         # The server does not know the connections yet that were accepted last.
         await asyncio.sleep(check_interval_s)
         while self._clock() - began_s < grace_s and self._is_busy():
-            self._try_step("close idle connections", self._servers.front.close_idle)
+            self._try_step("close idle connections", self._servers.close_idle)
             await asyncio.sleep(check_interval_s)
         logger.info(
             "stopped",
@@ -501,9 +501,7 @@
 
     def _is_busy(self) -> bool:
         forwards = self._node.running_forward_count if self._node is not None else 0
-        front = self._servers.front
-        is_answering = front.active_requests > 0 or front.has_unsent_answers
-        return is_answering or front.expects_requests or forwards > 0
+        return self._servers.is_busy or forwards > 0
 
     async def stop(self) -> None:
         """Close the servers, the links, the background tasks and the connections."""
--- a/src/mangosaddle/entry/_entry_servers.py
+++ b/src/mangosaddle/entry/_entry_servers.py
@@ -1,5 +1,6 @@
 """The HTTP servers of an entry process."""
 
+import asyncio
 from dataclasses import dataclass
 
 from ..http11 import HttpServer
@@ -26,5 +27,21 @@
 
     async def stop(self) -> None:
         """Close the servers and cancel their requests."""
-        for server in (self.front, self.ready, self.discovery, self.metrics):
-            await server.stop()
+        servers = (self.front, self.ready, self.discovery, self.metrics)
+        await asyncio.gather(*(server.stop() for server in servers))
+
+    def start_closing(self) -> None:
+        """Let each answer to a caller close its connection from now on."""
+        self.front.closing = self.discovery.closing = True
+
+    def close_idle(self) -> None:
+        """Close the callers' connections that are idle; see ``HttpServer.close_idle``."""
+        self.front.close_idle()
+        self.discovery.close_idle()
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a caller may be sending a request or waiting for its answer."""
+        front, discovery = self.front, self.discovery
+        is_answering = front.active_requests > 0 or front.has_unsent_answers
+        return is_answering or front.expects_requests or discovery.expects_requests
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -28,6 +28,9 @@
 REQUEST_ON_THE_WAY_S = 0.5
 """Time after a connection is opened, or after an answer that does not close it, in which the client
 may have sent a request that has not arrived yet: a few round trips to another region."""
+MAX_ARRIVAL_S = 1.0
+"""Time from the first byte of a request for which a stop waits for the rest: a client that sends
+more slowly does not delay it."""
 LAST_ANSWERS_S = 0.1
 """Time that a server which stops gives the requests that were read just then."""
 BACKLOG = 512
@@ -195,10 +198,7 @@
     @property
     def expects_requests(self) -> bool:
         """Return whether a request may be on its way on a connection, or has arrived in part."""
-        return any(
-            connection.request_started or connection.may_get_request
-            for connection in self._connections
-        )
+        return any(connection.may_get_request for connection in self._connections)
 
     @property
     def has_unsent_answers(self) -> bool:
@@ -228,12 +228,11 @@
         """
         self.closing = True
         self.stop_accepting()
-        idle = [connection for connection in self._connections if not connection.busy]
-        for connection in idle:
+        for connection in list(self._connections):
             connection.end_idle_wait()
-        if ending := [connection.task for connection in idle if connection.task]:
-            await asyncio.wait(ending, timeout=LAST_ANSWERS_S)
         tasks = [connection.task for connection in self._connections if connection.task]
+        if tasks:
+            await asyncio.wait(tasks, timeout=LAST_ANSWERS_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -261,6 +260,15 @@
                 writer.close()
 
 
+def _idle_wait_s(limits: ServerLimits) -> float:
+    """Return how long a connection may be idle.
+
+    A caller learns of a shorter limit only when its connection is closed, so that a request may be
+    on its way on each connection that was just opened or answered.
+    """
+    return max(limits.idle_timeout_s, REQUEST_ON_THE_WAY_S)
+
+
 class _RequestRejectedError(Exception):
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
@@ -324,9 +332,11 @@
 
     @property
     def may_get_request(self) -> bool:
-        """Return whether a request may be on its way that has not arrived yet."""
-        age_s = self._clock() - self._idle_since_s
-        return self._idle_wait is not None and age_s < REQUEST_ON_THE_WAY_S
+        """Return whether a request may be on its way, or is arriving, that is not handled yet."""
+        now = self._clock()
+        if self.request_started:
+            return not self.busy and now - self.request_started_at_s < MAX_ARRIVAL_S
+        return self._idle_wait is not None and now - self._idle_since_s < REQUEST_ON_THE_WAY_S
 
     def end_idle_wait(self, min_idle_s: float = 0.0) -> None:
         """Close the connection unless a part of a request has arrived.
@@ -395,7 +405,7 @@
         parts = 0
         self._wire_bytes = 0
         self._idle_since_s = self._clock()
-        deadline_s = self._idle_since_s + limits.idle_timeout_s
+        deadline_s = self._idle_since_s + _idle_wait_s(limits)
         while True:
             try:
                 event: Any = self._parser.next_event()
@@ -458,7 +468,7 @@
             if self.request_started:
                 what = "body" if request is not None else "headers"
                 raise _RequestRejectedError(408, f"{what} took too long") from error
-            longer_s = self._idle_since_s + self.server.limits().idle_timeout_s
+            longer_s = self._idle_since_s + _idle_wait_s(self.server.limits())
             if not self._must_end and longer_s > max(deadline_s, self._clock()):
                 # The idle limit was raised in the meantime.
                 return await self._receive(longer_s, request)
--- a/tests/http11/test_changed_limits.py
+++ b/tests/http11/test_changed_limits.py
@@ -6,6 +6,9 @@
 from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits
 
 MAX_ANSWER_S = 2.0
+TINY_IDLE_S = 0.02
+ROUND_TRIP_S = 0.16
+"""Time for a request to arrive from a caller in another region."""
 OLD_IDLE_S = 0.2
 LONGER_S = 3 * OLD_IDLE_S
 
@@ -65,3 +68,20 @@
         assert (await reader.readuntil(b"end")).startswith(b"HTTP/1.1 200")
 
     _run(_scenario, ServerLimits(body_bytes=10))
+
+
+def test_a_short_idle_limit_leaves_a_new_caller_time_to_send_its_request() -> None:
+    """Guards against a changed limit that closes a connection before its request can arrive."""
+
+    async def _main() -> None:
+        server = HttpServer(_echo, lambda: ServerLimits(idle_timeout_s=TINY_IDLE_S))
+        reader, writer = await asyncio.open_connection(*await server.start("127.0.0.1", 0))
+        async with asyncio.timeout(MAX_ANSWER_S):
+            for text in (b"one", b"two"):
+                await asyncio.sleep(ROUND_TRIP_S)
+                writer.write(_request(text))
+                assert (await reader.readuntil(text)).startswith(b"HTTP/1.1 200")
+            assert await reader.read() == b""
+        await server.stop()
+
+    asyncio.run(_main())
