Record the writes of one connection only in the test of whole responses

The test replaced StreamWriter.write for the whole process. It now records the writes of the server's connection, and still asks for exactly one that equals the response.

--- a/tests/http11/test_response_writes.py
+++ b/tests/http11/test_response_writes.py
@@ -12,18 +12,19 @@
 @pytest.mark.parametrize(
     ("method", "body"), [(b"GET", BODY), (b"GET", b""), (b"HEAD", BODY)], ids=["body", "no", "head"]
 )
-def test_complete_response_is_one_write(
-    monkeypatch: pytest.MonkeyPatch, method: bytes, body: bytes
-) -> None:
+def test_complete_response_is_one_write(method: bytes, body: bytes) -> None:
     """Guards against a system call and a packet for each part of a complete response."""
     writes: list[bytes] = []
-    write = asyncio.StreamWriter.write
-
-    def _record(writer: asyncio.StreamWriter, data: bytes) -> None:
-        writes.append(bytes(data))
-        write(writer, data)
 
     async def _respond(exchange: ServerExchange) -> None:
+        writer = exchange._connection.writer
+        write = writer.write
+
+        def _record(data: bytes) -> None:
+            writes.append(bytes(data))
+            write(data)
+
+        writer.write = _record  # type: ignore[method-assign, assignment]
         await exchange.respond(200, [(b"Request-Id", b"1")], body)
 
     async def _main() -> bytes:
@@ -37,9 +38,8 @@
             writer.close()
             await server.stop()
 
-    monkeypatch.setattr(asyncio.StreamWriter, "write", _record)
     response = asyncio.run(_main())
-    assert writes[1:] == [response]
+    assert writes == [response]
     head, _, received_body = response.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 200")
     assert f"content-length: {len(body)}".encode() in head.lower().split(b"\r\n")
