Keep endpoints that only seemed unreachable while this process stood still

Cause: when the event loop stands still for longer than the connect timeout (0.6 s) after a connection has been requested, the loop finds the connection and the expired timer in one iteration, and the timer cancels the task before it has seen the connection. Both endpoints of the service were taken for unreachable, and requests were rejected until a health check had passed. Health checks (1 s) fail in the same way, and a late round of the prober took sound endpoints for silent. The cause logged for a connect timeout was empty.

The prober does not judge silence in a late round, one round at most.

--- a/src/mangosaddle/entry/_prober.py
+++ b/src/mangosaddle/entry/_prober.py
@@ -1,6 +1,7 @@
 """Health checks of endpoints that could not be reached."""
 
 import logging
+import math
 from collections.abc import Callable
 
 from .._tasks import BackgroundTasks
@@ -14,6 +15,8 @@
 MAX_HEALTH_BODY_BYTES = 64 * 1024
 CHECK_INTERVAL_S = 0.1
 """Interval at which the prober looks for checks that are due."""
+TOLERATED_DELAY_S = 0.05
+"""Delay of a round from which answers may have arrived that the event loop has not handled yet."""
 
 logger = logging.getLogger(__name__)
 
@@ -45,12 +48,19 @@
         self._tasks = tasks
         self._clock = clock
         self._running: set[str] = set()
+        self._due_s = math.inf
+        """Time at which the next round is due."""
+        self._silence_counts = True
 
     def check(self) -> None:
         """Start the health checks that are due."""
         now = self._clock()
+        # One late round only: a process that is always busy has to notice silent endpoints, too.
+        self._silence_counts = not self._silence_counts or now - self._due_s <= TOLERATED_DELAY_S
+        self._due_s = now + CHECK_INTERVAL_S
         for view in self._endpoints.views():
-            if view.is_silent(now) and view.health.mark_unreachable(now, silent=True):
+            is_silent = self._silence_counts and view.is_silent(now)
+            if is_silent and view.health.mark_unreachable(now, silent=True):
                 logger.warning("endpoint is silent", extra={"endpoint": view.id})
             takes_work = self._endpoints.registry.takes_work(view.registration)
             may_check = takes_work and not view.statements.wait.is_waiting(now)
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from .._time_limits import TimeLimit
 from ._body_memory import BodyReservation
 from ._exceptions import (
     BadResponseError,
@@ -124,11 +125,11 @@
         """Connect within ``timeout_s`` seconds; raises ``ConnectFailedError``."""
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with TimeLimit(timeout_s):
                 _, protocol = await loop.create_connection(cls, host, port)
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
-            message = f"{host}:{port}: {error or 'timeout'}"
+            message = f"{host}:{port}: {str(error) or 'timeout'}"
             raise ConnectFailedError(message, refused=refused) from error
         return protocol
 
@@ -482,7 +483,7 @@
     ) -> tuple[ResponseHead, bytes]:
         """Send a request and return its complete response; raises ``HttpError``."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with TimeLimit(timeout_s):
                 self.send(request)
                 head = await self.head()
                 return head, await self.whole_body(limit_bytes)
--- /dev/null
+++ b/tests/http11/test_time_limits.py
@@ -0,0 +1,115 @@
+"""Waits for a server that pass their limit only because this process stood still."""
+
+import asyncio
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import ExitStack, asynccontextmanager
+
+import pytest
+
+from mangosaddle.http11 import (
+    ConnectFailedError,
+    RequestTimeoutError,
+    UpstreamConnection,
+    UpstreamRequest,
+)
+
+REQUEST = UpstreamRequest(b"GET", b"/x", [(b"Host", b"h")], b"")
+LIMIT_S = 0.2
+STALL_S = 0.3
+
+
+@asynccontextmanager
+async def _server(answer_delay_s: float | None) -> AsyncIterator[tuple[str, int]]:
+    """Yield the address of a server that answers after a delay, or never if it is ``None``."""
+    writers: list[asyncio.StreamWriter] = []
+
+    async def _serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        if answer_delay_s is not None:
+            await asyncio.sleep(answer_delay_s)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    server = await asyncio.start_server(_serve, "127.0.0.1")
+    try:
+        yield server.sockets[0].getsockname()[:2]
+    finally:
+        for writer in writers:
+            writer.transport.abort()
+        server.close()
+
+
+async def _stall_after(iterations: int) -> None:
+    for _ in range(iterations):
+        await asyncio.sleep(0)
+    time.sleep(STALL_S)
+
+
+@pytest.mark.parametrize("iterations", range(6))
+def test_connection_made_during_a_stall_is_used(iterations: int) -> None:
+    """Guards against an endpoint taken for unreachable because this process stood still."""
+
+    async def _main() -> None:
+        async with _server(None) as address:
+            opening = asyncio.ensure_future(UpstreamConnection.open(*address, LIMIT_S))
+            await _stall_after(iterations)
+            connection = await opening
+            assert connection.usable
+            connection.abort()
+
+    asyncio.run(_main())
+
+
+@pytest.mark.parametrize("iterations", range(8))
+def test_answer_that_arrives_during_a_stall_is_read(iterations: int) -> None:
+    """Guards against a health check that fails because this process stood still."""
+
+    async def _main() -> None:
+        async with _server(0.0) as address:
+            connection = await UpstreamConnection.open(*address, 5.0)
+            calling = asyncio.ensure_future(connection.call(REQUEST, LIMIT_S, 100))
+            await _stall_after(iterations)
+            head, body = await calling
+            assert (head.status, body) == (200, b"ok")
+            connection.abort()
+
+    asyncio.run(_main())
+
+
+@pytest.mark.parametrize("stalls", [0, 1, 5])
+def test_silent_server_is_given_up_soon_after_the_stalls(stalls: int) -> None:
+    """Guards against a limit that never expires on a process that is often busy."""
+
+    async def _main() -> None:
+        loop = asyncio.get_running_loop()
+        async with _server(None) as address:
+            connection = await UpstreamConnection.open(*address, 5.0)
+            calling = asyncio.ensure_future(connection.call(REQUEST, LIMIT_S, 100))
+            for _ in range(stalls):
+                await _stall_after(4)
+            ended_at_s = loop.time()
+            with pytest.raises(RequestTimeoutError):
+                await calling
+            assert loop.time() - ended_at_s < LIMIT_S + 0.25
+
+    asyncio.run(_main())
+
+
+def test_address_that_does_not_answer_is_given_up() -> None:
+    """Guards against a connection attempt without end."""
+
+    async def _main() -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full, ExitStack() as queued:
+            for _ in range(4):
+                client = queued.enter_context(socket.socket())
+                client.setblocking(False)
+                client.connect_ex(full.getsockname())
+            host, port = full.getsockname()
+            began_at_s = asyncio.get_running_loop().time()
+            with pytest.raises(ConnectFailedError, match="timeout"):
+                await UpstreamConnection.open(host, port, LIMIT_S)
+            assert asyncio.get_running_loop().time() - began_at_s < LIMIT_S + 0.25
+
+    asyncio.run(_main())
