--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -471,13 +471,14 @@
         check_interval_s = min(DRAIN_CHECK_INTERVAL_S, MAX_MARGIN_SHARE * grace_s)
         # The server does not know the connections yet that were accepted last.
         await asyncio.sleep(check_interval_s)
-        while self._clock() - began_s < grace_s and self._is_busy():
+        while self._clock() - began_s < grace_s and self._unfinished_work():
             self._try_step("close idle connections", self._servers.close_idle)
             await asyncio.sleep(check_interval_s)
         logger.info(
             "stopped",
             extra={
                 "busy": self._servers.front.active_requests,
+                "unfinished": self._unfinished_work(),
                 "took_s": round(self._clock() - began_s, 2),
             },
         )
@@ -499,9 +500,12 @@
         except Exception:
             logger.exception("step of the stop failed", extra={"step": step})
 
-    def _is_busy(self) -> bool:
-        forwards = self._node.running_forward_count if self._node is not None else 0
-        return self._servers.is_busy or forwards > 0
+    def _unfinished_work(self) -> list[str]:
+        """Name what a planned stop waits for."""
+        names = self._servers.unfinished_work()
+        if self._node is not None and self._node.running_forward_count > 0:
+            names.append("forwarded_requests")
+        return names
 
     async def stop(self) -> None:
         """Close the servers, the links, the background tasks and the connections."""
--- a/src/mangosaddle/entry/_entry_servers.py
+++ b/src/mangosaddle/entry/_entry_servers.py
@@ -39,9 +39,13 @@
         self.front.close_idle()
         self.discovery.close_idle()
 
-    @property
-    def is_busy(self) -> bool:
-        """Return whether a caller may be sending a request or waiting for its answer."""
+    def unfinished_work(self) -> list[str]:
+        """Name what callers may still be sending or waiting for; empty if there is nothing."""
         front, discovery = self.front, self.discovery
-        is_answering = front.active_requests > 0 or front.has_unsent_answers
-        return is_answering or front.expects_requests or discovery.expects_requests
+        holds_by_name = {
+            "requests": front.active_requests > 0,
+            "unsent_answers": front.has_unsent_answers,
+            "expected_requests": front.expects_requests,
+            "expected_look_ups": discovery.expects_requests,
+        }
+        return [name for name, holds in holds_by_name.items() if holds]
