Leave a stopping VM the time to remove its entry before it exits

Trace: a stream that another VM had forwarded waited for a silent endpoint. A stop limits the time of its own callers' requests only, so that it waited for this one until 7.4 s, then up to 0.3 s for the store, whose two calls take longer from another region, and closed its servers when 0.3 s of the grace period were left. The entry stayed until its lease ended.

Change: a stop that waits for requests of other VMs only goes on 0.8 s before the exit. They go on elsewhere when the link is closed, as before.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -109,6 +109,9 @@
 ANSWER_MARGIN_S = 0.2
 """Time before the exit at which the requests that still run are ended, so that their callers get an
 answer rather than a closed connection."""
+FORWARD_MARGIN_S = 0.8
+"""Time before the exit from which it does not wait for requests of other VMs. These go on elsewhere
+when the links are closed, and the removal of the entry needs the time."""
 MAX_MARGIN_SHARE = 0.25
 """Maximum share of a short grace period, or of the time until the exit, that a margin takes."""
 MIN_DEREGISTRATION_S = 0.3
@@ -471,7 +474,7 @@
         check_interval_s = min(DRAIN_CHECK_INTERVAL_S, MAX_MARGIN_SHARE * grace_s)
         # The server does not know the connections yet that were accepted last.
         await asyncio.sleep(check_interval_s)
-        while self._clock() - began_s < grace_s and self._unfinished_work():
+        while self._clock() - began_s < self._time_to_finish_s(grace_s):
             self._try_step("close idle connections", self._servers.close_idle)
             await asyncio.sleep(check_interval_s)
         logger.info(
@@ -500,6 +503,16 @@
         except Exception:
             logger.exception("step of the stop failed", extra={"step": step})
 
+    def _time_to_finish_s(self, grace_s: float) -> float:
+        """Return for how long after its begin a stop may wait, given the time until the exit."""
+        match self._unfinished_work():
+            case []:
+                return 0.0
+            case ["forwarded_requests"]:
+                return grace_s - min(FORWARD_MARGIN_S, MAX_MARGIN_SHARE * grace_s)
+            case _:
+                return grace_s
+
     def _unfinished_work(self) -> list[str]:
         """Name what a planned stop waits for."""
         names = self._servers.unfinished_work()
--- a/tests/platform/test_leaving_vms.py
+++ b/tests/platform/test_leaving_vms.py
@@ -1,9 +1,11 @@
 """Forwarded requests whose VM leaves while they run, or just before."""
 
 import asyncio
+import logging
 
 import pytest
 
+from mangosaddle.entry._entry_process import EXIT_MARGIN_S
 from mangosaddle.http11 import HttpError
 from platform_standins import (
     Behaviour,
@@ -18,25 +20,32 @@
 PATHS = ("/read/x", "/order/x", *STREAM_PATHS)
 ANSWER_S = 6.0
 """Time in which a request is answered: its deadline is 4 s after it was sent."""
+GRACE_S = 5.0
 ANSWERS = {200, 502, 503, 504}
 
 
-async def _start(fleet: Fleet, behaviour: Behaviour) -> None:
+async def _start(fleet: Fleet, behaviour: Behaviour, grace_s: float = 2.4) -> None:
     await fleet.store.put("op/config", default_configuration())
     for service in ("desk", "engine"):
         await fleet.add_runner(RunnerStandIn(f"{service}-west", service, "west-a", behaviour))
     east = await fleet.add_vm("vm-east", "east-a")
-    await fleet.add_vm("vm-west", "west-a", grace_s=2.4)
+    await fleet.add_vm("vm-west", "west-a", grace_s=grace_s)
     await fleet.wait_until_ready()
     await fleet.wait_for_region(east, "west", "desk", "engine")
 
 
-async def _status(fleet: Fleet, path: str) -> int:
+async def _status(fleet: Fleet, path: str, **headers: str) -> int:
     """Return the status of a request, or 0 if its answer was broken off within its body."""
     vm = fleet.vms["vm-east"]
     try:
         answer = await fleet.call(
-            vm, path, method="POST", body=b"p", timeout_s=ANSWER_S, token_counts="10,28"
+            vm,
+            path,
+            method="POST",
+            body=b"p",
+            timeout_s=ANSWER_S,
+            extra=headers,
+            token_counts="10,28",
         )
     except HttpError:
         if path not in STREAM_PATHS:
@@ -72,3 +81,27 @@
         assert set(statuses) <= ANSWERS
 
     run_on_empty_fleet(_scenario)
+
+
+def test_a_stop_removes_the_entry_of_the_vm_before_it_exits(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a process that is killed while it waits for an endpoint that is silent."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        await _start(fleet, Behaviour.SILENT, GRACE_S)
+        call = asyncio.create_task(_status(fleet, "/chat/x", deadline_milliseconds="8000"))
+        await wait_until(lambda: any(row.received_requests for row in fleet.runners.values()))
+        west = fleet.vms.pop("vm-west")
+        fleet.store.write_delay_s = 0.25
+        began_s = asyncio.get_running_loop().time()
+        with caplog.at_level(logging.INFO):
+            await west.drain()
+        assert asyncio.get_running_loop().time() - began_s < GRACE_S - EXIT_MARGIN_S
+        await west.stop()
+        assert await call in ANSWERS
+        stopped = next(row for row in caplog.records if row.getMessage() == "stopped")
+        assert vars(stopped)["unfinished"] == ["forwarded_requests"]
+        assert "registration entry was not removed" not in caplog.text
+
+    run_on_empty_fleet(_scenario)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -58,6 +58,8 @@
         self.drops_calls = False
         """While set, calls are accepted and never answered, not even afterwards."""
         self.reading_delay_s = 0.0
+        self.write_delay_s = 0.0
+        """Time from a write to its answer."""
         """Time that the answers to readings of a prefix take on their way."""
         self._faults: dict[int, StoreFault] = {}
         self._number = 1
@@ -236,6 +238,7 @@
         async with self._changed:
             outcome = self._modify(method, path, body)
             self._changed.notify_all()
+        await asyncio.sleep(self.write_delay_s)
         return outcome
 
     def _range(self, parameters: dict[str, str]) -> tuple[int, dict[str, Any]]:
