--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -15,6 +15,7 @@
 from .._entities import Vm
 from .._identifiers import VmId
 from .._tasks import is_current_task_cancelled
+from .._time_limits import TimeLimit
 from ..membership import VmIdentity
 from ._authentication import (
     SUBPROTOCOL,
@@ -161,7 +162,7 @@
     async def get_or_open_link_within(self, vm: VmId, timeout_s: float) -> Link:
         """Like ``get_or_open_link``, but raises ``NotSentError`` after ``timeout_s`` seconds."""
         try:
-            async with asyncio.timeout(timeout_s):
+            async with TimeLimit(timeout_s):
                 return await self.get_or_open_link(vm)
         except TimeoutError as error:
             raise NotSentError(f"no link to {vm} in {timeout_s} s") from error
@@ -176,7 +177,7 @@
     async def _dial_once(self, vm: VmId) -> None:
         self._metrics.dials.inc()
         try:
-            async with asyncio.timeout(self._settings.timings.dial_timeout_s):
+            async with TimeLimit(self._settings.timings.dial_timeout_s):
                 connection, session = await self._connect(vm)
         except LinkRefusedError as refusal:
             self._metrics.count_refusal(refusal.reason)
@@ -243,7 +244,7 @@
 
     async def _accept(self, connection: ServerConnection) -> None:
         try:
-            async with asyncio.timeout(self._settings.timings.dial_timeout_s):
+            async with TimeLimit(self._settings.timings.dial_timeout_s):
                 handshake = AcceptingHandshake(self._credentials, self._is_current)
                 await connection.send(handshake.challenge(await _receive_binary(connection)))
                 session = handshake.finish(await _receive_binary(connection))
--- a/src/mangosaddle/peers/_requests.py
+++ b/src/mangosaddle/peers/_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from .._time_limits import TimeLimit
 from ._codec import CODEC
 from ._exceptions import (
     DecodeError,
@@ -40,7 +41,7 @@
         self._pending[(link, number)] = future
         try:
             link.send(Request(number, body))
-            async with asyncio.timeout(timeout_s):
+            async with TimeLimit(timeout_s):
                 response = await future
         except TimeoutError as error:
             vm = link.peer.vm
--- a/tests/peers/test_peer_node.py
+++ b/tests/peers/test_peer_node.py
@@ -252,6 +252,26 @@
     run_with_fleet(_scenario, "addis-1", "gondar-1")
 
 
+@pytest.mark.parametrize("iterations", range(6))
+def test_response_that_arrives_during_a_stall_is_used(iterations: int) -> None:
+    """Guards against a VM taken for silent because this process stood still."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        async def _respond(_vm: VmId, ping: PingRequest) -> PingResponse:
+            return PingResponse(ping.number)
+
+        addis, gondar = fleet.nodes_by_vm[ADDIS], fleet.nodes_by_vm[GONDAR]
+        gondar.on_message(PingRequest, _respond)
+        assert await addis.request(GONDAR, PingRequest(1), timeout_s=5.0) == PingResponse(1)
+        asking = asyncio.create_task(addis.request(GONDAR, PingRequest(2), timeout_s=0.1))
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        time.sleep(0.2)
+        assert await asking == PingResponse(2)
+
+    run_with_fleet(_scenario, "addis-1", "gondar-1")
+
+
 def test_late_and_unmatched_responses_are_dropped_and_counted() -> None:
     """Guards against delivering a late response to a newer request."""
 
