Read the rest of a request that arrived while this process stood still

Third place of the cause of: a caller whose request arrived in parts got 408, and its connection was closed, although the rest had arrived in time and only waited for the event loop. The wait for the first part was guarded already (_read_buffered). Both waits are separate functions now.

The new test failed in both cases before (408); all tests of http11 pass.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from .._time_limits import TimeLimit
 from ._framing import (
     MIN_MEAN_BODY_PART_BYTES,
     PARTS_PER_YIELD,
@@ -460,27 +461,35 @@
 
     async def _receive(self, deadline_s: float, request: h11.Request | None) -> bool:
         """Feed more bytes to the parser; return False if the connection has ended or was idle."""
-        try:
-            async with asyncio.timeout_at(deadline_s) as wait:
-                self._idle_wait = None if self.request_started else wait
-                data = await self._reader.read(READ_CHUNK_BYTES)
-        except TimeoutError as error:
-            if self.request_started:
+        if self.request_started:
+            try:
+                async with TimeLimit(deadline_s - self._clock()):
+                    data = await self._reader.read(READ_CHUNK_BYTES)
+            except TimeoutError as error:
                 what = "body" if request is not None else "headers"
                 raise _RequestRejectedError(408, f"{what} took too long") from error
-            longer_s = self._idle_since_s + _idle_wait_s(self.server.limits())
-            if not self._must_end and longer_s > max(deadline_s, self._clock()):
-                # The idle limit was raised in the meantime.
-                return await self._receive(longer_s, request)
-            data = await self._read_buffered()
-        finally:
-            self._idle_wait = None
+        else:
+            data = await self._read_first_part(deadline_s)
         if not data:
             return False
         self._wire_bytes += len(data)
         self._parser.receive_data(data)
         return True
 
+    async def _read_first_part(self, deadline_s: float) -> bytes:
+        """Return the first bytes of a request; none if the connection has ended or was idle."""
+        try:
+            async with asyncio.timeout_at(deadline_s) as self._idle_wait:
+                return await self._reader.read(READ_CHUNK_BYTES)
+        except TimeoutError:
+            longer_s = self._idle_since_s + _idle_wait_s(self.server.limits())
+            if not self._must_end and longer_s > max(deadline_s, self._clock()):
+                # The idle limit was raised in the meantime.
+                return await self._read_first_part(longer_s)
+            return await self._read_buffered()
+        finally:
+            self._idle_wait = None
+
     async def _read_buffered(self) -> bytes:
         """Return bytes that arrived just when the wait for them ended, if any."""
         # From here on, a request is left in the socket rather than read and not answered.
--- a/tests/http11/test_time_limits.py
+++ b/tests/http11/test_time_limits.py
@@ -10,7 +10,10 @@
 
 from mangosaddle.http11 import (
     ConnectFailedError,
+    HttpServer,
     RequestTimeoutError,
+    ServerExchange,
+    ServerLimits,
     UpstreamConnection,
     UpstreamRequest,
 )
@@ -113,3 +116,26 @@
             assert asyncio.get_running_loop().time() - began_at_s < LIMIT_S + 0.25
 
     asyncio.run(_main())
+
+
+@pytest.mark.parametrize("first_part_bytes", [5, 60])
+def test_rest_of_a_request_that_arrives_during_a_stall_is_read(first_part_bytes: int) -> None:
+    """Guards against callers told that they took too long while this process stood still."""
+    request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\r\n" + b"x" * 40
+
+    async def _echo(exchange: ServerExchange) -> None:
+        await exchange.respond(200, [], exchange.body)
+
+    async def _main() -> None:
+        limits = ServerLimits(header_timeout_s=LIMIT_S, idle_timeout_s=LIMIT_S)
+        server = HttpServer(_echo, lambda: limits)
+        reader, writer = await asyncio.open_connection(*await server.start("127.0.0.1", 0))
+        writer.write(request[:first_part_bytes])
+        await asyncio.sleep(LIMIT_S / 4)
+        writer.write(request[first_part_bytes:])
+        time.sleep(STALL_S)
+        assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        writer.close()
+        await server.stop()
+
+    asyncio.run(_main())
