Stop the links of a VM without waiting for VMs that do not answer

A stop closes each link with a handshake and then waits for the connections that the other VMs opened, up to 1 s each, while 0.6 s are left between the exit and the end of the grace period. A VM that is stopped itself, or lost, does not answer.

Change: both waits run side by side, 0.2 s at most, a round trip between regions; what is left is aborted.

--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass, replace
+from typing import Any
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -32,6 +33,9 @@
 
 REFUSED_CLOSE_CODE = 1008
 """WebSocket close code "policy violation"."""
+STOP_TIMEOUT_S = 0.2
+"""Time that other VMs get to confirm the closing of a link at a stop: a round trip between regions.
+A VM that is lost would not confirm it before the grace period of this one ends."""
 
 logger = logging.getLogger(__name__)
 websockets_logger = logging.getLogger(f"{__name__}.websockets")
@@ -103,10 +107,13 @@
         for dial in list(self._dials_by_vm.values()):
             dial.cancel()
         links = [*self.links_by_vm.values(), *self.spare_links]
-        await asyncio.gather(*(link.close() for link in links))
+        waits = [link.close() for link in links]
         if self._server is not None:
             self._server.close()
-            await self._server.wait_closed()
+            waits.append(self._server.wait_closed())
+        await _wait_within(STOP_TIMEOUT_S, waits)
+        for link in links:
+            link.abort()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     @property
@@ -319,3 +326,14 @@
     if isinstance(frame, str):
         raise LinkRefusedError(RefusalReason.BAD_HANDSHAKE)
     return frame
+
+
+async def _wait_within(timeout_s: float, waits: Sequence[Coroutine[Any, Any, None]]) -> None:
+    """Wait until all waits have ended, and cancel those that last longer than ``timeout_s``."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    if not tasks:
+        return
+    await asyncio.wait(tasks, timeout=timeout_s)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/peers/test_peer_node.py
+++ b/tests/peers/test_peer_node.py
@@ -26,6 +26,9 @@
 
 SIX = ("addis-1", "addis-2", "gondar-1", "gondar-2", "mekele-1", "mekele-2")
 ADDIS, GONDAR, MEKELE = VmId("addis-1"), VmId("gondar-1"), VmId("mekele-1")
+MAX_STOP_S = 0.35
+"""Time in which a node has to stop: the margin between the exit and the end of the grace period is
+0.6 s."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,6 +255,26 @@
     run_with_fleet(_scenario, "addis-1", "gondar-1")
 
 
+@pytest.mark.parametrize("vm", [ADDIS, GONDAR])
+def test_stop_does_not_wait_for_a_vm_that_does_not_answer(vm: VmId) -> None:
+    """Guards against a process that is killed at the end of its grace period.
+
+    One of the two VMs has dialled the link, the other one has accepted it.
+    """
+
+    async def _scenario(fleet: Fleet) -> None:
+        for proxy in fleet.proxies.values():
+            proxy.delay_s = 5.0
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await fleet.nodes_by_vm.pop(vm).stop()
+        assert loop.time() - began_s < MAX_STOP_S
+        for proxy in fleet.proxies.values():
+            proxy.stop()
+
+    run_with_fleet(_scenario, ADDIS, GONDAR)
+
+
 @pytest.mark.parametrize("iterations", range(6))
 def test_response_that_arrives_during_a_stall_is_used(iterations: int) -> None:
     """Guards against a VM taken for silent because this process stood still."""
