Accept opened connections before the front end stops listening

Cause: between the last accept and the close of the listening socket, the kernel completes further handshakes; closing the socket resets these connections, with the requests on them. The window is as long as the thread waits for the interpreter lock. The queue of five connections, cheroot's default, added to it: a connection that overflows it looks open to its caller.

The two new tests fail on the code before ("cut"; "timed out").

Fix: a socket filter lets the kernel ignore further attempts to connect and complete those that have begun. The server accepts for 0.5 s more, then closes. A caller whose attempt was ignored repeats it after 1 s and is refused. Where the system has no such filter, the stop is as before.

The number of connections accepted last is logged, and the test of the planned stop tells a new connection from a kept one.

--- a/src/mangosaddle/gateway/_http_frontend.py
+++ b/src/mangosaddle/gateway/_http_frontend.py
@@ -17,7 +17,7 @@
 
 from .._identifiers import RequestId
 from .._problems import Execution, Problem, RequestFinding
-from ..http11 import UnansweredCause
+from ..http11 import BACKLOG, UnansweredCause
 from ._kept_connections import KeepingServer
 from ._messages import CallerRequest, CallerResponse, HandlerResult, SocketHandover
 
@@ -219,6 +219,7 @@
         self._server.max_request_body_size = 0
         self._server.timeout = socket_timeout_s
         self._server.shutdown_timeout = 2
+        self._server.request_queue_size = BACKLOG
         self._thread = threading.Thread(target=self._server.serve, name="front", daemon=True)
 
     def start(self) -> int:
--- a/src/mangosaddle/gateway/_kept_connections.py
+++ b/src/mangosaddle/gateway/_kept_connections.py
@@ -1,5 +1,6 @@
 """Connections that callers keep between requests: none is closed while a request arrives."""
 
+import logging
 import select
 import socket
 import time
@@ -9,11 +10,15 @@
 from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPConnection, HTTPServer
 
+from ..http11 import drop_new_connections
+
 MS_PER_S = 1000
 REQUEST_ON_THE_WAY_S = 0.5
 """Time for which idle connections still take requests when the server stops. A caller may have
 sent a request before it could know of the stop."""
 
+_log = logging.getLogger(__name__)
+
 
 class KeptConnections(ConnectionManager):
     """Serves requests that arrive while connections are closed for a stop or as idle."""
@@ -24,18 +29,33 @@
     _from_server_socket: Callable[[socket.socket], HTTPConnection | None]
 
     def stop(self) -> None:
-        """Stop waiting for requests, accept the connections that wait for it, and stop listening.
+        """Stop waiting for requests, accept the connections that callers have opened, and close.
 
         cheroot would connect to itself first; connections that were opened meanwhile are reset.
+        So are those between the last accept and the end of listening, unless no new ones come.
         """
-        super().stop()
         listening = self.server.socket
+        deadline_s = time.monotonic()
+        if drop_new_connections(listening):
+            deadline_s += REQUEST_ON_THE_WAY_S
+        super().stop()
+        accepted_count = self._accept_waiting(listening)
+        while (left_s := deadline_s - time.monotonic()) > 0:
+            self._serve_arrived(left_s)
+            accepted_count += self._accept_waiting(listening)
+        listening.close()
+        self.server.socket = None
+        _log.info("stopped listening", extra={"last_connections": accepted_count})
+
+    def _accept_waiting(self, listening: socket.socket) -> int:
+        """Accept the connections that wait for it, and return their number."""
+        count = 0
         while _is_readable(listening, 0.0):
             connection = self._from_server_socket(listening)
             if connection is not None:
                 self.server.process_conn(connection)
-        listening.close()
-        self.server.socket = None
+                count += 1
+        return count
 
     def close(self) -> None:
         """Serve requests that are on their way, then close the idle connections."""
--- a/src/mangosaddle/http11/__init__.py
+++ b/src/mangosaddle/http11/__init__.py
@@ -16,12 +16,14 @@
     UnsendableRequestError,
 )
 from ._headers import HeaderList, HeaderView, without_hop_by_hop
+from ._listeners import drop_new_connections
 from ._pool import ConnectionPool
-from ._server import HttpServer, ServerExchange, ServerLimits, UnansweredCause
+from ._server import BACKLOG, HttpServer, ServerExchange, ServerLimits, UnansweredCause
 from ._sockets import set_tcp_options
 from ._upstream import ResponseHead, UpstreamConnection, UpstreamRequest
 
 __all__ = [
+    "BACKLOG",
     "BadResponseError",
     "BodyMemoryBudget",
     "BodyReservation",
@@ -41,6 +43,7 @@
     "UnsendableRequestError",
     "UpstreamConnection",
     "UpstreamRequest",
+    "drop_new_connections",
     "set_tcp_options",
     "without_hop_by_hop",
 ]
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -250,13 +250,18 @@
         except OSError:
             return
         is_kept = True
+        answered_before = answered[number]
         while is_kept:
             try:
                 connection.request("GET", "/v1/models")
                 response = connection.getresponse()
                 response.read()
             except (OSError, HTTPException) as error:
-                failures.append(f"caller {number} after {answered[number]}: {error!r}")
+                count = answered[number] - answered_before
+                failures.append(
+                    f"caller {number} after {answered[number]} answers, {count} of them on this"
+                    f" connection: {error!r}"
+                )
                 return
             answered[number] += 1
             is_kept = response.getheader("Connection") != "close"
--- a/tests/gateway/test_front_end_stop.py
+++ b/tests/gateway/test_front_end_stop.py
@@ -3,7 +3,8 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pytest
@@ -12,6 +13,34 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 IDLE_LIMIT_S = 1
+MAX_CONNECT_S = 0.8
+"""Shorter than the time after which the kernel repeats an attempt to connect."""
+CALLERS = 32
+
+
+class _Listener:
+    """Listening socket whose accept and close can be preceded by something else."""
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        before_accept: Callable[[], object] = lambda: None,
+        before_close: Callable[[], object] = lambda: None,
+    ) -> None:
+        self._listening = listening
+        self._before_accept = before_accept
+        self._before_close = before_close
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._listening, name)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        self._before_accept()
+        return self._listening.accept()
+
+    def close(self) -> None:
+        self._before_close()
+        self._listening.close()
 
 
 def _answer(_request: CallerRequest) -> CallerResponse:
@@ -97,3 +126,57 @@
             block = caller.recv(65_536)
             assert block, "the connection was closed"
             received += block
+
+
+def test_a_connection_opened_just_before_the_end_of_listening_is_not_reset(
+    front_end: tuple[HttpFrontend, int],
+) -> None:
+    """Guards against a request on a connection that the kernel has accepted and the server has not.
+
+    Closing the listening socket resets it, although its caller could not know of the stop.
+    """
+    server, port = front_end
+    connected = threading.Event()
+
+    def ask() -> str:
+        try:
+            caller = socket.create_connection(("127.0.0.1", port), timeout=5)
+        except ConnectionError:
+            return "refused"
+        connected.set()
+        with caller:
+            return "answered" if _exchange(caller) else "cut"
+
+    with ThreadPoolExecutor(1) as pool:
+
+        def connect() -> None:
+            outcomes.append(pool.submit(ask))
+            connected.wait(MAX_CONNECT_S / 2)
+
+        outcomes: list[Any] = []
+        server._server.socket = _Listener(server._server.socket, before_close=connect)
+        server.stop()
+        assert [outcome.result() for outcome in outcomes] in (["refused"], ["answered"])
+
+
+def test_callers_connect_while_the_server_is_late_to_accept(
+    front_end: tuple[HttpFrontend, int],
+) -> None:
+    """Guards against a short queue of connections, whose overflow delays callers by seconds.
+
+    One that it drops late looks open to its caller and is reset if the server stops meanwhile.
+    """
+    server, port = front_end
+    accepting = threading.Event()
+    server._server.socket = _Listener(server._server.socket, before_accept=accepting.wait)
+    callers = []
+    try:
+        callers = [
+            socket.create_connection(("127.0.0.1", port), timeout=MAX_CONNECT_S)
+            for _ in range(CALLERS)
+        ]
+    finally:
+        accepting.set()
+        for caller in callers:
+            caller.close()
+    assert len(callers) == CALLERS
