Accept opened connections before an entry process stops listening

Callers of an entry process that stops would see a connection that they had just opened reset, with the request on it: asyncio accepts once per turn of the event loop, and closing the listening socket resets what waits since.

The new test of a waiting connection fails on the code before with "Connection reset by peer".

A planned stop counts this time as one in which requests are expected.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -19,6 +19,7 @@
     has_too_much_framing,
 )
 from ._headers import HeaderList, HeaderView
+from ._listeners import drop_new_connections, has_connections
 from ._sockets import reset_on_close, set_tcp_options
 
 READ_CHUNK_BYTES = 64 * 1024
@@ -34,6 +35,8 @@
 more slowly does not delay it."""
 LAST_ANSWERS_S = 0.1
 """Time that a server which stops gives the requests that were read just then."""
+ACCEPT_S = 0.005
+"""Time in which the event loop accepts the connections that wait for it."""
 BACKLOG = 512
 """Connections waiting to be accepted; a full queue delays clients by seconds."""
 
@@ -171,6 +174,8 @@
         self.on_bad_request = on_bad_request
         self.on_unanswered = on_unanswered or _log_unanswered
         self._server: asyncio.Server | None = None
+        self._end_of_listening: asyncio.TimerHandle | None = None
+        """Set from the request to stop listening until the listening socket is closed."""
         self._connections: set[_Connection] = set()
 
     async def start(self, host: str, port: int) -> tuple[str, int]:
@@ -192,14 +197,37 @@
         return sum(1 for connection in self._connections if connection.busy)
 
     def stop_accepting(self) -> None:
-        """Close the listening socket."""
-        if self._server is not None:
-            self._server.close()
+        """Refuse new connections, accept those that callers have opened, and then stop listening.
+
+        Closing the listening socket at once would reset connections that wait to be accepted, and
+        those whose handshake has not been completed, with the requests on them.
+        """
+        if self._server is None or self._end_of_listening is not None:
+            return
+        drops = [drop_new_connections(listener) for listener in self._server.sockets]
+        delay_s = REQUEST_ON_THE_WAY_S if all(drops) else 0.0
+        loop = asyncio.get_running_loop()
+        self._end_of_listening = loop.call_later(delay_s, self._stop_listening)
+
+    def _stop_listening(self) -> None:
+        if self._server is None:
+            return
+        if any(has_connections(listener) for listener in self._server.sockets):
+            # The event loop accepts them before its next callbacks run.
+            loop = asyncio.get_running_loop()
+            self._end_of_listening = loop.call_later(ACCEPT_S, self._stop_listening)
+            return
+        self._end_of_listening = None
+        self._server.close()
 
     @property
     def expects_requests(self) -> bool:
-        """Return whether a request may be on its way on a connection, or has arrived in part."""
-        return any(connection.may_get_request for connection in self._connections)
+        """Return whether a request may be on its way on a connection, or has arrived in part.
+
+        That includes connections which are accepted until the listening socket is closed.
+        """
+        is_accepting_last = self._end_of_listening is not None
+        return is_accepting_last or any(c.may_get_request for c in self._connections)
 
     @property
     def has_unsent_answers(self) -> bool:
@@ -228,7 +256,11 @@
         Requests that were read just before get ``LAST_ANSWERS_S`` for their answer.
         """
         self.closing = True
-        self.stop_accepting()
+        if self._end_of_listening is not None:
+            self._end_of_listening.cancel()
+            self._end_of_listening = None
+        if self._server is not None:
+            self._server.close()
         for connection in list(self._connections):
             connection.end_idle_wait()
         tasks = [connection.task for connection in self._connections if connection.task]
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -262,3 +262,53 @@
         await server.stop()
 
     asyncio.run(_main())
+
+
+def test_a_connection_that_waits_to_be_accepted_when_the_server_stops_listening_is_served() -> None:
+    """Guards against a reset of connections that the kernel has accepted and the process has not.
+
+    Their callers could not know of the stop, and may have sent a request.
+    """
+
+    async def _main() -> None:
+        loop = asyncio.get_running_loop()
+        server = HttpServer(_answer, ServerLimits)
+        address = await server.start("127.0.0.1", 0)
+        # The event loop has no time to accept before it begins to stop.
+        with socket.create_connection(address) as caller:
+            caller.sendall(REQUEST)
+            server.closing = True
+            server.stop_accepting()
+            assert server.expects_requests
+            caller.setblocking(False)
+            async with asyncio.timeout(MAX_ANSWER_S):
+                answer = await loop.sock_recv(caller, 4096)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert b"connection: close" in answer.lower()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            while server.expects_requests:
+                await asyncio.sleep(0.001)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*address)
+        await server.stop()
+
+    asyncio.run(_main())
+
+
+def test_a_connection_that_is_opened_while_the_server_stops_listening_is_not_reset() -> None:
+    """Guards against callers that are connected and then reset, rather than refused."""
+
+    async def _main() -> None:
+        loop = asyncio.get_running_loop()
+        server = HttpServer(_answer, ServerLimits)
+        address = await server.start("127.0.0.1", 0)
+        server.closing = True
+        server.stop_accepting()
+        with socket.socket() as caller:
+            caller.setblocking(False)
+            async with asyncio.timeout(MAX_ANSWER_S):
+                with pytest.raises(ConnectionRefusedError):
+                    await loop.sock_connect(caller, address)
+        await server.stop()
+
+    asyncio.run(_main())
