Take null choices, deltas and counts in events of an engine as absent

Callers of an answer that is not streamed got a resumed answer without the events that arrived together with such an event; a usage of null counts did the same to streams.

Cause: an event with "choices": null, "delta": null or null token counts raised an error in the protocol of the engine's connection. asyncio closed it as for a crash, after the tokens of that read had been counted as delivered.

Fix: choices and usage are read by type; what has another type is absent.

--- a/src/mangosaddle/gateway/_events.py
+++ b/src/mangosaddle/gateway/_events.py
@@ -19,6 +19,14 @@
     completion_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class ChoiceDelta:
+    """What an event adds to one choice of an answer."""
+
+    text: str
+    finish_reason: str | None
+
+
 class EventBuffer:
     """Splits a byte stream at event boundaries, so that callers never get a partial event."""
 
@@ -69,9 +77,33 @@
     return payloads
 
 
+def parse_choices(complete_events: bytes) -> list[ChoiceDelta]:
+    """Return what complete events add to the choices of an answer.
+
+    Engines send ``null`` for what an event does not have; that and other types count as absent.
+    """
+    deltas: list[ChoiceDelta] = []
+    for payload in parse_events(complete_events):
+        choices = payload.get("choices")
+        for choice in choices if isinstance(choices, list) else []:
+            if not isinstance(choice, dict):
+                continue
+            delta, reason = choice.get("delta"), choice.get("finish_reason")
+            text = delta.get("content") if isinstance(delta, dict) else None
+            deltas.append(
+                ChoiceDelta(
+                    text if isinstance(text, str) else "",
+                    reason if isinstance(reason, str) else None,
+                )
+            )
+    return deltas
+
+
 def _parse_usage(complete_events: bytes) -> Usage | None:
     for payload in parse_events(complete_events):
         usage = payload.get("usage")
         if isinstance(usage, dict):
-            return Usage(int(usage.get("prompt_tokens", 0)), int(usage.get("completion_tokens", 0)))
+            counts = [usage.get(name, 0) for name in ("prompt_tokens", "completion_tokens")]
+            if all(type(count) is int and count >= 0 for count in counts):
+                return Usage(*counts)
     return None
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -14,7 +14,7 @@
 from .._identifiers import RequestId
 from .._problems import Problem
 from ._endpoint import EndpointStream
-from ._events import EventBuffer, parse_events
+from ._events import EventBuffer, parse_choices
 from ._messages import format_retry_after
 
 CALLER_BUFFER_BYTES = 65_536
@@ -316,10 +316,9 @@
 
     def send(self, events: bytes) -> None:
         """Store the text of the events."""
-        for payload in parse_events(events):
-            for choice in payload.get("choices", []):
-                self._parts.append(choice.get("delta", {}).get("content") or "")
-                self._finish_reason = choice.get("finish_reason") or self._finish_reason
+        for choice in parse_choices(events):
+            self._parts.append(choice.text)
+            self._finish_reason = choice.finish_reason or self._finish_reason
 
     def finish(self) -> None:
         """Write the complete response."""
