Drop stalled sources only while a source delivers

Callers could get an answer with each word twice: a retry that was queued, or connecting, for longer than the stall limit was started a second time, and two endpoints continued the same answer. One of the endpoints also kept a slot.

Cause: the check for stalled sources took the time without tokens for a stall while no source was attached, and reported the lost source again.

Evidence: the new test, which runs the check while another endpoint is being chosen, fails on the code before: "the the clock clock drifts drifts" in the answer, and two choices.

Fix: a relay knows that it awaits a source; the waits for one have limits of their own. A request that is queued again after a refused forward counts as such, too, and gives its endpoint back if the caller has left meanwhile (read only, without a test).

--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -400,11 +400,17 @@
         open_chat = self._open_chats_by_relay.get(relay)
         if open_chat is None or not isinstance(open_chat.target, Forward):
             return
+        relay.awaits_source = True
         decision = await self._target_selector.next_after_forward(open_chat.route, open_chat.target)
         if isinstance(decision, Refused):
             problem = replace(refuse_routing(decision), detail=reason)
             relay.fail(mark_possibly_executed(problem, may_have_run=open_chat.may_have_run))
             return
+        if relay.closed:
+            # The caller disconnected during the wait, so nothing else would end this attempt.
+            if isinstance(decision.target, ChosenEndpoint):
+                self._target_selector.record_cancellation(decision.request, decision.target)
+            return
         open_chat.route, open_chat.target = decision.request, decision.target
         await self._connect(open_chat, relay)
 
@@ -536,10 +542,10 @@
                 continue
             limit_s = STALL_LIMIT_S if relay.buffer.tokens else FIRST_TOKEN_LIMIT_S
             target = self._open_chats_by_relay[relay].target
-            is_queued = isinstance(target, PendingTarget)
             if isinstance(target, Forward):
                 limit_s = self._forward_limit_s(self._open_chats_by_relay[relay], limit_s)
-            if not is_queued and not relay.is_paused and now - relay.last_progress_at > limit_s:
+            is_delivering = not relay.awaits_source and not relay.is_paused
+            if is_delivering and now - relay.last_progress_at > limit_s:
                 relay.last_progress_at = now
                 relay.drop_source()
 
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -74,6 +74,7 @@
         "_paused_at",
         "_sink",
         "_source",
+        "awaits_source",
         "buffer",
         "caller_gone",
         "closed",
@@ -91,6 +92,8 @@
         self.buffer = EventBuffer(tokens)
         self.closed = False
         self.caller_gone = False
+        self.awaits_source = True
+        """Whether a source is being chosen or connected, which has time limits of its own."""
         self.last_progress_at = 0.0
         """Event loop time of the latest token, or of the source's attachment, in seconds."""
         self._observer = observer
@@ -114,6 +117,7 @@
     def attach_source(self, source: Source, now: float) -> None:
         """Set the source of the answer, or replace a lost one."""
         self._source = source
+        self.awaits_source = False
         self.last_progress_at = now
         if self.closed:
             source.close()
@@ -142,6 +146,7 @@
         """Handle the end of the connection to the source."""
         if not self.closed:
             self._source = None
+            self.awaits_source = True
             self.buffer.discard_partial_event()
             self._observer.on_source_lost(self)
 
--- a/tests/gateway/test_running_fleet.py
+++ b/tests/gateway/test_running_fleet.py
@@ -1,5 +1,6 @@
 """Tests of faults of callers and endpoints on a complete fleet in this process."""
 
+import asyncio
 import json
 import socket
 from collections.abc import Iterator
@@ -11,6 +12,10 @@
 from mangosaddle._identifiers import EndpointId, VmId
 from mangosaddle.daemon import EntryNode
 from mangosaddle.demo import LocalFleet, example_configuration, wait_for
+from mangosaddle.gateway._chat_service import FIRST_TOKEN_LIMIT_S
+from mangosaddle.gateway._exceptions import EndpointError
+from mangosaddle.gateway._target_selector import NextTarget
+from mangosaddle.routing import ChosenEndpoint, Refused, RouteRequest
 from mangosaddle.standins import EngineFaults, EngineSpeed
 
 MODEL = "advisor"
@@ -92,6 +97,40 @@
     assert text == whole
 
 
+def test_a_retry_that_waits_longer_than_the_stall_limit_is_started_once(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two endpoints that continue the same answer, which then has words twice.
+
+    The check for stalled sources runs while another endpoint is being chosen.
+    """
+    service = fleet.nodes_by_vm[VmId("addis-1")].chat_service
+    next_target = service._target_selector.next_target
+    choices: list[object] = []
+
+    async def _choose_late(
+        request: RouteRequest, failed: ChosenEndpoint, error: EndpointError, *, idempotent: bool
+    ) -> NextTarget | Refused | None:
+        choice = await next_target(request, failed, error, idempotent=idempotent)
+        choices.append(choice)
+        now = asyncio.get_running_loop().time()
+        if len(choices) == 1:
+            service.abort_stalled_sources(now + FIRST_TOKEN_LIMIT_S + 1.0)
+            await asyncio.sleep(0.02)
+        return choice
+
+    monkeypatch.setattr(service._target_selector, "next_target", _choose_late)
+    shared = EngineFaults(cut_after_tokens=7)
+    for engine in fleet.standins.engines_by_id.values():
+        engine.faults = shared
+    answer = _ask(fleet, question="How slow is the bell?")
+    for engine in fleet.standins.engines_by_id.values():
+        engine.faults = EngineFaults()
+    whole = _ask(fleet, question="How slow is the bell?")
+    assert answer.json()["choices"] == whole.json()["choices"]
+    assert len(choices) == 1
+
+
 def test_request_that_crashes_endpoints_is_quarantined(fleet: LocalFleet) -> None:
     """Guards against one request that crashes all engines, and against refusing other requests."""
     engines = fleet.standins.engines_by_id.values()
