Report answers that were written after their caller had left

The operator had no log line for a buffered answer whose caller had closed its connection: the end of the caller's data may be only that of its sending side, the answer is then written, and the reset that follows was not looked at.

Evidence: with the code before, the buffered case of the extended test waits 10 s in vain for "request ended without an answer"; the streamed one passes.

Fix: if the caller has closed its sending side, the connection is kept for 0.5 s after the answer and then asked for an error. A caller that has closed the sending side only causes none, which a second test shows. Answers of plain services and others that worker threads write are not covered, nor are those of the last 0.5 s before an exit.

--- a/src/mangosaddle/gateway/_chat_service.py
+++ b/src/mangosaddle/gateway/_chat_service.py
@@ -475,6 +475,11 @@
             self._metrics.answer_s.labels(label).observe(elapsed_s)
             self._metrics.tokens.labels(label).inc(_cost_tokens(open_chat, relay))
 
+    def on_answer_unread(self, relay: Relay) -> None:
+        """Report an answer that was written to a caller that had closed its connection."""
+        cause = UnansweredCause.CLIENT_DISCONNECTED
+        self._unanswered.record(relay.request_id, cause, answer_began=True)
+
     def _end_attempt(self, open_chat: OpenChat, target: ChosenEndpoint, relay: Relay) -> None:
         if relay.buffer.is_complete:
             self._target_selector.record_success(open_chat.route, target)
--- a/src/mangosaddle/gateway/_relay.py
+++ b/src/mangosaddle/gateway/_relay.py
@@ -18,6 +18,9 @@
 from ._messages import format_retry_after
 
 CALLER_BUFFER_BYTES = 65_536
+RESET_WAIT_S = 0.5
+"""Time after the end of an answer in which the reset of a caller that has left arrives: a round
+trip to another region."""
 STREAM_HEAD = (
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n"
     "Connection: close\r\nX-Request-Id: {request_id}\r\n\r\n"
@@ -65,6 +68,9 @@
     def on_closed(self, relay: "Relay") -> None:
         """Handle the end of the relay, whether the answer is complete or not."""
 
+    def on_answer_unread(self, relay: "Relay") -> None:
+        """Handle a caller that had closed its connection before the answer was written."""
+
 
 class Relay:
     """Passes one answer from its source to its sink."""
@@ -177,6 +183,10 @@
             self.caller_gone = True
             self._close()
 
+    def answer_unread(self) -> None:
+        """Handle a caller that had closed its connection before the answer was written."""
+        self._observer.on_answer_unread(self)
+
     def pause_source(self) -> None:
         """Pause the source while the caller reads too slowly."""
         self._paused_at = asyncio.get_running_loop().time()
@@ -240,6 +250,8 @@
         self._relay = relay
         self._transport: asyncio.Transport | None = None
         self._head_sent = False
+        self._has_received_eof = False
+        """Whether the caller has closed its sending side, or the connection."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -257,6 +269,7 @@
 
     def eof_received(self) -> bool:
         # The caller may half-close the connection and still read the answer.
+        self._has_received_eof = True
         return True
 
     def pause_writing(self) -> None:
@@ -276,6 +289,8 @@
 
     def _close(self) -> None:
         if self._transport is not None:
+            if self._has_received_eof:
+                self._watch_for_reset(self._transport)
             # cheroot may still hold a duplicate of the socket, so closing alone would send no FIN.
             if self._transport.can_write_eof():
                 # The caller may have reset the connection already.
@@ -283,6 +298,19 @@
                     self._transport.write_eof()
             self._transport.close()
 
+    def _watch_for_reset(self, transport: asyncio.Transport) -> None:
+        """Find out whether the caller has left: only then it answers the last bytes by a reset."""
+        with contextlib.suppress(OSError):
+            connection = transport.get_extra_info("socket").dup()
+            loop = asyncio.get_running_loop()
+            loop.call_later(RESET_WAIT_S, self._report_reset, connection)
+
+    def _report_reset(self, connection: socket.socket) -> None:
+        with connection:
+            was_reset = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+        if was_reset:
+            self._relay.answer_unread()
+
 
 class StreamSink(_CallerProtocol):
     """Streams events to the caller."""
--- a/src/mangosaddle/measure/relay.py
+++ b/src/mangosaddle/measure/relay.py
@@ -92,6 +92,9 @@
     def on_closed(self, relay: Relay) -> None:
         pass
 
+    def on_answer_unread(self, relay: Relay) -> None:
+        pass
+
 
 def _serve_handover(engine: str, control: _LoopThread) -> int:
     observer = _SilentObserver()
--- a/tests/gateway/test_running_fleet.py
+++ b/tests/gateway/test_running_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import time
 from collections.abc import Iterator
 from urllib.parse import urlsplit
 
@@ -14,6 +15,7 @@
 from mangosaddle.demo import LocalFleet, example_configuration, wait_for
 from mangosaddle.gateway._chat_service import FIRST_TOKEN_LIMIT_S
 from mangosaddle.gateway._exceptions import EndpointError
+from mangosaddle.gateway._relay import RESET_WAIT_S
 from mangosaddle.gateway._target_selector import NextTarget
 from mangosaddle.routing import ChosenEndpoint, Refused, RouteRequest
 from mangosaddle.standins import EngineFaults, EngineSpeed
@@ -353,25 +355,50 @@
     return node
 
 
-def test_a_stream_whose_caller_left_is_told_in_the_log(
-    fleet: LocalFleet, caplog: pytest.LogCaptureFixture
-) -> None:
-    """Guards against requests that end without an answer and leave no line that names them."""
-    _leave_during_an_answer(fleet, stream=True)
+def _reports(caplog: pytest.LogCaptureFixture) -> list[object]:
+    return [
+        (getattr(record, "request_id", ""), getattr(record, "cause", ""))
+        for record in caplog.records
+        if record.getMessage() == "request ended without an answer"
+    ]
 
-    def reports() -> list[object]:
-        return [
-            (getattr(record, "request_id", ""), getattr(record, "cause", ""))
-            for record in caplog.records
-            if record.getMessage() == "request ended without an answer"
-        ]
 
-    wait_for(lambda: bool(reports()), "the end is logged", TIMEOUT_S)
-    assert reports() == [("left", "client_disconnected")]
+@pytest.mark.parametrize("stream", [True, False], ids=["streamed", "buffered"])
+def test_an_answer_whose_caller_left_is_told_in_the_log(
+    fleet: LocalFleet, caplog: pytest.LogCaptureFixture, stream: bool
+) -> None:
+    """Guards against requests that end without an answer and leave no line that names them."""
+    _leave_during_an_answer(fleet, stream=stream)
+    wait_for(lambda: bool(_reports(caplog)), "the end is logged", TIMEOUT_S)
+    assert _reports(caplog) == [("left", "client_disconnected")]
     metrics = urllib3.request("GET", fleet.url("addis-1") + "/metrics").data
     assert b'mangosaddle_unanswered_requests_total{cause="client_disconnected"}' in metrics
 
 
+def test_a_caller_that_closes_only_its_sending_side_is_answered(
+    fleet: LocalFleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a false report about a caller that has read its answer."""
+    address = urlsplit(fleet.url("addis-1"))
+    body = json.dumps(
+        {"model": MODEL, "messages": [{"role": "user", "content": "Which?"}], "max_tokens": 20}
+    ).encode()
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        f"Authorization: Bearer {fleet.standins.key_of('tower-trust')}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection((address.hostname, address.port), TIMEOUT_S) as caller:
+        caller.sendall(head.encode() + body)
+        caller.shutdown(socket.SHUT_WR)
+        received = b""
+        while block := caller.recv(65_536):
+            received += block
+    assert received.startswith(b"HTTP/1.1 200 ")
+    time.sleep(2 * RESET_WAIT_S)
+    assert _reports(caplog) == []
+
+
 @pytest.mark.parametrize("stream", [True, False], ids=["streamed", "buffered"])
 def test_a_request_whose_caller_has_closed_its_connection_ends(
     fleet: LocalFleet, stream: bool
