Refuse a request that has arrived in part when its server stops

Cause: HttpServer.stop cancelled the task of each connection 0.1 s after it had begun, and only requests that had reached the handler were reported.

Change: after that 0.1 s, what has been received is parsed once more. A request that is still not complete gets 408 with Connection: close, and its caller up to 0.1 s to read it; the rejection is logged like other ones. A request that is cut before its refusal is reported as "request ended without an answer" (server_stopped), for which the listener gets an UnansweredRequest, as there may be no complete head.

Evidence: tests/http11/test_planned_stop.py.

--- a/src/mangosaddle/_time_limits.py
+++ b/src/mangosaddle/_time_limits.py
@@ -43,6 +43,12 @@
             self._timer.cancel()
         await self._timeout.__aexit__(exc_type, exc, traceback)
 
+    def expire(self) -> None:
+        """Let the limit expire now, if it has begun and has not expired yet."""
+        if self._timer is not None and not self._timeout.expired():
+            self._timer.cancel()
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+
     def _expire(self) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
--- a/src/mangosaddle/entry/_caller_requests.py
+++ b/src/mangosaddle/entry/_caller_requests.py
@@ -11,7 +11,7 @@
 from .._identifiers import ServiceName
 from .._problems import Execution, Problem, RequestFinding
 from .._quarantine import fingerprint
-from ..http11 import ServerExchange, UnansweredCause
+from ..http11 import ServerExchange, UnansweredCause, UnansweredRequest
 from ..traffic import (
     Catalogue,
     HomeDemand,
@@ -124,18 +124,18 @@
             return
         await self._run(exchange, opaque, admitted)
 
-    def record_unanswered(self, exchange: ServerExchange, cause: UnansweredCause) -> None:
+    def record_unanswered(self, request: UnansweredRequest, cause: UnansweredCause) -> None:
         """Log and count a request that was read and ended without a complete answer."""
         self._unanswered.labels(cause.value).inc()
         is_expected = cause is UnansweredCause.CLIENT_DISCONNECTED
-        elapsed_s = asyncio.get_running_loop().time() - exchange.received_at_s
+        elapsed_s = asyncio.get_running_loop().time() - request.received_at_s
         logger.log(
             logging.INFO if is_expected else logging.WARNING,
             "request ended without an answer",
             extra={
-                "request_id": self._wire.decode_request_id(exchange.view),
+                "request_id": self._wire.decode_request_id(request.view),
                 "cause": cause.value,
-                "answer_began": exchange.started,
+                "answer_began": request.answer_began,
                 "ms": round(elapsed_s * MS_PER_S),
                 "stopping": self.refuses_new_requests,
                 "configuration": self._catalogue.version,
--- a/src/mangosaddle/http11/__init__.py
+++ b/src/mangosaddle/http11/__init__.py
@@ -17,7 +17,13 @@
 )
 from ._headers import HeaderList, HeaderView, without_hop_by_hop
 from ._pool import ConnectionPool
-from ._server import HttpServer, ServerExchange, ServerLimits, UnansweredCause
+from ._server import (
+    HttpServer,
+    ServerExchange,
+    ServerLimits,
+    UnansweredCause,
+    UnansweredRequest,
+)
 from ._sockets import set_tcp_options
 from ._upstream import ResponseHead, UpstreamConnection, UpstreamRequest
 
@@ -38,6 +44,7 @@
     "ServerExchange",
     "ServerLimits",
     "UnansweredCause",
+    "UnansweredRequest",
     "UnsendableRequestError",
     "UpstreamConnection",
     "UpstreamRequest",
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -33,7 +33,8 @@
 """Time from the first byte of a request for which a stop waits for the rest: a client that sends
 more slowly does not delay it."""
 LAST_ANSWERS_S = 0.1
-"""Time that a server which stops gives the requests that were read just then."""
+"""Time that a server which stops gives the requests that were read just then, and afterwards the
+callers of those that are not complete to read their refusal."""
 BACKLOG = 512
 """Connections waiting to be accepted; a full queue delays clients by seconds."""
 
@@ -68,6 +69,17 @@
     SERVER_STOPPED = "server_stopped"
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredRequest:
+    """A request that was read, also in part, and ended without a complete response."""
+
+    view: HeaderView
+    """Headers of the request; none if its head is not complete."""
+    received_at_s: float
+    """Monotonic time in seconds at which the first byte of the request arrived."""
+    answer_began: bool
+
+
 class ServerExchange:
     """One complete request and the operations that respond to it."""
 
@@ -139,13 +151,12 @@
 
 
 Handler = Callable[[ServerExchange], Awaitable[None]]
-UnansweredListener = Callable[[ServerExchange, UnansweredCause], None]
+UnansweredListener = Callable[[UnansweredRequest, UnansweredCause], None]
 
 
-def _log_unanswered(exchange: ServerExchange, cause: UnansweredCause) -> None:
-    logger.info(
-        "request ended without an answer", extra={"cause": cause.value, "began": exchange.started}
-    )
+def _log_unanswered(request: UnansweredRequest, cause: UnansweredCause) -> None:
+    extra = {"cause": cause.value, "began": request.answer_began}
+    logger.info("request ended without an answer", extra=extra)
 
 
 class HttpServer:
@@ -161,8 +172,9 @@
         """Create the server.
 
         ``limits`` is called for each request. ``on_bad_request`` gets the status and the reason of
-        each request that is rejected before it reaches the handler, ``on_unanswered`` each request
-        that reached the handler and ended without a complete response.
+        each request that is rejected before it reaches the handler. ``on_unanswered`` gets each
+        request that reached the handler and ended without a complete response, and each that the
+        server cut before it was complete.
         """
         self.handler = handler
         self.limits = limits
@@ -225,7 +237,8 @@
     async def stop(self) -> None:
         """Close the listening socket and cancel all requests.
 
-        Requests that were read just before get ``LAST_ANSWERS_S`` for their answer.
+        Requests that were read just before get ``LAST_ANSWERS_S`` for their answer. Those that are
+        not complete by then are refused.
         """
         self.closing = True
         self.stop_accepting()
@@ -234,6 +247,9 @@
         tasks = [connection.task for connection in self._connections if connection.task]
         if tasks:
             await asyncio.wait(tasks, timeout=LAST_ANSWERS_S)
+        refused = [row.task for row in self._connections if row.task and row.end_arrival()]
+        if refused:
+            await asyncio.wait(refused, timeout=LAST_ANSWERS_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -297,6 +313,12 @@
         """Whether the wait for the next request has been ended."""
         self._unanswered_cause = UnansweredCause.HANDLER_RETURNED
         """Reason why the current request has no complete response, if it ends without one."""
+        self._arriving_view = HeaderView(())
+        """Headers of the request that is arriving, once its head is complete."""
+        self._arrival_limit: TimeLimit | None = None
+        """Time limit of the wait for more of a request, while there is one."""
+        self._arrival_must_end = False
+        """Whether the server stops and waits for no more of a request."""
         self._idle_since_s = 0.0
         self._idle_wait: asyncio.Timeout | None = None
         """Time limit of the wait for the next request, while there is one."""
@@ -348,6 +370,15 @@
             self._must_end = True
             self._idle_wait.reschedule(max(self._clock(), self._idle_since_s + min_idle_s))
 
+    def end_arrival(self) -> bool:
+        """Refuse a request that has arrived in part; return whether there is one."""
+        if self.busy or not self.request_started:
+            return False
+        self._arrival_must_end = True
+        if self._arrival_limit is not None:
+            self._arrival_limit.expire()
+        return True
+
     async def run(self) -> None:
         """Handle requests until the connection ends."""
         while True:
@@ -356,6 +387,11 @@
             except _RequestRejectedError as rejection:
                 await self._reject(rejection)
                 return
+            except asyncio.CancelledError:
+                if self.request_started:
+                    cut = UnansweredRequest(self._arriving_view, self.request_started_at_s, False)
+                    self.server.on_unanswered(cut, UnansweredCause.SERVER_STOPPED)
+                raise
             if exchange is None:
                 return
             self.busy = True
@@ -368,7 +404,10 @@
             finally:
                 self.busy = False
                 if not exchange.finished:
-                    self.server.on_unanswered(exchange, self._unanswered_cause)
+                    unanswered = UnansweredRequest(
+                        exchange.view, exchange.received_at_s, exchange.started
+                    )
+                    self.server.on_unanswered(unanswered, self._unanswered_cause)
             if not exchange.finished:
                 self.broken = True
                 return
@@ -401,6 +440,7 @@
         limits = self.server.limits()
         self.request_started = False
         self.request_started_at_s = self._clock()
+        self._arriving_view = HeaderView(())
         request: h11.Request | None = None
         body = bytearray()
         parts = 0
@@ -413,7 +453,8 @@
             except h11.RemoteProtocolError as error:
                 raise _RequestRejectedError(error.error_status_hint, str(error)) from error
             if isinstance(event, h11.Request):
-                self._check_head(event, limits)
+                self._arriving_view = HeaderView(event.headers.raw_items())
+                self._check_head(event, self._arriving_view, limits)
                 request = event
                 self._wire_bytes = 0
                 deadline_s = self._clock() + max(limits.idle_timeout_s, limits.header_timeout_s)
@@ -446,8 +487,7 @@
                 return None
 
     @staticmethod
-    def _check_head(request: h11.Request, limits: ServerLimits) -> None:
-        view = HeaderView(request.headers.raw_items())
+    def _check_head(request: h11.Request, view: HeaderView, limits: ServerLimits) -> None:
         size_bytes = len(request.target) + sum(
             len(name) + len(value) + 4 for name, value in request.headers.raw_items()
         )
@@ -462,12 +502,7 @@
     async def _receive(self, deadline_s: float, request: h11.Request | None) -> bool:
         """Feed more bytes to the parser; return False if the connection has ended or was idle."""
         if self.request_started:
-            try:
-                async with TimeLimit(deadline_s - self._clock()):
-                    data = await self._reader.read(READ_CHUNK_BYTES)
-            except TimeoutError as error:
-                what = "body" if request is not None else "headers"
-                raise _RequestRejectedError(408, f"{what} took too long") from error
+            data = await self._read_next_part(deadline_s, request)
         else:
             data = await self._read_first_part(deadline_s)
         if not data:
@@ -476,6 +511,31 @@
         self._parser.receive_data(data)
         return True
 
+    async def _read_next_part(self, deadline_s: float, request: h11.Request | None) -> bytes:
+        """Return more of a request; none if the connection has ended.
+
+        Raises ``_RequestRejectedError`` at the deadline or when the server stops.
+        """
+        if not self._arrival_must_end:
+            self._arrival_limit = TimeLimit(deadline_s - self._clock())
+            try:
+                async with self._arrival_limit:
+                    return await self._reader.read(READ_CHUNK_BYTES)
+            except TimeoutError as error:
+                if not self._arrival_must_end:
+                    what = "body" if request is not None else "headers"
+                    raise _RequestRejectedError(408, f"{what} took too long") from error
+            finally:
+                self._arrival_limit = None
+        try:
+            # What has been received may complete the request.
+            async with asyncio.timeout(0):
+                return await self._reader.read(READ_CHUNK_BYTES)
+        except TimeoutError as error:
+            raise _RequestRejectedError(
+                408, "the server stopped before the request was complete"
+            ) from error
+
     async def _read_first_part(self, deadline_s: float) -> bytes:
         """Return the first bytes of a request; none if the connection has ended or was idle."""
         try:
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from mangosaddle.http11 import HttpServer, ServerExchange, ServerLimits, _server
+from mangosaddle.http11 import (
+    HttpServer,
+    ServerExchange,
+    ServerLimits,
+    UnansweredCause,
+    UnansweredRequest,
+    _server,
+)
 from mangosaddle.http11._server import _Connection
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -262,3 +269,102 @@
         await server.stop()
 
     asyncio.run(_main())
+
+
+PARTS = (
+    REQUEST[:9],
+    b"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\nContent-Length: 4\r\n\r\nab",
+)
+"""Requests that have arrived in part: within the head, and within the body."""
+
+
+async def _send_part(
+    server: HttpServer, part: bytes
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send part of a request, and wait until the server has read it."""
+    reader, writer = await asyncio.open_connection(*await server.start("127.0.0.1", 0))
+    writer.write(part)
+    async with asyncio.timeout(MAX_ANSWER_S):
+        while not any(connection.request_started for connection in server._connections):
+            await asyncio.sleep(0.001)
+    await asyncio.sleep(SETTLE_S)
+    return reader, writer
+
+
+@pytest.mark.parametrize("part", PARTS, ids=["head", "body"])
+def test_a_request_that_has_arrived_in_part_is_refused_as_the_server_stops(part: bytes) -> None:
+    """Guards against a caller that cannot tell whether its request has run, and a silent cut."""
+    refused: list[tuple[int, str]] = []
+    unanswered: list[UnansweredRequest] = []
+
+    async def _main() -> bytes:
+        server = HttpServer(
+            _answer,
+            ServerLimits,
+            lambda status, reason: refused.append((status, reason)),
+            lambda request, cause: unanswered.append(request),
+        )
+        reader, writer = await _send_part(server, part)
+        await server.stop()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+    answer = asyncio.run(_main())
+    assert answer.startswith(b"HTTP/1.1 408 ")
+    assert b"connection: close" in answer.lower()
+    assert refused == [(408, "the server stopped before the request was complete")]
+    assert unanswered == []
+
+
+@pytest.mark.parametrize("arrives_first", [True, False])
+def test_a_request_whose_rest_arrives_as_the_server_stops_is_answered(arrives_first: bool) -> None:
+    """Guards against a refusal of a request that is complete before the server has stopped."""
+
+    async def _main() -> bytes:
+        server = HttpServer(_answer, ServerLimits)
+        reader, writer = await _send_part(server, REQUEST[:9])
+        (connection,) = server._connections
+        end_arrival = connection.end_arrival
+
+        def _feed_and_end_arrival() -> bool:
+            # The task that parses the rest runs after both.
+            if arrives_first:
+                connection._reader.feed_data(REQUEST[9:])
+            has_part = end_arrival()
+            if not arrives_first:
+                connection._reader.feed_data(REQUEST[9:])
+            return has_part
+
+        connection.end_arrival = _feed_and_end_arrival  # type: ignore[method-assign]
+        await server.stop()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+    assert asyncio.run(_main()).endswith(b"\r\n\r\nx")
+
+
+@pytest.mark.parametrize("part", PARTS, ids=["head", "body"])
+def test_a_request_that_is_cut_before_its_refusal_is_reported(
+    part: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that was read in part and ends without an answer or a log line."""
+    reports: list[tuple[bytes | None, bool, UnansweredCause]] = []
+
+    def _report(request: UnansweredRequest, cause: UnansweredCause) -> None:
+        reports.append((request.view.first(b"request-id"), request.answer_began, cause))
+
+    async def _main() -> None:
+        server = HttpServer(_answer, ServerLimits, on_unanswered=_report)
+        _, writer = await _send_part(server, part)
+        (connection,) = server._connections
+        monkeypatch.setattr(connection, "end_arrival", lambda: False)
+        await server.stop()
+        writer.close()
+
+    asyncio.run(_main())
+    request_id = b"r-1" if b"r-1" in part else None
+    assert reports == [(request_id, False, UnansweredCause.SERVER_STOPPED)]
