End a forwarded request whose messages cannot be decoded

If only a chunk could not be decoded, the answer was delivered as complete without it.

Cause: Link._read skipped each message that cannot be decoded. That is right for messages which only a later version knows, but a forward waits for its own.

Change: the name and the number of the forward are read from such a message. A part of a response ends the call as unknown, or as not run if it is an end that says so, and cancels the request at the other VM. A first frame or a body is refused as not run, a cancellation is carried out, and a lost credit ends the response. If the number cannot be read, the link is closed, which ends all of its forwards. Messages with other names are skipped as before.

--- a/src/mangosaddle/peers/_codec.py
+++ b/src/mangosaddle/peers/_codec.py
@@ -79,15 +79,11 @@
 
     def decode(self, encoded: bytes) -> object:
         """Decode a message; raises only ``DecodeError``."""
-        if len(encoded) > MAX_MESSAGE_BYTES:
-            raise DecodeError(f"{len(encoded)} B exceed the limit of {MAX_MESSAGE_BYTES} B")
-        items = _decode_cbor(encoded)
-        if not isinstance(items, list) or not items or not isinstance(items[0], str):
-            raise DecodeError("a message must be an array that starts with its name")
-        message_type = self._types_by_name.get(items[0])
+        name, *fields = decode_items(encoded)
+        message_type = self._types_by_name.get(name)
         if message_type is None:
-            raise DecodeError(f"unknown message {items[0][:40]!r}")
-        return self._converters_by_type[message_type].read(items[1:], items[0])
+            raise DecodeError(f"unknown message {name[:40]!r}")
+        return self._converters_by_type[message_type].read(fields, name)
 
     def _converter_for(self, annotation: Any, path: str) -> _Converter:  # noqa: ANN401
         while hasattr(annotation, "__supertype__"):
@@ -119,6 +115,16 @@
         return converter
 
 
+def decode_items(encoded: bytes) -> list[Any]:
+    """Return the name of a message and its plain fields; raises only ``DecodeError``."""
+    if len(encoded) > MAX_MESSAGE_BYTES:
+        raise DecodeError(f"{len(encoded)} B exceed the limit of {MAX_MESSAGE_BYTES} B")
+    items = _decode_cbor(encoded)
+    if not isinstance(items, list) or not items or not isinstance(items[0], str):
+        raise DecodeError("a message must be an array that starts with its name")
+    return items
+
+
 def _decode_cbor(encoded: bytes) -> object:
     decoder = cbor2.CBORDecoder(io.BytesIO(encoded))
     try:
--- a/src/mangosaddle/peers/_forward.py
+++ b/src/mangosaddle/peers/_forward.py
@@ -27,6 +27,7 @@
     ForwardResponsePart,
 )
 from ._metrics import PeerMetrics
+from ._undecodable import UndecodableBody, UndecodableCredit, UndecodableOpen
 
 MS_PER_S = 1000.0
 WINDOW_BYTES = 256 * 1024
@@ -121,8 +122,7 @@
         active.body_parts.append(message.data)
         active.received_bytes += len(message.data)
         if active.received_bytes > active.body_size_bytes:
-            del self._active_requests[(link, message.number)]
-            link.send(ForwardEnd(False, "not_run", "bad_body_size", message.number))
+            self._reject_body(link, message.number, "bad_body_size")
             return
         self._start_if_complete(link, message.number, active)
 
@@ -133,6 +133,31 @@
             active.body_parts = []
             active.task = asyncio.create_task(self._run(link, number, active))
 
+    def handle_undecodable_open(self, link: Link, message: UndecodableOpen) -> None:
+        """Reject a request whose first frame cannot be decoded."""
+        self._metrics.count_drop("forward_not_decodable")
+        link.send(ForwardEnd(False, "not_run", "request_not_decodable", message.number))
+
+    def handle_undecodable_body(self, link: Link, message: UndecodableBody) -> None:
+        """Reject a request whose body cannot become complete."""
+        active = self._active_requests.get((link, message.number))
+        if active is not None and active.task is None:
+            self._reject_body(link, message.number, "body_not_decodable")
+
+    def _reject_body(self, link: Link, number: int, reason: str) -> None:
+        self._metrics.count_drop(f"forward_{reason}")
+        del self._active_requests[(link, number)]
+        link.send(ForwardEnd(False, "not_run", reason, number))
+
+    def handle_undecodable_credit(self, link: Link, message: UndecodableCredit) -> None:
+        """End a request whose response could wait for the lost credit."""
+        active = self._active_requests.get((link, message.number))
+        if active is not None:
+            self._metrics.count_drop("forward_credit_not_decodable")
+            self.handle_cancel(link, ForwardCancel(message.number))
+            execution = "not_run" if active.task is None else "unknown"
+            link.send(ForwardEnd(False, execution, "credit_not_decodable", message.number))
+
     def handle_cancel(self, link: Link, message: ForwardCancel) -> None:
         """Cancel a request whose caller has disconnected."""
         active = self._active_requests.pop((link, message.number), None)
--- a/src/mangosaddle/peers/_forward_calls.py
+++ b/src/mangosaddle/peers/_forward_calls.py
@@ -27,6 +27,7 @@
     ForwardResponsePart,
 )
 from ._metrics import PeerMetrics
+from ._undecodable import UndecodableResponse
 
 MS_PER_S = 1000.0
 
@@ -135,6 +136,13 @@
             self._metrics.count_drop("window_exceeded")
             link.abort()
 
+    def end_undecodable(self, link: Link, response_part: UndecodableResponse) -> None:
+        """End the call of a response part that cannot be decoded, on the other VM as well."""
+        number, execution = response_part.number, response_part.execution
+        if (link, number) in self._calls:
+            self.deliver(link, ForwardEnd(False, execution, "response_not_decodable", number))
+            link.send(ForwardCancel(number))
+
     def is_busy(self, link: Link) -> bool:
         """Return whether a call is in progress on the link."""
         return any(other is link for other, _ in self._calls)
--- a/src/mangosaddle/peers/_link.py
+++ b/src/mangosaddle/peers/_link.py
@@ -1,6 +1,7 @@
 """Authenticated link to another VM."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
@@ -24,6 +25,7 @@
 )
 from ._metrics import PeerMetrics
 from ._transit import TransitDelay
+from ._undecodable import read_undecodable
 
 MAX_CONTROL_QUEUE_BYTES = 4 * 1024 * 1024
 """Size of the control queue above which messages to a slow link are dropped.
@@ -46,6 +48,9 @@
 """Messages sent through the forward queue, which preserves the order of the frames of a forward."""
 
 
+logger = logging.getLogger(__name__)
+
+
 class Queue(StrEnum):
     """Send queues of a link; control messages are sent before forward data."""
 
@@ -163,15 +168,33 @@
             body = self._verifier.verify(frame)
             try:
                 message = CODEC.decode(body)
-            except DecodeError:
-                self._metrics.count_refusal(RefusalReason.BAD_MESSAGE)
-                continue
+            except DecodeError as error:
+                message = self._read_undecodable(body, error)
+                if message is None:
+                    continue
             queue = Queue.FORWARD if isinstance(message, FORWARD_TYPES) else Queue.CONTROL
             self._metrics.count_frame("in", queue, len(frame))
             on_message(self, message)
             if self.closed.is_set():
                 return
 
+    def _read_undecodable(self, body: bytes, cause: DecodeError) -> object | None:
+        """Return what is known of a message of a forwarded request; ``None`` for other messages.
+
+        Raises ``LinkRefusedError`` if a request would wait for a message that cannot be attributed
+        to it: closing the link ends all requests on it.
+        """
+        extra = {"vm": self.peer.vm, "cause": str(cause)}
+        try:
+            message = read_undecodable(body)
+        except DecodeError as error:
+            logger.warning("message cannot be attributed, closing its link", extra=extra)
+            raise LinkRefusedError(RefusalReason.BAD_MESSAGE) from error
+        self._metrics.count_refusal(RefusalReason.BAD_MESSAGE)
+        if message is not None:
+            logger.warning("forward message cannot be decoded", extra=extra)
+        return message
+
     async def _write(self) -> None:
         try:
             while True:
--- a/src/mangosaddle/peers/_node.py
+++ b/src/mangosaddle/peers/_node.py
@@ -59,6 +59,13 @@
 from ._periodic import run_periodically
 from ._requests import PendingRequests
 from ._settings import PeerSettings
+from ._undecodable import (
+    UndecodableBody,
+    UndecodableCancel,
+    UndecodableCredit,
+    UndecodableOpen,
+    UndecodableResponse,
+)
 
 T = TypeVar("T")
 MS_PER_S = 1000.0
@@ -144,6 +151,11 @@
             ForwardHead: self._forward_calls.deliver,
             ForwardChunk: self._forward_calls.deliver,
             ForwardEnd: self._forward_calls.deliver,
+            UndecodableOpen: service.handle_undecodable_open,
+            UndecodableBody: service.handle_undecodable_body,
+            UndecodableCancel: lambda link, m: service.handle_cancel(link, ForwardCancel(m.number)),
+            UndecodableCredit: service.handle_undecodable_credit,
+            UndecodableResponse: self._forward_calls.end_undecodable,
         }
 
     # Lifecycle
