Keep the requests in flight at an endpoint whose service is changed

Cause: Endpoints.set_catalogue replaced the view of each endpoint of a changed service by one without requests in flight and without the reports of other VMs. The prober also saw no requests at an endpoint that had fallen silent, as these belonged to the former view.

Change: the view stays, takes the values of the changed service, and forgets the observed speed and the estimate of the prompt cache as before. Suspects of a crash stay with it, too.

--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -45,6 +45,16 @@
         """What the endpoint has stated about itself."""
         self.prefixes = PromptCacheEstimate(engine.memory_tokens if engine is not None else 0)
 
+    def apply_spec(self, spec: ServiceSpec | None) -> None:
+        """Apply a changed configuration of the service, and forget what was observed under it.
+
+        Requests in flight stay: they take up the capacity of the endpoint until they end.
+        """
+        engine = spec.engine if spec is not None else None
+        self.load.reconfigure(engine.memory_tokens if engine is not None else None)
+        self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
+        self.prefixes = PromptCacheEstimate(engine.memory_tokens if engine is not None else 0)
+
     def is_silent(self, now: float) -> bool:
         """Return whether requests are in flight and the endpoint has sent nothing for too long."""
         since_s = self.load.waiting_since_s()
@@ -87,12 +97,10 @@
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Apply a new configuration; endpoints whose service has not changed keep their state."""
         old, self._catalogue = self._catalogue, catalogue
-        for endpoint, view in list(self._views_by_id.items()):
+        for view in self._views_by_id.values():
             name = view.registration.service
             if old is None or old.services_by_name.get(name) != self._spec(name):
-                fresh = EndpointView(view.registration, self._spec(name), view.statements)
-                fresh.health = view.health
-                self._views_by_id[endpoint] = fresh
+                view.apply_spec(self._spec(name))
 
     def register(self, registration: Registration, now: float) -> None:
         """Add or update a registration; a changed address or start time means a new process."""
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -76,12 +76,16 @@
     def __init__(self, slots: int, memory_tokens: int | None) -> None:
         """Create an idle endpoint; ``memory_tokens`` is ``None`` if it is not a model engine."""
         self.slots = max(1, slots)
-        self.memory_tokens = memory_tokens
-        self.slowness = 1.0
-        """Observed time to the first event as a multiple of the forecast."""
         self._in_flight_by_id: dict[str, _InFlight] = {}
         self._reports_by_vm: dict[VmId, ReportedLoad] = {}
         self._full_until_s = 0.0
+        self.reconfigure(memory_tokens)
+
+    def reconfigure(self, memory_tokens: int | None) -> None:
+        """Set the cache memory and forget the observed speed; requests in flight stay."""
+        self.memory_tokens = memory_tokens
+        self.slowness = 1.0
+        """Observed time to the first event as a multiple of the forecast."""
         self.prefill_s_per_token = 1.0 / PREFILL_TOKENS_PER_S
         """Observed time to read a prompt token."""
         self._time_per_token_s = DEFAULT_TIME_PER_TOKEN_S
--- a/tests/traffic/test_placement.py
+++ b/tests/traffic/test_placement.py
@@ -297,3 +297,28 @@
             view.load.record_first_byte(f"r{number}", NOW + 0.03 + 10_000 / 157_000)
             view.load.record_end(f"r{number}")
     assert isinstance(_decide(endpoints, regions, request), LocalPlacement)
+
+
+def test_running_requests_count_after_a_change_of_their_service(
+    endpoints: Endpoints, regions: RegionReports
+) -> None:
+    """Guards against more requests than an engine takes once a configuration changes its service.
+
+    The silence of an engine is noticed by its running requests as well.
+    """
+    for name in ("a", "b"):
+        view = endpoints.view(EndpointId(name))
+        assert view is not None
+        view.load.record_sent(f"{name}-0", Work(0, 0), 0.1, NOW)
+        for vm in ("vm-2", "vm-3"):
+            view.load.set_report(VmId(vm), ReportedLoad(5, 0, 0, None, NOW))
+    changed = replace(SPEC, engine=EngineLimits(10, 200_000, 7))
+    endpoints.set_catalogue(Catalogue.from_parts(2, (), (changed,), (), LIMITS))
+    decision = _decide(endpoints, regions, _request())
+    assert isinstance(decision, PlacementRefusal)
+    assert decision.cause is RefusalCause.FULL
+    for view in endpoints.views():
+        assert view.load.memory_tokens == 200_000
+        assert view.is_silent(NOW + 60.0)
+        view.load.record_end(f"{view.id}-0")
+        assert view.load.own_load() == (0, 0, 0)
