--- a/src/mangosaddle/http11/__init__.py
+++ b/src/mangosaddle/http11/__init__.py
@@ -18,7 +18,14 @@
 from ._headers import HeaderList, HeaderView, without_hop_by_hop
 from ._listeners import drop_new_connections
 from ._pool import ConnectionPool
-from ._server import BACKLOG, HttpServer, ServerExchange, ServerLimits, UnansweredCause
+from ._server import (
+    BACKLOG,
+    HttpServer,
+    ServerExchange,
+    ServerLimits,
+    UnansweredCause,
+    UnansweredRequest,
+)
 from ._sockets import set_tcp_options
 from ._upstream import ResponseHead, UpstreamConnection, UpstreamRequest
 
@@ -40,6 +47,7 @@
     "ServerExchange",
     "ServerLimits",
     "UnansweredCause",
+    "UnansweredRequest",
     "UnsendableRequestError",
     "UpstreamConnection",
     "UpstreamRequest",
