Bound the extensions of a limit that several waits share

What callers would see: none of it; a caller could hold a connection for as long as it likes by sending a byte every 0.1 s once a stall had extended its limit.

Cause: each wait for a part of a request had a limit of its own, which was below 0 after the deadline. Its timer counted as late, although the event loop ran, so that each part extended the limit by up to 0.2 s again.

Change: a request's head and its body have one limit each, which all their waits share with its two extensions. A limit below 0 has passed and is not late.

--- a/src/mangosaddle/_time_limits.py
+++ b/src/mangosaddle/_time_limits.py
@@ -16,19 +16,24 @@
 
     While the event loop stands still, the limit passes and what the task waits for may arrive. The
     timer would cancel the task before the arrival is handled, so a late timer extends the limit.
+
+    Several waits, one after the other, may share a limit, so that their extensions are bounded
+    together.
     """
 
     __slots__ = ("_due_s", "_extensions", "_timeout", "_timer")
 
     def __init__(self, limit_s: float) -> None:
         """Create a limit that begins now; needs a running event loop."""
-        self._due_s = asyncio.get_running_loop().time() + limit_s
+        # A limit below 0 has passed before the wait began, which is no delay of its timer.
+        self._due_s = asyncio.get_running_loop().time() + max(0.0, limit_s)
         self._extensions = 0
-        self._timeout = asyncio.timeout(None)
+        self._timeout: asyncio.Timeout | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> None:
         """Start the timer."""
+        self._timeout = asyncio.timeout(None)
         await self._timeout.__aenter__()
         self._timer = asyncio.get_running_loop().call_at(self._due_s, self._expire)
 
@@ -39,11 +44,13 @@
         traceback: TracebackType | None,
     ) -> None:
         """Stop the timer; raises ``TimeoutError`` if the limit has expired."""
+        assert self._timeout is not None
         if self._timer is not None:
             self._timer.cancel()
         await self._timeout.__aexit__(exc_type, exc, traceback)
 
     def _expire(self) -> None:
+        assert self._timeout is not None
         loop = asyncio.get_running_loop()
         now = loop.time()
         if now - self._due_s <= TOLERATED_DELAY_S or self._extensions >= MAX_EXTENSIONS:
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -406,7 +406,8 @@
         parts = 0
         self._wire_bytes = 0
         self._idle_since_s = self._clock()
-        deadline_s = self._idle_since_s + _idle_wait_s(limits)
+        idle_until_s = self._idle_since_s + _idle_wait_s(limits)
+        limit = TimeLimit(limits.header_timeout_s)
         while True:
             try:
                 event: Any = self._parser.next_event()
@@ -416,7 +417,8 @@
                 self._check_head(event, limits)
                 request = event
                 self._wire_bytes = 0
-                deadline_s = self._clock() + max(limits.idle_timeout_s, limits.header_timeout_s)
+                body_limit_s = max(limits.idle_timeout_s, limits.header_timeout_s)
+                idle_until_s, limit = self._clock() + body_limit_s, TimeLimit(body_limit_s)
             elif isinstance(event, h11.Data):
                 parts += 1
                 body += event.data
@@ -435,13 +437,13 @@
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
                 if request is not None and has_too_much_framing(self._wire_bytes, len(body)):
                     raise _RequestRejectedError(413, "body has too much framing")
-                if not await self._receive(deadline_s, request):
+                if not await self._receive(idle_until_s, limit, request):
                     return None
                 if not self.request_started:
                     self.request_started = True
                     self.request_started_at_s = self._clock()
                     limits = self.server.limits()
-                    deadline_s = self._clock() + limits.header_timeout_s
+                    limit = TimeLimit(limits.header_timeout_s)
             else:
                 return None
 
@@ -459,17 +461,22 @@
         if declared is not None and int(declared) > limits.body_bytes:
             raise _RequestRejectedError(413, "body is too large")
 
-    async def _receive(self, deadline_s: float, request: h11.Request | None) -> bool:
-        """Feed more bytes to the parser; return False if the connection has ended or was idle."""
+    async def _receive(
+        self, idle_until_s: float, limit: TimeLimit, request: h11.Request | None
+    ) -> bool:
+        """Feed more bytes to the parser; return False if the connection has ended or was idle.
+
+        ``idle_until_s`` limits the wait for the first part of a request, ``limit`` the others.
+        """
         if self.request_started:
             try:
-                async with TimeLimit(deadline_s - self._clock()):
+                async with limit:
                     data = await self._reader.read(READ_CHUNK_BYTES)
             except TimeoutError as error:
                 what = "body" if request is not None else "headers"
                 raise _RequestRejectedError(408, f"{what} took too long") from error
         else:
-            data = await self._read_first_part(deadline_s)
+            data = await self._read_first_part(idle_until_s)
         if not data:
             return False
         self._wire_bytes += len(data)
--- a/tests/http11/test_time_limits.py
+++ b/tests/http11/test_time_limits.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from mangosaddle._time_limits import EXTENSION_S, TOLERATED_DELAY_S, TimeLimit
 from mangosaddle.http11 import (
     ConnectFailedError,
     HttpServer,
@@ -139,3 +140,69 @@
         await server.stop()
 
     asyncio.run(_main())
+
+
+def test_request_in_many_small_parts_is_refused_after_a_stall() -> None:
+    """Guards against a request that never expires, as each of its parts extends the limit."""
+
+    async def _send_slowly(writer: asyncio.StreamWriter) -> None:
+        while True:
+            writer.write(b"x")
+            await asyncio.sleep(0.04)
+
+    async def _echo(exchange: ServerExchange) -> None:
+        await exchange.respond(200, [], exchange.body)
+
+    async def _main() -> None:
+        limits = ServerLimits(header_timeout_s=LIMIT_S, idle_timeout_s=LIMIT_S)
+        server = HttpServer(_echo, lambda: limits)
+        reader, writer = await asyncio.open_connection(*await server.start("127.0.0.1", 0))
+        writer.write(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n")
+        sending = asyncio.ensure_future(_send_slowly(writer))
+        await asyncio.sleep(LIMIT_S / 4)
+        time.sleep(STALL_S)
+        async with asyncio.timeout(LIMIT_S + 0.5):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 408")
+        sending.cancel()
+        writer.close()
+        await server.stop()
+
+    asyncio.run(_main())
+
+
+def test_limit_that_has_passed_before_the_wait_is_not_extended() -> None:
+    """Guards against a wait that is extended although its timer is not late."""
+
+    async def _main() -> None:
+        loop = asyncio.get_running_loop()
+        began_at_s = loop.time()
+        with pytest.raises(TimeoutError):
+            async with TimeLimit(-1.0):
+                await asyncio.Event().wait()
+        assert loop.time() - began_at_s < EXTENSION_S
+
+    asyncio.run(_main())
+
+
+@pytest.mark.parametrize("iterations", range(3))
+def test_cancellation_at_the_end_of_a_limit_is_not_taken_for_it(iterations: int) -> None:
+    """Guards against a cancelled task that goes on because its limit expired at the same time."""
+
+    async def _wait() -> None:
+        with pytest.raises(asyncio.CancelledError):
+            async with TimeLimit(0.05):
+                await asyncio.Event().wait()
+        raise asyncio.CancelledError
+
+    async def _main() -> None:
+        task = asyncio.ensure_future(_wait())
+        await asyncio.sleep(0)
+        time.sleep(0.05 + TOLERATED_DELAY_S / 4)
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        if not task.done():
+            task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert task.cancelled()
+
+    asyncio.run(_main())
