Read what arrived during a pause before a timer ends the wait for it

What callers saw or would see: a process that is stopped by a signal (or not scheduled) while a connection's idle limit passes closes it with a request in its socket: the whole request gets neither an answer nor a refusal. The same at a planned stop, and with an idle limit that a change of the configuration shortens. An attempt whose answer has arrived is given up, and its endpoint is marked unreachable if a body was awaited.

When the process is stopped in its poll, which is where an idle process is, the kernel interrupts the poll, and Python does not repeat it once its time has passed: it reports no events, and timers fire before anything is read. Then reading is paused, and the bytes stay in the socket.

Change: these waits let the event loop read once more before they conclude that nothing has arrived.

--- a/src/mangosaddle/entry/_giving_up.py
+++ b/src/mangosaddle/entry/_giving_up.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from types import TracebackType
 
+from .._time_limits import EXTENSION_S, TOLERATED_DELAY_S
 from ..http11 import UpstreamConnection
 
 RECHECK_INTERVAL_S = 0.2
@@ -34,11 +35,13 @@
 class _GiveUpLimit:
     """Context of one wait; a stream enters one for each event, so that it has to be cheap."""
 
-    __slots__ = ("_check", "_due_s", "_limit", "_timer")
+    __slots__ = ("_check", "_due_s", "_is_extended", "_limit", "_timer")
 
     def __init__(self, check: GiveUpCheck, due_s: float | None) -> None:
         self._check = check
         self._due_s = due_s
+        self._is_extended = False
+        """Whether the latest timer was late, so that the check was put off."""
         self._limit: asyncio.Timeout | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -60,8 +63,17 @@
 
     def _give_up_or_recheck(self) -> None:
         assert self._limit is not None
+        assert self._due_s is not None
         loop = asyncio.get_running_loop()
-        if self._check():
-            self._limit.reschedule(loop.time())
+        now = loop.time()
+        # If a signal had stopped this process, its timers come before the bytes that have arrived.
+        was_extended, self._is_extended = self._is_extended, False
+        if not was_extended and now - self._due_s > TOLERATED_DELAY_S:
+            self._is_extended = True
+            self._due_s = now + EXTENSION_S
+        elif self._check():
+            self._limit.reschedule(now)
+            return
         else:
-            self._timer = loop.call_later(RECHECK_INTERVAL_S, self._give_up_or_recheck)
+            self._due_s = now + RECHECK_INTERVAL_S
+        self._timer = loop.call_at(self._due_s, self._give_up_or_recheck)
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -499,6 +499,8 @@
 
     async def _read_buffered(self) -> bytes:
         """Return bytes that arrived just when the wait for them ended, if any."""
+        # If the process was stopped, timers come before bytes: let the event loop read these.
+        await asyncio.sleep(0)
         # From here on, a request is left in the socket rather than read and not answered.
         self.writer.transport.pause_reading()  # type: ignore[attr-defined]
         try:
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -418,6 +418,8 @@
                         await self._data_or_end.wait()
             except TimeoutError as error:
                 # After a pause of this process, the timeout may expire although bytes have arrived.
+                # If a signal had stopped it, the event loop reads them only in its next iteration.
+                await asyncio.sleep(0)
                 if self.has_unread_data:
                     break
                 if self._may_give_up is None or self._may_give_up():
