Log the size of requests at placements and at refusals by the allowance

'placed' now names the tokens of the prompt, the expected and the maximum answer, and a refusal by the allowance writes one line with the cost and the route.

Nothing is decided differently; not measured.

--- a/src/mangosaddle/entry/_caller_requests.py
+++ b/src/mangosaddle/entry/_caller_requests.py
@@ -227,6 +227,15 @@
         refusal = await self._allowances.admit(organisation.id, cost)
         if refusal is None:
             return AdmittedRequest(request, organisation, cost)
+        logger.info(
+            "allowance used up",
+            extra={
+                "request_id": request.id,
+                "organisation": organisation.id,
+                "route": request.route.name,
+                "cost": cost,
+            },
+        )
         detail = f"the allowance of {organisation.id} is used up"
         retry_after_s = max(MIN_ALLOWANCE_RETRY_S, refusal.retry_after_s)
         return Problem(429, "allowance", detail, retry_after_s=retry_after_s)
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -506,6 +506,10 @@
     def _log_decision(self, decision: LocalPlacement | RemotePlacement | PlacementRefusal) -> None:
         request = self._request
         fields: dict[str, object] = {"request_id": request.id, "service": request.service}
+        if request.prompt is not None:
+            fields["prompt_tokens"] = request.prompt.prompt_tokens
+            fields["expected_tokens"] = request.prompt.expected_tokens
+            fields["max_tokens"] = request.prompt.output_tokens
         if isinstance(decision, LocalPlacement):
             view = decision.endpoint
             now = asyncio.get_running_loop().time()
