Answer running calls of services on a second SIGTERM

A VM that was told to stop at once waited for calls of plain services, up to 10 s for each read and 30 s for an answer. A platform that kills it before then cuts these calls without an answer.

Cause: a second SIGTERM ended running answers of models only; the worker threads of calls go on reading, and the exit waits for them.

Fix: the sockets of running calls are shut down, and forwards cancelled. A read is answered 503 "shutting-down", an order 409, both with execution "unknown"; an order is recorded so. No endpoint is blamed and nothing is sent again. Not covered: a call that is queued for another endpoint, which ends by its queue limit, and one that waits for the store.

--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -278,7 +278,7 @@
             settled_epoch=lambda: self.store_epochs.settled_epoch(CLAIMS_SETTLED_KEY),
         )
         self.store_epochs.add_listener(self._restore_claims)
-        service_handler = ServiceHandler(
+        service_handler = self._service_handler = ServiceHandler(
             self.control, self._service_calls, self._order_executor, ServiceClient()
         )
         forwarded_handler = ForwardedRequestHandler(
@@ -396,6 +396,9 @@
         self._http_frontend.close_connections()
         if self.fleet.handle_sigterm():
             self._end_answers()
+            if running := self._service_calls.running:
+                _log.warning("running calls of services ended", extra={"calls": running})
+            self._service_handler.end_calls()
         if first:
             self._tasks.spawn(self._drain())
 
--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -12,9 +12,10 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
-from .._whole_heads import WholeHeadConnection, WholeHeadPool, create_pool_manager
+from .._whole_heads import WholeHeadConnection, create_pool_manager
 from ..providers import parse_retry_after
 from ._exceptions import EndpointCutError, EndpointRefusedError, EndpointTimeoutError, NotSentError
+from ._running_calls import EndableCallPool, RunningCalls, make_endable
 
 CONNECT_TIMEOUT_S = 1.0
 RESPONSE_TIMEOUT_S = 10.0
@@ -166,13 +167,20 @@
         """Create the connection pools; connections are opened on demand."""
         self._identifying_urls: set[str] = set()
         """Base URLs of services whose latest answer carried the id of its request."""
-        self._manager = create_pool_manager(
-            num_pools=64,
-            maxsize=8,
-            retries=False,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S),
+        self._running_calls = RunningCalls()
+        self._manager = make_endable(
+            create_pool_manager(
+                num_pools=64,
+                maxsize=8,
+                retries=False,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S),
+            )
         )
 
+    def end_calls(self) -> None:
+        """End the calls that run as if their connections had broken, and send no further ones."""
+        self._running_calls.end()
+
     def call(
         self,
         url: str,
@@ -196,11 +204,14 @@
         """
         if may_repeat and url in self._identifying_urls:
             pool = self._manager.connection_from_url(url)
+            if isinstance(pool, EndableCallPool):
+                pool.running_calls = self._running_calls
             answer, is_identified = _call(pool, method, path, headers, body, must_identify=True)
             return answer
         parsed = urllib3.util.parse_url(url)
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=RESPONSE_TIMEOUT_S)
-        single = WholeHeadPool(str(parsed.host), parsed.port, timeout=timeout, retries=False)
+        single = EndableCallPool(str(parsed.host), parsed.port, timeout=timeout, retries=False)
+        single.running_calls = self._running_calls
         try:
             answer, is_identified = _call(single, method, path, headers, body, must_identify=False)
         finally:
--- a/src/mangosaddle/gateway/_service_call_controller.py
+++ b/src/mangosaddle/gateway/_service_call_controller.py
@@ -1,5 +1,6 @@
 """Admits and routes calls of plain services; event loop thread only."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -7,6 +8,7 @@
 
 from .._identifiers import EndpointId, OrganisationId, VmId
 from .._problems import Execution, Problem
+from .._tasks import is_current_task_cancelled
 from ..configuration import Configuration
 from ..keys import Caller, KeyRing
 from ..orders import IssuedOrderDecision, IssuedOrderTable, OrderAnswer, SendOutcome
@@ -68,6 +70,9 @@
         self._metrics = metrics
         self._wall_clock = wall_clock
         self._running = 0
+        self._forwards: set[asyncio.Task[EndpointAnswer]] = set()
+        self.has_ended_calls = False
+        """Whether running calls have been ended because the VM stops at once."""
 
     @property
     def running(self) -> int:
@@ -126,6 +131,10 @@
 
     async def switch_target(self, call: OpenCall, error: EndpointError, idempotent: bool) -> bool:
         """Move a call to another target after a failed attempt; return False if there is none."""
+        if self.has_ended_calls:
+            # The failure says nothing about the endpoint.
+            await self.release_target(call)
+            return False
         if isinstance(call.target, ChosenEndpoint):
             self._target_selector.record_failure(call.route, call.target, error)
             retry_target = await self._target_selector.next_target(
@@ -189,6 +198,27 @@
         if vm is None:
             raise NotSentError("no entry VM of the region is reachable")
         self._metrics.forwards.inc()
+        if self.has_ended_calls:
+            raise NotSentError("this VM stops")
+        answer = asyncio.ensure_future(self._receive_forwarded(call, vm))
+        self._forwards.add(answer)
+        try:
+            return await answer
+        except asyncio.CancelledError as error:
+            if is_current_task_cancelled() or not self.has_ended_calls:
+                raise
+            raise EndpointCutError("this VM has stopped") from error
+        finally:
+            self._forwards.discard(answer)
+            answer.cancel()
+
+    def end_forwards(self) -> None:
+        """End the calls that run at other VMs as if their links had broken; retry none."""
+        self.has_ended_calls = True
+        for answer in self._forwards:
+            answer.cancel()
+
+    async def _receive_forwarded(self, call: OpenCall, vm: VmId) -> EndpointAnswer:
         head = ForwardHead(502, "application/json")
         parts: list[bytes] = []
         try:
--- a/src/mangosaddle/gateway/_service_handler.py
+++ b/src/mangosaddle/gateway/_service_handler.py
@@ -28,7 +28,7 @@
 from ._endpoint import REQUEST_ID_HEADER, EndpointAnswer, ServiceClient
 from ._exceptions import EndpointError, NotSentError
 from ._messages import CallerRequest, CallerResponse, HandlerResult
-from ._refusals import mark_possibly_executed, refuse_failed_attempt
+from ._refusals import STOPPED_ANSWER, mark_possibly_executed, refuse_failed_attempt
 from ._service_call_controller import OpenCall, ServiceCallController
 from ._service_request import ServiceRequest, parse_service_call
 
@@ -67,6 +67,14 @@
             return CallerResponse.from_problem(admitted.failure(), request.request_id)
         return self.run(admitted.unwrap(), hops=0)
 
+    def end_calls(self) -> None:
+        """End running calls, so that their callers are answered now; event loop thread only.
+
+        An order that may have run is answered and recorded as one with an unknown outcome.
+        """
+        self._service_calls.end_forwards()
+        self._client.end_calls()
+
     def run(self, call: OpenCall, hops: int) -> CallerResponse:
         """Run an admitted call; ``hops`` is the number of VMs that have forwarded it."""
         response = CallerResponse.from_problem(
@@ -162,6 +170,8 @@
             except EndpointError as error:
                 may_have_run |= not isinstance(error, NotSentError)
                 if not self._loop.run(self._service_calls.switch_target(call, error, idempotent)):
+                    if may_have_run and self._service_calls.has_ended_calls:
+                        return STOPPED_ANSWER
                     problem = refuse_failed_attempt(error)
                     return mark_possibly_executed(problem, may_have_run=may_have_run)
                 continue
--- a/tests/e2e/test_processes.py
+++ b/tests/e2e/test_processes.py
@@ -23,6 +23,8 @@
 """An answer takes 15 s at the speed of these engines."""
 CALLERS = 12
 DETECTION_TIMEOUT_S = 15.0
+MAX_ENDED_CALL_S = 4.0
+"""Time in which a call is answered once the VM is told to stop at once; services get 10 s."""
 
 
 @dataclass
@@ -178,6 +180,52 @@
         assert (answer.status, answer.json()["execution"]) == (503, "unknown")
 
 
+@pytest.mark.parametrize("entry_issued", [False, True], ids=["claimed", "issued"])
+def test_a_second_sigterm_answers_a_call_of_a_service(
+    processes: AuthorityProcesses, entry_issued: bool
+) -> None:
+    """Guards against a VM that is told to stop at once and waits for a service instead.
+
+    The platform would kill it then, and cut the call.
+    """
+    key = processes.standins.key_of("tower-trust")
+    services = processes.standins.services_by_id.values()
+    for service in services:
+        service.hold_answers = True
+    headers = {"Authorization": f"Bearer {key}"}
+    vms = urllib3.request(
+        "GET", processes.url("gondar-2") + "/v1/entry-vms?order_ids=1", headers=headers
+    )
+    order_id = vms.json()["order_ids"][0] if entry_issued else "order-3"
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(
+            urllib3.request,
+            "POST",
+            processes.url("gondar-2") + "/v1/services/orders/corrections",
+            headers={**headers, "Idempotency-Key": order_id},
+            json={"clock": 6},
+            retries=False,
+            timeout=EXIT_TIMEOUT_S,
+        )
+        wait_for(
+            lambda: sum(service.executions_by_key.total() for service in services) == 1,
+            "the order runs",
+            EXIT_TIMEOUT_S,
+        )
+        processes.signal("gondar-2", signal.SIGTERM)
+        time.sleep(STALE_DISCOVERY_GRACE_S + 0.5)
+        stopped_at_s = time.monotonic()
+        processes.signal("gondar-2", signal.SIGTERM)
+        answer = pending.result(EXIT_TIMEOUT_S)
+        assert time.monotonic() - stopped_at_s < MAX_ENDED_CALL_S
+        code = processes.processes_by_vm["gondar-2"].wait(EXIT_TIMEOUT_S)
+    for service in services:
+        service.hold_answers = False
+    assert code == 0
+    assert (answer.status, answer.json()["execution"]) == (409, "unknown")
+    assert sum(service.executions_by_key[order_id] for service in services) == 1
+
+
 def test_sighup_does_not_cut_requests(processes: AuthorityProcesses) -> None:
     """Guards against a signal, such as that of a closed terminal, that ends the process at once.
 
--- a/tests/gateway/test_service_connections.py
+++ b/tests/gateway/test_service_connections.py
@@ -1,8 +1,10 @@
 """Connections to plain services: answers sent twice, and answers that never end."""
 
 import socket
+import threading
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import AbstractContextManager
 
 import pytest
@@ -10,7 +12,7 @@
 
 from mangosaddle.gateway import EndpointError, ServiceClient
 from mangosaddle.gateway._endpoint import open_stream
-from mangosaddle.gateway._exceptions import EndpointCutError
+from mangosaddle.gateway._exceptions import EndpointCutError, NotSentError
 
 MAX_CALL_S = 3.0
 """Time in which a call that never gets a complete answer must end in these tests."""
@@ -111,3 +113,33 @@
 
     with _service(_script) as url, pytest.raises(EndpointCutError):
         open_stream(url, {"stream": True}, "request-1", 0)
+
+
+@pytest.mark.parametrize("identifies", [True, False], ids=["kept", "single"])
+def test_a_running_call_can_be_ended(identifies: bool) -> None:
+    """Guards against a VM that must stop at once and waits for a service, on any connection.
+
+    The service may have run the call; one that begins later must not reach it.
+    """
+    waiting, released = threading.Event(), threading.Event()
+    served: list[str] = []
+
+    def _script(connection: socket.socket, request_id: str) -> None:
+        served.append(request_id)
+        if request_id == "request-2":
+            waiting.set()
+            released.wait(MAX_CALL_S)
+        connection.sendall(_answer("x", request_id if identifies else None))
+
+    client = ServiceClient()
+    with _service(_script) as url, ThreadPoolExecutor(1) as pool:
+        _call(client, url, "request-1")
+        pending = pool.submit(_call, client, url, "request-2")
+        assert waiting.wait(MAX_CALL_S)
+        client.end_calls()
+        with pytest.raises(EndpointCutError):
+            pending.result(MAX_CALL_S / 2)
+        with pytest.raises(NotSentError):
+            _call(client, url, "request-3")
+        released.set()
+    assert served == ["request-1", "request-2"]
--- a/tests/gateway/test_truthful_refusals.py
+++ b/tests/gateway/test_truthful_refusals.py
@@ -1,27 +1,31 @@
 """Tests of the execution that a refusal reports after failed attempts."""
 
 import asyncio
-from collections.abc import Coroutine, Iterator
+from collections.abc import AsyncIterator, Coroutine, Iterator
 from typing import Any, TypeVar
 
 import pytest
+from prometheus_client import CollectorRegistry
 
-from mangosaddle._identifiers import EndpointId, OrganisationId, RequestId, ServiceName
+from mangosaddle._identifiers import EndpointId, OrganisationId, RequestId, ServiceName, VmId
 from mangosaddle.configuration import Configuration, Service
 from mangosaddle.gateway import (
     EndpointAnswer,
     EndpointCutError,
     EndpointError,
     EndpointTimeoutError,
+    GatewayMetrics,
     NotSentError,
     ServiceHandler,
 )
 from mangosaddle.gateway._service_call_controller import OpenCall, ServiceCallController
 from mangosaddle.gateway._service_request import ServiceRequest
 from mangosaddle.orders import NotSent, SentOutcomeUnknown
+from mangosaddle.peers import ForwardEnd, ForwardRequest
 from mangosaddle.routing import ChosenEndpoint, RequestClass, RouteRequest
 
 Value = TypeVar("Value")
+MAX_WAIT_S = 5.0
 
 CUT, TIMEOUT = EndpointCutError("cut"), EndpointTimeoutError("late")
 UNREACHED = NotSentError("unreached")
@@ -39,6 +43,7 @@
     def __init__(self, errors: list[EndpointError]) -> None:
         self.errors: Iterator[EndpointError] = iter(errors)
         self.attempts_left = len(errors)
+        self.has_ended_calls = False
 
     async def switch_target(self, call: OpenCall, error: EndpointError, idempotent: bool) -> bool:
         self.attempts_left -= 1
@@ -94,6 +99,59 @@
     assert f'"execution": "{execution}"'.encode() in response.body
 
 
+def test_a_read_that_the_stop_of_the_vm_ended_names_the_stop() -> None:
+    """Guards against an answer that blames an endpoint for the end of a call by this VM."""
+    handler = _handler([CUT])
+    service_calls: _ServiceCallsStub = handler._service_calls  # type: ignore[assignment]
+    service_calls.has_ended_calls = True
+    response = handler.run(_open_call(None), hops=0)
+    assert response.status == 503
+    assert b'"execution": "unknown"' in response.body
+    assert b"shutting-down" in response.body
+
+
+class _SilentFleet:
+    """Fleet whose other VMs never answer a forward."""
+
+    def __init__(self) -> None:
+        self.forwarding = asyncio.Event()
+
+    async def forward(self, _vm: VmId, _request: ForwardRequest) -> AsyncIterator[ForwardEnd]:
+        self.forwarding.set()
+        await asyncio.Event().wait()
+        yield ForwardEnd(complete=False)
+
+
+def test_a_call_at_another_vm_can_be_ended() -> None:
+    """Guards against a VM that must stop at once and waits for the answer of another one."""
+    metrics = GatewayMetrics(CollectorRegistry())
+
+    async def _main() -> None:
+        fleet: Any = _SilentFleet()
+        unused: Any = None
+        controller = ServiceCallController(
+            lambda: Configuration(revision=1),
+            unused,
+            unused,
+            unused,
+            fleet,
+            unused,
+            metrics,
+            unused,
+        )
+        call, vm = _open_call("key-1"), VmId("addis-1")
+        running = asyncio.create_task(controller.forward(call, vm))
+        async with asyncio.timeout(MAX_WAIT_S):
+            await fleet.forwarding.wait()
+            controller.end_forwards()
+            with pytest.raises(EndpointCutError):
+                await running
+            with pytest.raises(NotSentError):
+                await controller.forward(call, vm)
+
+    asyncio.run(_main())
+
+
 @pytest.mark.parametrize(
     ("errors", "outcome", "attempts"),
     [
