Refuse a forwarded request whose body does not become complete

What callers saw: a request whose body had arrived at the other VM in part waited until its deadline, and the other VM counted it as running, so that its planned stop waited for it.

Cause: a request without its whole body had no time limit. It ended only with its link or with a cancellation; on a spare link, which is not checked for a dead VM, nothing ends it.

Change: the next part has to arrive within 3 s, otherwise the request is refused as not run. A late part is dropped.

Evidence: tests/peers/test_forward_endings.py, -k body. The case of a body that stays incomplete fails with the former sources: no end within 5 s. The case of a slow one passes with both.

--- a/src/mangosaddle/peers/_forward.py
+++ b/src/mangosaddle/peers/_forward.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 
 from .._identifiers import VmId
+from .._time_limits import TimeLimit
 from ._exceptions import EncodeError
 from ._link import Link
 from ._messages import (
@@ -38,6 +39,9 @@
 """Window cost of a frame in addition to its data, which also bounds the number of tiny chunks."""
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest request body that can be forwarded."""
+MAX_BODY_PAUSE_S = 3.0
+"""Time after a part of a request body in which the next one has to arrive. The parts are queued
+together, so that a longer pause is one of the other VM or of the link."""
 MAX_FORWARDS_PER_LINK = 4096
 """Forwarded requests that may run at the same time for one link."""
 MAX_REASON_CHARS = 1000
@@ -69,7 +73,11 @@
         self.body_size_bytes = body_size_bytes
         self.body_parts = [request.body]
         self.received_bytes = len(request.body)
+        self.body_task: asyncio.Task[None] | None = None
+        """Task that rejects the request if its body does not become complete."""
+        self.part_received = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
+        """Task that runs the request, from the time at which its body is complete."""
         self.credit_bytes = WINDOW_BYTES
         self.credit_received = asyncio.Event()
 
@@ -100,6 +108,21 @@
         active = _ActiveRequest(message.request, message.body_size_bytes, sent_at_s)
         self._active_requests[(link, message.number)] = active
         self._start_if_complete(link, message.number, active)
+        if active.task is None:
+            waiting = self._wait_for_body(link, message.number, active)
+            active.body_task = asyncio.create_task(waiting)
+
+    async def _wait_for_body(self, link: Link, number: int, active: _ActiveRequest) -> None:
+        """Reject a request if the next part of its body does not arrive in time."""
+        try:
+            while active.task is None:
+                active.part_received.clear()
+                async with TimeLimit(MAX_BODY_PAUSE_S):
+                    await active.part_received.wait()
+        except TimeoutError:
+            # The last part may have arrived just as the limit expired.
+            if active.task is None and self._active_requests.get((link, number)) is active:
+                self._reject_body(link, number, "body_incomplete")
 
     def _refusal_reason(self, link: Link, message: ForwardOpen) -> str:
         if message.request.hops > MAX_HOPS:
@@ -121,6 +144,7 @@
             return
         active.body_parts.append(message.data)
         active.received_bytes += len(message.data)
+        active.part_received.set()
         if active.received_bytes > active.body_size_bytes:
             self._reject_body(link, message.number, "bad_body_size")
             return
@@ -146,7 +170,7 @@
 
     def _reject_body(self, link: Link, number: int, reason: str) -> None:
         self._metrics.count_drop(f"forward_{reason}")
-        del self._active_requests[(link, number)]
+        self.handle_cancel(link, ForwardCancel(number))
         link.send(ForwardEnd(False, "not_run", reason, number))
 
     def handle_undecodable_credit(self, link: Link, message: UndecodableCredit) -> None:
@@ -161,8 +185,11 @@
     def handle_cancel(self, link: Link, message: ForwardCancel) -> None:
         """Cancel a request whose caller has disconnected."""
         active = self._active_requests.pop((link, message.number), None)
-        if active is not None and active.task is not None:
-            active.task.cancel()
+        if active is None:
+            return
+        for task in (active.body_task, active.task):
+            if task is not None:
+                task.cancel()
 
     def handle_credit(self, link: Link, message: ForwardCredit) -> None:
         """Extend the send window of a request."""
--- a/tests/peers/test_forward_endings.py
+++ b/tests/peers/test_forward_endings.py
@@ -17,8 +17,8 @@
 )
 from mangosaddle.peers._codec import MAX_MESSAGE_BYTES
 from mangosaddle.peers._forward import MAX_CHUNK_BYTES, WINDOW_BYTES
-from mangosaddle.peers._link import MAX_CONTROL_QUEUE_BYTES
-from mangosaddle.peers._messages import Response
+from mangosaddle.peers._link import MAX_CONTROL_QUEUE_BYTES, Link
+from mangosaddle.peers._messages import ForwardBody, ForwardOpen, Response
 
 ADDIS, GONDAR = VmId("addis-1"), VmId("gondar-1")
 END_S = 5.0
@@ -112,3 +112,72 @@
         assert fleet.counter(ADDIS, "dropped_total", reason="control_queue_full") > 0
 
     run_with_fleet(_scenario, "addis-1", "gondar-1")
+
+
+def test_a_body_that_does_not_become_complete_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that stays active for ever, and holds up a planned stop.
+
+    The other VM has sent a part of the body, and goes on with heartbeats only.
+    """
+    monkeypatch.setattr("mangosaddle.peers._forward.MAX_BODY_PAUSE_S", 0.3)
+    ends: list[ForwardEnd] = []
+    runs = 0
+
+    async def _count(_vm: VmId, _request: ForwardRequest) -> AsyncIterator[ForwardResponsePart]:
+        nonlocal runs
+        runs += 1
+        yield ForwardEnd(True)
+
+    async def _scenario(fleet: Fleet) -> None:
+        addis, gondar = fleet.nodes_by_vm[ADDIS], fleet.nodes_by_vm[GONDAR]
+        gondar.on_forward(_count)
+        link = addis._connector.links_by_vm[GONDAR]
+        deliver = addis._handlers_by_message_type[ForwardEnd]
+
+        def _record_and_deliver(link: Link, end: ForwardEnd) -> None:
+            ends.append(end)
+            deliver(link, end)
+
+        addis._handlers_by_message_type[ForwardEnd] = _record_and_deliver
+        link.send(ForwardOpen(7, REQUEST, len(REQUEST.body) + 2))
+        async with asyncio.timeout(END_S):
+            while not gondar.running_forward_count:
+                await asyncio.sleep(0.005)
+            link.send(ForwardBody(7, b"x"))
+            while not ends:
+                await asyncio.sleep(0.005)
+        assert [(end.complete, end.execution, end.number) for end in ends] == [
+            (False, "not_run", 7)
+        ]
+        assert gondar.running_forward_count == 0
+        # The rest comes too late, and must not start what was refused.
+        link.send(ForwardBody(7, b"x"))
+        assert (await _end_of(fleet)).complete
+        assert runs == 1
+        assert addis._connector.links_by_vm[GONDAR] is link
+
+    run_with_fleet(_scenario, "addis-1", "gondar-1")
+
+
+def test_a_body_whose_parts_arrive_slowly_is_complete(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a time limit that refuses a large body on a slow link."""
+    monkeypatch.setattr("mangosaddle.peers._forward.MAX_BODY_PAUSE_S", 1.0)
+    bodies: list[bytes] = []
+
+    async def _record(_vm: VmId, request: ForwardRequest) -> AsyncIterator[ForwardResponsePart]:
+        bodies.append(request.body)
+        yield ForwardEnd(True)
+
+    async def _scenario(fleet: Fleet) -> None:
+        fleet.nodes_by_vm[GONDAR].on_forward(_record)
+        link = fleet.nodes_by_vm[ADDIS]._connector.links_by_vm[GONDAR]
+        link.send(ForwardOpen(7, REQUEST, len(REQUEST.body) + 6))
+        for _ in range(6):
+            await asyncio.sleep(0.25)
+            link.send(ForwardBody(7, b"x"))
+        async with asyncio.timeout(END_S):
+            while not bodies:
+                await asyncio.sleep(0.005)
+        assert bodies == [REQUEST.body + b"xxxxxx"]
+
+    run_with_fleet(_scenario, "addis-1", "gondar-1")
