Do not count a pause of this process towards the silence of other VMs

What callers would see: a VM that had been paused for 2.5 s and more removes the entry of a live VM whose lease has ended in the store, although it reports over the links: it is not named to callers, and its share of the allowances is used by others until its entry is written again.

Cause: reports count for 3 s. After the pause all are older, and the removal, or a reading of the store, may come before the next ones.

Change: the pause is added to the time of each report, up to the present, and the check of reports detects a pause by itself. Two of the three cases of the new test fail without the addition; all pass, with those of the entries of VMs and of the fleet view.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -259,7 +259,7 @@
             settings.vm,
             self._presence.handle_change,
             self._on_vms_change,
-            self.fleet.is_reporting,
+            self._is_reporting,
             self._clock,
         )
         self._relay = StoreRelay(self._rng)
@@ -533,6 +533,7 @@
     # Changes
 
     def _on_pause(self, pause_s: float) -> None:
+        self.fleet.extend_reports(pause_s)
         if pause_s > TAKEN_OVER_AFTER_S:
             self.allowances.empty_buckets(self._clock())
 
@@ -547,6 +548,11 @@
         }
         self.allowances.set_limits(limits, now)
 
+    def _is_reporting(self, record: VmRecord) -> bool:
+        # After a pause, this may be called before the pause has been detected.
+        self.pause_guard.check()
+        return self.fleet.is_reporting(record)
+
     def _on_vms_change(self) -> None:
         records = dict(self._vm_entry_listener.records_by_vm)
         records[self.settings.vm] = self._vm_record
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -101,6 +101,13 @@
             if identity in self._vms_by_identity:
                 self._reported_at_by_identity[identity] = now
 
+    def extend_reports(self, pause_s: float) -> None:
+        """Do not count a pause of this process towards the age of the reports."""
+        now = self._clock()
+        for identity, at_s in self._reported_at_by_identity.items():
+            # The monotonic clock stands still while the machine is suspended.
+            self._reported_at_by_identity[identity] = min(now, at_s + pause_s)
+
     def vm_of_identity(self, identity: int) -> VmId | None:
         """Return the VM whose entry belongs to the process that reports with this hash."""
         return self._vms_by_identity.get(identity)
--- a/tests/entry/test_pauses.py
+++ b/tests/entry/test_pauses.py
@@ -1,11 +1,15 @@
 """Permissions that run out while a process is paused or its machine is suspended."""
 
+import time
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
+from mangosaddle._identifiers import Incarnation, VmId
 from mangosaddle.entry import _pause_guard
 from mangosaddle.entry._pause_guard import PauseGuard
+from mangosaddle.entry._vm_reports import identity_hash
 from platform_standins import (
     Fleet,
     RunnerStandIn,
@@ -109,3 +113,23 @@
         assert all(bucket.level <= 0.0 for bucket in vm.allowances._buckets_by_id.values())
 
     run_on_empty_fleet(_scenario)
+
+
+@pytest.mark.parametrize(("pause_s", "is_kept"), [(0.0, False), (3.5, True), (900.0, True)])
+def test_a_pause_does_not_make_other_vms_silent(pause_s: float, is_kept: bool) -> None:
+    """Guards against a live VM whose entry lapsed and is removed because this one was paused."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        clock = await _start(fleet)
+        vm = fleet.vms["vm-1"]
+        record = replace(vm._vm_record, vm=VmId("vm-2"), incarnation=Incarnation("other"))
+        vm.fleet.set_records({record.vm: record}, {record.vm: 1})
+        identity = identity_hash(record.vm, record.incarnation)
+        vm.fleet.record_reports([identity])
+        # The last report came half a second before a pause, or was not followed by others.
+        vm.fleet._reported_at_by_identity[identity] -= 0.5 + 3.5
+        clock.suspended_s += pause_s
+        assert vm._is_reporting(record) is is_kept
+        assert vm.fleet._reported_at_by_identity[identity] <= time.monotonic()
+
+    run_on_empty_fleet(_scenario)
