Use grants of other VMs that arrive while this process stands still

What callers of the own interface would see: a refusal for a used-up allowance although another VM has granted the tokens in time. Found by reading.

--- a/src/mangosaddle/daemon/_allowance_service.py
+++ b/src/mangosaddle/daemon/_allowance_service.py
@@ -11,6 +11,7 @@
 
 from .._identifiers import Incarnation, OrganisationId, VmId
 from .._tasks import BackgroundTasks
+from .._time_limits import TimeLimit
 from ..configuration import Configuration
 from ..gateway import AllowanceExceeded
 from ..limits import (
@@ -161,7 +162,8 @@
     async def _wait_for_grant(self, organisation: OrganisationId, timeout_s: float) -> bool:
         event = self._grant_events_by_organisation.setdefault(organisation, asyncio.Event())
         try:
-            await asyncio.wait_for(event.wait(), timeout_s)
+            async with TimeLimit(timeout_s):
+                await event.wait()
         except TimeoutError:
             return False
         return True
