Do not count answers as failures that a late deadline cuts

What callers would see: a sound endpoint is avoided for up to 2 s after a stall of this VM, as several answers whose deadlines passed in it count as broken. Found by reading.

One that is handled in time counts as before.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -7,6 +7,7 @@
 from enum import StrEnum
 
 from .._identifiers import EndpointId
+from .._time_limits import STALL_S
 from ..http11 import (
     BadResponseError,
     BodyMemoryBudget,
@@ -236,9 +237,10 @@
             if (
                 connection.response_in_progress
                 and not is_stream
-                and request.left_s(clock()) < DEADLINE_MARGIN_S
+                and -STALL_S <= request.left_s(clock()) < DEADLINE_MARGIN_S
             ):
-                # An attempt that the deadline cancels has no result that would be recorded.
+                # An attempt that the deadline cancels has no result that would be recorded. After a
+                # stall of this process, the rest of the answer may have arrived in time.
                 view.health.record_broken_answer()
             connection.abort()
             raise
