Write the parts of a chunked body without a parser event

Cause: each event of a stream went through an h11 event and its state machine, which does not change within a body. On the harness (30 engines, streams of 50 events, cProfile) the writing of an event was the largest cost of a stream: 0.16 of 0.52 ms of an event under the profiler, of which 0.13 ms are the system call.

Ruled out: bypassing h11 for heads and ends, or for what is read from endpoints: the checks of the framing are needed there.

Change: a part of a chunked body is encoded directly. Responses without chunks (HTTP/1.0, HEAD, CONNECT, 204, 304) and empty parts still go through the parser, and so does the begin and the end of each body.

--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -34,6 +34,9 @@
 more slowly does not delay it."""
 LAST_ANSWERS_S = 0.1
 """Time that a server which stops gives the requests that were read just then."""
+METHODS_WITHOUT_BODY = (b"HEAD", b"CONNECT")
+STATUSES_WITHOUT_BODY = (204, 304)
+"""Methods and statuses whose responses have no body, whatever their headers say."""
 BACKLOG = 512
 """Connections waiting to be accepted; a full queue delays clients by seconds."""
 
@@ -85,6 +88,8 @@
         self.finished = False
         self._connection = connection
         self._http_version = request.http_version
+        self._is_chunked = False
+        """Whether the body of the response is sent in chunks."""
 
     @property
     def disconnected(self) -> bool:
@@ -106,10 +111,15 @@
         self._connection.send(self._head(status, [*headers, (b"Transfer-Encoding", b"chunked")]))
         self.started = True
         self._connection.has_open_end = self._http_version < b"1.1"
+        has_body = self.method not in METHODS_WITHOUT_BODY and status not in STATUSES_WITHOUT_BODY
+        self._is_chunked = has_body and not self._connection.has_open_end
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body, and wait while the client reads too slowly."""
-        self._connection.send(h11.Data(data=data))
+        if self._is_chunked and data:
+            self._connection.send_chunk(data)
+        else:
+            self._connection.send(h11.Data(data=data))
         await self._connection.writer.drain()
 
     async def finish(self) -> None:
@@ -319,6 +329,17 @@
         if data:
             self.writer.write(data)
 
+    def send_chunk(self, data: bytes) -> None:
+        """Write a part of a chunked body, which must not be empty; raises like ``send``.
+
+        The state of the parser does not change within a body, and a stream has hundreds of parts.
+        """
+        if self._parser.our_state is not h11.SEND_BODY:
+            raise h11.LocalProtocolError("a part outside of a body")
+        if self.writer.transport.is_closing():
+            raise ConnectionResetError("client has disconnected")
+        self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+
     def abort(self) -> None:
         """Close the connection at once; a response that would end with it is reset."""
         self.broken = True
