Sum up the load of an endpoint once for each placement

Cause: a placement asks each endpoint for its running requests three times, and for its queued tokens, its memory and its time per token. Each answer scanned the reports of other VMs, two of them the own requests as well.

Change: the sums are kept until the time of the question changes, or a request or report that they include.

--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -70,6 +70,18 @@
     """Monotonic time of arrival."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Totals:
+    """Requests in flight at an endpoint from all VMs, at one time."""
+
+    at_s: float
+    running: int
+    unread_tokens: int
+    memory_tokens: int
+    reported_times_per_token_s: tuple[float, ...]
+    """Times per token of the other VMs that have recent streams."""
+
+
 class EndpointLoad:
     """Forecasts the latency of one endpoint from its load; all times are monotonic seconds."""
 
@@ -81,6 +93,8 @@
         """Observed time to the first event as a multiple of the forecast."""
         self._in_flight_by_id: dict[str, _InFlight] = {}
         self._reports_by_vm: dict[VmId, ReportedLoad] = {}
+        self._kept_totals: _Totals | None = None
+        """Latest totals; ``None`` after a change. Placing a request needs them several times."""
         self._full_until_s = 0.0
         self.prefill_s_per_token = 1.0 / PREFILL_TOKENS_PER_S
         """Observed time to read a prompt token."""
@@ -95,6 +109,7 @@
         """Add a request that is sent to the requests in flight."""
         prefill_tokens = self.unread_tokens(now) + work.unread_tokens
         self._in_flight_by_id[request_id] = _InFlight(work, now, forecast_s, prefill_tokens)
+        self._kept_totals = None
 
     def record_first_byte(self, request_id: str, now: float) -> None:
         """Update the slowness at the first event or byte of an answer."""
@@ -102,6 +117,7 @@
         if entry is None or entry.has_started:
             return
         entry.has_started = True
+        self._kept_totals = None
         if entry.forecast_s > 0:
             self._observe_slowness((now - entry.sent_s) / entry.forecast_s)
         if entry.prefill_tokens >= MIN_OBSERVED_PREFILL_TOKENS:
@@ -132,11 +148,9 @@
 
     def time_per_token_s(self, now: float) -> float:
         """Return the expected time per token of a stream, averaged over the reporting VMs."""
-        observed = [
-            self.own_time_per_token_s(now),
-            *(r.time_per_token_s for r in self._reports(now)),
-        ]
-        known = [value_s for value_s in observed if value_s is not None]
+        own_s = self.own_time_per_token_s(now)
+        reported = self._totals(now).reported_times_per_token_s
+        known = reported if own_s is None else (own_s, *reported)
         return sum(known) / len(known) if known else DEFAULT_TIME_PER_TOKEN_S
 
     def free_slot_share(self, now: float) -> float:
@@ -146,6 +160,7 @@
     def record_end(self, request_id: str) -> None:
         """Remove a request from the requests in flight."""
         self._in_flight_by_id.pop(request_id, None)
+        self._kept_totals = None
 
     def waiting_since_s(self) -> float | None:
         """Return the time at which the oldest request in flight was sent, or ``None``."""
@@ -170,10 +185,12 @@
     def set_report(self, vm: VmId, report: ReportedLoad) -> None:
         """Store the latest report of another VM, about itself or about several VMs."""
         self._reports_by_vm[vm] = report
+        self._kept_totals = None
 
     def drop_report(self, vm: VmId) -> None:
         """Drop the report of a VM, because another one covers the same VMs."""
         self._reports_by_vm.pop(vm, None)
+        self._kept_totals = None
 
     def own_load(self) -> tuple[int, int, int]:
         """Return this VM's requests in flight, their tokens to prefill, and their memory tokens."""
@@ -181,16 +198,32 @@
         unread = sum(entry.work.unread_tokens for entry in entries if not entry.has_started)
         return len(entries), unread, sum(entry.work.memory_tokens for entry in entries)
 
-    def _reports(self, now: float) -> list[ReportedLoad]:
-        return [r for r in self._reports_by_vm.values() if now - r.at_s <= REPORT_MAX_AGE_S]
+    def _totals(self, now: float) -> _Totals:
+        totals = self._kept_totals
+        if totals is None or totals.at_s != now:
+            totals = self._kept_totals = self._new_totals(now)
+        return totals
+
+    def _new_totals(self, now: float) -> _Totals:
+        running, unread_tokens, memory_tokens = self.own_load()
+        times_per_token_s = []
+        for report in self._reports_by_vm.values():
+            if now - report.at_s > REPORT_MAX_AGE_S:
+                continue
+            running += report.running
+            unread_tokens += report.unread_tokens
+            memory_tokens += report.memory_tokens
+            if report.time_per_token_s is not None:
+                times_per_token_s.append(report.time_per_token_s)
+        return _Totals(now, running, unread_tokens, memory_tokens, tuple(times_per_token_s))
 
     def running(self, now: float) -> int:
         """Return the number of requests in flight from all VMs."""
-        return len(self._in_flight_by_id) + sum(r.running for r in self._reports(now))
+        return self._totals(now).running
 
     def unread_tokens(self, now: float) -> int:
         """Return the number of prompt tokens that are queued for prefill."""
-        return self.own_load()[1] + sum(r.unread_tokens for r in self._reports(now))
+        return self._totals(now).unread_tokens
 
     def forecast_s(self, work: Work, now: float) -> float:
         """Return the expected time to the first byte of the answer in seconds."""
@@ -222,7 +255,7 @@
     def _memory_wait_s(self, work: Work, running: int, now: float) -> float:
         """Return the expected wait for a slot and memory, in proportion to the excess demand."""
         assert self.memory_tokens is not None
-        used = self.own_load()[2] + sum(r.memory_tokens for r in self._reports(now))
+        used = self._totals(now).memory_tokens
         excess = (used + work.memory_tokens) / self.memory_tokens - 1.0
         excess = max(excess, (running + 1) / self.slots - 1.0)
         return max(0.0, excess) * SLOT_TIME_S
