--- a/tests/http11/test_time_limits.py
+++ b/tests/http11/test_time_limits.py
@@ -8,8 +8,7 @@
 
 import pytest
 
-from mangosaddle._time_limits import EXTENSION_S, TOLERATED_DELAY_S, TimeLimit
-from mangosaddle._time_limits import EXTENSION_S, MAX_EXTENSIONS
+from mangosaddle._time_limits import EXTENSION_S, MAX_EXTENSIONS, TOLERATED_DELAY_S, TimeLimit
 from mangosaddle.http11 import (
     ConnectFailedError,
     HttpServer,
