--- a/tests/soak_harness/_fleet.py
+++ b/tests/soak_harness/_fleet.py
@@ -23,7 +23,7 @@
 )
 
 from ._checks import Allowance, Arrival
-from ._processes import FRONT_PORT, READY_PORT, VmProcess
+from ._processes import FRONT_PORT, READY_PORT, REPOSITORY_ROOT, VmProcess
 from ._proxy import LinkFault, LoopbackProxy
 from ._schedule import has_large_fleet
 
@@ -91,6 +91,8 @@
     folder: Path
     network: str
     """First three octets of the loopback addresses of the VMs."""
+    checkout: Path = REPOSITORY_ROOT
+    """Folder of the sources that the VMs run at first."""
     store: StoreStandIn = field(default_factory=StoreStandIn)
     vms: list[VmProcess] = field(default_factory=list)
     store_links: list[LoopbackProxy] = field(default_factory=list)
@@ -120,7 +122,7 @@
             self.store_links.append(link)
             host = f"{self.network}.{number}"
             slack = int(ALLOWANCE.slack)
-            vm = VmProcess(name, zone, host, self.folder, await link.start(), slack)
+            vm = VmProcess(name, zone, host, self.folder, await link.start(), slack, self.checkout)
             self.vms.append(vm)
             await vm.start()
         for vm in self.vms:
--- a/tests/soak_harness/_planned_work.py
+++ b/tests/soak_harness/_planned_work.py
@@ -15,7 +15,7 @@
 
 from ._callers import Call, Callers, Outcome
 from ._fleet import SoakFleet
-from ._processes import EXIT_GRACE_S
+from ._processes import EXIT_GRACE_S, REPOSITORY_ROOT, VmProcess
 from ._proxy import LinkFault
 from ._unanswered import EXPECTED_CAUSE, read_logged_ends
 
@@ -84,6 +84,9 @@
         # The configuration of the start lets attempts at silent endpoints go on for longer.
         await self._put_configuration(self._rng("first configuration"))
 
+    def _vms_to_upgrade(self) -> list[VmProcess]:
+        return [vm for vm in self._fleet.vms if vm.checkout != REPOSITORY_ROOT]
+
     def _rng(self, name: str) -> random.Random:
         return random.Random(f"{self._seed} {name}")
 
@@ -124,13 +127,14 @@
         rng = self._rng("restart")
         while asyncio.get_running_loop().time() < ends_at_s:
             await asyncio.sleep(rng.uniform(0.0, 1.0))
-            vm = rng.choice(self._fleet.vms)
+            vm = rng.choice(self._vms_to_upgrade() or self._fleet.vms)
             vm.expected_to_run = False
             vm.signal(signal.SIGTERM)
             code = await vm.wait(EXIT_GRACE_S)
             if code != 0:
                 self.breaches.append(f"{vm.name} ended with {code}")
                 await vm.stop()
+            vm.checkout = REPOSITORY_ROOT
             await vm.start()
             await self._fleet.wait_until_ready(vm, START_TIMEOUT_S)
 
@@ -187,10 +191,17 @@
 
 
 async def run_planned_work(
-    seed: int, folder: Path, network: str, long_stream_s: float = 0.0
+    seed: int,
+    folder: Path,
+    network: str,
+    long_stream_s: float = 0.0,
+    production: Path = REPOSITORY_ROOT,
 ) -> tuple[list[str], Counter[int]]:
-    """Run one seed; return the breaches and the number of answers by status."""
+    """Run one seed; return the breaches and the number of answers by status.
+
+    ``production`` is a checkout of the version that the VMs run until their first restart.
+    """
     folder.mkdir(parents=True, exist_ok=True)
-    work = PlannedWork(seed, SoakFleet(seed, folder, network), long_stream_s)
+    work = PlannedWork(seed, SoakFleet(seed, folder, network, production), long_stream_s)
     await work.run()
     return work.breaches, Counter(call.status for call in work.calls)
--- a/tests/soak_harness/_processes.py
+++ b/tests/soak_harness/_processes.py
@@ -49,6 +49,8 @@
     folder: Path
     store: tuple[str, int]
     slack: int
+    checkout: Path = REPOSITORY_ROOT
+    """Folder of the sources that the next process runs."""
     process: asyncio.subprocess.Process | None = None
     expected_to_run: bool = False
     was_started: bool = False
@@ -86,7 +88,7 @@
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(REPOSITORY_ROOT / "deploy" / "entry.py"),
+                str(self.checkout / "deploy" / "entry.py"),
                 env=environment,
                 stdout=log,
                 stderr=log,
