Report unreached services in a form that earlier versions skip

What was seen: a report of a VM that reaches no endpoint of a service has a sixth field, and the summary of its zone a fifth. It needs no cut of a VM: in a region with one endpoint of a service, the crash of that endpoint is enough.

Cause: fields were added to messages that are decoded by their length. ClockSample had shown the way: what is new travels in a message of its own, which earlier versions skip.

Change: the services that a VM does not reach go to the collector in a message before the report, and to the fleet in a fact of their own kind.

The test failed before: 6 fields where 5 are decoded.

--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -47,7 +47,13 @@
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
 from ._indirect_checks import IndirectChecks
-from ._load_reports import ENDPOINT_LOAD, FLEET_REPORT, LOAD_INTERVAL_S, LoadReports
+from ._load_reports import (
+    ENDPOINT_LOAD,
+    FLEET_REPORT,
+    LOAD_INTERVAL_S,
+    UNREACHED_SERVICES,
+    LoadReports,
+)
 from ._pause_guard import CHECK_INTERVAL_S as PAUSE_CHECK_INTERVAL_S
 from ._pause_guard import PauseGuard
 from ._peer_secret import PeerSecret
@@ -81,6 +87,7 @@
     ENDPOINT_REJECTIONS,
     ENDPOINT_LEAVING,
     FLEET_REPORT,
+    UNREACHED_SERVICES,
     CRASHES,
     PROMPT_CRASHES,
     CLEARED_PARTS,
--- a/src/mangosaddle/entry/_load_reports.py
+++ b/src/mangosaddle/entry/_load_reports.py
@@ -30,7 +30,9 @@
     VmReport,
     decode_fleet_summary,
     decode_load_summary,
+    decode_unreached,
     decode_vm_report,
+    encode_unreached,
     identity_hash,
 )
 from ._watch_policy import WatchPolicy
@@ -52,6 +54,11 @@
 """Load of a zone's VMs on the endpoints of their region."""
 FLEET_REPORT = FactKind("fleet_report", PER_ORIGIN, lifetime_s=REPORT_LIFETIME_S, reconciled=False)
 """Demand of a zone's VMs and the waits of their region."""
+UNREACHED_SERVICES = FactKind(
+    "unreached_services", PER_ORIGIN, lifetime_s=REPORT_LIFETIME_S, reconciled=False
+)
+"""Services of which VMs of a zone reach no endpoint. VMs of earlier versions would reject a fleet
+report with more fields, and so all that it says about the zone."""
 US_PER_S = 1_000_000
 FULL_WAIT_S = 3.0
 """Wait in seconds reported for an engine that accepts no more requests: longer than any target, so
@@ -78,7 +85,21 @@
     payload: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class VmReachMessage:
+    """Services of which a VM reaches no endpoint; precedes its report to the collector.
+
+    VMs of earlier versions skip this message, but would reject a report with more fields.
+    """
+
+    identity: int
+    number: int
+    """Number of the report."""
+    unreached: tuple[ServiceName, ...]
+
+
 register("vm-report", VmReportMessage)
+register("vm-reach", VmReachMessage)
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,9 +174,11 @@
         self._has_published_load = False
         self._load_sources = _Sources()
         self._fleet_sources = _Sources()
+        node.on_message(VmReachMessage, self._on_vm_reach)
         node.on_message(VmReportMessage, self._on_vm_report)
         node.on_fact(ENDPOINT_LOAD.name, self._on_load_fact)
         node.on_fact(FLEET_REPORT.name, self._on_fleet_fact)
+        node.on_fact(UNREACHED_SERVICES.name, self._on_unreached_fact)
 
     def publish(self) -> None:
         """Report this VM's state, and publish the sums if this VM collects reports.
@@ -171,7 +194,7 @@
         if collector == self._own:
             self._collector.add(self._own, report)
         else:
-            self._node.send(collector, VmReportMessage(report.encode()))
+            self._send_report(collector, report)
         reports = self._collector.current()
         if not reports:
             return
@@ -181,6 +204,12 @@
             self._fleet_report_due_at_s = now + REPORT_INTERVAL_S - LOAD_INTERVAL_S / 2
             self._publish_fleet_report(reports, now)
 
+    def _send_report(self, collector: VmId, report: VmReport) -> None:
+        if report.unreached:
+            unreached = tuple(sorted(report.unreached))
+            self._node.send(collector, VmReachMessage(report.identity, report.number, unreached))
+        self._node.send(collector, VmReportMessage(report.encode()))
+
     def _new_report(self, now: float) -> VmReport:
         loads = {}
         for view in self._endpoints.views():
@@ -226,6 +255,8 @@
         demand = sum_demand(reports)
         summary = FleetSummary(_numbers(reports), demand, waits, watching, unreached)
         self._publish(FLEET_REPORT, summary.encode())
+        if unreached:
+            self._publish(UNREACHED_SERVICES, encode_unreached(unreached))
         self._apply_fleet_report(self._own, summary)
 
     def _service_wait(
@@ -263,6 +294,10 @@
 
     # Reports of other VMs
 
+    def _on_vm_reach(self, vm: VmId, message: VmReachMessage) -> None:
+        unreached = frozenset(message.unreached)
+        self._collector.add_unreached(vm, message.identity, message.number, unreached)
+
     def _on_vm_report(self, vm: VmId, message: VmReportMessage) -> None:
         try:
             report = decode_vm_report(message.payload)
@@ -316,12 +351,22 @@
             return
         self._apply_fleet_report(fact.origin, summary)
 
+    def _on_unreached_fact(self, fact: Fact) -> None:
+        if fact.origin == self._own:
+            return
+        try:
+            unreached_by_service = decode_unreached(fact.payload)
+        except ReportError as error:
+            _log_undecodable(fact, error)
+            return
+        self._record_unreached(unreached_by_service, self._clock())
+
     def _apply_fleet_report(self, collector: VmId, summary: FleetSummary) -> None:
         now = self._clock()
         self._fleet.record_reports(summary.numbers_by_identity)
         self._record_watching(summary, now)
         self._apply_demand(collector, summary, now)
-        self._record_unreached(summary, now)
+        self._record_unreached(summary.unreached_by_service, now)
         region = self._fleet.region_of(collector)
         if region is None or collector == self._own:
             return
@@ -337,8 +382,10 @@
                 watching = identity in summary.watching
                 self._watch_policy.record_report(vm, watching=watching, now=now)
 
-    def _record_unreached(self, summary: FleetSummary, now: float) -> None:
-        for service, identities in summary.unreached_by_service.items():
+    def _record_unreached(
+        self, unreached_by_service: Mapping[ServiceName, frozenset[int]], now: float
+    ) -> None:
+        for service, identities in unreached_by_service.items():
             for identity in identities:
                 vm = self._fleet.vm_of_identity(identity)
                 if vm is not None and self._reach.record_unreached(vm, service, now):
--- a/src/mangosaddle/entry/_vm_reports.py
+++ b/src/mangosaddle/entry/_vm_reports.py
@@ -1,7 +1,7 @@
 """Reports of VMs about load and demand, their sums over a zone, and their encoding."""
 
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -83,10 +83,10 @@
     is_watching: bool = False
     """Whether the VM watches the store and reaches it."""
     unreached: frozenset[ServiceName] = frozenset()
-    """Services of which the VM reaches no endpoint of its region."""
+    """Services of which the VM reaches no endpoint of its region; sent apart from the report."""
 
     def encode(self) -> bytes:
-        """Return the report as CBOR."""
+        """Return the report as CBOR, in the form that VMs of earlier versions decode."""
         values = [
             self.number,
             self.identity,
@@ -94,8 +94,7 @@
             _encode_demand(self.demand_by_organisation),
             self.is_watching,
         ]
-        # Left out if empty, so that VMs of earlier versions can decode the usual report.
-        return cbor2.dumps([*values, sorted(self.unreached)] if self.unreached else values)
+        return cbor2.dumps(values)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,10 +121,11 @@
     watching: frozenset[int] = frozenset()
     """Identities of the VMs that watch the store and reach it."""
     unreached_by_service: Mapping[ServiceName, frozenset[int]] = field(default_factory=dict)
-    """Identities of the VMs that reach no endpoint of a service in their region."""
+    """Identities of the VMs that reach no endpoint of a service in their region; sent apart from
+    the summary, but part of it in one earlier version."""
 
     def encode(self) -> bytes:
-        """Return the summary as CBOR."""
+        """Return the summary as CBOR, in the form that VMs of earlier versions decode."""
         waits = {
             service: [wait.wait_s, wait.endpoints, wait.time_per_token_us, wait.running]
             for service, wait in self.waits_by_service.items()
@@ -136,13 +136,15 @@
             waits,
             sorted(self.watching),
         ]
-        # Left out if empty, so that VMs of earlier versions can decode the usual summary.
-        if self.unreached_by_service:
-            unreached = self.unreached_by_service.items()
-            values.append({service: sorted(identities) for service, identities in unreached})
         return cbor2.dumps(values)
 
 
+def encode_unreached(unreached_by_service: Mapping[ServiceName, Collection[int]]) -> bytes:
+    """Return the identities of the VMs that reach no endpoint of a service as CBOR."""
+    unreached = unreached_by_service.items()
+    return cbor2.dumps({service: sorted(identities) for service, identities in unreached})
+
+
 def identity_hash(vm: VmId, incarnation: Incarnation) -> int:
     """Return a 32-bit number for a VM's incarnation, which is much shorter than its names."""
     return zlib.crc32(f"{vm} {incarnation}".encode())
@@ -182,6 +184,11 @@
     )
 
 
+def decode_unreached(payload: bytes) -> dict[ServiceName, frozenset[int]]:
+    """Decode the VMs that reach no endpoint of a service; raises ``ReportError``."""
+    return _mapping(_decode(payload), _service_name, _identities)
+
+
 def _encode_loads(loads_by_endpoint: Mapping[EndpointId, LoadRow]) -> dict[str, list[int]]:
     return {
         endpoint: [
@@ -199,11 +206,15 @@
     return {name: round(rate) for name, rate in demand_by_organisation.items()}
 
 
-def _decode_list(payload: bytes, *lengths: int) -> list[Any]:
+def _decode(payload: bytes) -> object:
     try:
-        content = decode_cbor(payload)
+        return decode_cbor(payload)
     except InvalidCborError as error:
         raise ReportError(str(error)) from error
+
+
+def _decode_list(payload: bytes, *lengths: int) -> list[Any]:
+    content = _decode(payload)
     if not isinstance(content, list) or len(content) not in lengths:
         expected = " or ".join(map(str, lengths))
         raise ReportError(f"a list of {expected} values expected")
--- a/src/mangosaddle/entry/_zone_collector.py
+++ b/src/mangosaddle/entry/_zone_collector.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .._identifiers import EndpointId, OrganisationId, ServiceName, VmId, ZoneName
 from ..membership import rendezvous_ranking
@@ -35,9 +35,20 @@
         """Create a collector without reports."""
         self._clock = clock
         self._members_by_vm: dict[VmId, _Member] = {}
+        self._unreached_by_vm: dict[VmId, tuple[int, int, frozenset[ServiceName]]] = {}
+        """Identity, number of the report, and services of VMs whose report has not arrived yet."""
+
+    def add_unreached(
+        self, vm: VmId, identity: int, number: int, services: frozenset[ServiceName]
+    ) -> None:
+        """Store the services of which a VM reaches no endpoint, which precede its report."""
+        self._unreached_by_vm[vm] = identity, number, services
 
     def add(self, vm: VmId, report: VmReport) -> None:
         """Store the report of a VM, unless a newer one of the same process is known."""
+        identity, number, services = self._unreached_by_vm.pop(vm, (0, 0, frozenset()))
+        if services and (identity, number) == (report.identity, report.number):
+            report = replace(report, unreached=services)
         known = self._members_by_vm.get(vm)
         if (
             known is None
--- a/tests/decoders/test_foreign_bytes.py
+++ b/tests/decoders/test_foreign_bytes.py
@@ -34,7 +34,9 @@
     VmReport,
     decode_fleet_summary,
     decode_load_summary,
+    decode_unreached,
     decode_vm_report,
+    encode_unreached,
 )
 from mangosaddle.platform import parse_settings
 from mangosaddle.platform._configuration import decode_configuration
@@ -102,6 +104,7 @@
     "vm_report": _report(decode_vm_report),
     "load_summary": _report(decode_load_summary),
     "fleet_summary": _report(decode_fleet_summary),
+    "unreached": _report(decode_unreached),
     "crash_reports": decode_crash_reports,
     "prompt_crash": decode_prompt_crash,
     "cleared_at": decode_cleared_at_s,
@@ -241,6 +244,7 @@
         {ServiceName("s"): ServiceWait(1.0, 2, 3, 4)},
         frozenset([1]),
     ).encode(),
+    "unreached": encode_unreached({ServiceName("s"): [1, 2]}),
     "crash_reports": cbor2.dumps([["fingerprint", "endpoint", 1.0]]),
     "prompt_crash": cbor2.dumps(["process", 1.0, [["a", "b"]]]),
     "cleared_at": cbor2.dumps(1.0),
--- a/tests/entry/test_load_reports.py
+++ b/tests/entry/test_load_reports.py
@@ -4,7 +4,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, cast
 
 import cbor2
@@ -25,7 +25,9 @@
     ENDPOINT_LOAD,
     FLEET_REPORT,
     LOAD_INTERVAL_S,
+    UNREACHED_SERVICES,
     LoadReports,
+    VmReachMessage,
     VmReportMessage,
 )
 from mangosaddle.entry._vm_reports import (
@@ -69,19 +71,23 @@
     region: RegionName
     received: Counter[str] = field(default_factory=Counter)
     listeners: dict[str, Callable[[Fact], None]] = field(default_factory=dict)
-    handler: Callable[[VmId, Any], None] | None = None
+    payloads: dict[str, bytes] = field(default_factory=dict)
+    """Latest content received, by kind of fact or name of the message."""
+    handlers: dict[type, Callable[[VmId, Any], None]] = field(default_factory=dict)
 
-    def on_message(self, _type: type, handler: Callable[[VmId, Any], None]) -> None:
-        self.handler = handler
+    def on_message(self, message_type: type, handler: Callable[[VmId, Any], None]) -> None:
+        self.handlers[message_type] = handler
 
     def on_fact(self, kind: str, listener: Callable[[Fact], None]) -> None:
         self.listeners[kind] = listener
 
-    def send(self, vm: VmId, message: VmReportMessage) -> None:
+    def send(self, vm: VmId, message: VmReportMessage | VmReachMessage) -> None:
         node = self.fleet.nodes.get(vm)
-        if node is not None and node.handler is not None:
+        if node is not None:
             node.received["message"] += 1
-            node.handler(self.vm, message)
+            if isinstance(message, VmReportMessage):
+                node.payloads["message"] = message.payload
+            node.handlers[type(message)](self.vm, message)
 
     def new_fact(self, kind: str, key: str, version: int, payload: bytes) -> Fact:
         return Fact(kind, key, self.vm, Incarnation(f"i-{self.vm}"), 1, version, payload, 1e12)
@@ -91,6 +97,7 @@
             is_reached = fact.kind != ENDPOINT_LOAD.name or node.region == self.region
             if node is not self and is_reached:
                 node.received[fact.kind] += 1
+                node.payloads[fact.kind] = fact.payload
                 node.listeners[fact.kind](fact)
 
 
@@ -367,31 +374,56 @@
         assert row.regions.find(SERVICE, RegionName("east"), fleet.now) is None
 
 
-def test_usual_reports_have_the_form_that_earlier_versions_decode() -> None:
+@pytest.mark.parametrize("is_cut_off", [False, True])
+def test_reports_have_the_form_that_earlier_versions_decode(is_cut_off: bool) -> None:
     """Guards against a rolling update in which VMs of both versions ignore each other's reports."""
-    report = VmReport(1, 2)
-    assert len(cbor2.loads(report.encode())) == 5
-    assert decode_vm_report(report.encode()) == report
-    cut_off = replace(report, unreached=frozenset({SERVICE}))
-    assert decode_vm_report(cut_off.encode()) == cut_off
-    summary = FleetSummary({}, {}, {})
-    assert len(cbor2.loads(summary.encode())) == 4
-    assert decode_fleet_summary(summary.encode()) == summary
-    cut_off_summary = replace(summary, unreached_by_service={SERVICE: frozenset({7})})
-    assert decode_fleet_summary(cut_off_summary.encode()) == cut_off_summary
-
-
-@pytest.mark.parametrize("kind", [ENDPOINT_LOAD.name, FLEET_REPORT.name])
+    fleet = _Fleet(8)
+    for vm in sorted(fleet.vms) if is_cut_off else ():
+        fleet.cut_off(vm)
+    fleet.run(2.0)
+    collector = fleet.nodes[fleet.collector("east-a")]
+    report = collector.payloads["message"]
+    summary = collector.payloads[FLEET_REPORT.name]
+    assert len(cbor2.loads(report)) == 5
+    assert len(cbor2.loads(summary)) == 4
+    assert decode_vm_report(report).encode() == report
+    assert decode_fleet_summary(summary).encode() == summary
+    assert (UNREACHED_SERVICES.name in collector.payloads) is is_cut_off
+
+
+def test_reports_that_name_unreached_services_are_decoded() -> None:
+    """Guards against the loss of reports of versions that have the services in the report."""
+    report = cbor2.dumps([1, 2, {}, {}, False, ["llm"]])
+    assert decode_vm_report(report) == VmReport(1, 2, unreached=frozenset({SERVICE}))
+    summary = cbor2.dumps([{}, {}, {}, [], {"llm": [7]}])
+    unreached = {SERVICE: frozenset({7})}
+    assert decode_fleet_summary(summary) == FleetSummary({}, {}, {}, frozenset(), unreached)
+
+
+REPORTS_OF_A_WRONG_TYPE = [
+    b"",
+    b"\xff",
+    cbor2.dumps({}),
+    cbor2.dumps([1, 2]),
+    cbor2.dumps([{}, 7, {}, []]),
+    cbor2.dumps([{}, {}, {}, [], [7]]),
+    cbor2.dumps([{}, {}, {}, [], {"llm": 7}]),
+]
+UNREACHED_OF_A_WRONG_TYPE = [
+    b"",
+    b"\xff",
+    cbor2.dumps([]),
+    cbor2.dumps({"llm": 7}),
+    cbor2.dumps({"llm": ["vm"]}),
+    cbor2.dumps({7: [7]}),
+]
+
+
 @pytest.mark.parametrize(
-    "payload",
+    ("kind", "payload"),
     [
-        b"",
-        b"\xff",
-        cbor2.dumps({}),
-        cbor2.dumps([1, 2]),
-        cbor2.dumps([{}, 7, {}, []]),
-        cbor2.dumps([{}, {}, {}, [], [7]]),
-        cbor2.dumps([{}, {}, {}, [], {"llm": 7}]),
+        *itertools.product([ENDPOINT_LOAD.name, FLEET_REPORT.name], REPORTS_OF_A_WRONG_TYPE),
+        *itertools.product([UNREACHED_SERVICES.name], UNREACHED_OF_A_WRONG_TYPE),
     ],
 )
 def test_report_of_a_wrong_type_is_logged_and_dropped(
