Take a reset after the end of an answer without a length for a break

The caller got the half as a whole answer, and no other endpoint was asked.

The end of the connection arrives before its reset, and was taken for the end of the answer although the endpoint had not received the request.

Change: when the server ends an answer without a length, the rest of the request is still sent. A server that ends its answer early and reads on is served as before.

--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -9,6 +9,12 @@
 
 import h11
 
+from .._sent_requests import (
+    RECEIPT_CHECK_INTERVAL_S,
+    RECEIPT_TIMEOUT_S,
+    is_connection_reset,
+    unacknowledged_bytes,
+)
 from .._time_limits import TimeLimit
 from ._body_memory import BodyReservation
 from ._exceptions import (
@@ -155,15 +161,18 @@
         self._data_or_end.set()
 
     def eof_received(self) -> bool:
-        """Record that the server closed the connection."""
+        """Record that the server closed the connection.
+
+        Returns whether the rest of the request is still to be sent.
+        """
         self._closed_by_server = not self._aborted
         self._connection_ended = True
         self._data_or_end.set()
-        return False
+        return self._unreceived_bytes() > 0
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end of the connection; ``exc`` is set after a reset or a timeout."""
-        if exc is not None and not self._connection_ended:
+        if exc is not None and (not self._connection_ended or self._closed_by_server):
             self._error = exc
         self._connection_ended = True
         self._data_or_end.set()
@@ -391,7 +400,8 @@
         Only the server can end such a response: the connection also ends if this side aborts it.
         """
         if not await self._wait_for_data():
-            if self._framed or not self._closed_by_server:
+            is_ended = self._closed_by_server and not self._framed
+            if not is_ended or not await self._is_request_received():
                 raise self._broken_response_error()
             self._parser.receive_data(b"")
             return
@@ -405,6 +415,29 @@
             self._transport.resume_reading()
         self._parser.receive_data(data)
 
+    async def _is_request_received(self) -> bool:
+        """Return whether the server that has closed its side receives the rest of the request.
+
+        A server may answer before it has read the request. If it closes the connection then, its
+        host resets it on the next bytes of the request, so the end of the response that arrived
+        before may be that of a part.
+        """
+        loop = asyncio.get_running_loop()
+        give_up_at_s = loop.time() + RECEIPT_TIMEOUT_S
+        while self._unreceived_bytes() > 0 and loop.time() < give_up_at_s:
+            await asyncio.sleep(RECEIPT_CHECK_INTERVAL_S)
+        return self._error is None and not self._aborted and self._unreceived_bytes() == 0
+
+    def _unreceived_bytes(self) -> int:
+        """Return the bytes of the request on their way; 0 if the connection has failed."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        sock = self._transport.get_extra_info("socket")
+        if is_connection_reset(sock):
+            self._error = self._error or ConnectionResetError("connection reset")
+            return 0
+        return self._transport.get_write_buffer_size() + unacknowledged_bytes(sock)
+
     async def _wait_for_data(self) -> bool:
         """Wait for bytes; return False at the end of the connection."""
         while not self.has_unread_data:
--- a/tests/platform/test_runner_answers.py
+++ b/tests/platform/test_runner_answers.py
@@ -18,6 +18,7 @@
     (Behaviour.ENCODED, 502, 2, 502),
     (Behaviour.NO_LENGTH, 200, 1, 200),
     (Behaviour.NO_LENGTH_RESET, 502, 2, 502),
+    (Behaviour.NO_STATUS, 502, 2, 502),
     (Behaviour.GARBAGE, 502, 2, 502),
     (Behaviour.EXTRA_ANSWER, 200, 1, 200),
     (Behaviour.STALE_ANSWER, 200, 1, 200),
--- a/tests/platform_standins/_runner.py
+++ b/tests/platform_standins/_runner.py
@@ -49,6 +49,8 @@
     """Like ``NO_LENGTH``, but sends the second half of the body once ``release`` is set."""
     NO_LENGTH_RESET = "no_length_reset"
     """Like ``NO_LENGTH``, but resets the connection instead of closing it."""
+    NO_STATUS = "no_status"
+    """Responds with the status 000."""
     GARBAGE = "garbage"
     """Responds with bytes that are not HTTP."""
     EXTRA_ANSWER = "extra"
@@ -94,6 +96,7 @@
 
 
 RESPONSE_STAMP = b"3e1b.07.signature"
+RESET_AFTER_S = 0.1
 DRIP_INTERVAL_S = 0.1
 """Pause between the parts that a ``DRIP`` behaviour sends."""
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -208,6 +211,9 @@
     """If set, health checks are answered once ``release`` is set."""
     endless_health_checks: bool = False
     """If set, health checks get an endless response."""
+    resets_uploads: bool = False
+    """If set, requests with a body are answered before it is read: with half of ``body``, without
+    a length. The connection ends then, and is reset ``RESET_AFTER_S`` later."""
     accepted_connections: int = 0
     request_started: asyncio.Event = field(default_factory=asyncio.Event)
     port: int = 0
@@ -298,6 +304,8 @@
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
+                if self.resets_uploads and head.method == b"POST":
+                    return await self._answer_early(head, writer)
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             else:
@@ -329,6 +337,16 @@
         async with self.room.place():
             return await self._process(chosen, request, reader, writer)
 
+    async def _answer_early(self, head: h11.Request, writer: asyncio.StreamWriter) -> bool:
+        request_id = dict(head.headers)[b"request-id"].decode()
+        self.runs_by_request_id[request_id] += 1
+        writer.write(_head(200, request_id, None) + self.body[: len(self.body) // 2])
+        writer.write_eof()
+        await asyncio.sleep(RESET_AFTER_S)
+        reset_on_close(writer.transport)
+        writer.transport.abort()
+        return False
+
     def _reject_for_want_of_room(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bool:
@@ -464,6 +482,8 @@
                     reset_on_close(writer.transport)
                     writer.transport.abort()
                 return False
+            case Behaviour.NO_STATUS:
+                writer.write(_head(0, request_id, size, statements) + self.body)
             case Behaviour.GARBAGE:
                 writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             case Behaviour.EXTRA_ANSWER:
@@ -580,7 +600,7 @@
 def _head(
     status: int, request_id: str, size: int | None, extra: bytes = b"", *, signed: bool = True
 ) -> bytes:
-    lines = [f"HTTP/1.1 {status} X".encode(), b"Request-Id: " + request_id.encode()]
+    lines = [f"HTTP/1.1 {status:03d} X".encode(), b"Request-Id: " + request_id.encode()]
     if signed:
         lines.append(b"Response-Stamp: " + RESPONSE_STAMP)
     if size is not None:
