Take no answer of a service for whole if its upload was reset

Cause: urllib3 ignores a broken pipe and a reset while it sends, as a response may have arrived. The failed call has taken the error, so that reading sees an orderly end. If the request is in the system's buffer already, the end of the connection may come before its reset, as in the gateway for opaque traffic.

Change: a response without a length is refused if its request could not be sent, or if at its end the request is not acknowledged. Responses with a length or chunks are taken as before, also while the request is being sent. The callers' library uses the same connections.

--- a/src/mangosaddle/_sent_requests.py
+++ b/src/mangosaddle/_sent_requests.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import termios
+import time
 from typing import Protocol
 
 RECEIPT_TIMEOUT_S = 2.0
@@ -43,3 +44,16 @@
         return 0
     (count,) = struct.unpack("i", answer)
     return int(count)
+
+
+def is_request_received(sock: socket.socket) -> bool:
+    """Wait until the other end, which has closed its side, has acknowledged what was sent.
+
+    Returns ``False`` if the connection is reset instead, or after ``RECEIPT_TIMEOUT_S``.
+    """
+    give_up_at_s = time.monotonic() + RECEIPT_TIMEOUT_S
+    while unacknowledged_bytes(sock) > 0 and time.monotonic() < give_up_at_s:
+        if is_connection_reset(sock):
+            return False
+        time.sleep(RECEIPT_CHECK_INTERVAL_S)
+    return not is_connection_reset(sock) and unacknowledged_bytes(sock) == 0
--- a/src/mangosaddle/_whole_heads.py
+++ b/src/mangosaddle/_whole_heads.py
@@ -1,17 +1,22 @@
-"""urllib3 connections that accept a response only if its head is whole.
+"""urllib3 connections that accept a response only if it is whole.
 
 The standard library takes the end of a connection for the end of a head, or of the line with the
 size of a chunk. A server that stops within a head would seem to have sent an empty response, and
-one that stops after the first digit of a size the last chunk.
+one that stops after the first digit of a size the last chunk. It also takes the end of a connection
+for the end of a body without a length, although the connection was reset while the request was
+being sent: the failed call that sends takes the error, and later ones just read the end.
 """
 
 import http.client
+import socket
 import time
 from typing import Any, cast
 
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from ._sent_requests import is_request_received
+
 MAX_HEAD_BYTES = 64 * 1024
 """Maximum size of a head, including informational responses before it."""
 MAX_INFORMATIONAL_RESPONSES = 16
@@ -83,7 +88,17 @@
                 raise IncompleteHeadError("too many informational responses")
 
 
-class _WholeHeadResponse(http.client.HTTPResponse):
+class UnreceivedRequestError(http.client.HTTPException):
+    """The connection ended before the server had received the request."""
+
+
+class _WholeResponse(http.client.HTTPResponse):
+    def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:  # noqa: ANN401
+        super().__init__(sock, *args, **options)
+        self._socket = sock
+        self._socket_hold: socket.SocketIO | None = None
+        """Keeps the descriptor open until the end of the body has been checked."""
+
     def begin(self) -> None:
         """Read the head; raises ``IncompleteHeadError`` and ``TimeoutError``."""
         reader = _WholeLineReader(self.fp)
@@ -94,16 +109,71 @@
         except IncompleteHeadError:
             self.close()
             raise
-
-
-class WholeHeadConnection(HTTPConnection):
-    """HTTP connection whose responses have whole heads."""
-
-    response_class = _WholeHeadResponse
-
-
-class _WholeHeadHttpsConnection(HTTPSConnection):
-    response_class = _WholeHeadResponse
+        if self.length is None and not self.chunked:
+            self._socket_hold = self._socket.makefile("rb", buffering=0)
+
+    def read(self, amt: int | None = None) -> bytes:
+        """Return a part of the body, all of it by default; raises ``UnreceivedRequestError``."""
+        data = super().read(amt)
+        if amt is None or (amt > 0 and not data):
+            self._check_end()
+        return data
+
+    def read1(self, n: int = -1) -> bytes:
+        """Return a part of the body, from one read; raises ``UnreceivedRequestError``."""
+        data = super().read1(n)
+        if n != 0 and not data:
+            self._check_end()
+        return data
+
+    def close(self) -> None:
+        """Close the response."""
+        super().close()
+        self._release_socket()
+
+    def _check_end(self) -> None:
+        """Check the end of a body that ends with its connection."""
+        if self._socket_hold is None:
+            return
+        is_received = is_request_received(self._socket)
+        self._release_socket()
+        if not is_received:
+            raise UnreceivedRequestError("connection reset after a part of the response")
+
+    def _release_socket(self) -> None:
+        if self._socket_hold is not None:
+            self._socket_hold.close()
+            self._socket_hold = None
+
+
+class _WholeResponses(HTTPConnection):
+    """Connection whose responses are whole; a mix-in for plain and encrypted ones."""
+
+    response_class = _WholeResponse
+    _has_unsent_request = False
+
+    def request(self, *args: Any, **options: Any) -> None:  # noqa: ANN401
+        """Send a request; the pool ignores some errors, as there may be a response already."""
+        self._has_unsent_request = True
+        super().request(*args, **options)
+        self._has_unsent_request = False
+
+    def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
+        """Return the response; raises ``UnreceivedRequestError``."""
+        response = super().getresponse()
+        ends_with_connection = response.length_remaining is None and not response.chunked
+        if self._has_unsent_request and ends_with_connection:
+            response.close()
+            raise UnreceivedRequestError("connection ended before the request was sent")
+        return response
+
+
+class WholeHeadConnection(_WholeResponses):
+    """HTTP connection whose responses are whole."""
+
+
+class _WholeHeadHttpsConnection(_WholeResponses, HTTPSConnection):
+    pass
 
 
 class WholeHeadPool(urllib3.HTTPConnectionPool):
