Take no answer of a service for whole that this VM has ended

A VM of the own interface that stops ends its calls to services by shutting their connections down. Reading then sees an orderly end, and the part of an answer without a length that had arrived was taken for all of it. A read by hand gave `200 half`; the new test failed before.

Change: an answer that ends with its connection is refused once calls have been ended.

--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -243,10 +243,19 @@
         raise EndpointCutError("the answer belongs to another request")
     data = _read_answer(response, deadline_s)
     response.release_conn()
+    ends_with_connection = response.length_remaining is None and not response.chunked
+    if ends_with_connection and _was_ended(pool):
+        # Its connection may have been ended by this side, after a part of the answer.
+        raise EndpointCutError("the call was ended")
     content_type = response.headers.get("Content-Type", "application/octet-stream")
     return EndpointAnswer(response.status, content_type, data), is_identified
 
 
+def _was_ended(pool: HTTPConnectionPool) -> bool:
+    calls = pool.running_calls if isinstance(pool, EndableCallPool) else None
+    return calls is not None and calls.has_ended
+
+
 def _read_answer(response: urllib3.BaseHTTPResponse, deadline_s: float) -> bytes:
     """Read a body until ``deadline_s``, in monotonic seconds."""
     data = bytearray()
--- a/src/mangosaddle/gateway/_running_calls.py
+++ b/src/mangosaddle/gateway/_running_calls.py
@@ -28,6 +28,12 @@
                 self._sockets.add(connection)
             return not self._has_ended
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether calls have been ended."""
+        with self._lock:
+            return self._has_ended
+
     def end(self) -> None:
         """End all calls as if their connections had broken, and refuse further ones."""
         with self._lock:
--- a/tests/gateway/test_service_connections.py
+++ b/tests/gateway/test_service_connections.py
@@ -143,3 +143,22 @@
             _call(client, url, "request-3")
         released.set()
     assert served == ["request-1", "request-2"]
+
+
+def test_part_of_an_answer_whose_call_is_ended_is_no_answer() -> None:
+    """Guards against half an answer without a length that looks whole as its VM stops."""
+    waiting, released = threading.Event(), threading.Event()
+
+    def _script(connection: socket.socket, _request_id: str) -> None:
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf")
+        waiting.set()
+        released.wait(MAX_CALL_S)
+
+    client = ServiceClient()
+    with _service(_script) as url, ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(_call, client, url, "request-1")
+        assert waiting.wait(MAX_CALL_S)
+        client.end_calls()
+        with pytest.raises(EndpointCutError):
+            pending.result(MAX_CALL_S / 2)
+        released.set()
