Ignore signals between the end of the event loop and the exit

Cause: the event loop removes its signal handlers when it closes. A SIGHUP, or a second SIGTERM, that arrives before the process is gone then ends it by default, and the log lines of the stop that are still queued are lost. Ruled out: the start, where the signal is ignored from the first line on.

Change: the handlers do not belong to the event loop, and are replaced by none before it closes.

--- a/src/mangosaddle/platform/_run.py
+++ b/src/mangosaddle/platform/_run.py
@@ -5,7 +5,10 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
+from types import FrameType
 
 from returns.result import Failure
 
@@ -24,6 +27,7 @@
 from ._settings import load_settings
 from ._store import PlatformStore
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_NOT_STARTED = 4
@@ -72,8 +76,18 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, process)
+        _handle_signal(signal_number, stop.set, loop)
+    _handle_signal(signal.SIGHUP, partial(_reload, process), loop)
+    try:
+        return await _run_until(stop, process, settings)
+    finally:
+        for signal_number in HANDLED_SIGNALS:
+            signal.signal(signal_number, signal.SIG_IGN)
+
+
+async def _run_until(
+    stop: asyncio.Event, process: EntryProcess, settings: EntryProcessSettings
+) -> int:
     try:
         await process.start()
     except OSError as error:
@@ -86,6 +100,21 @@
     return EXIT_OK
 
 
+def _handle_signal(
+    number: signal.Signals, callback: Callable[[], None], loop: asyncio.AbstractEventLoop
+) -> None:
+    """Call ``callback`` in the event loop for each signal.
+
+    Handlers of the event loop itself would be removed when it closes; a signal that arrives between
+    that and the exit would then end the process, with its last log lines.
+    """
+
+    def _schedule(_number: int, _frame: FrameType | None) -> None:
+        loop.call_soon_threadsafe(callback)
+
+    signal.signal(number, _schedule)
+
+
 def _reload(process: EntryProcess) -> None:
     """Reload the settings file and apply its bounds; other settings need a restart."""
     loaded = load_settings()
--- a/tests/soak/test_planned_work.py
+++ b/tests/soak/test_planned_work.py
@@ -44,3 +44,21 @@
             await fleet.stop()
 
     asyncio.run(_main())
+
+
+def test_reloads_during_the_exit_do_not_end_the_process(tmp_path: Path) -> None:
+    """Guards against a planned stop that ends by a signal, with its last log lines lost."""
+
+    async def _main() -> int | None:
+        fleet = SoakFleet(1, tmp_path, LOOPBACK_NETWORK)
+        try:
+            await fleet.start()
+            vm = fleet.vms[0]
+            vm.signal(signal.SIGTERM)
+            while (code := await vm.wait(0.001)) is None:
+                vm.signal(signal.SIGHUP)
+            return code
+        finally:
+            await fleet.stop()
+
+    assert asyncio.run(_main()) == 0
