--- a/src/mangosaddle/cli/_admin_client.py
+++ b/src/mangosaddle/cli/_admin_client.py
@@ -8,7 +8,7 @@
 
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from .._whole_heads import create_pool_manager
+from .._whole_responses import create_pool_manager
 from ..configuration import (
     DEFLATE_ENCODING,
     Finding,
--- a/src/mangosaddle/client/_http.py
+++ b/src/mangosaddle/client/_http.py
@@ -6,7 +6,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from .._whole_heads import create_pool_manager
+from .._whole_responses import create_pool_manager
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS_PER_VM = 16
--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -12,7 +12,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
-from .._whole_heads import WholeHeadConnection, create_pool_manager
+from .._whole_responses import WholeResponseConnection, create_pool_manager
 from ..providers import parse_retry_after
 from ._exceptions import EndpointCutError, EndpointRefusedError, EndpointTimeoutError, NotSentError
 from ._running_calls import EndableCallPool, RunningCalls, make_endable
@@ -30,7 +30,7 @@
 MAX_ANSWER_BYTES = 1_048_576
 
 
-class _CloseDelimitedConnection(WholeHeadConnection):
+class _CloseDelimitedConnection(WholeResponseConnection):
     """Sends HTTP/1.0 requests, so that the end of the connection delimits the response body.
 
     The relay can then pass bytes on without decoding chunked framing. The end marker of the event
--- a/src/mangosaddle/gateway/_running_calls.py
+++ b/src/mangosaddle/gateway/_running_calls.py
@@ -9,7 +9,7 @@
 import urllib3
 from urllib3.exceptions import NewConnectionError
 
-from .._whole_heads import WholeHeadConnection, WholeHeadPool
+from .._whole_responses import WholeResponseConnection, WholeResponsePool
 
 
 class RunningCalls:
@@ -44,7 +44,7 @@
                 connection.shutdown(socket.SHUT_RDWR)
 
 
-class _EndableConnection(WholeHeadConnection):
+class _EndableConnection(WholeResponseConnection):
     running_calls: RunningCalls | None = None
 
     def connect(self) -> None:
@@ -55,7 +55,7 @@
             raise NewConnectionError(self, "calls have been ended")
 
 
-class EndableCallPool(WholeHeadPool):
+class EndableCallPool(WholeResponsePool):
     """Connections to one service, whose calls ``running_calls`` can end."""
 
     ConnectionCls = _EndableConnection
--- a/src/mangosaddle/providers/_http.py
+++ b/src/mangosaddle/providers/_http.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from .._whole_heads import create_pool_manager
+from .._whole_responses import create_pool_manager
 from ._metrics import PlatformMetrics
 
 CONNECT_TIMEOUT_S = 1.0
