Log how many idle connections a planned stop has closed

One line a stop, whatever the number of connections.

The tests of idle connections hold their client's writer now: without it, the client closed its side by itself, and the end that the test waited for was its own.

--- a/src/mangosaddle/_whole_responses.py
+++ b/src/mangosaddle/_whole_responses.py
@@ -168,26 +168,26 @@
         return response
 
 
-class WholeHeadConnection(_WholeResponses):
+class WholeResponseConnection(_WholeResponses):
     """HTTP connection whose responses are whole."""
 
 
-class _WholeHeadHttpsConnection(_WholeResponses, HTTPSConnection):
+class _WholeResponseHttpsConnection(_WholeResponses, HTTPSConnection):
     pass
 
 
-class WholeHeadPool(urllib3.HTTPConnectionPool):
+class WholeResponsePool(urllib3.HTTPConnectionPool):
     """Connections to one server."""
 
-    ConnectionCls = WholeHeadConnection
+    ConnectionCls = WholeResponseConnection
 
 
-class _WholeHeadHttpsPool(urllib3.HTTPSConnectionPool):
-    ConnectionCls = _WholeHeadHttpsConnection
+class _WholeResponseHttpsPool(urllib3.HTTPSConnectionPool):
+    ConnectionCls = _WholeResponseHttpsConnection
 
 
 def create_pool_manager(**options: Any) -> urllib3.PoolManager:  # noqa: ANN401
     """Return a pool manager with the options of ``urllib3.PoolManager``."""
     manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": WholeHeadPool, "https": _WholeHeadHttpsPool}
+    manager.pool_classes_by_scheme = {"http": WholeResponsePool, "https": _WholeResponseHttpsPool}
     return manager
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -534,6 +534,7 @@
                 "busy": self._servers.front.active_requests,
                 "unfinished": self._unfinished_work(),
                 "took_s": round(self._clock() - began_s, 2),
+                **self._servers.ended_idle_waits(),
             },
         )
         remaining_s = max(MIN_DEREGISTRATION_S, exit_within_s - (self._clock() - began_s))
--- a/src/mangosaddle/entry/_entry_servers.py
+++ b/src/mangosaddle/entry/_entry_servers.py
@@ -39,6 +39,17 @@
         self.front.close_idle()
         self.discovery.close_idle()
 
+    def ended_idle_waits(self) -> dict[str, float | None]:
+        """Return how many idle connections of callers a stop has closed, for the log.
+
+        A request that was on its way on one of them is not read.
+        """
+        shortest_s = self.front.shortest_ended_wait_s
+        return {
+            "idle_closed": self.front.ended_idle_waits,
+            "shortest_idle_s": None if shortest_s is None else round(shortest_s, 3),
+        }
+
     def unfinished_work(self) -> list[str]:
         """Name what callers may still be sending or waiting for; empty if there is nothing."""
         front, discovery = self.front, self.discovery
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -203,6 +203,10 @@
         self._end_of_listening: asyncio.TimerHandle | None = None
         """Set from the request to stop listening until the listening socket is closed."""
         self._connections: set[_Connection] = set()
+        self.ended_idle_waits = 0
+        """Connections without a request that a stop has closed."""
+        self.shortest_ended_wait_s: float | None = None
+        """Shortest time in seconds for which such a connection had been idle."""
 
     async def start(self, host: str, port: int) -> tuple[str, int]:
         """Listen and return the bound address; raises ``OSError``."""
@@ -271,6 +275,11 @@
         for connection in list(self._connections):
             connection.end_idle_wait(REQUEST_ON_THE_WAY_S)
 
+    def record_ended_idle_wait(self, idle_s: float) -> None:
+        """Record that a stop closes a connection that has been idle for ``idle_s`` seconds."""
+        self.ended_idle_waits += 1
+        self.shortest_ended_wait_s = min(idle_s, self.shortest_ended_wait_s or idle_s)
+
     def abort_connections(self) -> None:
         """Abort all connections, including those with requests in progress."""
         for connection in list(self._connections):
@@ -617,7 +626,10 @@
             if not self._must_end and longer_s > max(deadline_s, self._clock()):
                 # The idle limit was raised in the meantime.
                 return await self._read_first_part(longer_s)
-            return await self._read_buffered()
+            data = await self._read_buffered()
+            if not data and self._must_end:
+                self.server.record_ended_idle_wait(self._clock() - self._idle_since_s)
+            return data
         finally:
             self._idle_wait = None
 
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -99,15 +99,35 @@
     asyncio.run(_main())
 
 
-async def _open_idle_connection(server: HttpServer) -> tuple[asyncio.StreamReader, _Connection]:
-    """Connect a client, and return its reader and the server's side of the connection."""
+async def _open_idle_connection(
+    server: HttpServer,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, _Connection]:
+    """Connect a client; return both sides. Without its writer, the client would close its side."""
     host, port = await server.start("127.0.0.1", 0)
-    reader, _ = await asyncio.open_connection(host, port)
+    reader, writer = await asyncio.open_connection(host, port)
     while not server._connections:
         await asyncio.sleep(0.001)
     await asyncio.sleep(SETTLE_S)
     (connection,) = server._connections
-    return reader, connection
+    return reader, writer, connection
+
+
+def test_the_idle_connections_that_a_stop_closes_are_counted() -> None:
+    """Guards against requests that cross the close of their connection without any trace."""
+
+    async def _main() -> None:
+        server = HttpServer(_answer, ServerLimits)
+        reader, _writer, _ = await _open_idle_connection(server)
+        assert (server.ended_idle_waits, server.shortest_ended_wait_s) == (0, None)
+        server.close_idle()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            assert await reader.read() == b""
+        assert server.ended_idle_waits == 1
+        assert server.shortest_ended_wait_s is not None
+        assert server.shortest_ended_wait_s >= _server.REQUEST_ON_THE_WAY_S
+        await server.stop()
+
+    asyncio.run(_main())
 
 
 def test_closing_idle_connections_survives_one_that_has_just_expired() -> None:
@@ -115,7 +135,7 @@
 
     async def _main() -> None:
         server = HttpServer(_answer, ServerLimits)
-        reader, connection = await _open_idle_connection(server)
+        reader, _writer, connection = await _open_idle_connection(server)
         assert connection._idle_wait is not None
         connection._idle_wait.reschedule(0.0)
         # The wait has now expired, and the task of the connection has not run yet.
@@ -196,7 +216,7 @@
 
     async def _main() -> None:
         server = HttpServer(_answer, ServerLimits)
-        reader, _ = await _open_idle_connection(server)
+        reader, _writer, _ = await _open_idle_connection(server)
         server.close_idle()
         async with asyncio.timeout(MAX_ANSWER_S):
             assert await reader.read() == b""
