Count a stream that ends in a reset right after its head as cut

Found when was read afresh: the bytes that arrive with the head of a stream are read outside of the handling of errors. A connection that ends there in a reset raised an error of urllib3, which no caller of open_stream expects, so that the request ended in place of another attempt. Before only a reset without an end could do so. One of the two cases of the test failed before.

--- a/src/mangosaddle/gateway/_endpoint.py
+++ b/src/mangosaddle/gateway/_endpoint.py
@@ -110,11 +110,11 @@
         media_type = response.headers.get("Content-Type", "").partition(";")[0].strip().lower()
         if media_type != EVENT_STREAM_TYPE:
             raise EndpointCutError(f"{connection.host}:{connection.port} sent no event stream")
+        return _take_socket(endpoint_socket, response)
     except TimeoutError as error:
         raise EndpointTimeoutError(f"no answer from {connection.host}:{connection.port}") from error
     except (urllib3.exceptions.HTTPError, HTTPException, OSError) as error:
         raise EndpointCutError(f"{connection.host}:{connection.port} broke off") from error
-    return _take_socket(endpoint_socket, response)
 
 
 def _retry_after_s(response: urllib3.BaseHTTPResponse) -> float:
--- a/tests/gateway/test_answers_before_uploads.py
+++ b/tests/gateway/test_answers_before_uploads.py
@@ -88,3 +88,11 @@
             assert call(url, b"") is None
         with pytest.raises(EndpointError):
             open_stream(url, {}, "request-1", 0)
+
+
+@pytest.mark.parametrize("upload_bytes", [200_000, UPLOAD_BYTES])
+def test_a_stream_that_is_reset_during_the_upload_is_cut(upload_bytes: int) -> None:
+    """Guards against an error that ends the request in place of another attempt."""
+    head = b"HTTP/1.0 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    with serve(_answer(head, _end_and_reset)) as url, pytest.raises(EndpointError):
+        open_stream(url, {"text": "x" * upload_bytes}, "request-1", 0)
