Publish no evidence of crashes that a VM owes to its own cut

Cause: each lost connection was published at once as a crash.

Change: evidence still counts at once at the VM that has it, so that a retry avoids the endpoints that were lost. It is published once this VM has connected to the endpoint, or no other VM of the region can; if one can, it is taken back. Crashes move from the load service to a service of their own.

--- a/src/mangosaddle/_prompt_quarantine.py
+++ b/src/mangosaddle/_prompt_quarantine.py
@@ -59,6 +59,8 @@
     process: str
     at_s: float
     suspects: set[Parts] = field(default_factory=set)
+    reports: int = 0
+    """Number of reports that were not withdrawn."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,11 +100,25 @@
             self._crashes.sort(key=lambda known: known.at_s)
             if len(self._crashes) > MAX_CRASHES:
                 self._drop_crash()
+        crash.reports += 1
         for parts in suspects:
             if len(crash.suspects) < MAX_SUSPECTS:
                 crash.suspects.add(parts)
         self._update(wall_time)
 
+    def withdraw_crash(self, report: PromptCrash, wall_time: float) -> None:
+        """Discard a report that was recorded, about a loss that was not a crash.
+
+        The crash remains if another report is about it.
+        """
+        crash = self._find(report.process, report.at_s)
+        if crash is None:
+            return
+        crash.reports -= 1
+        if crash.reports <= 0:
+            self._crashes.remove(crash)
+            self._update(wall_time)
+
     def record_answer(self, parts: Parts, wall_time: float) -> Parts:
         """Record a complete answer and return the parts that are no longer suspect because of it.
 
--- a/src/mangosaddle/_quarantine.py
+++ b/src/mangosaddle/_quarantine.py
@@ -48,6 +48,11 @@
         """
         self._add(fingerprint, endpoint, wall_time + CRASH_REPORT_TTL_S)
 
+    def withdraw_crash(self, fingerprint: str, endpoint: str) -> None:
+        """Discard a report about a loss that was not a crash."""
+        if (fingerprint, endpoint) in self._expiry_by_crash:
+            self._drop((fingerprint, endpoint))
+
     def record_answer(self, fingerprint: str, wall_time: float) -> None:
         """Discard the crash reports of a request that was answered, unless it is quarantined.
 
--- a/src/mangosaddle/daemon/_load_service.py
+++ b/src/mangosaddle/daemon/_load_service.py
@@ -1,4 +1,4 @@
-"""Exchanges load reports of endpoints and regions, and crash reports, between VMs."""
+"""Exchanges load reports of endpoints and regions between VMs."""
 
 import asyncio
 import json
@@ -10,7 +10,6 @@
 from returns.result import Success
 
 from .._identifiers import EndpointId, RegionName, VmId
-from .._prompt_crash_exchange import PromptCrashExchange
 from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Endpoint, EndpointKind, ModelVersion
 from ..gateway import TargetSelector
@@ -23,7 +22,7 @@
     ListedVmState,
     PlatformMetrics,
 )
-from ..routing import CrashReport, RegionLoad
+from ..routing import RegionLoad
 from ._blocking import BlockingCalls
 from ._reported_versions import ReportedVersions, parse_versions
 
@@ -33,7 +32,6 @@
 ENGINE_VERSIONS_KIND = FactKind("engine-versions", HIGHEST_VERSION)
 """Versions that an engine serves, published when they differ from those known so far."""
 REGION_LOAD_KIND = FactKind("region-load", HIGHEST_VERSION, lifetime_s=60.0, reconciled=False)
-CRASH_KIND = FactKind("crash", PER_ORIGIN, lifetime_s=600.0)
 MIN_POLL_INTERVAL_S = 1.0
 REGION_REPORTS_PER_S = 6.0
 """Limits the rate of engine reports in a region.
@@ -75,7 +73,7 @@
 
 
 class LoadService:
-    """Supplies the router with loads, served versions and crashes; event loop thread only."""
+    """Supplies the router with loads and served versions; event loop thread only."""
 
     def __init__(
         self,
@@ -105,7 +103,6 @@
         self._configuration = Configuration(revision=-1)
         self.on_inventory_changed: Callable[[Configuration], None] | None = None
         """Called with the inventory with reported versions whenever it has been updated."""
-        self._published_crashes: frozenset[CrashReport] = frozenset()
         self._leaving_ids: set[str] = set()
 
     def start(self) -> None:
@@ -113,15 +110,9 @@
         self._peers.on_fact(ENDPOINT_LOAD_KIND.name, self._handle_endpoint_load_fact)
         self._peers.on_fact(ENGINE_VERSIONS_KIND.name, self._handle_versions_fact)
         self._peers.on_fact(REGION_LOAD_KIND.name, self._handle_region_load_fact)
-        self._peers.on_fact(CRASH_KIND.name, self._handle_crash_fact)
         self._tasks.spawn(self._report_engines())
         self._tasks.spawn(self._report_region())
         self._tasks.run_periodically(RELEASE_INTERVAL_S, self._target_selector.release)
-        self._target_selector.on_connection_lost = self._publish_crashes
-        router = self._target_selector.router
-        exchange = PromptCrashExchange(self._peers, router.prompts, time.time)
-        router.on_prompt_crash = exchange.publish_prompt_crash
-        router.on_cleared_parts = exchange.publish_cleared_parts
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Use the endpoints of a configuration and drop clients of removed or moved engines."""
@@ -299,24 +290,3 @@
             return
         for load in loads:
             self._target_selector.router.record_region_load(load, age_s, self._clock())
-
-    def _publish_crashes(self) -> None:
-        crashes = frozenset(self._target_selector.router.export_crashes(self._clock()))
-        for crash in crashes - self._published_crashes:
-            key = f"{crash.fingerprint}|{crash.endpoint}"
-            version_ms = int(crash.expires_at_s * 1000)
-            payload = repr(crash.expires_at_s).encode()
-            self._peers.publish(self._peers.new_fact(CRASH_KIND.name, key, version_ms, payload))
-        self._published_crashes = crashes
-
-    def _handle_crash_fact(self, fact: Fact) -> None:
-        if fact.origin == self._own_vm:
-            return
-        fingerprint, _, endpoint = fact.key.rpartition("|")
-        try:
-            report = CrashReport(fingerprint, endpoint, float(fact.payload))
-        except ValueError:
-            _log.warning("cannot decode a crash report", extra={"vm": fact.origin})
-            return
-        self._published_crashes |= {report}
-        self._target_selector.router.import_crashes([report], self._clock())
--- a/src/mangosaddle/daemon/_node.py
+++ b/src/mangosaddle/daemon/_node.py
@@ -10,7 +10,7 @@
 
 from prometheus_client import CollectorRegistry, generate_latest
 
-from .._identifiers import Incarnation, ModelName, VersionId
+from .._identifiers import Incarnation, ModelName, VersionId, VmId
 from .._prompt_crash_exchange import CLEARED_PARTS, PROMPT_CRASHES
 from .._tasks import BackgroundTasks
 from ..configuration import Configuration, Vm
@@ -49,16 +49,17 @@
 from ._configuration_holder import ConfigurationHolder
 from ._configuration_service import CONFIGURATION_KIND, ConfigurationService
 from ._control_loop import ControlLoop
+from ._crash_service import CRASH_KIND, CrashService
 from ._endpoint_orders_service import EndpointOrdersService
 from ._fleet_service import DRAIN_INTERVAL_S, FleetService
 from ._key_service import KEY_WITHDRAWAL_KIND, KeyService
 from ._load_service import (
-    CRASH_KIND,
     ENDPOINT_LOAD_KIND,
     ENGINE_VERSIONS_KIND,
     REGION_LOAD_KIND,
     LoadService,
 )
+from ._loss_checks import LossChecks
 from ._opener import StreamOpener
 from ._order_plan import OrderTimings
 from ._reach_probe import ReachProbe
@@ -242,6 +243,11 @@
         )
         return PeerNode(peer_settings, vms, FACT_KINDS, self._registry, self._rng)
 
+    def _vms_of_own_region(self) -> list[VmId]:
+        """Return the other live VMs of the region in random order, linked ones first."""
+        linked, others = self.fleet.live_vms_in(self.settings.region)
+        return [vm for vms in (linked, others) for vm in self._rng.sample(sorted(vms), len(vms))]
+
     def _build_request_handling(self) -> None:
         settings, current_configuration = self.settings, self._current_configuration
         self._keys = KeyRing()
@@ -256,6 +262,14 @@
             self._rng,
             self.clock,
         )
+        self._crash_service = CrashService(
+            settings.vm,
+            self.target_selector,
+            self._peers,
+            LossChecks(self._peers, self._vms_of_own_region, self._opener.find_url, self._blocking),
+            self._tasks,
+            self.clock,
+        )
         self.chat_service = ChatService(
             current_configuration,
             self._keys,
@@ -367,6 +381,7 @@
         self._configuration_service.start()
         self.allowances.start()
         self._load_service.start()
+        self._crash_service.start()
         self._reach_probe.start()
         self._rollout_service.start()
         self.endpoint_orders.start()
--- a/src/mangosaddle/gateway/_target_selector.py
+++ b/src/mangosaddle/gateway/_target_selector.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from .._identifiers import VmId
+from .._identifiers import EndpointId, VmId
 from ..routing import (
     ChosenEndpoint,
     FailureKind,
@@ -71,7 +71,7 @@
         self.router = router
         self._rng = rng
         self._clock = clock
-        self.on_connection_lost: Callable[[], None] | None = None
+        self.on_connection_lost: Callable[[EndpointId], None] | None = None
         """Called when a connection is lost with a request in flight. The request may crash
         endpoints, so the other VMs have to be told at once."""
         self._futures_by_request_id: dict[
@@ -187,7 +187,7 @@
         if isinstance(error, EndpointRefusedError) and error.retry_after_s > 0:
             self.router.record_back_off(target.endpoint, error.retry_after_s, self._clock())
         if kind is FailureKind.CONNECTION_LOST and self.on_connection_lost is not None:
-            self.on_connection_lost()
+            self.on_connection_lost(target.endpoint)
         self.release()
         return kind
 
--- a/src/mangosaddle/routing/_router.py
+++ b/src/mangosaddle/routing/_router.py
@@ -319,6 +319,10 @@
         """Return the unexpired crash reports, for publication to other VMs."""
         return self._quarantine.active_reports(now + self._wall_offset_s)
 
+    def withdraw_crash(self, fingerprint: str, endpoint: str) -> None:
+        """Discard the crash report about a request whose endpoint has not crashed."""
+        self._quarantine.withdraw_crash(fingerprint, endpoint)
+
     def import_crashes(self, reports: Iterable[CrashReport], now: float) -> None:
         """Add crash reports from other VMs."""
         self._quarantine.merge(reports, now + self._wall_offset_s)
--- a/tests/gateway/test_vms_without_endpoints.py
+++ b/tests/gateway/test_vms_without_endpoints.py
@@ -1,6 +1,8 @@
 """VMs that callers, the store and the other VMs reach, but that reach no endpoint."""
 
 import socket
+import struct
+import threading
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
@@ -17,10 +19,13 @@
 from mangosaddle.providers import EngineClient
 from mangosaddle.standins import EngineSpeed
 
+NO_LINGER = struct.pack("ii", 1, 0)
 CALLS = 12
 NOTICE_S = 6.0
 """Time in which a VM has to notice that it is cut off, by itself if it gets no requests."""
 TARGETS = ("model/advisor", "service/orders")
+SETTLE_S = 1.5
+"""Time after which evidence of a crash has reached all VMs, also if its check gets no answer."""
 CONNECT_TIMEOUT_S = 1.0
 TIMEOUT_S = 15.0
 ADDIS, GONDAR = ("addis-1", "addis-2"), ("gondar-1", "gondar-2")
@@ -69,11 +74,42 @@
         yield url
 
 
-def _replace_urls(current: Callable[[], Configuration], url: str) -> Callable[[], Configuration]:
+class _ResettingServers:
+    """A server in place of each endpoint, which resets its first request and then refuses."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self._ports: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def url_of(self, endpoint: Endpoint) -> str:
+        with self._lock:
+            if endpoint.id not in self._ports:
+                listener = socket.create_server(("127.0.0.1", 0))
+                self._ports[endpoint.id] = listener.getsockname()[1]
+                threading.Thread(target=self._serve, args=(listener,), daemon=True).start()
+            return f"http://127.0.0.1:{self._ports[endpoint.id]}"
+
+    def _serve(self, listener: socket.socket) -> None:
+        has_request = False
+        while not has_request:
+            connection, _ = listener.accept()
+            with connection:
+                # Probes close their connection without a request.
+                has_request = bool(connection.recv(65_536))
+                if has_request:
+                    listener.close()
+                    self.requests += 1
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
+def _replace_urls(
+    current: Callable[[], Configuration], url_of: Callable[[Endpoint], str]
+) -> Callable[[], Configuration]:
     def _current() -> Configuration:
         configuration = current()
         endpoints_by_id = {
-            endpoint.id: replace(endpoint, url=url)
+            endpoint.id: replace(endpoint, url=url_of(endpoint))
             for endpoint in configuration.endpoints_by_id.values()
         }
         return replace(configuration, endpoints_by_id=endpoints_by_id)
@@ -81,14 +117,16 @@
     return _current
 
 
-def _cut_off(node: EntryNode, url: str, patches: pytest.MonkeyPatch) -> None:
-    """Let a VM open no connection to an endpoint any more."""
-    current = _replace_urls(node._current_configuration, url)
+def _cut_off(
+    node: EntryNode, url_of: Callable[[Endpoint], str], patches: pytest.MonkeyPatch
+) -> None:
+    """Let a VM reach other servers in place of the endpoints."""
+    current = _replace_urls(node._current_configuration, url_of)
     patches.setattr(node._opener, "_current_configuration", current)
     patches.setattr(node._service_calls, "_configuration", current)
 
-    def _client(_endpoint: Endpoint) -> EngineClient:
-        return EngineClient(url, node._platform_metrics)
+    def _client(endpoint: Endpoint) -> EngineClient:
+        return EngineClient(url_of(endpoint), node._platform_metrics)
 
     patches.setattr(node._load_service, "client_of", _client)
 
@@ -121,7 +159,7 @@
     def _cut(*vms: str, is_noticed: bool = True) -> None:
         nodes = [fleet.nodes_by_vm[VmId(vm)] for vm in vms]
         for node in nodes:
-            _cut_off(node, unreachable_url, monkeypatch)
+            _cut_off(node, lambda _endpoint: unreachable_url, monkeypatch)
         if is_noticed:
             wait_for(lambda: all(map(_has_noticed, nodes)), "the VMs notice the cut", NOTICE_S)
 
@@ -147,10 +185,15 @@
     )
 
 
-def _chat(fleet: LocalFleet, vm: str, organisation: str = OPEN_TO_ALL) -> int:
+def _chat(
+    fleet: LocalFleet,
+    vm: str,
+    organisation: str = OPEN_TO_ALL,
+    question: str = "How late is the bell?",
+) -> int:
     body: dict[str, object] = {
         "model": "advisor",
-        "messages": [{"role": "user", "content": "How late is the bell?"}],
+        "messages": [{"role": "user", "content": question}],
         "max_tokens": 5,
     }
     return _send(fleet, vm, organisation, "/v1/chat/completions", body, {}).status
@@ -275,3 +318,21 @@
     wait_for(lambda: _targets(lost) == set(TARGETS), "the loss is logged", TIMEOUT_S)
     monkeypatch.undo()
     wait_for(lambda: _targets(found) == set(TARGETS), "the end is logged", TIMEOUT_S)
+
+
+def test_requests_that_a_vm_loses_by_its_cut_are_served_elsewhere(
+    fleet: LocalFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a quarantine at all VMs of what one VM has lost with its connections."""
+    servers = _ResettingServers()
+    node = fleet.nodes_by_vm[VmId("addis-1")]
+    question = "Which bell is lost by a cut?"
+    _cut_off(node, servers.url_of, monkeypatch)
+    began_s = time.monotonic()
+    while servers.requests < 2 and time.monotonic() - began_s < NOTICE_S:
+        _chat(fleet, "addis-1", question=question)
+    assert servers.requests >= 2
+    time.sleep(SETTLE_S)
+    statuses = [_chat(fleet, vm, question=question) for vm in ("addis-2", "gondar-1", "mekele-1")]
+    assert statuses == [200] * 3
+    assert _chat(fleet, "addis-1", question=question) == 200
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -128,3 +128,22 @@
         quarantine.record_crash(crash(crashes, now, parts, *lost), now)
     assert late_crashing <= 3
     assert refused_healthy <= 0.02 * healthy
+
+
+def test_withdrawn_reports_do_not_count() -> None:
+    """Guards against refusing what a VM has lost because it was cut off."""
+    crashes = [crash(n, 2.0 * n, CRASHING) for n in range(MIN_CRASHES)]
+    quarantine = quarantine_after(*crashes)
+    quarantine.withdraw_crash(crashes[1], 10.0)
+    assert not quarantine.is_quarantined(CRASHING, 10.0)
+    quarantine.withdraw_crash(crashes[1], 10.0)
+    quarantine.record_crash(crashes[1], 10.0)
+    assert quarantine.is_quarantined(CRASHING, 10.0)
+
+
+def test_a_crash_that_another_vm_has_reported_remains() -> None:
+    """Guards against a VM that is cut off and takes back what others know of a crash."""
+    crashes = [crash(n, 2.0 * n, CRASHING) for n in range(MIN_CRASHES)]
+    quarantine = quarantine_after(*crashes, crashes[1])
+    quarantine.withdraw_crash(crashes[1], 10.0)
+    assert quarantine.is_quarantined(CRASHING, 10.0)
