Add duties of one VM at a time: usage reports and endpoint counts

Cause: nothing on the platform's path knew the duties that a deployment's settings may name, so usage was never reported and no endpoints ordered. Change: claims in the store with leases and fencing tokens, usage counted per window and summed by zone, reports recorded before they are sent, endpoint counts by load. Active only where the settings name duties.

--- a/src/mangosaddle/entry/__init__.py
+++ b/src/mangosaddle/entry/__init__.py
@@ -10,12 +10,13 @@
 from ._entry_process import EntryProcess
 from ._log_output import LogOutput
 from ._platform_adapter import InterfaceHandler, PlatformAdapter
-from ._settings import Address, EntryProcessSettings, FleetBounds
+from ._settings import Address, DutySettings, EntryProcessSettings, FleetBounds
 from ._wire_format import WireFormat
 
 __all__ = [
     "Address",
     "Discovery",
+    "DutySettings",
     "EntryProcess",
     "EntryProcessSettings",
     "FleetBounds",
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -110,6 +110,8 @@
     """Event loop time in seconds of the first event of the current attempt, if there was one."""
     media_type: bytes = b""
     """Media type of the answer that has been started."""
+    has_begun: bool = False
+    """Whether the run of the request has been counted as begun."""
 
     async def start(self, sink: AnswerSink, status: int, headers: HeaderList) -> None:
         """Send the head of the first attempt that has an event."""
@@ -132,13 +134,16 @@
         may_send: Callable[[], bool] = lambda: True,
         record_answer: Callable[[EndpointView, EndpointAnswer], None] = lambda view, answer: None,
         stalls: LoopStalls | None = None,
+        record_begun: Callable[[RoutedRequest], None] = lambda request: None,
     ) -> None:
         """Create the client; connections are reused through the pool.
 
         ``may_send`` tells directly before a request is sent whether the choice of its endpoint may
         still be relied upon. ``record_answer`` is called with the head of each answer.
         ``stalls`` are those of this process, which are not part of the time of an endpoint.
+        ``record_begun`` is called once for each request that an endpoint has begun to run.
         """
+        self._record_begun = record_begun
         self._record_answer = record_answer
         self._stalls = stalls if stalls is not None else LoopStalls()
         self._wire = wire
@@ -266,6 +271,12 @@
             self._pool.give_back(address, connection)
         return replace(result, connecting_s=sent_at_s - began_s)
 
+    def count_begun(self, request: RoutedRequest, progress: StreamProgress) -> None:
+        """Count a request that an endpoint has begun to run, unless it is counted already."""
+        if not progress.has_begun:
+            progress.has_begun = True
+            self._record_begun(request)
+
     async def open_connection(self, address: tuple[str, int]) -> UpstreamConnection:
         """Open a connection to an endpoint; raises ``ConnectFailedError``."""
         return await UpstreamConnection.open(*address, CONNECT_TIMEOUT_S)
@@ -329,6 +340,8 @@
                 MAX_FAILURE_BODY_BYTES, base_timeout_s=FAILURE_BODY_TIMEOUT_S
             )
             return AttemptResult(AttemptEnd.REJECTED, f"{STATUS_CAUSE}{answer.status}", answer)
+        if request.route.kind is not RequestKind.STREAM:
+            self.count_begun(request, progress)
         if answer.succeeded and not answer.genuine:
             return AttemptResult(AttemptEnd.BROKEN, "answer is not the endpoint's own")
         if answer.succeeded and not progress.continues(sink, answer.status, answer.headers):
@@ -381,6 +394,7 @@
                 view.health.last_data_at_s = event_at_s = clock()
                 if progress.attempt_began_at_s is None:
                     progress.attempt_began_at_s = event_at_s
+                    self.count_begun(request, progress)
             view.load.record_first_byte(request.id, clock(), self._stalls.reading_delay_s)
             if events:
                 tokens = progress.splitter.take_event_count() * view.tokens_per_event
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -23,6 +23,7 @@
     VmRecord,
     VmRegistration,
 )
+from ..duties import ScalingLimits
 from ..http11 import ConnectionPool, HttpServer, ServerExchange, ServerLimits
 from ..membership import VmIdentity
 from ..peers import PeerNode, PeerSettings, PeerTimings
@@ -43,6 +44,8 @@
 from ._crash_reports import CRASHES, CrashReports
 from ._crash_tracker import CrashTracker
 from ._discovery import Discovery
+from ._duties import Duties
+from ._duty_holders import DUTY_HOLDER
 from ._entry_servers import EntryServers
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
@@ -62,7 +65,7 @@
 from ._rollout_records import RolloutRecords
 from ._rollouts import ROLLOUT_PROGRESS, ROLLOUT_VETO, TICK_S, RolloutTracker
 from ._runner import RequestRunner
-from ._settings import EntryProcessSettings
+from ._settings import DutySettings, EntryProcessSettings
 from ._statement_exchange import (
     ENDPOINT_LEAVING,
     ENDPOINT_LIMIT,
@@ -93,10 +96,12 @@
     CLEARED_PARTS,
     ROLLOUT_PROGRESS,
     ROLLOUT_VETO,
+    DUTY_HOLDER,
 )
 FLEET = "mangosaddle"
 STORE_PREFIX = "mangosaddle/"
 VM_PREFIX = STORE_PREFIX + "vms/"
+DUTY_PREFIX = STORE_PREFIX + "duties/"
 PEER_SECRET_KEY = STORE_PREFIX + "peer-secret"
 PEER_TIMINGS = PeerTimings(
     heartbeat_interval_s=1.0, dial_timeout_s=2.0, backoff_max_s=2.0, idle_timeout_s=20.0
@@ -207,6 +212,22 @@
             time.time,
         )
         self.catalogue.on_change(self._on_catalogue_change)
+        self._duties = self._new_duties(settings.duties) if settings.duties is not None else None
+
+    def _new_duties(self, duty_settings: DutySettings) -> Duties:
+        return Duties(
+            self.settings,
+            duty_settings,
+            self._incarnation,
+            self._store,
+            DUTY_PREFIX,
+            self._adapter.create_duty_calls(duty_settings.address),
+            self.endpoints,
+            self.fleet,
+            self._scaling_limits,
+            self.registry,
+            self._clock,
+        )
 
     def _assemble_traffic(self) -> None:
         placement = PlacementPolicy(self.settings.vm, self.endpoints, self.regions)
@@ -216,6 +237,7 @@
             self.pause_guard.is_current,
             self.statements.record_answer,
             self.rollouts.loop_stalls,
+            self._duties.record_begun if self._duties is not None else lambda request: None,
         )
         self.runner = RequestRunner(
             self.settings.vm,
@@ -472,6 +494,9 @@
         node.update_vms(self.fleet.inventory())
         self.runner.forwarder = forwarder
         self._tasks.run_periodically(LOAD_INTERVAL_S, reports.publish)
+        if self._duties is not None:
+            self._duties.connect(node)
+            self._duties.run(self._tasks)
         logger.info("joined the fleet", extra={"incarnation": self._incarnation})
 
     async def _restore_peer_secret(self, node: PeerNode) -> None:
@@ -509,6 +534,8 @@
         self._try_step(
             "limit requests", partial(self.runner.end_requests_by, began_s + answer_within_s)
         )
+        if self._duties is not None:
+            self._tasks.spawn(self._duties.leave())
         forwards_within_s = _time_for_forwards_s(exit_within_s)
         self._try_step(
             "limit forwards",
@@ -625,6 +652,18 @@
         catalogue = self.catalogue.current
         return list(catalogue.services_by_name) if catalogue is not None else []
 
+    def _scaling_limits(self) -> dict[ServiceName, ScalingLimits]:
+        """Return the services whose endpoints may be ordered: those without an active rollout."""
+        catalogue = self.catalogue.current
+        if catalogue is None:
+            return {}
+        changing = {rollout.order.service for rollout in self.rollouts.active()}
+        return {
+            name: service.scaling
+            for name, service in catalogue.services_by_name.items()
+            if service.scaling is not None and name not in changing
+        }
+
     def _housekeeping(self) -> None:
         now = self._clock()
         if self._node is not None and self._store_era != self._store.era:
--- a/src/mangosaddle/entry/_fleet_view.py
+++ b/src/mangosaddle/entry/_fleet_view.py
@@ -216,6 +216,12 @@
         """
         return self._clock() - self._served_at_by_region.get(region, self._began_s)
 
+    def live_zones(self) -> frozenset[ZoneName]:
+        """Return the zones that have a VM which accepts requests."""
+        return frozenset(
+            record.zone for record in self._records_by_vm.values() if self.is_usable(record)
+        )
+
     def vms_for_forwards(self, own_region: RegionName) -> dict[RegionName, list[VmId]]:
         """Return the VMs that accept forwarded requests, by region.
 
--- a/src/mangosaddle/entry/_platform_adapter.py
+++ b/src/mangosaddle/entry/_platform_adapter.py
@@ -6,9 +6,11 @@
 
 from .._identifiers import EndpointId
 from ..coordination import ItemOrder
+from ..duties import DutyCalls
 from ..http11 import ServerExchange
 from ._discovery import Discovery
 from ._rollout_records import RolloutCodec
+from ._settings import Address
 from ._store_listeners import DecodeCatalogue, DecodeEvacuatedZone, DecodeRegistration
 from ._wire_format import WireFormat
 
@@ -37,5 +39,6 @@
     endpoint_of_key: Callable[[str], EndpointId]
     item_order: ItemOrder
     rollouts: RolloutCodec
+    create_duty_calls: Callable[[Address], DutyCalls]
     create_interface_handler: Callable[[Discovery, Callable[[], bool]], InterfaceHandler]
     """Creates the handler from the discovery and a function that tells whether this VM is ready."""
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -19,6 +19,7 @@
     PlacementRefusal,
     RefusalCause,
     RemotePlacement,
+    RequestKind,
     RoutedRequest,
 )
 from ._attempt import AttemptEnd, AttemptResult, EndpointClient, StreamProgress
@@ -281,6 +282,9 @@
             return
         elif result.end is AttemptEnd.BROKEN:
             view.health.record_broken_answer()
+            if request.route.kind is not RequestKind.STREAM:
+                # A request whose answer is lost has mostly run.
+                self._endpoint_client.count_begun(request, progress)
             if result.connection_lost:
                 # A health check will show whether the endpoint crashed or only lost this answer.
                 view.health.mark_unreachable(now)
--- a/src/mangosaddle/entry/_settings.py
+++ b/src/mangosaddle/entry/_settings.py
@@ -36,6 +36,22 @@
     """Number of requests that it may get in addition to that share."""
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Calls to the platform that one VM of the fleet makes at a time."""
+
+    address: Address
+    reports_usage: bool
+    orders_endpoints: bool
+    calls_per_s: float
+    """Calls that the platform accepts from all VMs together."""
+    lease_s: float
+    """Time within which holders of a duty must not alternate."""
+    usage_window_s: float
+    usage_late_s: float
+    """Time after the end of a window at which its report is due."""
+
+
 @dataclass(frozen=True, slots=True)
 class EntryProcessSettings:
     """Identity, addresses and bounds of one process."""
@@ -57,3 +73,5 @@
     max_value_bytes: int
     """Maximum size of a value in the store."""
     log_level: str = "INFO"
+    duties: DutySettings | None = None
+    """Duties that this VM takes part in; ``None`` for none."""
--- a/src/mangosaddle/platform/_configuration.py
+++ b/src/mangosaddle/platform/_configuration.py
@@ -8,6 +8,7 @@
 
 from .._finding import Finding
 from .._identifiers import OrganisationId, RegionName, ServiceName, ZoneName
+from ..duties import ScalingLimits
 from ..traffic import (
     CallerLimits,
     Catalogue,
@@ -68,6 +69,12 @@
     """Tokens per stream event."""
 
 
+class _Scaling(_Model):
+    minimum: int = Field(default=0, ge=0)
+    maximum: int = Field(gt=0)
+    boot_time_s: float = Field(default=0, ge=0)
+
+
 class _Service(_Model):
     name: str
     health_path: str = "/health"
@@ -75,6 +82,7 @@
     cold_start_s: float = Field(default=0, ge=0)
     cold_per_s: float = Field(default=0, ge=0)
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(_Model):
@@ -168,9 +176,16 @@
         cold_start_s=item.cold_start_s,
         cold_requests_per_s=item.cold_per_s,
         engine=engine,
+        scaling=_to_scaling(item.scaling),
     )
 
 
+def _to_scaling(item: _Scaling | None) -> ScalingLimits | None:
+    if item is None:
+        return None
+    return ScalingLimits(item.minimum, max(item.minimum, item.maximum), item.boot_time_s)
+
+
 def _to_organisation(item: _Tenant) -> Organisation:
     return Organisation(
         id=OrganisationId(item.name),
--- a/src/mangosaddle/platform/_run.py
+++ b/src/mangosaddle/platform/_run.py
@@ -21,6 +21,7 @@
     decode_configuration,
     evacuated_zone,
 )
+from ._duties import PlatformDutyCalls
 from ._interfaces import PlatformInterfaceHandler
 from ._item_order import item_order
 from ._registrations import REGISTRATION_PREFIX, decode_registration, endpoint_of_key
@@ -48,6 +49,7 @@
         endpoint_of_key=endpoint_of_key,
         item_order=item_order,
         rollouts=rollouts,
+        create_duty_calls=PlatformDutyCalls,
         create_interface_handler=PlatformInterfaceHandler,
     )
 
--- a/src/mangosaddle/platform/_settings.py
+++ b/src/mangosaddle/platform/_settings.py
@@ -10,7 +10,7 @@
 
 from .._finding import Finding
 from .._identifiers import RegionName, VmId, ZoneName
-from ..entry import Address, EntryProcessSettings, FleetBounds
+from ..entry import Address, DutySettings, EntryProcessSettings, FleetBounds
 
 SETTINGS_PATH_VARIABLE = "MANGOSADDLE_CONFIG"
 LOG_LEVEL_VARIABLE = "MANGOSADDLE_LOG_LEVEL"
@@ -20,6 +20,8 @@
 """Offset from the first internal port to the metrics port."""
 MS_PER_S = 1000.0
 MAX_PORT_DIGITS = 5
+USAGE_DUTY = "usage"
+SCALING_DUTY = "scaling"
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -45,12 +47,25 @@
     rollback_ms: float = Field(default=5000, gt=0)
     exposure_share: float = Field(default=0.1, ge=0)
     exposure_slack: float = Field(default=50, ge=0)
+    lease_ms: float = Field(default=3000, gt=0)
+    usage_window_s: float = Field(default=5, gt=0)
+    usage_late_s: float = Field(default=10, gt=0)
 
 
 class _Platform(BaseModel):
     model_config = ConfigDict(extra="ignore", allow_inf_nan=False)
     address: str
     value_bytes: int = Field(default=1_048_576, gt=0)
+    minimum_ttl_ms: float = Field(default=1000, ge=0)
+
+
+class _Cloud(BaseModel):
+    """Address and rate of calls that are the duty of one VM at a time; empty without duties."""
+
+    model_config = ConfigDict(extra="ignore", allow_inf_nan=False)
+    address: str = ""
+    duties: tuple[str, ...] = ()
+    duty_per_s: float = Field(default=1, gt=0)
 
 
 class _Document(BaseModel):
@@ -65,6 +80,7 @@
     listen: _Listen
     bounds: _Bounds = _Bounds()
     platform: _Platform
+    cloud: _Cloud = _Cloud()
 
 
 def load_settings(
@@ -111,6 +127,7 @@
         "listen.ready": listen.ready,
         "listen.directory": listen.directory,
         "platform.address": document.platform.address,
+        "cloud.address": document.cloud.address,
     }
     addresses: dict[str, Address | None] = {}
     for place, text in address_texts_by_place.items():
@@ -145,10 +162,26 @@
         bounds=_to_fleet_bounds(document.bounds),
         max_value_bytes=document.platform.value_bytes,
         log_level=log_level,
+        duties=_to_duty_settings(document, addresses["cloud.address"]),
     )
     return Success(settings)
 
 
+def _to_duty_settings(document: _Document, address: Address | None) -> DutySettings | None:
+    names, bounds = document.cloud.duties, document.bounds
+    if address is None or not set(names) & {USAGE_DUTY, SCALING_DUTY}:
+        return None
+    return DutySettings(
+        address=address,
+        reports_usage=USAGE_DUTY in names,
+        orders_endpoints=SCALING_DUTY in names,
+        calls_per_s=document.cloud.duty_per_s,
+        lease_s=max(bounds.lease_ms, document.platform.minimum_ttl_ms) / MS_PER_S,
+        usage_window_s=bounds.usage_window_s,
+        usage_late_s=bounds.usage_late_s,
+    )
+
+
 def _to_fleet_bounds(bounds: _Bounds) -> FleetBounds:
     return FleetBounds(
         drain_s=bounds.drain_ms / MS_PER_S,
--- a/src/mangosaddle/traffic/_catalogue.py
+++ b/src/mangosaddle/traffic/_catalogue.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 
 from .._identifiers import OrganisationId, RegionName, ServiceName
+from ..duties import ScalingLimits
 
 
 class RequestKind(StrEnum):
@@ -92,6 +93,8 @@
     """Rate limit of a cold endpoint; 0 for no limit."""
     engine: EngineLimits | None
     """Capacity of the service's model engines; ``None`` if it is not a model service."""
+    scaling: ScalingLimits | None = None
+    """Numbers of endpoints that may be ordered for each zone; ``None`` if none may."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -27,6 +27,9 @@
 """Bounds of the slowness; an endpoint at the upper bound is avoided in any case."""
 
 
+FULL_BACKLOG_S = 0.5
+"""Time to read the queued prompts at which an engine counts as fully used: half of what callers of
+short prompts wait for the first event."""
 DEFAULT_TIME_PER_TOKEN_S = 0.008
 """Time per generated token without observations: that of an engine with its batch a third full."""
 TIME_PER_TOKEN_MAX_AGE_S = 1.5
@@ -180,6 +183,19 @@
         """Return the fraction of free slots; negative if requests are queued."""
         return 1.0 - self.running(now) / self.slots
 
+    def capacity_share(self, now: float) -> float:
+        """Return the share of slots, memory or prefill capacity in use, whichever is largest.
+
+        It is above 1 if requests are queued.
+        """
+        totals = self._totals(now)
+        share = totals.running / self.slots
+        if self.memory_tokens is None:
+            return share
+        backlog_s = totals.unread_tokens * self.prefill_s_per_token
+        memory_share = totals.memory_tokens / self.memory_tokens
+        return max(share, memory_share, backlog_s / FULL_BACKLOG_S)
+
     def record_end(self, request_id: str) -> None:
         """Remove a request from the requests in flight."""
         self._in_flight_by_id.pop(request_id, None)
