--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -30,6 +30,8 @@
 FULL_BACKLOG_S = 0.5
 """Time to read the queued prompts at which an engine counts as fully used: half of what callers of
 short prompts wait for the first event."""
+MAX_BACKLOG_SHARE = 1.5
+"""Bound of the backlog's share: prompts that arrive together are read within a second."""
 DEFAULT_TIME_PER_TOKEN_S = 0.008
 """Time per generated token without observations: that of an engine with its batch a third full."""
 TIME_PER_TOKEN_MAX_AGE_S = 1.5
@@ -193,8 +195,8 @@
         if self.memory_tokens is None:
             return share
         backlog_s = totals.unread_tokens * self.prefill_s_per_token
-        memory_share = totals.memory_tokens / self.memory_tokens
-        return max(share, memory_share, backlog_s / FULL_BACKLOG_S)
+        backlog_share = min(MAX_BACKLOG_SHARE, backlog_s / FULL_BACKLOG_S)
+        return max(share, totals.memory_tokens / self.memory_tokens, backlog_share)
 
     def record_end(self, request_id: str) -> None:
         """Remove a request from the requests in flight."""
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins for the users' platform: its store, its runners and its operator."""
 
+from ._duties import DutyCall, DutyFault, DutyStandIn
 from ._fleet import CallerResponse, Fleet, running_fleet, wait_until
 from ._operator_documents import configuration, engine_service, plain_service, route, tenant
 from ._rollout_cases import (
@@ -32,6 +33,9 @@
     "Behaviour",
     "Call",
     "CallerResponse",
+    "DutyCall",
+    "DutyFault",
+    "DutyStandIn",
     "Fleet",
     "OrderOutcome",
     "PlacedOrder",
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -27,7 +27,7 @@
 
 def test_idle_time_includes_a_stall_of_the_callers(tmp_path: Path) -> None:
     """Guards against blaming a VM for closing a connection while the callers stood still."""
-    vm = VmProcess("vm-1", "east-a", HOST, tmp_path, ("127.0.0.1", 1), 0)
+    vm = VmProcess("vm-1", "east-a", HOST, tmp_path, ("127.0.0.1", 1), ("127.0.0.1", 1), 0)
 
     async def _main(callers: Callers) -> None:
         callers.start(per_vm=1)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 
 from soak_harness import (
     ADDED_FAULT_KINDS,
+    DUTY_KINDS,
     FAULT_KINDS,
     FAULT_PHASE_S,
     ORDER_KINDS,
@@ -31,6 +32,7 @@
     assert schedule(7) == schedule(7) != schedule(8)
     faults = [fault for seed in range(200) for fault in schedule(seed)]
     kinds = {*FAULT_KINDS, *ADDED_FAULT_KINDS, *STATEMENT_KINDS, *ORDER_KINDS, *PAUSE_KINDS}
+    kinds |= set(DUTY_KINDS)
     assert {fault.kind for fault in faults} == kinds
     assert all(0.0 <= fault.at_s <= FAULT_PHASE_S for fault in faults)
 
--- a/tests/soak/test_unanswered.py
+++ b/tests/soak/test_unanswered.py
@@ -15,7 +15,7 @@
 
 
 def _vm(name: str, folder: Path) -> VmProcess:
-    return VmProcess(name, "east-a", "127.0.0.1", folder, ("127.0.0.1", 1), 0)
+    return VmProcess(name, "east-a", "127.0.0.1", folder, ("127.0.0.1", 1), ("127.0.0.1", 1), 0)
 
 
 def _call(
--- a/tests/soak_harness/__init__.py
+++ b/tests/soak_harness/__init__.py
@@ -5,6 +5,7 @@
 from ._run import SoakResult, run_seed
 from ._schedule import (
     ADDED_FAULT_KINDS,
+    DUTY_KINDS,
     FAULT_KINDS,
     FAULT_PHASE_S,
     ORDER_KINDS,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "ADDED_FAULT_KINDS",
+    "DUTY_KINDS",
     "FAULT_KINDS",
     "FAULT_PHASE_S",
     "ORDER_KINDS",
--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 
-from platform_standins import Behaviour, StoreFault
+from platform_standins import Behaviour, DutyFault, StoreFault
 
 from ._checks import DRAIN_TIMEOUT_S
 from ._fleet import Endpoint, SoakFleet
@@ -41,6 +41,7 @@
 RUNNER_PAUSES_S = (0.5, 0.8, 1.0, 1.2)
 """Times for which a sound runner may send nothing and go on."""
 STORE_FAULTS = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
+DUTY_FAULTS = tuple(fault for fault in DutyFault if fault is not DutyFault.NONE)
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
 
@@ -62,6 +63,7 @@
             endpoint.runner.retry_after = None
         await self._fleet.store.set_fault(StoreFault.NONE)
         self._fleet.store.reading_delay_s = 0.0
+        self._fleet.duties.fault = DutyFault.NONE
 
     async def inject(self, fault: PlannedFault) -> None:
         """Wait until the fault is due, inject it and clear it after its duration."""
@@ -88,9 +90,15 @@
             "slow_reading": self._read_slowly,
             "large_configuration": self._enlarge_configuration,
             "runner_pause": self._pause_runner,
+            "duty_calls": self._fail_duty_calls,
         }
         await handlers[fault.kind](fault)
 
+    async def _fail_duty_calls(self, fault: PlannedFault) -> None:
+        self._fleet.duties.fault = DUTY_FAULTS[fault.variant % len(DUTY_FAULTS)]
+        await asyncio.sleep(fault.duration_s)
+        self._fleet.duties.fault = DutyFault.NONE
+
     def _target_vm(self, fault: PlannedFault) -> VmProcess:
         return self._fleet.vms[fault.target % len(self._fleet.vms)]
 
--- a/tests/soak_harness/_fleet.py
+++ b/tests/soak_harness/_fleet.py
@@ -14,6 +14,7 @@
 from mangosaddle.http11 import HttpError, UpstreamConnection, UpstreamRequest
 from platform_standins import (
     Behaviour,
+    DutyStandIn,
     ReceivedRequest,
     RunnerStandIn,
     StoreStandIn,
@@ -94,6 +95,7 @@
     checkout: Path = REPOSITORY_ROOT
     """Folder of the sources that the VMs run at first."""
     store: StoreStandIn = field(default_factory=StoreStandIn)
+    duties: DutyStandIn = field(default_factory=DutyStandIn)
     vms: list[VmProcess] = field(default_factory=list)
     store_links: list[LoopbackProxy] = field(default_factory=list)
     endpoints: list[Endpoint] = field(default_factory=list)
@@ -117,12 +119,14 @@
             runner.behaviour = self._behaviour_chooser(endpoint)
             self.endpoints.append(endpoint)
             await self.store.put(runner.key, endpoint.entry())
+        duties = await self.duties.start()
         for number, (name, zone) in enumerate(self._planned_vms(), 1):
             link = LoopbackProxy(*await self.store.start())
             self.store_links.append(link)
             host = f"{self.network}.{number}"
             slack = int(ALLOWANCE.slack)
-            vm = VmProcess(name, zone, host, self.folder, await link.start(), slack, self.checkout)
+            store = await link.start()
+            vm = VmProcess(name, zone, host, self.folder, store, duties, slack, self.checkout)
             self.vms.append(vm)
             await vm.start()
         for vm in self.vms:
@@ -141,6 +145,7 @@
         for endpoint in self.endpoints:
             await endpoint.proxy.stop()
             await endpoint.runner.stop()
+        await self.duties.stop()
         await self.store.stop()
 
     def _behaviour_chooser(self, endpoint: Endpoint) -> Callable[[ReceivedRequest], Behaviour]:
--- a/tests/soak_harness/_processes.py
+++ b/tests/soak_harness/_processes.py
@@ -26,9 +26,17 @@
 [bounds]
 quota_slack = {slack}
 budget_extra_tries = 52
+lease_ms = 1000
+usage_window_s = {usage_window_s}
+usage_late_s = {usage_late_s}
 [platform]
 address = "{store}"
+[cloud]
+address = "{duties}"
+duties = ["usage"]
+duty_per_s = 50.0
 """
+USAGE_WINDOW_S, USAGE_LATE_S = 2, 4
 
 
 @dataclass(slots=True)
@@ -48,6 +56,8 @@
     host: str
     folder: Path
     store: tuple[str, int]
+    duties: tuple[str, int]
+    """Address for calls that are the duty of one VM at a time."""
     slack: int
     checkout: Path = REPOSITORY_ROOT
     """Folder of the sources that the next process runs."""
@@ -78,6 +88,9 @@
             slack=self.slack,
             is_first=str(not self.was_started).lower(),
             store="{}:{}".format(*self.store),
+            duties="{}:{}".format(*self.duties),
+            usage_window_s=USAGE_WINDOW_S,
+            usage_late_s=USAGE_LATE_S,
         )
         self.settings_path.write_text(text, encoding="utf-8")
 
--- a/tests/soak_harness/_run.py
+++ b/tests/soak_harness/_run.py
@@ -11,7 +11,7 @@
 from ._checks import DRAIN_TIMEOUT_S, find_breaches
 from ._faults import FaultInjector
 from ._fleet import ALLOWANCE, SoakFleet
-from ._processes import FRONT_PORT, VmProcess
+from ._processes import FRONT_PORT, USAGE_LATE_S, USAGE_WINDOW_S, VmProcess
 from ._schedule import schedule
 from ._statement_checks import find_statement_breaches
 from ._unanswered import UnansweredReport, read_logged_ends, report_unanswered
@@ -70,11 +70,22 @@
             self.breaches += find_statement_breaches(
                 callers.calls, self._fleet.arrivals, self._fleet.rejections
             )
+            self.breaches += self._fleet.duties.find_breaches()
             self.calls = callers.calls
             self._write_calls(callers.calls)
         finally:
             await self._fleet.stop()
 
+    async def _check_usage_reports(self, cleared_s: float) -> None:
+        """Check that a window which ended after the faults is reported."""
+        open_window = int((time.time() - (_now() - cleared_s)) // USAGE_WINDOW_S)
+        deadline_s = cleared_s + RECOVERY_TIMEOUT_S + USAGE_WINDOW_S + USAGE_LATE_S
+        while not any(w >= open_window for w in self._fleet.duties.reported_windows()):
+            if _now() > deadline_s:
+                self.breaches.append(f"no usage reported from window {open_window} on")
+                return
+            await asyncio.sleep(0.1)
+
     async def _watch_exits(self) -> None:
         while True:
             for vm in self._fleet.vms:
@@ -116,6 +127,7 @@
             if a.endpoint == draining_runner.id and a.at_s > drain_deadline_s
         ]
         self.breaches += [f"{a.id} reached the leaving {a.endpoint}" for a in late]
+        await self._check_usage_reports(cleared_s)
 
     async def _check_served(
         self, callers: Callers, vm: VmProcess, path: str, retry_until_s: float
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -41,6 +41,10 @@
 """Series of a run that are drawn from ``PAUSE_KINDS``."""
 PAUSE_KINDS = ("runner_pause",)
 """Pauses of sound runners, drawn apart as well."""
+DUTY_SERIES = 3
+"""Series of a run that are drawn from ``DUTY_KINDS``."""
+DUTY_KINDS = ("duty_calls",)
+"""Faults of the calls that are the duty of one VM at a time, drawn apart as well."""
 LARGE_FLEET_SHARE = 0.1
 """Share of the seeds whose fleet is so large that only some VMs watch the store."""
 
@@ -72,6 +76,8 @@
     faults += _draw_series(order, ORDER_KINDS, faults_s, ORDER_SERIES)
     pauses = random.Random(f"{seed} pauses")
     faults += _draw_series(pauses, PAUSE_KINDS, faults_s, PAUSE_SERIES)
+    duties = random.Random(f"{seed} duties")
+    faults += _draw_series(duties, DUTY_KINDS, faults_s, DUTY_SERIES)
     return sorted(faults)
 
 
