--- a/src/mangosaddle/duties/_endpoint_counts.py
+++ b/src/mangosaddle/duties/_endpoint_counts.py
@@ -13,10 +13,10 @@
 
 TARGET_LOAD = 0.6
 """Load of an endpoint, as a share of its capacity, at which a batch still keeps its pace."""
-SMOOTHING_BOOT_TIMES = 0.25
-"""Time constant of the mean load in boot times. A burst of a second or two is over long before a new
+SUSTAINED_BOOT_TIMES = 0.5
+"""Time in boot times for which load has to last to count. A shorter burst is over long before a new
 endpoint serves; a wave of a boot time or more returns, and finds the endpoints that it needs."""
-MIN_SMOOTHING_S = 1.0
+MIN_SUSTAINED_S = 2.0
 MIN_HOLD_S = 40.0
 """Time for which the highest need is kept before fewer endpoints are ordered."""
 HOLD_BOOT_TIMES = 5.0
@@ -69,10 +69,10 @@
 
     def __init__(self) -> None:
         """Create without demand."""
-        self._mean_by_place: dict[tuple[ServiceName, ZoneName], tuple[float, float]] = {}
-        """Time of the latest report and the mean load."""
+        self._loads_by_place: dict[tuple[ServiceName, ZoneName], deque[tuple[float, float]]] = {}
+        """Times and loads of the reports within the time that counts as sustained, and one more."""
         self._needs_by_place: dict[tuple[ServiceName, ZoneName], deque[tuple[float, float]]] = {}
-        """Highest mean loads with their times, falling: the first one is the maximum."""
+        """Highest sustained loads with their times, falling: the first one is the maximum."""
         self._demand_by_place: dict[tuple[ServiceName, ZoneName], tuple[float, ZoneDemand]] = {}
         self._began_at_s_by_place: dict[tuple[ServiceName, ZoneName], float] = {}
         self._sent_by_place: dict[tuple[ServiceName, ZoneName], _Sent] = {}
@@ -82,23 +82,24 @@
         place = (demand.service, demand.zone)
         self._demand_by_place[place] = (now, demand)
         self._began_at_s_by_place.setdefault(place, now)
-        mean = self._mean_load(place, demand.load, limits, now)
+        sustained = self._sustained_load(place, demand.load, limits, now)
         needs = self._needs_by_place.setdefault(place, deque())
-        while needs and needs[-1][1] <= mean:
+        while needs and needs[-1][1] <= sustained:
             needs.pop()
-        needs.append((now, mean))
+        needs.append((now, sustained))
         while now - needs[0][0] > hold_s(limits):
             needs.popleft()
 
-    def _mean_load(
+    def _sustained_load(
         self, place: tuple[ServiceName, ZoneName], load: float, limits: ScalingLimits, now: float
     ) -> float:
-        """Update and return the exponentially weighted mean load of a zone."""
-        at_s, mean = self._mean_by_place.get(place, (now, load))
-        weight = 1.0 - math.exp((at_s - now) / max(MIN_SMOOTHING_S, SMOOTHING_BOOT_TIMES * limits.boot_s))
-        mean += weight * (load - mean)
-        self._mean_by_place[place] = (now, mean)
-        return mean
+        """Return the lowest load of the time that counts as sustained; 0 until it has passed."""
+        loads = self._loads_by_place.setdefault(place, deque())
+        loads.append((now, load))
+        since_s = now - max(MIN_SUSTAINED_S, SUSTAINED_BOOT_TIMES * limits.boot_s)
+        while len(loads) > 1 and loads[1][0] <= since_s:
+            loads.popleft()
+        return min(row for _, row in loads) if loads[0][0] <= since_s else 0.0
 
     def next_order(
         self, limits_by_service: Mapping[ServiceName, ScalingLimits], now: float
