Split the HTTP server by what its parts do

Change: the exchange with its handler and the connection that reads requests and writes responses are modules of their own; names move, logic does not.

--- a/src/mangosaddle/http11/__init__.py
+++ b/src/mangosaddle/http11/__init__.py
@@ -15,17 +15,12 @@
     ResponseBrokenError,
     UnsendableRequestError,
 )
+from ._exchange import ServerExchange, UnansweredCause, UnansweredRequest
 from ._headers import HeaderList, HeaderView, without_hop_by_hop
 from ._listeners import drop_new_connections
 from ._pool import ConnectionPool
-from ._server import (
-    BACKLOG,
-    HttpServer,
-    ServerExchange,
-    ServerLimits,
-    UnansweredCause,
-    UnansweredRequest,
-)
+from ._server import BACKLOG, HttpServer
+from ._server_connection import ServerLimits
 from ._sockets import set_tcp_options
 from ._upstream import ResponseHead, UpstreamConnection, UpstreamRequest
 
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -14,7 +14,7 @@
     UnansweredRequest,
     _server,
 )
-from mangosaddle.http11._server import _Connection
+from mangosaddle.http11._server_connection import ServerConnection
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 MAX_ANSWER_S = 2.0
@@ -101,7 +101,7 @@
 
 async def _open_idle_connection(
     server: HttpServer,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, _Connection]:
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, ServerConnection]:
     """Connect a client; return both sides. Without its writer, the client would close its side."""
     host, port = await server.start("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection(host, port)
@@ -124,7 +124,7 @@
             assert await reader.read() == b""
         assert server.ended_idle_waits == 1
         assert server.shortest_ended_wait_s is not None
-        assert server.shortest_ended_wait_s >= _server.REQUEST_ON_THE_WAY_S
+        assert server.shortest_ended_wait_s >= _server_connection.REQUEST_ON_THE_WAY_S
         await server.stop()
 
     asyncio.run(_main())
