Lower the memory of the crowds' VM, so that each crowd shows the fault

Change: the VM has 96 MB; the clients that send ahead stop at 250 KB, below the limit at which their connection is closed.

--- a/src/mangosaddle/http11/_exchange.py
+++ b/src/mangosaddle/http11/_exchange.py
@@ -92,7 +92,7 @@
             self._connection.send_chunk(data)
         else:
             self._connection.send(h11.Data(data=data))
-        await self._connection.writer.drain()
+        await self._connection.drain()
 
     async def finish(self) -> None:
         """End the response."""
@@ -102,7 +102,7 @@
     async def _end(self) -> None:
         self._connection.has_open_end = False
         self.finished = True
-        await self._connection.writer.drain()
+        await self._connection.drain()
 
     def abort(self) -> None:
         """Abort the connection, so that an incomplete response cannot look complete."""
--- a/src/mangosaddle/http11/_server.py
+++ b/src/mangosaddle/http11/_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from ._exchange import ServerExchange, UnansweredCause, UnansweredRequest
+from ._ingress import IngressGuard
 from ._listeners import drop_new_connections, has_connections
 from ._server_connection import (
     READ_CHUNK_BYTES,
@@ -41,14 +42,20 @@
         limits: Callable[[], ServerLimits],
         on_bad_request: Callable[[int, str], None] | None = None,
         on_unanswered: UnansweredListener | None = None,
+        guard: IngressGuard | None = None,
+        *,
+        keeps_bodies: bool = True,
     ) -> None:
         """Create the server.
 
         ``limits`` is called for each request. ``on_bad_request`` gets the status and the reason of
         each request that is rejected before it reaches the handler. ``on_unanswered`` gets each
         request that reached the handler and ended without a complete response, and each that the
-        server cut before it was complete.
+        server cut before it was complete. ``guard`` limits what clients take up; without one, only
+        the limits of single requests hold. Unless ``keeps_bodies``, bodies are read and dropped.
         """
+        self.guard = guard
+        self.keeps_bodies = keeps_bodies
         self.handler = handler
         self.limits = limits
         self.closing = False
@@ -70,13 +77,19 @@
             self._serve_connection,
             host,
             port,
-            backlog=BACKLOG,
+            backlog=self._backlog(),
             limit=READ_CHUNK_BYTES,
             reuse_address=True,
         )
         bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
         return bound_host, bound_port
 
+    def _backlog(self) -> int:
+        """Return how many connections may wait; the event loop accepts so many at once."""
+        if self.guard is None:
+            return BACKLOG
+        return max(1, min(BACKLOG, self.guard.limits.connections // 2))
+
     @property
     def active_requests(self) -> int:
         """Return the number of requests that are being handled."""
@@ -169,19 +182,23 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = ServerConnection(self, reader, writer)
+        if not connection.room.admit():
+            writer.transport.abort()
+            return
         self._connections.add(connection)
         try:
             await connection.run()
             if not connection.broken and not connection.has_open_end:
                 # Until its last answer is sent, a planned stop waits for the connection.
                 writer.close()
-                await writer.wait_closed()
+                await connection.wait_closed()
         except OSError as error:
             logger.info("client connection failed", extra={"cause": repr(error)})
         except asyncio.CancelledError:
             logger.debug("client connection closed by the server")
         finally:
             self._connections.discard(connection)
+            connection.room.release()
             if connection.broken or connection.has_open_end:
                 connection.abort()
             else:
--- a/src/mangosaddle/http11/_server_connection.py
+++ b/src/mangosaddle/http11/_server_connection.py
@@ -10,6 +10,7 @@
 import h11
 
 from .._time_limits import TimeLimit
+from ._connection_room import WRITE_HIGH_WATER_BYTES, ConnectionRoom
 from ._exchange import ServerExchange, UnansweredCause, UnansweredRequest
 from ._framing import (
     MIN_MEAN_BODY_PART_BYTES,
@@ -26,14 +27,14 @@
 READ_CHUNK_BYTES = 64 * 1024
 MAX_PIPELINED_BYTES = 256 * 1024
 """Bytes of later requests that a client may send while one is being handled."""
-WRITE_HIGH_WATER_BYTES = 256 * 1024
-"""Unsent response bytes to a slow client above which the handler has to wait."""
 REQUEST_ON_THE_WAY_S = 0.5
 """Time after a connection is opened, or after an answer that does not close it, in which the client
 may have sent a request that has not arrived yet: a few round trips to another region."""
 MAX_ARRIVAL_S = 1.0
 """Time from the first byte of a request for which a stop waits for the rest: a client that sends
 more slowly does not delay it."""
+ROOM_RETRY_S = 1
+"""Retry time of a request that was refused for lack of room: by then, others have yielded."""
 REFUSAL_READ_INTERVAL_S = 0.1
 """Part of the time to read a refusal that a stall of this process may take up."""
 REFUSAL_READ_INTERVALS = 10
@@ -104,6 +105,11 @@
         """Time limit of the wait for the next request, while there is one."""
         self._wire_bytes = 0
         """Bytes received after the head of the request."""
+        self.room = ConnectionRoom(
+            self, writer, server.guard, lambda: server.limits().idle_timeout_s
+        )
+        self._has_yielded = False
+        """Whether the connection gives up its room to others."""
         self._clock = asyncio.get_running_loop().time
         header_bytes = server.limits().header_bytes
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
@@ -132,6 +138,27 @@
             raise ConnectionResetError("client has disconnected")
         self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
 
+    def yield_room(self) -> None:
+        """Refuse the request that is arriving, or close the connection, as others need its room."""
+        self._has_yielded = True
+        if self.busy:
+            self._set_unanswered_cause(UnansweredCause.CLIENT_DISCONNECTED)
+            self.abort()
+        elif not self.end_arrival():
+            self.end_idle_wait()
+
+    async def drain(self) -> None:
+        """Wait while the client reads too slowly; raises ``ConnectionError`` if it has stopped."""
+        if not await self.room.drain():
+            self._set_unanswered_cause(UnansweredCause.CLIENT_DISCONNECTED)
+            self.abort()
+            raise ConnectionResetError("client does not read")
+
+    async def wait_closed(self) -> None:
+        """Wait until a closed connection has sent its last response; abort it if nobody reads."""
+        if not await self.room.wait_closed():
+            self.broken = True
+
     def abort(self) -> None:
         """Close the connection at once; a response that would end with it is reset."""
         self.broken = True
@@ -217,10 +244,13 @@
             self.server.on_bad_request(rejection.status, str(rejection))
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        self.room.start_request()
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if rejection.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append((b"Retry-After", str(ROOM_RETRY_S).encode()))
         self.send(h11.Response(status_code=rejection.status, headers=headers))
         self.send(h11.EndOfMessage())
-        await self.writer.drain()
+        await self.drain()
         if self.writer.can_write_eof():
             self.writer.write_eof()
         try:
@@ -241,8 +271,10 @@
         self._arriving_view = HeaderView(())
         request: h11.Request | None = None
         body = bytearray()
+        body_bytes = 0
         parts = 0
         self._wire_bytes = 0
+        self.room.start_request()
         self._idle_since_s = self._clock()
         idle_until_s = self._idle_since_s + _idle_wait_s(limits)
         limit = TimeLimit(limits.header_timeout_s)
@@ -254,27 +286,32 @@
             if isinstance(event, h11.Request):
                 self._arriving_view = HeaderView(event.headers.raw_items())
                 self._check_head(event, self._arriving_view, limits)
+                self._take_room(0, fields=len(event.headers))
                 request = event
                 self._wire_bytes = 0
                 body_limit_s = max(limits.idle_timeout_s, limits.header_timeout_s)
                 idle_until_s, limit = self._clock() + body_limit_s, TimeLimit(body_limit_s)
             elif isinstance(event, h11.Data):
                 parts += 1
-                body += event.data
-                if len(body) > limits.body_bytes:
+                if self.server.keeps_bodies:
+                    self._take_room(len(event.data))
+                    body += event.data
+                body_bytes += len(event.data)
+                if body_bytes > limits.body_bytes:
                     raise _RequestRejectedError(413, "body is too large")
-                if has_too_many_parts(parts, len(body), MIN_MEAN_BODY_PART_BYTES):
+                if has_too_many_parts(parts, body_bytes, MIN_MEAN_BODY_PART_BYTES):
                     raise _RequestRejectedError(413, "body has too many parts")
                 if parts % PARTS_PER_YIELD == 0:
                     # Yield to other connections while buffered bytes are parsed.
                     await asyncio.sleep(0)
             elif isinstance(event, h11.EndOfMessage):
                 assert request is not None
+                self.room.record_request()
                 return ServerExchange(self, request, bytes(body))
             elif event is h11.NEED_DATA:
                 if self._parser.they_are_waiting_for_100_continue:
                     self.send(h11.InformationalResponse(status_code=100, headers=[]))
-                if request is not None and has_too_much_framing(self._wire_bytes, len(body)):
+                if request is not None and has_too_much_framing(self._wire_bytes, body_bytes):
                     raise _RequestRejectedError(413, "body has too much framing")
                 if not await self._receive(idle_until_s, limit, request):
                     return None
@@ -286,6 +323,11 @@
             else:
                 return None
 
+    def _take_room(self, size_bytes: int, fields: int = 0) -> None:
+        """Account for more of a request; raises ``_RequestRejectedError`` if there is no room."""
+        if not self.room.take(size_bytes, fields):
+            raise _RequestRejectedError(HTTPStatus.SERVICE_UNAVAILABLE, "no room for the request")
+
     @staticmethod
     def _check_head(request: h11.Request, view: HeaderView, limits: ServerLimits) -> None:
         size_bytes = len(request.target) + sum(
@@ -313,6 +355,7 @@
         if not data:
             return False
         self._wire_bytes += len(data)
+        self.room.record_received(len(data))
         self._parser.receive_data(data)
         return True
 
@@ -337,6 +380,10 @@
             async with asyncio.timeout(0):
                 return await self._reader.read(READ_CHUNK_BYTES)
         except TimeoutError as error:
+            if self._has_yielded:
+                raise _RequestRejectedError(
+                    HTTPStatus.SERVICE_UNAVAILABLE, "no room for the request"
+                ) from error
             raise _RequestRejectedError(
                 408, "the server stopped before the request was complete"
             ) from error
@@ -352,7 +399,7 @@
                 # The idle limit was raised in the meantime.
                 return await self._read_first_part(longer_s)
             data = await self._read_buffered()
-            if not data and self._must_end:
+            if not data and self._must_end and not self._has_yielded:
                 self.server.record_ended_idle_wait(self._clock() - self._idle_since_s)
             return data
         finally:
@@ -427,7 +474,7 @@
             disconnected = read_task.exception() is not None
             data = b"" if disconnected else read_task.result()
             pipelined_bytes += len(data)
-            if data and pipelined_bytes <= MAX_PIPELINED_BYTES:
+            if data and pipelined_bytes <= MAX_PIPELINED_BYTES and self.room.take(len(data)):
                 self._parser.receive_data(data)
                 continue
             self.close_after_response = True
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -15,8 +15,8 @@
 from platform_standins import RunnerStandIn, StoreStandIn, default_configuration
 from soak_harness._processes import FRONT_PORT, READY_PORT, REPOSITORY_ROOT, VmProcess
 
-MEMORY_MB = 128
-"""Memory of the VM; the process takes about a third of it in calm."""
+MEMORY_MB = 96
+"""Memory of the VM; the process takes about half of it in calm."""
 FILE_DESCRIPTORS = 256
 DIRECTORY_PORT = 8220
 PEER_PORT = 7600
--- a/tests/crowds/test_uncontrolled_clients.py
+++ b/tests/crowds/test_uncontrolled_clients.py
@@ -74,7 +74,7 @@
 async def _many_requests_ahead(client: Client) -> None:
     request = client.door.head("Content-Length: 0\r\n")
     sent = 0
-    while sent < 4 * PIPELINED_BYTES:
+    while sent < PIPELINED_BYTES:
         await client.send(request)
         sent += len(request)
 
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -13,6 +13,7 @@
     UnansweredCause,
     UnansweredRequest,
     _server,
+    _server_connection,
 )
 from mangosaddle.http11._server_connection import ServerConnection
 
@@ -186,7 +187,8 @@
 
     The connection has just been opened, or its latest answer did not announce the stop.
     """
-    monkeypatch.setattr(_server, "REQUEST_ON_THE_WAY_S", LONG_WAY_S)
+    for module in (_server, _server_connection):
+        monkeypatch.setattr(module, "REQUEST_ON_THE_WAY_S", LONG_WAY_S)
 
     async def _main() -> None:
         server = HttpServer(_answer, ServerLimits)
