Limit what the clients of each server take up together

Change: each server of the entry process has room of its own, derived from the memory and the descriptors of the VM; the client without progress for longest yields, with a 503 that states that nothing has run, or a close; requests sent ahead count and are not copied for each request any more; answers that nobody reads end; readiness, directory and metrics drop bodies; unauthenticated connections for links are bounded; buffered answers follow the memory of the VM. An exception kept refused bodies in memory for the second in which the client may read its refusal.

--- a/src/mangosaddle/entry/__init__.py
+++ b/src/mangosaddle/entry/__init__.py
@@ -8,6 +8,7 @@
 
 from ._discovery import Discovery
 from ._entry_process import EntryProcess
+from ._ingress_limits import VmLimits
 from ._log_output import LogOutput
 from ._platform_adapter import InterfaceHandler, PlatformAdapter
 from ._settings import Address, DutySettings, EntryProcessSettings, FleetBounds
@@ -23,5 +24,6 @@
     "InterfaceHandler",
     "LogOutput",
     "PlatformAdapter",
+    "VmLimits",
     "WireFormat",
 ]
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -32,6 +32,7 @@
 )
 from ._attempt_timeouts import AttemptTimeouts
 from ._giving_up import GiveUpCheck
+from ._ingress_limits import MAX_BUFFERED_ANSWERS_BYTES
 from ._loop_stalls import LoopStalls
 from ._results import AnswerSink
 from ._wire_format import WireFormat
@@ -43,9 +44,6 @@
 endpoint closed the connection at the same moment, the outcome would be unknown."""
 MAX_BUFFERED_BODY_BYTES = 8 * 1024 * 1024
 """Maximum size of an answer that is buffered before it is passed on."""
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-"""Total size of the answers that a VM buffers at the same time, not counting small ones: a tenth of
-its memory."""
 MAX_FAILURE_BODY_BYTES = 1024 * 1024
 """Maximum body size of an answer with which an endpoint rejects or fails a request."""
 FAILURE_BODY_TIMEOUT_S = 2.0
@@ -135,6 +133,7 @@
         record_answer: Callable[[EndpointView, EndpointAnswer], None] = lambda view, answer: None,
         stalls: LoopStalls | None = None,
         record_begun: Callable[[RoutedRequest], None] = lambda request: None,
+        buffered_bytes: int = MAX_BUFFERED_ANSWERS_BYTES,
     ) -> None:
         """Create the client; connections are reused through the pool.
 
@@ -142,6 +141,8 @@
         still be relied upon. ``record_answer`` is called with the head of each answer.
         ``stalls`` are those of this process, which are not part of the time of an endpoint.
         ``record_begun`` is called once for each request that an endpoint has begun to run.
+        ``buffered_bytes`` limits the answers that are buffered at the same time, not counting small
+        ones.
         """
         self._record_begun = record_begun
         self._record_answer = record_answer
@@ -151,7 +152,7 @@
         self._pool = pool
         self.connections_opened = 0
         self._timeouts = AttemptTimeouts()
-        self._memory = BodyMemoryBudget(MAX_BUFFERED_BYTES)
+        self._memory = BodyMemoryBudget(buffered_bytes)
         self._checks_by_endpoint: dict[EndpointId, dict[UpstreamConnection, GiveUpCheck]] = {}
         """Checks of the attempts in progress that may be repeated."""
 
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 
-from prometheus_client import CollectorRegistry, Gauge, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
 from .._identifiers import Incarnation, ServiceName, VmId
 from .._prompt_crash_exchange import CLEARED_PARTS, PROMPT_CRASHES, PromptCrashExchange
@@ -24,7 +24,7 @@
     VmRegistration,
 )
 from ..duties import ScalingLimits
-from ..http11 import ConnectionPool, HttpServer, ServerExchange, ServerLimits
+from ..http11 import ConnectionPool, ServerExchange, ServerLimits
 from ..membership import VmIdentity
 from ..peers import PeerNode, PeerSettings, PeerTimings
 from ..traffic import (
@@ -50,6 +50,7 @@
 from ._fleet_view import FleetView
 from ._forwarding import ForwardedRequests, PeerForwarder
 from ._indirect_checks import IndirectChecks
+from ._ingress_limits import ProcessLimits
 from ._load_reports import (
     ENDPOINT_LOAD,
     FLEET_REPORT,
@@ -177,6 +178,7 @@
         """Era of the store in which what this VM wrote was last checked."""
         self._leaving = False
         self._last_contact_at_s = self._clock()
+        self._process_limits = ProcessLimits.from_vm(settings.vm_limits)
         self._assemble_state()
         self._assemble_traffic()
         self._assemble_sources()
@@ -238,6 +240,7 @@
             self.statements.record_answer,
             self.rollouts.loop_stalls,
             self._duties.record_begun if self._duties is not None else lambda request: None,
+            self._process_limits.buffered_answers_bytes,
         )
         self.runner = RequestRunner(
             self.settings.vm,
@@ -367,17 +370,20 @@
             self.registry,
         )
         interface_handler = self._adapter.create_interface_handler(discovery, self.is_ready)
-        default_limits = ServerLimits()
-        self._servers = EntryServers(
-            HttpServer(
-                self.request_handler.handle,
-                self._front_limits,
-                self._log_bad_request,
-                self.request_handler.record_unanswered,
-            ),
-            HttpServer(interface_handler.handle, lambda: default_limits),
-            HttpServer(interface_handler.handle, lambda: default_limits),
-            HttpServer(self._metrics_page, lambda: default_limits),
+        refused = Counter(
+            "mangosaddle_clients_refused",
+            "Clients refused or disconnected for lack of room, by server and limit",
+            ["server", "limit"],
+            registry=self.registry,
+        )
+        self._servers = EntryServers.create(
+            self.request_handler,
+            self._front_limits,
+            self._log_bad_request,
+            interface_handler.handle,
+            self._metrics_page,
+            self._process_limits.ingress_by_door,
+            lambda server, limit: refused.labels(server, limit).inc(),
         )
 
     def _assemble_metrics(self) -> None:
@@ -441,7 +447,13 @@
         order = start_order(self._presence.revision)
         identity = VmIdentity(self.settings.vm, self._incarnation, order)
         peer_settings = PeerSettings(
-            identity, FLEET, secret, self.settings.host, self.settings.peer_port, PEER_TIMINGS
+            identity,
+            FLEET,
+            secret,
+            self.settings.host,
+            self.settings.peer_port,
+            PEER_TIMINGS,
+            self._process_limits.handshakes,
         )
         node = PeerNode(
             peer_settings,
@@ -457,6 +469,7 @@
             self.settings.vm,
             lambda: self.fleet.vms_for_forwards(self.settings.region),
             self._rng,
+            self._process_limits.buffered_answers_bytes,
         )
         forwarded = ForwardedRequests(
             self._adapter.wire,
--- a/src/mangosaddle/entry/_entry_servers.py
+++ b/src/mangosaddle/entry/_entry_servers.py
@@ -1,9 +1,12 @@
 """The HTTP servers of an entry process."""
 
 import asyncio
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Self
 
-from ..http11 import HttpServer
+from ..http11 import Handler, HttpServer, IngressGuard, IngressLimits, ServerLimits
+from ._caller_requests import CallerRequestHandler
 from ._settings import EntryProcessSettings
 
 
@@ -16,6 +19,46 @@
     discovery: HttpServer
     metrics: HttpServer
 
+    @classmethod
+    def create(
+        cls,
+        callers: CallerRequestHandler,
+        caller_limits: Callable[[], ServerLimits],
+        on_bad_request: Callable[[int, str], None],
+        interface: Handler,
+        metrics: Handler,
+        ingress_by_door: Mapping[str, IngressLimits],
+        on_yield: Callable[[str, str], None],
+    ) -> Self:
+        """Create the servers, each with room of its own for its clients.
+
+        ``on_yield`` gets the name of the server and of the limit for each client that is refused or
+        disconnected for lack of room.
+        """
+        default_limits = ServerLimits()
+
+        def _guard(door: str) -> IngressGuard:
+            return IngressGuard(door, ingress_by_door[door], on_yield=on_yield)
+
+        def _without_bodies(door: str, handler: Handler) -> HttpServer:
+            return HttpServer(
+                handler, lambda: default_limits, guard=_guard(door), keeps_bodies=False
+            )
+
+        front = HttpServer(
+            callers.handle,
+            caller_limits,
+            on_bad_request,
+            callers.record_unanswered,
+            _guard("front"),
+        )
+        return cls(
+            front,
+            _without_bodies("ready", interface),
+            _without_bodies("directory", interface),
+            _without_bodies("metrics", metrics),
+        )
+
     async def start(self, settings: EntryProcessSettings) -> None:
         """Listen on the addresses of the settings; raises ``OSError``."""
         await self.metrics.start(settings.host, settings.metrics_port)
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -39,11 +39,11 @@
 )
 from ._attempt import (
     MAX_BUFFERED_BODY_BYTES,
-    MAX_BUFFERED_BYTES,
     STATUS_CAUSE,
     StreamProgress,
     is_event_stream,
 )
+from ._ingress_limits import MAX_BUFFERED_ANSWERS_BYTES
 from ._pause_guard import PauseGuard
 from ._results import AnswerSink, Ending, RunResult
 from ._runner import RequestRunner
@@ -83,10 +83,12 @@
         own: VmId,
         vms_by_region: Callable[[], Mapping[RegionName, Collection[VmId]]],
         rng: random.Random,
+        buffered_bytes: int = MAX_BUFFERED_ANSWERS_BYTES,
     ) -> None:
         """Create the forwarder of the VM ``own``.
 
         ``vms_by_region`` returns the VMs that accept forwards, also those of the own region.
+        ``buffered_bytes`` limits the answers that are buffered at the same time.
         """
         self._node = node
         self._reports = reports
@@ -94,7 +96,7 @@
         self._own = own
         self._vms_by_region = vms_by_region
         self._rng = rng
-        self._memory = BodyMemoryBudget(MAX_BUFFERED_BYTES)
+        self._memory = BodyMemoryBudget(buffered_bytes)
         self._forwards_by_vm: Counter[VmId] = Counter()
         """Forwards of this VM that run, by the VM that runs them."""
         self._regions_by_service: dict[ServiceName, tuple[float, Collection[RegionName]]] = {}
--- a/src/mangosaddle/entry/_settings.py
+++ b/src/mangosaddle/entry/_settings.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from .._identifiers import RegionName, VmId, ZoneName
+from ._ingress_limits import NO_STATED_LIMITS, VmLimits
 
 Address = tuple[str, int]
 
@@ -73,5 +74,6 @@
     max_value_bytes: int
     """Maximum size of a value in the store."""
     log_level: str = "INFO"
+    vm_limits: VmLimits = NO_STATED_LIMITS
     duties: DutySettings | None = None
     """Duties that this VM takes part in; ``None`` for none."""
--- a/src/mangosaddle/http11/__init__.py
+++ b/src/mangosaddle/http11/__init__.py
@@ -17,9 +17,10 @@
 )
 from ._exchange import ServerExchange, UnansweredCause, UnansweredRequest
 from ._headers import HeaderList, HeaderView, without_hop_by_hop
+from ._ingress import IngressGuard, IngressLimits
 from ._listeners import drop_new_connections
 from ._pool import ConnectionPool
-from ._server import BACKLOG, HttpServer
+from ._server import BACKLOG, Handler, HttpServer
 from ._server_connection import ServerLimits
 from ._sockets import set_tcp_options
 from ._upstream import ResponseHead, UpstreamConnection, UpstreamRequest
@@ -32,10 +33,13 @@
     "ConnectFailedError",
     "ConnectionPool",
     "EndlessResponseError",
+    "Handler",
     "HeaderList",
     "HeaderView",
     "HttpError",
     "HttpServer",
+    "IngressGuard",
+    "IngressLimits",
     "RequestTimeoutError",
     "ResponseBrokenError",
     "ResponseHead",
--- a/src/mangosaddle/http11/_connection_room.py
+++ b/src/mangosaddle/http11/_connection_room.py
@@ -27,6 +27,11 @@
     busy: bool
     """Whether a request is being handled."""
 
+    @property
+    def ahead_bytes(self) -> int:
+        """Return how many bytes of later requests have arrived."""
+        ...
+
     def yield_room(self) -> None:
         """Refuse the request that is arriving, or close the connection."""
         ...
@@ -64,11 +69,19 @@
 
         While a request is being handled, that holds only if its client does not read the response.
         """
-        if not self._owner.busy:
-            return True
+        return not self._owner.busy or self.is_blocked
+
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether a response has been waiting for the client to read."""
         blocked_since_s = self._blocked_since_s
         return blocked_since_s is not None and self._clock() - blocked_since_s >= MIN_STALL_S
 
+    @property
+    def ahead_bytes(self) -> int:
+        """Return how many bytes of later requests have arrived."""
+        return self._owner.ahead_bytes
+
     def yield_room(self) -> None:
         """Let the connection give up its room, as others need it."""
         self._owner.yield_room()
@@ -82,9 +95,9 @@
         if self._guard is not None:
             self._guard.release(self)
 
-    def start_request(self) -> None:
-        """Account for a connection without a request."""
-        self._request_bytes = 0
+    def start_request(self, ahead_bytes: int) -> None:
+        """Account for a connection without a request, but with bytes of later ones."""
+        self._request_bytes = ahead_bytes
         self.update()
 
     def take(self, size_bytes: int, fields: int = 0) -> bool:
--- a/src/mangosaddle/http11/_ingress.py
+++ b/src/mangosaddle/http11/_ingress.py
@@ -51,6 +51,11 @@
     held_bytes: int
     """Memory that is accounted for it."""
 
+    @property
+    def ahead_bytes(self) -> int:
+        """Return how many bytes of later requests its client has sent without waiting."""
+        ...
+
     @property
     def may_yield(self) -> bool:
         """Return whether it can be closed or refused without an unknown outcome for its client."""
@@ -65,8 +70,9 @@
     """Accounts for the connections of one server; must only be used on the event loop.
 
     The connection without progress for the longest time yields first, those that have not completed
-    a request before the others. A connection whose request is being handled does not yield. If no
-    one has stalled, the newcomer is refused.
+    a request before the others. If none has stalled, the one yields that has sent most requests
+    ahead: its later requests are not read. A request that is being handled goes on. If no one has
+    sent ahead either, the newcomer is refused.
     """
 
     def __init__(
@@ -188,4 +194,6 @@
                 is_candidate = only_address is None or holder.address == only_address
                 if holder is not newcomer and is_candidate and holder.may_yield:
                     return holder
-        return None
+        holders = (*self._progress_at_s, *self._proven)
+        ahead = max(holders, key=lambda holder: holder.ahead_bytes, default=None)
+        return ahead if ahead is not None and ahead.ahead_bytes and ahead is not newcomer else None
--- a/src/mangosaddle/http11/_server_connection.py
+++ b/src/mangosaddle/http11/_server_connection.py
@@ -27,6 +27,8 @@
 READ_CHUNK_BYTES = 64 * 1024
 MAX_PIPELINED_BYTES = 256 * 1024
 """Bytes of later requests that a client may send while one is being handled."""
+PIPELINED_PIECE_BYTES = 16 * 1024
+"""Bytes of them that the parser gets at once; it copies what it has for each request."""
 REQUEST_ON_THE_WAY_S = 0.5
 """Time after a connection is opened, or after an answer that does not close it, in which the client
 may have sent a request that has not arrived yet: a few round trips to another region."""
@@ -108,6 +110,8 @@
         self.room = ConnectionRoom(
             self, writer, server.guard, lambda: server.limits().idle_timeout_s
         )
+        self._pipelined = bytearray()
+        """Bytes of later requests, which the parser has not got yet."""
         self._has_yielded = False
         """Whether the connection gives up its room to others."""
         self._clock = asyncio.get_running_loop().time
@@ -141,12 +145,21 @@
     def yield_room(self) -> None:
         """Refuse the request that is arriving, or close the connection, as others need its room."""
         self._has_yielded = True
-        if self.busy:
+        if self.busy and self.room.is_blocked:
             self._set_unanswered_cause(UnansweredCause.CLIENT_DISCONNECTED)
             self.abort()
+        elif self.busy:
+            # The later requests are not read; the one that is being handled gets its answer.
+            self._pipelined.clear()
+            self.close_after_response = True
         elif not self.end_arrival():
             self.end_idle_wait()
 
+    @property
+    def ahead_bytes(self) -> int:
+        """Return how many bytes of later requests have arrived."""
+        return len(self._pipelined)
+
     async def drain(self) -> None:
         """Wait while the client reads too slowly; raises ``ConnectionError`` if it has stopped."""
         if not await self.room.drain():
@@ -200,16 +213,20 @@
     async def run(self) -> None:
         """Handle requests until the connection ends."""
         while True:
+            refusal: tuple[int, str] | None = None
             try:
                 exchange = await self._read_request()
             except _RequestRejectedError as rejection:
-                await self._reject(rejection)
-                return
+                # While the exception exists, it keeps the received body in memory.
+                refusal = rejection.status, str(rejection)
             except asyncio.CancelledError:
                 if self.request_started:
                     cut = UnansweredRequest(self._arriving_view, self.request_started_at_s, False)
                     self.server.on_unanswered(cut, UnansweredCause.SERVER_STOPPED)
                 raise
+            if refusal is not None:
+                await self._reject(*refusal)
+                return
             if exchange is None:
                 return
             self.busy = True
@@ -235,20 +252,21 @@
                 return
             self._parser.start_next_cycle()
 
-    async def _reject(self, rejection: _RequestRejectedError) -> None:
-        """Respond to an invalid request, and give the client up to 1 s to read the response.
+    async def _reject(self, status: int, reason: str) -> None:
+        """Respond to a request that is not handled, and give the client up to 1 s to read it.
 
         Closing the connection while the client sends would reset it, and lose the response.
         """
         if self.server.on_bad_request is not None:
-            self.server.on_bad_request(rejection.status, str(rejection))
+            self.server.on_bad_request(status, reason)
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self.room.start_request()
+        self._pipelined.clear()
+        self.room.start_request(0)
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-        if rejection.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
             headers.append((b"Retry-After", str(ROOM_RETRY_S).encode()))
-        self.send(h11.Response(status_code=rejection.status, headers=headers))
+        self.send(h11.Response(status_code=status, headers=headers))
         self.send(h11.EndOfMessage())
         await self.drain()
         if self.writer.can_write_eof():
@@ -274,7 +292,7 @@
         body_bytes = 0
         parts = 0
         self._wire_bytes = 0
-        self.room.start_request()
+        self.room.start_request(self.ahead_bytes)
         self._idle_since_s = self._clock()
         idle_until_s = self._idle_since_s + _idle_wait_s(limits)
         limit = TimeLimit(limits.header_timeout_s)
@@ -348,7 +366,10 @@
 
         ``idle_until_s`` limits the wait for the first part of a request, ``limit`` the others.
         """
-        if self.request_started:
+        if self._pipelined:
+            data = bytes(self._pipelined[:PIPELINED_PIECE_BYTES])
+            del self._pipelined[:PIPELINED_PIECE_BYTES]
+        elif self.request_started:
             data = await self._read_next_part(limit, request)
         else:
             data = await self._read_first_part(idle_until_s)
@@ -451,6 +472,12 @@
         with contextlib.suppress(OSError):
             await exchange.respond(HTTPStatus.INTERNAL_SERVER_ERROR, [])
 
+    def _keep_pipelined(self, data: bytes) -> bool:
+        """Keep bytes of later requests; return whether they are not too many."""
+        self._pipelined += data
+        is_small = self.ahead_bytes <= MAX_PIPELINED_BYTES
+        return is_small and self.room.take(len(data))
+
     def _set_unanswered_cause(self, cause: UnansweredCause) -> None:
         """Set the cause unless an earlier one is known."""
         if self._unanswered_cause is UnansweredCause.HANDLER_RETURNED:
@@ -458,8 +485,6 @@
 
     async def _wait_for_handler(self, task: "asyncio.Future[None]") -> None:
         """Wait for the handler; cancel it if the client disconnects or pipelines too many bytes."""
-        pipelined, _ = self._parser.trailing_data
-        pipelined_bytes = len(pipelined)
         while not task.done():
             read_task = asyncio.ensure_future(self._reader.read(READ_CHUNK_BYTES))
             waited: set[asyncio.Future[Any]] = {task, read_task}
@@ -473,9 +498,7 @@
                 return
             disconnected = read_task.exception() is not None
             data = b"" if disconnected else read_task.result()
-            pipelined_bytes += len(data)
-            if data and pipelined_bytes <= MAX_PIPELINED_BYTES and self.room.take(len(data)):
-                self._parser.receive_data(data)
+            if data and not self.close_after_response and self._keep_pipelined(data):
                 continue
             self.close_after_response = True
             if task.done():
--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import Any, cast
 
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
@@ -29,6 +29,7 @@
 from ._exceptions import LinkRefusedError, NotSentError, RefusalReason
 from ._link import Link
 from ._metrics import PeerMetrics
+from ._pending_handshakes import PendingHandshakes
 from ._settings import PeerSettings
 
 REFUSED_CLOSE_CODE = 1008
@@ -81,6 +82,7 @@
         self._backoffs_by_vm: dict[VmId, _Backoff] = {}
         self._dials_by_vm: dict[VmId, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._pending = PendingHandshakes(settings.max_handshakes)
         self._server: Server | None = None
 
     async def start(self) -> tuple[str, int]:
@@ -98,6 +100,7 @@
             max_size=MAX_FRAME_BYTES,
             server_header=None,
             logger=websockets_logger,
+            create_connection=cast(type[ServerConnection], self._pending.create_connection),
         )
         address, port = next(iter(self._server.sockets)).getsockname()[:2]
         return address, port
@@ -262,6 +265,7 @@
         except (TimeoutError, WebSocketException):
             await connection.close(REFUSED_CLOSE_CODE)
             return
+        self._pending.finish(connection)
         link = Link(connection, session, False, self._metrics)
         if self._register_link(link):
             await self._run(link)
--- a/src/mangosaddle/peers/_settings.py
+++ b/src/mangosaddle/peers/_settings.py
@@ -36,3 +36,5 @@
     listen_port: int
     """0 selects a free port."""
     timings: PeerTimings = PeerTimings()
+    max_handshakes: int = 64
+    """Accepted connections that may be unauthenticated at the same time."""
--- a/src/mangosaddle/platform/_settings.py
+++ b/src/mangosaddle/platform/_settings.py
@@ -10,7 +10,7 @@
 
 from .._finding import Finding
 from .._identifiers import RegionName, VmId, ZoneName
-from ..entry import Address, DutySettings, EntryProcessSettings, FleetBounds
+from ..entry import Address, DutySettings, EntryProcessSettings, FleetBounds, VmLimits
 
 SETTINGS_PATH_VARIABLE = "MANGOSADDLE_CONFIG"
 LOG_LEVEL_VARIABLE = "MANGOSADDLE_LOG_LEVEL"
@@ -19,6 +19,7 @@
 METRICS_PORT_OFFSET = 1
 """Offset from the first internal port to the metrics port."""
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1024 * 1024
 MAX_PORT_DIGITS = 5
 USAGE_DUTY = "usage"
 SCALING_DUTY = "scaling"
@@ -52,6 +53,14 @@
     usage_late_s: float = Field(default=10, gt=0)
 
 
+class _Limits(BaseModel):
+    """Memory and descriptors of the VM; 0 where none is stated."""
+
+    model_config = ConfigDict(extra="ignore", allow_inf_nan=False)
+    memory_mb: float = Field(default=0, ge=0)
+    file_descriptors: int = Field(default=0, ge=0)
+
+
 class _Platform(BaseModel):
     model_config = ConfigDict(extra="ignore", allow_inf_nan=False)
     address: str
@@ -81,6 +90,7 @@
     bounds: _Bounds = _Bounds()
     platform: _Platform
     cloud: _Cloud = _Cloud()
+    limits: _Limits = _Limits()
 
 
 def load_settings(
@@ -162,6 +172,10 @@
         bounds=_to_fleet_bounds(document.bounds),
         max_value_bytes=document.platform.value_bytes,
         log_level=log_level,
+        vm_limits=VmLimits(
+            int(document.limits.memory_mb * BYTES_PER_MB) or None,
+            document.limits.file_descriptors or None,
+        ),
         duties=_to_duty_settings(document, addresses["cloud.address"]),
     )
     return Success(settings)
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mangosaddle.entry._attempt import MAX_BUFFERED_BYTES
+from mangosaddle.entry._ingress_limits import MAX_BUFFERED_ANSWERS_BYTES
 from mangosaddle.http11 import ResponseBrokenError, UpstreamConnection
 from mangosaddle.traffic._health import EndpointHealth, Reachability
 from platform_standins import (
@@ -230,7 +230,7 @@
         statuses = {status for status, _ in await asyncio.gather(*calls)}
         watching.cancel()
         assert statuses <= {502, 503}
-        assert 0 < peak_bytes <= MAX_BUFFERED_BYTES
+        assert 0 < peak_bytes <= MAX_BUFFERED_ANSWERS_BYTES
         assert buffer_memory.held_bytes == 0
 
     run_on_default_fleet(_scenario)
