Order endpoints in one step once two reports show the load

Cause: load that has to last for half a boot time, or a mean over it, is answered when the wave is nearly over. Change: two reports in a row, backlog to 2 s, all in one step. Sums at the holder drop old windows also when they are only merged (a leak of the first version, found by reading; test added).

--- a/src/mangosaddle/duties/_endpoint_counts.py
+++ b/src/mangosaddle/duties/_endpoint_counts.py
@@ -13,10 +13,10 @@
 
 TARGET_LOAD = 0.6
 """Load of an endpoint, as a share of its capacity, at which a batch still keeps its pace."""
-SUSTAINED_BOOT_TIMES = 0.5
-"""Time in boot times for which load has to last to count. A shorter burst is over long before a new
-endpoint serves; a wave of a boot time or more returns, and finds the endpoints that it needs."""
-MIN_SUSTAINED_S = 2.0
+SUSTAINED_S = 0.9
+"""Time for which load has to last to count: two reports. Waiting longer costs callers more than
+endpoints that are not needed: a wave lasts little longer than an endpoint takes to boot, and the
+next one finds what was ordered."""
 MIN_HOLD_S = 40.0
 """Time for which the highest need is kept before fewer endpoints are ordered."""
 HOLD_BOOT_TIMES = 5.0
@@ -82,7 +82,7 @@
         place = (demand.service, demand.zone)
         self._demand_by_place[place] = (now, demand)
         self._began_at_s_by_place.setdefault(place, now)
-        sustained = self._sustained_load(place, demand.load, limits, now)
+        sustained = self._sustained_load(place, demand.load, now)
         needs = self._needs_by_place.setdefault(place, deque())
         while needs and needs[-1][1] <= sustained:
             needs.pop()
@@ -91,12 +91,12 @@
             needs.popleft()
 
     def _sustained_load(
-        self, place: tuple[ServiceName, ZoneName], load: float, limits: ScalingLimits, now: float
+        self, place: tuple[ServiceName, ZoneName], load: float, now: float
     ) -> float:
         """Return the lowest load of the time that counts as sustained; 0 until it has passed."""
         loads = self._loads_by_place.setdefault(place, deque())
         loads.append((now, load))
-        since_s = now - max(MIN_SUSTAINED_S, SUSTAINED_BOOT_TIMES * limits.boot_s)
+        since_s = now - SUSTAINED_S
         while len(loads) > 1 and loads[1][0] <= since_s:
             loads.popleft()
         return min(row for _, row in loads) if loads[0][0] <= since_s else 0.0
--- a/src/mangosaddle/duties/_usage_totals.py
+++ b/src/mangosaddle/duties/_usage_totals.py
@@ -1,7 +1,7 @@
 """Sums of usage over the VMs of a zone and over all zones."""
 
 import math
-from collections.abc import Callable, Collection, Hashable, Iterable, Mapping
+from collections.abc import Callable, Collection, Hashable, Iterable
 
 from .._identifiers import OrganisationId
 from ._usage_windows import UsageCount, UsageWindows, sum_counts
@@ -76,6 +76,3 @@
             del self._windows_by_source[source]
             del self._complete_until_s_by_source[source]
             del self._heard_at_s_by_source[source]
-
-
-Counts = Mapping[OrganisationId, int]
--- a/src/mangosaddle/duties/_usage_windows.py
+++ b/src/mangosaddle/duties/_usage_windows.py
@@ -63,16 +63,15 @@
 
     def merge(self, counts: Iterable[UsageCount]) -> None:
         """Raise the counts to those of another VM, where they are higher."""
+        self._drop_old()
         for row in counts:
             if self._is_kept(row.window):
                 known = self._counts_by_window.setdefault(row.window, {})
                 known[row.organisation] = max(row.requests, known.get(row.organisation, 0))
 
     def counts(self) -> list[UsageCount]:
-        """Return all kept counts, and drop those of windows that ended long ago."""
-        for window in list(self._counts_by_window):
-            if not self._is_kept(window):
-                del self._counts_by_window[window]
+        """Return all kept counts."""
+        self._drop_old()
         return [
             UsageCount(window, organisation, requests)
             for window, counts in self._counts_by_window.items()
@@ -87,6 +86,11 @@
         """Return the counts of a window by organisation."""
         return self._counts_by_window.get(window, {})
 
+    def _drop_old(self) -> None:
+        for window in list(self._counts_by_window):
+            if not self._is_kept(window):
+                del self._counts_by_window[window]
+
     def _is_kept(self, window: int) -> bool:
         current = self.current()
         # A window far ahead can only come from a VM whose clock is wrong.
--- a/src/mangosaddle/traffic/_load.py
+++ b/src/mangosaddle/traffic/_load.py
@@ -30,8 +30,8 @@
 FULL_BACKLOG_S = 0.5
 """Time to read the queued prompts at which an engine counts as fully used: half of what callers of
 short prompts wait for the first event."""
-MAX_BACKLOG_SHARE = 1.5
-"""Bound of the backlog's share: prompts that arrive together are read within a second."""
+MAX_BACKLOG_SHARE = 4.0
+"""Bound of the backlog's share: what waits longer than 2 s is refused rather than queued."""
 DEFAULT_TIME_PER_TOKEN_S = 0.008
 """Time per generated token without observations: that of an engine with its batch a third full."""
 TIME_PER_TOKEN_MAX_AGE_S = 1.5
--- a/tests/duties/test_usage_reports.py
+++ b/tests/duties/test_usage_reports.py
@@ -89,6 +89,18 @@
     assert len(totals._windows_by_source) < 50
 
 
+def test_sums_that_are_only_merged_drop_old_windows() -> None:
+    """Guards against memory that grows at the holder, which is sent sums and sends none."""
+    clock = Clock()
+    totals = UsageTotals(WINDOW_S, clock, clock)
+    for _ in range(300):
+        counts = [UsageCount(int(clock.now // WINDOW_S), ORGANISATIONS[0], 1)]
+        totals.merge("zone", counts, clock.now)
+        clock.now += 1.0
+    kept = totals._windows_by_source["zone"]._counts_by_window
+    assert len(kept) < 10
+
+
 def test_a_step_of_the_wall_clock_does_not_move_the_windows() -> None:
     """Guards against counts in a wrong window after the time of day has jumped."""
     wall, clock = Clock(5000.0), Clock(10.0)
