Do not cut the last response of a connection for requests sent ahead

Cause: found by reading the limits on clients: while a connection ends with the response in progress, as in a planned stop, bytes of a later request counted as too many and cancelled the handler. Change: they are read and dropped.

--- a/src/mangosaddle/http11/_server_connection.py
+++ b/src/mangosaddle/http11/_server_connection.py
@@ -498,7 +498,8 @@
                 return
             disconnected = read_task.exception() is not None
             data = b"" if disconnected else read_task.result()
-            if data and not self.close_after_response and self._keep_pipelined(data):
+            # If the connection ends with this response, later requests are not read.
+            if data and (self.close_after_response or self._keep_pipelined(data)):
                 continue
             self.close_after_response = True
             if task.done():
--- a/tests/http11/test_planned_stop.py
+++ b/tests/http11/test_planned_stop.py
@@ -443,3 +443,34 @@
     asyncio.run(_main())
     request_id = b"r-1" if b"r-1" in part else None
     assert reports == [(request_id, False, UnansweredCause.SERVER_STOPPED)]
+
+
+def test_requests_sent_ahead_do_not_cut_the_last_response() -> None:
+    """Guards against a stream that is cut because its client sends on while the server stops."""
+
+    async def _main() -> None:
+        second_request_sent = asyncio.Event()
+
+        async def _stream(exchange: ServerExchange) -> None:
+            await exchange.start(200, [])
+            await exchange.write(b"first")
+            await second_request_sent.wait()
+            # The bytes of the second request arrive.
+            await asyncio.sleep(0.05)
+            await exchange.write(b"last")
+            await exchange.finish()
+
+        server = HttpServer(_stream, ServerLimits)
+        reader, writer = await asyncio.open_connection(*await server.start("127.0.0.1", 0))
+        server.closing = True
+        writer.write(REQUEST)
+        await reader.readuntil(b"first")
+        writer.write(REQUEST)
+        second_request_sent.set()
+        async with asyncio.timeout(MAX_ANSWER_S):
+            rest = await reader.read()
+        assert rest.endswith(b"4\r\nlast\r\n0\r\n\r\n")
+        writer.close()
+        await server.stop()
+
+    asyncio.run(_main())
