Count refused handshakes, and give back claims that arrive in a stop

Cause: found on reading: connections that yield on the port for links were not counted, and a claim that was on its way when its VM began to leave was renewed until the exit. Change: a reason of the refusal counter; a leaving VM gives back what it finds that it holds.

--- a/src/mangosaddle/entry/_duty_holders.py
+++ b/src/mangosaddle/entry/_duty_holders.py
@@ -114,6 +114,9 @@
     async def advance(self) -> int | None:
         """Renew or seek the claim; return the fencing token if this VM holds the duty."""
         await self.claim.advance(is_candidate=self._is_candidate())
+        if self._is_leaving:
+            # A claim may have been on its way when the VM began to leave.
+            await self.claim.give_up(LossCause.LEAVING)
         token = self.claim.token()
         now = self._clock()
         if token is not None and now >= self._sign_at_s:
--- a/src/mangosaddle/peers/_connector.py
+++ b/src/mangosaddle/peers/_connector.py
@@ -82,7 +82,10 @@
         self._backoffs_by_vm: dict[VmId, _Backoff] = {}
         self._dials_by_vm: dict[VmId, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._pending = PendingHandshakes(settings.max_handshakes)
+        self._pending = PendingHandshakes(
+            settings.max_handshakes,
+            lambda: metrics.count_refusal(RefusalReason.TOO_MANY_HANDSHAKES),
+        )
         self._server: Server | None = None
 
     async def start(self) -> tuple[str, int]:
--- a/src/mangosaddle/peers/_exceptions.py
+++ b/src/mangosaddle/peers/_exceptions.py
@@ -32,6 +32,8 @@
     """Why a link or frame was rejected; value of the ``reason`` label of the refusal counter."""
 
     WRONG_SUBPROTOCOL = "wrong_subprotocol"
+    TOO_MANY_HANDSHAKES = "too_many_handshakes"
+    """An unauthenticated connection yielded to a newer one."""
     FOREIGN_FLEET = "foreign_fleet"
     WRONG_SECRET = "wrong_secret"
     UNEXPECTED_VM = "unexpected_vm"
--- a/src/mangosaddle/peers/_pending_handshakes.py
+++ b/src/mangosaddle/peers/_pending_handshakes.py
@@ -1,6 +1,7 @@
 """Limits what unauthenticated connections on the port for links take up."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,11 +21,13 @@
 class PendingHandshakes:
     """Accepted connections that are not authenticated yet, oldest first."""
 
-    def __init__(self, limit: int) -> None:
-        """Create without connections; beyond ``limit`` the oldest one is closed."""
-        self.refused = 0
-        """Number of connections that were closed to make room for others."""
+    def __init__(self, limit: int, on_refusal: Callable[[], None]) -> None:
+        """Create without connections; beyond ``limit`` the oldest one is closed.
+
+        ``on_refusal`` is called for each connection that is closed to make room for another one.
+        """
         self._limit = limit
+        self._on_refusal = on_refusal
         self._pending: dict[ServerConnection, _Pending] = {}
 
     def create_connection(self, *args: Any, **kwargs: Any) -> ServerConnection:  # noqa: ANN401
@@ -34,7 +37,7 @@
     def add(self, connection: ServerConnection, transport: asyncio.Transport) -> None:
         """Add a connection; the oldest one yields if there are too many."""
         if len(self._pending) >= self._limit:
-            self.refused += 1
+            self._on_refusal()
             oldest = next(iter(self._pending))
             self._pending.pop(oldest).transport.abort()
         protocol = connection.protocol
