--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from collections.abc import Collection, Iterator
 
-from .._affinity import hash64
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
 from .._prompt_quarantine import Parts
 from ._catalogue import Catalogue, ServiceSpec
@@ -33,8 +32,6 @@
         """
         engine = spec.engine if spec is not None else None
         self.registration = registration
-        self.id_hash = hash64(registration.id.encode())
-        """Hash by which VMs rank the endpoints alike."""
         self.crash_suspect_fingerprints: set[str] = set()
         """Fingerprints of requests whose connection was lost since the last health check."""
         self.crash_suspect_prompts: set[Parts] = set()
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -11,12 +11,12 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
+from .._affinity import combine_hashes, hash64
 from .._identifiers import EndpointId, RegionName, VmId
 from ._endpoints import Endpoints, EndpointView
 from ._load import DEFAULT_TIME_PER_TOKEN_S, Work
 from ._region_reports import RegionReport, RegionReports
 from ._requests import RoutedRequest
-from ._shared_prompts import SharedPromptHome
 from ._statements import HoldReason
 from ._versions import ANY_VERSION, VersionChoice
 
@@ -123,13 +123,12 @@
     """Expected time per generated token there."""
 
 
-def work_of(request: RoutedRequest, view: EndpointView, home: SharedPromptHome) -> Work:
+def work_of(request: RoutedRequest, view: EndpointView) -> Work:
     """Return the resources that a request needs at an endpoint, given its prompt cache."""
     prompt = request.prompt
     if prompt is None:
         return Work(0, 0)
-    recorded = view.prefixes.cached_tokens(prompt.model, prompt.parts)
-    cached = home.cached_tokens(view, recorded)
+    cached = view.prefixes.cached_tokens(prompt.model, prompt.parts)
     uncached_tokens = max(0, prompt.prompt_tokens - cached)
     unshared_tokens = prompt.parts[-1].tokens if prompt.parts else prompt.prompt_tokens
     return Work(uncached_tokens, unshared_tokens + prompt.expected_tokens)
@@ -330,7 +329,7 @@
             for view in self._endpoints.usable(request.service)
             if version.allows(view.registration.version)
         ]
-        home = SharedPromptHome(request, views, len(region_vms))
+        preferred = _preferred_by_hash(request, views)
         for view in views:
             if view.id in tried:
                 continue
@@ -340,14 +339,14 @@
                 now
             ) <= _min_free_slot_share(request):
                 continue
-            work = work_of(request, view, home)
+            work = work_of(request, view)
             forecast_s = view.load.forecast_s(work, now)
             time_per_token_s = view.load.time_per_token_s(now)
             prefill_s = work.unread_tokens * view.load.prefill_s_per_token
             cost_s = forecast_s + _load_cost_s(
                 request, time_per_token_s, prefill_s, view.load.running(now)
             )
-            if view is home.view:
+            if view is preferred:
                 cost_s -= AFFINITY_BONUS_S
             candidate = LocalPlacement(view, work, forecast_s, cost_s, time_per_token_s)
             (faulty if view.health.is_faulty(baseline, now) else healthy).append(candidate)
@@ -441,3 +440,14 @@
     if prompt is None:
         return 0
     return prompt.parts[-1].tokens if prompt.parts else prompt.prompt_tokens
+
+
+def _preferred_by_hash(
+    request: RoutedRequest, views: Iterable[EndpointView]
+) -> EndpointView | None:
+    """Return the endpoint with the highest rendezvous hash for a prompt's shared parts."""
+    prompt = request.prompt
+    if prompt is None or len(prompt.parts) < 2:
+        return None
+    key = hash64("/".join(part.id for part in prompt.parts[:-1]).encode())
+    return max(views, key=lambda view: combine_hashes(hash64(view.id.encode()), key), default=None)
