Signal processes of the soak without reaping them

Popen.send_signal polls and may reap a process that has just ended; asyncio's watcher then reports 255. Shown: 11 of 150 short processes end with 255 under repeated send_signal, 0 of 150 under os.kill. Change: the soak's processes are signalled by os.kill; what the test checks stays. Ruled out: an end of the product by a signal, which would give a negative code.

--- a/tests/soak_harness/_processes.py
+++ b/tests/soak_harness/_processes.py
@@ -1,6 +1,7 @@
 """Entry processes, started as the platform does, each on a separate loopback address."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -113,7 +114,9 @@
         """Send a signal to the process if it is running."""
         assert self.process is not None
         if self.process.returncode is None:
-            self.process.send_signal(number)
+            # ``send_signal`` may reap a process that has just ended; asyncio would report 255 then.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def wait(self, timeout_s: float) -> int | None:
         """Wait for the process; return its exit code, or ``None`` if it is still running."""
