Wait for reachable endpoints between tests of cut-off VMs

Cause: the next test began while its VM still counted as cut off from the test before (5 of 6 cases), so the wait for it to notice the cut returned at once. A check of an endpoint that had begun before the new cut could then succeed after it; the VM placed an order locally, and an order is not forwarded once it is claimed.

--- a/tests/gateway/test_vms_without_endpoints.py
+++ b/tests/gateway/test_vms_without_endpoints.py
@@ -136,11 +136,21 @@
     return all(router.is_cut_off(target, node.clock()) for target in TARGETS)
 
 
+def _reaches_all(node: EntryNode) -> bool:
+    router = node.target_selector.router
+    return not any(router.is_cut_off(target, node.clock()) for target in TARGETS)
+
+
 @pytest.fixture
 def fleet(running_fleet: LocalFleet) -> Iterator[LocalFleet]:
-    """The running fleet, in which all VMs serve both kinds of calls before and after a test."""
+    """The running fleet, in which all VMs serve both kinds of calls before and after a test.
+
+    No VM still counts as cut off from the test before: it would seem to notice the next cut at
+    once, until a check of an endpoint that has begun before that cut succeeds.
+    """
     yield running_fleet
-    for vm in running_fleet.nodes_by_vm:
+    for vm, node in running_fleet.nodes_by_vm.items():
+        wait_for(partial(_reaches_all, node), f"{vm} reaches its endpoints", NOTICE_S)
         for call in (_chat, _read):
             serves = partial(_is_served, running_fleet, vm, call)
             wait_for(serves, f"{vm} serves", TIMEOUT_S)
