Leave room for urgent streams beside long prompts of other routes

Change: a prompt joins an engine only if its queue is at most half the target of each more urgent route that accepts much shorter waits, and half of the slots are free; else it goes to another region or is refused as "reserved". Inert where accepted waits are similar, as in all earlier deployments.

--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -10,6 +10,7 @@
 from ._health import EndpointHealth, Reachability
 from ._load import PREFILL_TOKENS_PER_S, EndpointLoad
 from ._prompt_cache import PromptCacheEstimate
+from ._prompt_precedence import PromptPrecedence
 from ._registry import EndpointRegistry, Registration
 from ._statements import EndpointStatements, Hold, HoldReason
 
@@ -100,10 +101,12 @@
         self._views_by_id: dict[EndpointId, EndpointView] = {}
         self._statements_by_incarnation: dict[str, EndpointStatements] = {}
         self._catalogue: Catalogue | None = None
+        self.prompt_precedence = PromptPrecedence()
 
     def set_catalogue(self, catalogue: Catalogue) -> None:
         """Apply a new configuration; endpoints whose service has not changed keep their state."""
         old, self._catalogue = self._catalogue, catalogue
+        self.prompt_precedence = PromptPrecedence.from_catalogue(catalogue, self.own_region)
         for view in self._views_by_id.values():
             name = view.registration.service
             if old is None or old.services_by_name.get(name) != self._spec(name):
--- a/src/mangosaddle/traffic/_placement.py
+++ b/src/mangosaddle/traffic/_placement.py
@@ -15,6 +15,7 @@
 from .._identifiers import EndpointId, RegionName, VmId
 from ._endpoints import Endpoints, EndpointView
 from ._load import DEFAULT_TIME_PER_TOKEN_S, Work
+from ._prompt_precedence import accepted_wait_s
 from ._region_reports import RegionReport, RegionReports
 from ._requests import RoutedRequest
 from ._statements import HoldReason
@@ -36,6 +37,9 @@
 first value applies to the most urgent priority, the second to all others. Each request in a batch
 slows down all answers. When more requests wait than run, all of them end late and their work is
 wasted."""
+MIN_FREE_SLOT_SHARE_BESIDE_URGENT = 0.5
+"""The same for prompts that have to leave room for a more urgent route: reading them slows its
+streams, which then hold their slots for longer."""
 GENERATION_WEIGHT = 0.15
 """Cost of a second of generating the answer, relative to a second before the first event."""
 RUNNING_DELAY_WEIGHT = 0.1
@@ -43,15 +47,11 @@
 TIME_PER_TOKEN_REVERSION = 0.5
 """Fraction by which the expected time per token moves from the observed to the default value,
 because a load peak usually ends before a long answer does."""
-MAX_WAIT_FACTOR = 1.5
-"""Maximum time to the first event as a multiple of the route's target latency. A longer queue would
-make all later requests late as well."""
-MIN_ALLOWED_WAIT_S = 1.0
-"""Lower bound of that maximum, so that a single prompt does not exceed a short target."""
 MIN_RETRY_AFTER_S = 0.3
 """Minimum retry delay given to callers: a queue hardly changes in less time."""
 FULL_RETRY_AFTER_S = 0.5
 """Retry delay when engines are full: usually some of their answers end within it."""
+NO_WORK = Work(0, 0)
 
 
 class RefusalCause(StrEnum):
@@ -63,6 +63,8 @@
     """The reachable endpoints were tried, or may get no request from this VM for now."""
     FULL = "full"
     """No engine has a free slot for a request of this priority."""
+    RESERVED = "reserved"
+    """What room the engines have is left to requests of a more urgent route."""
     LIMITED = "limited"
     """The endpoints state limits that leave nothing for this VM now."""
     ASKED_TO_WAIT = "asked_to_wait"
@@ -190,7 +192,7 @@
             if refusal is not None:
                 return refusal
             if request.prompt is not None and self._has_untried_endpoint(version, request, tried):
-                return PlacementRefusal(RefusalCause.FULL, FULL_RETRY_AFTER_S)
+                return self._refuse_as_full(request)
             if request.allows(own_region) and self._endpoints.usable(request.service):
                 return PlacementRefusal(RefusalCause.NONE_LEFT, 1.0)
             return PlacementRefusal(RefusalCause.NO_ENDPOINT, 1.0)
@@ -210,6 +212,11 @@
             return decision
         return self._refuse_if_late(request, local, tried, now)
 
+    def _refuse_as_full(self, request: RoutedRequest) -> PlacementRefusal:
+        is_limited = self._endpoints.prompt_precedence.max_queue_s(request) < math.inf
+        cause = RefusalCause.RESERVED if is_limited else RefusalCause.FULL
+        return PlacementRefusal(cause, FULL_RETRY_AFTER_S)
+
     def _refuse_if_late(
         self,
         request: RoutedRequest,
@@ -231,8 +238,7 @@
             end_late_s += prompt.expected_tokens * time_per_token_s
         if prompt is not None and not tried:
             waited_s = now - request.began_s
-            max_wait_s = max(MIN_ALLOWED_WAIT_S, request.route.target_latency_s * MAX_WAIT_FACTOR)
-            start_late_s = candidate.forecast_s + waited_s - max_wait_s
+            start_late_s = candidate.forecast_s + waited_s - accepted_wait_s(request.route)
         late_s = max(end_late_s, start_late_s)
         if late_s <= 0:
             return candidate
@@ -266,7 +272,7 @@
                 wait_s = max(MIN_RETRY_AFTER_S, hold.wait_s)
                 refusals.append(PlacementRefusal(cause, wait_s))
             elif hold is None and request.prompt is not None and view.id not in tried:
-                refusals.append(PlacementRefusal(RefusalCause.FULL, FULL_RETRY_AFTER_S))
+                refusals.append(self._refuse_as_full(request))
             elif view.id not in tried and (hold is None or hold.reason is not HoldReason.COLD):
                 return None
         # The request may wait here for room, whatever the others state.
@@ -330,6 +336,7 @@
             if version.allows(view.registration.version)
         ]
         preferred = _preferred_by_hash(request, views)
+        max_queue_s = self._endpoints.prompt_precedence.max_queue_s(request)
         for view in views:
             if view.id in tried:
                 continue
@@ -339,6 +346,11 @@
                 now
             ) <= _min_free_slot_share(request):
                 continue
+            if max_queue_s < math.inf and (
+                view.load.forecast_s(NO_WORK, now) > max_queue_s
+                or view.load.free_slot_share(now) < MIN_FREE_SLOT_SHARE_BESIDE_URGENT
+            ):
+                continue
             work = work_of(request, view)
             forecast_s = view.load.forecast_s(work, now)
             time_per_token_s = view.load.time_per_token_s(now)
