Check the ramp after a wait by the times of arrivals

A pause of the one process that runs VMs, endpoint and callers lengthens that time; all three VMs had begun their wait, as three log lines show. Change: each arrival of the first second is compared with the requests that the ramp permits until its time, counted from the earliest end of a wait. Ruled out: a VM that was not told to wait.

--- a/tests/platform/test_stated_waits.py
+++ b/tests/platform/test_stated_waits.py
@@ -26,6 +26,11 @@
 VM_COUNT = 3
 IN_FLIGHT = 3
 """Requests that may be under way when the first of them is turned away."""
+DOUBLING_S = 0.25
+"""Time after a wait in which the number of requests that a VM may send doubles, from one request. A
+count that is compared with it by the time of each arrival does not depend on pauses of the test."""
+RAMP_S = 1.0
+"""Time after the first request in which the number of requests is checked."""
 RESUMED_S = 6.0
 """Time in which an endpoint gets work again after its wait."""
 
@@ -119,9 +124,12 @@
         await wait_until(lambda: len(busy.rejected_at_s) >= VM_COUNT)
         busy.behaviour = Behaviour.OK
         known = len(busy.arrivals)
+        ends_at_s = min(busy.rejected_at_s) + WAIT_S
         await wait_until(lambda: len(busy.arrivals) > known)
-        await asyncio.sleep(0.2)
-        assert len(busy.arrivals) - known <= 2 * VM_COUNT
+        await asyncio.sleep(RAMP_S)
+        for count, arrival in enumerate(busy.arrivals[known:], 1):
+            doublings = (arrival.started_at_s - ends_at_s) / DOUBLING_S
+            assert count <= VM_COUNT * 2.0**doublings
         await asyncio.sleep(RESUMED_S)
         resumed = len(busy.arrivals)
         await asyncio.sleep(1.0)
