Add a check of a platform configuration before it is sent

Cause: a configuration is decoded only when it has been written; entries that another one hides, limits that contradict each other and unintended changes show when callers are refused. Change: mangosaddle check reads files only and prints errors with their places, doubtful entries, and what differs from the configuration in force; exit codes for scripts, text and JSON, digests in place of callers' keys. Ruled out: warnings for unknown fields, since the platform's document has fields that this program does not use.

--- a/src/mangosaddle/cli/_main.py
+++ b/src/mangosaddle/cli/_main.py
@@ -4,6 +4,7 @@
 
 from .. import __version__
 from ._admin_client import AdminClient
+from ._check import check
 from ._documents import document_group
 from ._keys import keys
 from ._options import admin_options
@@ -44,5 +45,5 @@
 
 main.add_command(document_group("inventory", "rules"))
 main.add_command(document_group("rules", "inventory"))
-for _command in (keys, versions, demo, entry, measure, stand_ins):
+for _command in (check, keys, versions, demo, entry, measure, stand_ins):
     main.add_command(_command)
--- a/src/mangosaddle/platform/_configuration.py
+++ b/src/mangosaddle/platform/_configuration.py
@@ -103,7 +103,9 @@
     home_regions: tuple[str, ...] = ()
 
 
-class _Configuration(_Model):
+class Configuration(_Model):
+    """The operator's document; fields that this program does not use are ignored."""
+
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
@@ -111,10 +113,15 @@
     tenants: tuple[_Tenant, ...] = ()
 
 
+def read_document(value: bytes) -> Configuration:
+    """Return the entries of a configuration as written; raises ``ValueError``."""
+    return Configuration.model_validate(json.loads(value))
+
+
 def decode_configuration(value: bytes) -> Result[Catalogue, tuple[Finding, ...]]:
     """Decode a configuration; a failure lists all errors."""
     try:
-        document = _Configuration.model_validate(json.loads(value))
+        document = read_document(value)
     except ValidationError as error:
         return Failure(
             tuple(
