Record the holder of a duty by a public method

Cause: tests of played duties used a private method of DutyHolders. Change: it is public and documented; no other change of behaviour. Ruled out: a fact in its place, which would test the links as well.

--- a/src/mangosaddle/entry/_duty_holders.py
+++ b/src/mangosaddle/entry/_duty_holders.py
@@ -57,7 +57,7 @@
 
     def publish(self, duty: str, token: int) -> None:
         """Tell the other VMs that this one holds a duty."""
-        self._record(duty, self._own, token)
+        self.record_holder(duty, self._own, token)
         if self._node is not None:
             payload = cbor2.dumps(token)
             number = next(self._numbers)
@@ -70,7 +70,8 @@
         recent = [sign for sign in signs if now - sign.at_s <= HOLDER_SILENT_S]
         return max(recent, key=lambda sign: sign.token).vm if recent else None
 
-    def _record(self, duty: str, vm: VmId, token: int) -> None:
+    def record_holder(self, duty: str, vm: VmId, token: int) -> None:
+        """Record a sign that a VM holds a duty with a token."""
         self._signs_by_duty.setdefault(duty, {})[vm] = _Sign(vm, token, self._clock())
 
     def _on_fact(self, fact: Fact) -> None:
@@ -85,7 +86,7 @@
         # Duties that this VM does not know are of no use to it.
         if type(token) is not int or fact.key not in self._listeners_by_duty:
             return
-        self._record(fact.key, fact.origin, token)
+        self.record_holder(fact.key, fact.origin, token)
         self._listeners_by_duty[fact.key]()
 
 
--- a/tests/duties/played_duty.py
+++ b/tests/duties/played_duty.py
@@ -380,5 +380,5 @@
             for other in self.vms if token is not None else ():
                 if other is not vm:
                     # What a received fact does.
-                    other.holders._record("usage", vm.vm, token or 0)
+                    other.holders.record_holder("usage", vm.vm, token or 0)
                     other.holders._listeners_by_duty["usage"]()
