Check prompt routes that split their requests, too

Cause: a route whose split names only services without an engine was not reported, and services of a route were computed in two ways. Change: one function names the services of a route; a prompt route is reported if none of them has an engine. Ruled out: a finding for a share without an engine beside one with, which deployments use.

--- a/src/mangosaddle/platform/_configuration.py
+++ b/src/mangosaddle/platform/_configuration.py
@@ -43,7 +43,9 @@
     weight: float = Field(ge=0)
 
 
-class _Route(_Model):
+class RouteEntry(_Model):
+    """A route as the operator writes it."""
+
     name: str = ""
     host: str
     prefix: str = Field(pattern="^/(.*/)?$")
@@ -107,7 +109,7 @@
     """The operator's document; fields that this program does not use are ignored."""
 
     version: int
-    routes: tuple[_Route, ...] = ()
+    routes: tuple[RouteEntry, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
     tenants: tuple[_Tenant, ...] = ()
@@ -148,7 +150,7 @@
     )
 
 
-def _to_route(item: _Route) -> Route:
+def _to_route(item: RouteEntry) -> Route:
     shares = tuple(
         ServiceShare(ServiceName(share.service), share.weight)
         for share in item.split
--- a/src/mangosaddle/platform/_configuration_check.py
+++ b/src/mangosaddle/platform/_configuration_check.py
@@ -8,7 +8,13 @@
 from returns.result import Failure
 
 from .._finding import Finding, Severity
-from ._configuration import CONFIGURATION_KEY, Configuration, decode_configuration, read_document
+from ._configuration import (
+    CONFIGURATION_KEY,
+    Configuration,
+    RouteEntry,
+    decode_configuration,
+    read_document,
+)
 
 
 def check_configuration(value: bytes) -> tuple[Finding, ...]:
@@ -113,8 +119,8 @@
         used: set[str] = set()
         for number, route in enumerate(self.document.routes):
             place = f"routes.{number}"
-            weighted = {share.service for share in route.split if share.weight > 0}
-            if weighted and route.service and route.service not in weighted:
+            targets = _services(route)
+            if route.service and route.service not in targets:
                 message = f"{route.service!r} gets no request, as the route has a split"
                 yield _warning(f"{place}.service", message, "name it in the split, or remove it")
             for index, share in enumerate(route.split):
@@ -122,7 +128,6 @@
                     message = f"{share.service!r} has weight 0 and gets no request"
                     remedy = "remove it or give it a weight"
                     yield _warning(f"{place}.split.{index}.weight", message, remedy)
-            targets = weighted or {route.service}
             used |= targets
             if targets == {""}:
                 yield _error(place, "names no service", "add the field service or split")
@@ -166,12 +171,11 @@
                     if getattr(route, name):
                         message = f"applies to streams, but the kind is {route.kind!r}"
                         yield _warning(f"{place}.{name}", message, "remove it, or correct the kind")
-            services = {share.service for share in route.split if share.weight > 0}
-            for name in sorted((services or {route.service}) & known - engines):
-                if route.session_affinity and not services:
-                    message = f"sends prompts to {name!r}, which has no engine"
-                    remedy = "describe its engine, or remove session_affinity"
-                    yield _warning(f"{place}.session_affinity", message, remedy)
+            targets = _services(route)
+            if route.session_affinity and targets <= known and targets.isdisjoint(engines):
+                message = f"sends prompts to {', '.join(sorted(targets))}, without an engine"
+                remedy = "describe its engine, or remove session_affinity"
+                yield _warning(f"{place}.session_affinity", message, remedy)
 
     def services(self) -> Iterator[Finding]:
         """Find limits of services that contradict each other."""
@@ -203,6 +207,11 @@
                 yield _warning(f"{place}.burst", message, "set rate_per_s, or remove it")
 
 
+def _services(route: RouteEntry) -> set[str]:
+    """Return the services that get requests of a route."""
+    return {share.service for share in route.split if share.weight > 0} or {route.service}
+
+
 def _hidden(entries: Iterator[tuple[str, str, str]]) -> Iterator[Finding]:
     """Yield an error for each entry whose value an earlier one has."""
     places_by_value: dict[str, str] = {}
--- a/tests/platform/test_configuration_check.py
+++ b/tests/platform/test_configuration_check.py
@@ -88,6 +88,14 @@
         ({"routes": [_route(gap_target_ms=9500)]}, "routes.0.gap_target_ms", "warning"),
         ({"routes": [_route(kind="unsafe", resumable=True)]}, "routes.0.resumable", "warning"),
         ({"services": [_service(engine=None)]}, "routes.0.session_affinity", "warning"),
+        (
+            {
+                "routes": [_route(split=[{"service": "llm", "weight": 1}])],
+                "services": [_service(engine=None)],
+            },
+            "routes.0.session_affinity",
+            "warning",
+        ),
         ({"services": [_service(cold_per_s=2)]}, "services.0.cold_per_s", "warning"),
         (
             {"services": [_service(scaling={"minimum": 4, "maximum": 2})]},
