Check the return after a wait independently of the machine's speed

Change: arrivals count from the earliest end of the wait, and the share of calls that reach the endpoint afterwards is checked. Ruled out: a fault of the ramp.

--- a/tests/platform/test_stated_waits.py
+++ b/tests/platform/test_stated_waits.py
@@ -123,18 +123,23 @@
         traffic.start()
         await wait_until(lambda: len(busy.rejected_at_s) >= VM_COUNT)
         busy.behaviour = Behaviour.OK
-        known = len(busy.arrivals)
         ends_at_s = min(busy.rejected_at_s) + WAIT_S
-        await wait_until(lambda: len(busy.arrivals) > known)
+
+        def _returned_at_s() -> list[float]:
+            # Requests that were under way when the endpoint asked for the wait come before its end.
+            arrived_at_s = [arrival.started_at_s for arrival in busy.arrivals]
+            return [at_s for at_s in arrived_at_s if at_s >= ends_at_s]
+
+        await wait_until(_returned_at_s)
         await asyncio.sleep(RAMP_S)
-        for count, arrival in enumerate(busy.arrivals[known:], 1):
-            doublings = (arrival.started_at_s - ends_at_s) / DOUBLING_S
-            assert count <= VM_COUNT * 2.0**doublings
+        for count, at_s in enumerate(_returned_at_s(), 1):
+            assert count <= VM_COUNT * 2.0 ** ((at_s - ends_at_s) / DOUBLING_S)
         await asyncio.sleep(RESUMED_S)
-        resumed = len(busy.arrivals)
+        resumed, ended_calls = len(busy.arrivals), len(traffic.calls)
         await asyncio.sleep(1.0)
         await traffic.stop()
-        assert len(busy.arrivals) - resumed > 2 * REQUESTS_PER_S
+        # In proportion to the calls, since a slow machine sends fewer of them in a second.
+        assert len(busy.arrivals) - resumed > 2 / 3 * (len(traffic.calls) - ended_calls) > 0
 
     run_on_empty_fleet(_scenario)
 
