Notice watch calls that a silent store has dropped, within two seconds

Cause: a watch call waits by design. If the store has dropped it on a connection that stays open, it looks like one that waits for changes until its limit, 25 s of wait and 2 s more. The prefix was read again earlier only if another call of the same process had failed in the silence. Change: a watch call waits for 1 s and has to be answered 1 s later. Each call then ends by itself, whatever the others do. A watch without changes continues from a revision at least 3 s old: with short waits, one that ends while the store holds changes back would go on behind them, and lose them once the history is dropped. Ruled out: only noticing more failures of other calls, as they may all miss a short silence.

--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -5,16 +5,22 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from .._store_revisions import era_of, format_revision
 from ._exceptions import CoordinationError, HistoryLostError
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
-WATCH_TIMEOUT_S = 25.0
-"""Longest wait of a watch call, in seconds. The store allows up to 30 s. Dead connections need no
-shorter timeout, since TCP keep-alive probes detect them much earlier. Calls that a live store has
-dropped are noticed by other calls, see ``PrefixWatcher.follow_recovery``."""
+WATCH_WAIT_S = 1.0
+"""Longest wait of a watch call, in seconds. A call that the store has dropped looks like one that
+waits for changes until its time limit, and no other call need fail in that moment. The wait and the
+limit that the store's client adds to it keep this well below the time in which a change has to
+take effect."""
+MAX_HELD_BACK_S = 3.0
+"""Time, in seconds, for which the store may hold back the changes of a prefix. A watch without
+changes continues from a revision of before that time, so that it gets them later, or the error that
+they are no longer available."""
 MIN_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.8
 """Bounds of the exponential back-off while the store fails, in seconds. They are short enough for a
@@ -42,6 +48,16 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class _QuietPeriod:
+    """Time since which the changes of a prefix may have been held back."""
+
+    began_at_s: float
+    """Monotonic time of the response without changes that began it."""
+    revision: int
+    """Revision of the store that this response stated."""
+
+
 class PrefixWatcher:
     """Reads and watches a prefix, and reads it again whenever changes may have been missed."""
 
@@ -62,6 +78,9 @@
         self._rng = rng
         self._clock = clock
         self._revision: int | None = None
+        """Revision from which the next watch call continues; ``None`` to read the prefix first."""
+        self._quiet: _QuietPeriod | None = None
+        """Set while the latest watch calls have brought no changes."""
         self._era: int | None = None
         """Era of the latest snapshot."""
         self._failing_since_s: float | None = None
@@ -133,8 +152,8 @@
     def follow_recovery(self, recovered_at_s: float | None) -> None:
         """Read the prefix again if the pending watch call is older than a recovery of the store.
 
-        A store that is silent for a while may drop the calls that it gets meanwhile. A dropped
-        watch call on a live connection would end only with its timeout, 25 s and more later.
+        A store that is silent for a while may drop the calls that it gets meanwhile. If another
+        call has shown this, the watch need not wait for its own time limit.
         """
         if (
             recovered_at_s is not None
@@ -159,7 +178,7 @@
 
     async def _watch(self, revision: int) -> Changes | None:
         """Return the next changes, or ``None`` if the prefix has to be read again."""
-        call = asyncio.create_task(self._store.watch(self.prefix, revision, WATCH_TIMEOUT_S))
+        call = asyncio.create_task(self._store.watch(self.prefix, revision, WATCH_WAIT_S))
         self._watch_call = call
         self._watch_began_at_s = self._clock()
         try:
@@ -179,7 +198,7 @@
             requested = self._requested_readings
             snapshot = await self._store.read(self.prefix)
             ended_outage = self._record_success()
-            self._revision = snapshot.revision
+            self._revision, self._quiet = snapshot.revision, None
             era, self._era = self._era, era_of(snapshot.revision)
             was_restored = era is not None and era != self._era
             self._listener.handle_snapshot(snapshot, after_outage=ended_outage or was_restored)
@@ -195,7 +214,15 @@
         for event in changes.events:
             if event.revision > self._revision:
                 self._listener.handle_change(event)
-        self._revision = max(self._revision, changes.revision)
+        if changes.events:
+            self._revision, self._quiet = max(self._revision, changes.revision), None
+            return
+        now = self._clock()
+        if self._quiet is None:
+            self._quiet = _QuietPeriod(now, changes.revision)
+        elif now - self._quiet.began_at_s >= MAX_HELD_BACK_S:
+            self._revision = max(self._revision, self._quiet.revision)
+            self._quiet = _QuietPeriod(now, changes.revision)
 
     def _record_success(self) -> bool:
         """Record a successful call and return whether it ended an outage."""
--- a/src/mangosaddle/platform/_store.py
+++ b/src/mangosaddle/platform/_store.py
@@ -37,8 +37,9 @@
 """Response timeout; the store usually answers within milliseconds, and within hundreds of
 milliseconds when it is slow."""
 CONNECT_TIMEOUT_S = 1.0
-WATCH_TIMEOUT_MARGIN_S = 2.0
-"""Added to the wait of a watch call to get its response timeout."""
+WATCH_TIMEOUT_MARGIN_S = 1.0
+"""Added to the wait of a watch call to get its response timeout. It is longer than the answers of a
+slow store take, and bounds the time for which a dropped call goes unnoticed."""
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Largest accepted response: a page holds about 1 MB of values, encoded as base64."""
 MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -24,7 +24,7 @@
     run_on_empty_fleet,
     start_vm_with,
 )
-from ._store import StoreCopy, StoreFault, StoreStandIn
+from ._store import StoreCopy, StoreFault, StoreSilence, StoreStandIn
 from ._traffic import Call, Traffic
 from ._version_fault import VersionFault
 
@@ -49,6 +49,7 @@
     "Scenario",
     "StoreCopy",
     "StoreFault",
+    "StoreSilence",
     "StoreStandIn",
     "Traffic",
     "VersionFault",
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -38,6 +38,18 @@
     """Returns the first page for each page of a range read."""
 
 
+class StoreSilence(StrEnum):
+    """What the store leaves out on connections that stay open."""
+
+    NONE = "none"
+    CALLS = "calls"
+    """Calls that arrive are not executed and never answered, not even afterwards."""
+    ANSWERS = "answers"
+    """Calls are executed, and what is answered meanwhile is never sent."""
+    HALF_ANSWERS = "half_answers"
+    """Calls are executed, and of what is answered meanwhile only the first half is sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class StoreCopy:
     """State of the store at one moment, from which it can be restored."""
@@ -54,9 +66,10 @@
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.hold_watches = False
-        """While set, watches bring no changes, as on connections that have gone silent."""
-        self.drops_calls = False
-        """While set, calls are accepted and never answered, not even afterwards."""
+        """While set, watches bring no changes, also those that end meanwhile."""
+        self.silence = StoreSilence.NONE
+        self.silent_paths: frozenset[str] | None = None
+        """Paths of the calls that ``silence`` concerns; ``None`` for all calls."""
         self.reading_delay_s = 0.0
         self.write_delay_s = 0.0
         """Time from a write to its answer."""
@@ -195,7 +208,7 @@
     async def _handle(self, exchange: ServerExchange, fault: StoreFault) -> None:
         path, _, query = exchange.target.decode().partition("?")
         self.calls.append(f"{exchange.method.decode()} {path}")
-        if self.drops_calls:
+        if self._silence_of(path) is StoreSilence.CALLS:
             await asyncio.Event().wait()
         era = [(b"Store-Era", str(self.era).encode())]
         if fault in (StoreFault.BUSY, StoreFault.RATE_LIMITED):
@@ -210,6 +223,13 @@
         body = json.loads(exchange.body) if exchange.body else {}
         status, answer = await self._execute(exchange.method.decode(), path, parameters, body)
         era = [(b"Store-Era", str(self.era).encode())]
+        silence = self._silence_of(path)
+        if silence in (StoreSilence.ANSWERS, StoreSilence.HALF_ANSWERS):
+            if silence is StoreSilence.HALF_ANSWERS:
+                encoded = json.dumps(answer).encode()
+                await exchange.start(status, era)
+                await exchange.write(encoded[: len(encoded) // 2])
+            await asyncio.Event().wait()
         if fault is StoreFault.ANSWER_LOST:
             exchange.abort()
         elif fault is StoreFault.NOT_JSON:
@@ -223,6 +243,10 @@
         else:
             await exchange.respond(status, era, json.dumps(answer).encode())
 
+    def _silence_of(self, path: str) -> StoreSilence:
+        is_silent = self.silent_paths is None or path in self.silent_paths
+        return self.silence if is_silent else StoreSilence.NONE
+
     async def _execute(
         self, method: str, path: str, parameters: dict[str, str], body: dict[str, Any]
     ) -> tuple[int, dict[str, Any]]:
@@ -272,7 +296,8 @@
                 pass
             if not self._keeps_history_since(after):
                 return 410, {}
-            return 200, {"events": _events(), "store_revision": self._number}
+            events = [] if self.hold_watches else _events()
+            return 200, {"events": events, "store_revision": self._number}
 
     def _keeps_history_since(self, revision: int) -> bool:
         return self._oldest_kept_revision - 1 <= revision <= self._number
