Notice watches of the configuration that a silent store has dropped

Callers would see: in the product's own interface a VM applies no change that it learns from the store for up to 23 s after a silence, where 4 s are the target, if the other VMs don't tell it. Cause: ConfigurationWatch waited for 20 s, and the client for 2 s and a sixteenth of the wait more. Change: a watch waits for 1 s, so that it ends after 3.1 s at the latest. The store's stand-in can leave watches unanswered, drop their answers, or send half of them. The calls of a watcher without changes rise from one in 20 s to one a second; at the target scale two VMs of each region watch.

--- a/src/mangosaddle/daemon/_configuration_watch.py
+++ b/src/mangosaddle/daemon/_configuration_watch.py
@@ -15,7 +15,10 @@
 from ._blocking import BlockingCalls
 from ._configuration_head import HEAD_KEY, ConfigurationHead, advance_head
 
-WATCH_TIMEOUT_S = 20.0
+WATCH_WAIT_S = 1.0
+"""Longest wait of a watch, in seconds. A watch that the store has dropped looks like one that waits
+for a change until its time limit; this wait and the read timeout keep the limit below the time in
+which a change has to take effect."""
 RETRY_INITIAL_S = 0.2
 RETRY_MAX_S = 3.0
 IDLE_INTERVAL_S = 1.0
@@ -92,13 +95,13 @@
                 await asyncio.sleep(IDLE_INTERVAL_S)
 
     async def _fetch_head(self, index: int) -> WatchResult | None:
-        """Return the head: at once for index 0, else after a change or ``WATCH_TIMEOUT_S``.
+        """Return the head: at once for index 0, else after a change or ``WATCH_WAIT_S``.
 
         Returns ``None`` if the store did not answer.
         """
         if index:
             watch_result = await self._blocking.run(
-                self._store.watch, HEAD_KEY, index, WATCH_TIMEOUT_S
+                self._store.watch, HEAD_KEY, index, WATCH_WAIT_S
             )
             return watch_result.value_or(None)
         read_result = await self._blocking.run(self._store.read, HEAD_KEY)
--- a/src/mangosaddle/standins/__init__.py
+++ b/src/mangosaddle/standins/__init__.py
@@ -6,7 +6,7 @@
 from ._host import StandInHost
 from ._links import LinkConditions, PeerLinks
 from ._service import ServiceStandIn
-from ._store import StoreCopy, StoredValue, StoreFaults, StoreStandIn
+from ._store import StoreCopy, StoredValue, StoreFaults, StoreStandIn, WatchSilence
 from ._vm_follower import VmFollower
 from ._vm_list import ListedVm, VmListStandIn
 from ._weight_store import WeightStoreStandIn
@@ -28,6 +28,7 @@
     "StoredValue",
     "VmFollower",
     "VmListStandIn",
+    "WatchSilence",
     "WeightStoreStandIn",
     "free_port",
 ]
--- a/src/mangosaddle/standins/_store.py
+++ b/src/mangosaddle/standins/_store.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 
 from aiohttp import web
 
@@ -38,6 +39,18 @@
     session_count: int
 
 
+class WatchSilence(StrEnum):
+    """What the store leaves out of watches on connections that stay open."""
+
+    NONE = "none"
+    CALLS = "calls"
+    """Watches that arrive are never answered, not even afterwards."""
+    ANSWERS = "answers"
+    """What is answered meanwhile is never sent."""
+    HALF_ANSWERS = "half_answers"
+    """Of what is answered meanwhile only the first half is sent."""
+
+
 @dataclass(slots=True)
 class StoreFaults:
     """Faults that tests can inject."""
@@ -54,6 +67,7 @@
     """Size of the body that reads return instead of rows; 0 disables this."""
     omit_write_index: bool = False
     """Answers to writes omit the new index."""
+    watch_silence: WatchSilence = WatchSilence.NONE
 
 
 class StoreStandIn:
@@ -175,8 +189,36 @@
             return {k: v for k, v in sorted(self.values_by_key.items()) if k.startswith(key)}
         return {key: self.values_by_key[key]} if key in self.values_by_key else {}
 
-    async def _get(self, request: web.Request) -> web.Response:
-        self.calls_by_kind["watch" if "index" in request.query else "read"] += 1
+    async def _get(self, request: web.Request) -> web.StreamResponse:
+        is_watch = "index" in request.query
+        self.calls_by_kind["watch" if is_watch else "read"] += 1
+        if is_watch and self.faults.watch_silence is WatchSilence.CALLS:
+            await self._leave_unanswered(request)
+        response = await self._read(request)
+        if not is_watch:
+            return response
+        if self.faults.watch_silence is WatchSilence.ANSWERS:
+            await self._leave_unanswered(request)
+        if self.faults.watch_silence is WatchSilence.HALF_ANSWERS:
+            await self._send_half(request, response)
+        return response
+
+    @staticmethod
+    async def _leave_unanswered(request: web.Request) -> None:
+        """Wait until the client closes the connection."""
+        while request.transport is not None and not request.transport.is_closing():
+            await asyncio.sleep(DELAY_POLL_INTERVAL_S)
+        raise asyncio.CancelledError
+
+    async def _send_half(self, request: web.Request, response: web.Response) -> None:
+        body = response.body if isinstance(response.body, bytes) else b""
+        part = web.StreamResponse(status=response.status, headers=response.headers)
+        part.headers[EPOCH_HEADER] = str(self.epoch)
+        await part.prepare(request)
+        await part.write(body[: len(body) // 2])
+        await self._leave_unanswered(request)
+
+    async def _read(self, request: web.Request) -> web.Response:
         await self._apply_faults(request)
         self._expire_sessions()
         if "index" in request.query:
