Soak: draw short silences of the store

Change: three series a seed of silences of 0.05 to 2 s, drawn apart, so that earlier seeds keep their other faults: calls dropped, answers dropped, half answers. Each begins with a change of the configuration, which ends the pending watches.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
     FAULT_PHASE_S,
     ORDER_KINDS,
     PAUSE_KINDS,
+    SILENCE_KINDS,
     STATEMENT_KINDS,
     run_seed,
     schedule,
@@ -32,7 +33,7 @@
     assert schedule(7) == schedule(7) != schedule(8)
     faults = [fault for seed in range(200) for fault in schedule(seed)]
     kinds = {*FAULT_KINDS, *ADDED_FAULT_KINDS, *STATEMENT_KINDS, *ORDER_KINDS, *PAUSE_KINDS}
-    kinds |= set(DUTY_KINDS)
+    kinds |= {*DUTY_KINDS, *SILENCE_KINDS}
     assert {fault.kind for fault in faults} == kinds
     assert all(0.0 <= fault.at_s <= FAULT_PHASE_S for fault in faults)
 
--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -4,7 +4,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 
-from platform_standins import Behaviour, DutyFault, StoreFault
+from platform_standins import Behaviour, DutyFault, StoreFault, StoreSilence
 
 from ._checks import DRAIN_TIMEOUT_S
 from ._fleet import Endpoint, SoakFleet
@@ -41,6 +41,9 @@
 RUNNER_PAUSES_S = (0.5, 0.8, 1.0, 1.2)
 """Times for which a sound runner may send nothing and go on."""
 STORE_FAULTS = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
+STORE_SILENCES = tuple(kind for kind in StoreSilence if kind is not StoreSilence.NONE)
+STORE_SILENCES_S = (0.05, 0.15, 0.4, 1.0, 2.0)
+"""Lengths of silences: most of them fall between two renewals of a VM's entry."""
 DUTY_FAULTS = tuple(fault for fault in DutyFault if fault is not DutyFault.NONE)
 LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
@@ -63,6 +66,7 @@
             endpoint.runner.retry_after = None
         await self._fleet.store.set_fault(StoreFault.NONE)
         self._fleet.store.reading_delay_s = 0.0
+        self._fleet.store.silence = StoreSilence.NONE
         self._fleet.duties.fault = DutyFault.NONE
 
     async def inject(self, fault: PlannedFault) -> None:
@@ -75,6 +79,7 @@
             "hup": self._reload_settings,
             "store": self._fail_store,
             "store_link": self._fail_store_link,
+            "store_silence": self._silence_store,
             "history": self._drop_store_history,
             "leases": self._expire_leases,
             "store_restore": self._restore_store,
@@ -165,6 +170,14 @@
         await asyncio.sleep(fault.duration_s)
         await self._fleet.store.set_fault(StoreFault.NONE, chosen)
 
+    async def _silence_store(self, fault: PlannedFault) -> None:
+        """Let the store leave calls unanswered; a change of the configuration ends the watches."""
+        store = self._fleet.store
+        store.silence = STORE_SILENCES[fault.variant % len(STORE_SILENCES)]
+        await self._change_configuration(fault)
+        await asyncio.sleep(STORE_SILENCES_S[fault.target % len(STORE_SILENCES_S)])
+        store.silence = StoreSilence.NONE
+
     async def _fail_store_link(self, fault: PlannedFault) -> None:
         link = self._fleet.store_links[fault.target % len(self._fleet.store_links)]
         await self._fail_link(link, fault)
--- a/tests/soak_harness/_schedule.py
+++ b/tests/soak_harness/_schedule.py
@@ -45,6 +45,10 @@
 """Series of a run that are drawn from ``DUTY_KINDS``."""
 DUTY_KINDS = ("duty_calls",)
 """Faults of the calls that are the duty of one VM at a time, drawn apart as well."""
+SILENCE_SERIES = 3
+"""Series of a run that are drawn from ``SILENCE_KINDS``."""
+SILENCE_KINDS = ("store_silence",)
+"""Silences of the store on connections that stay open, drawn apart as well."""
 LARGE_FLEET_SHARE = 0.1
 """Share of the seeds whose fleet is so large that only some VMs watch the store."""
 
@@ -78,6 +82,8 @@
     faults += _draw_series(pauses, PAUSE_KINDS, faults_s, PAUSE_SERIES)
     duties = random.Random(f"{seed} duties")
     faults += _draw_series(duties, DUTY_KINDS, faults_s, DUTY_SERIES)
+    silences = random.Random(f"{seed} silences")
+    faults += _draw_series(silences, SILENCE_KINDS, faults_s, SILENCE_SERIES)
     return sorted(faults)
 
 
