Bound the prompt parts that a VM tracks of the engines' caches

Cause: PromptCacheEstimate evicts by tokens only. Parts of 0 tokens are never evicted, parts of 1 token only after the memory of an engine in tokens, for each engine; the length of ids was not bounded.

--- a/src/mangosaddle/traffic/_endpoints.py
+++ b/src/mangosaddle/traffic/_endpoints.py
@@ -1,7 +1,7 @@
 """State of the endpoints of this VM's region."""
 
 from collections import Counter
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 from .._identifiers import EndpointId, RegionName, ServiceName, VmId
 from .._prompt_quarantine import Parts
@@ -9,7 +9,7 @@
 from ._cold_start import ColdStartLimiter
 from ._health import EndpointHealth, Reachability
 from ._load import EndpointLoad
-from ._prompt_cache import PromptCacheEstimate
+from ._prompt_cache import MAX_TRACKED_PARTS, PromptCacheEstimate
 from ._prompt_precedence import PromptPrecedence
 from ._reading_speed import PREFILL_TOKENS_PER_S
 from ._registry import EndpointRegistry, Registration
@@ -27,11 +27,14 @@
         registration: Registration,
         spec: ServiceSpec | None,
         statements: EndpointStatements | None = None,
+        max_tracked_parts: Callable[[], int] = lambda: MAX_TRACKED_PARTS,
     ) -> None:
         """Create the initial state of a newly registered endpoint.
 
-        ``statements`` are those that are already known of its process.
+        ``statements`` are those that are already known of its process. ``max_tracked_parts`` is
+        described at ``PromptCacheEstimate``.
         """
+        self._max_tracked_parts = max_tracked_parts
         engine = spec.engine if spec is not None else None
         self.registration = registration
         self.crash_suspect_fingerprints: set[str] = set()
@@ -47,7 +50,8 @@
         self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
         self.statements = statements or EndpointStatements(registration.id)
         """What the endpoint has stated about itself."""
-        self.prefixes = PromptCacheEstimate(engine.memory_tokens if engine is not None else 0)
+        memory_tokens = engine.memory_tokens if engine is not None else 0
+        self.prefixes = PromptCacheEstimate(memory_tokens, self._max_tracked_parts)
 
     def apply_spec(self, spec: ServiceSpec | None) -> None:
         """Apply a changed configuration of the service, and forget what was observed under it.
@@ -57,7 +61,8 @@
         engine = spec.engine if spec is not None else None
         self.load.reconfigure(engine.memory_tokens if engine is not None else None)
         self.tokens_per_event = engine.tokens_per_event if engine is not None else 1
-        self.prefixes = PromptCacheEstimate(engine.memory_tokens if engine is not None else 0)
+        memory_tokens = engine.memory_tokens if engine is not None else 0
+        self.prefixes = PromptCacheEstimate(memory_tokens, self._max_tracked_parts)
 
     def is_silent(self, now: float) -> bool:
         """Return whether requests are in flight and the endpoint has sent nothing for too long."""
@@ -122,7 +127,8 @@
         view = self._views_by_id.get(registration.id)
         if view is None or old is None or _restarted(old, registration):
             statements = self.statements(registration.id, registration.incarnation)
-            view = EndpointView(registration, self._spec(registration.service), statements)
+            spec = self._spec(registration.service)
+            view = EndpointView(registration, spec, statements, self._max_tracked_parts)
             self._views_by_id[registration.id] = view
         view.registration = registration
         view.statements.rejections.set_slots(registration.slots)
@@ -130,6 +136,10 @@
         if registration.cold_s > 0:
             view.cold_limiter.set_cold(registration.cold_s, now)
 
+    def _max_tracked_parts(self) -> int:
+        """Return the number of prompt parts that may be tracked for each endpoint."""
+        return MAX_TRACKED_PARTS // max(1, len(self._views_by_id))
+
     def remove(self, endpoint: EndpointId) -> bool:
         """Remove an endpoint; return whether it was registered."""
         self._views_by_id.pop(endpoint, None)
