Soak: leave only the watches unanswered before the last check

Change: after the faults have been cleared, and before the changes of the last check are written, the store leaves only its watches unanswered for 0.05 to 2 s, drawn from the seed, beside a change.

--- a/tests/soak_harness/_faults.py
+++ b/tests/soak_harness/_faults.py
@@ -1,6 +1,7 @@
 """Injects the planned faults into a fleet."""
 
 import asyncio
+import random
 import signal
 from collections.abc import Callable, Coroutine
 
@@ -42,6 +43,7 @@
 """Times for which a sound runner may send nothing and go on."""
 STORE_FAULTS = tuple(fault for fault in StoreFault if fault is not StoreFault.NONE)
 STORE_SILENCES = tuple(kind for kind in StoreSilence if kind is not StoreSilence.NONE)
+WATCH_PATHS = frozenset({"/api/kv-watch"})
 STORE_SILENCES_S = (0.05, 0.15, 0.4, 1.0, 2.0)
 """Lengths of silences: most of them fall between two renewals of a VM's entry."""
 DUTY_FAULTS = tuple(fault for fault in DutyFault if fault is not DutyFault.NONE)
@@ -69,6 +71,15 @@
         self._fleet.store.silence = StoreSilence.NONE
         self._fleet.duties.fault = DutyFault.NONE
 
+    async def silence_watches(self, rng: random.Random) -> None:
+        """Let the store leave only watches unanswered for a moment, so that no other call fails."""
+        store = self._fleet.store
+        store.silence, store.silent_paths = rng.choice(STORE_SILENCES), WATCH_PATHS
+        self._fleet.version += 1
+        await self._fleet.put_configuration()
+        await asyncio.sleep(rng.choice(STORE_SILENCES_S))
+        store.silence, store.silent_paths = StoreSilence.NONE, None
+
     async def inject(self, fault: PlannedFault) -> None:
         """Wait until the fault is due, inject it and clear it after its duration."""
         await asyncio.sleep(fault.at_s)
--- a/tests/soak_harness/_run.py
+++ b/tests/soak_harness/_run.py
@@ -1,6 +1,7 @@
 """One soak run: starts the fleet, injects and clears the faults, and checks the guarantees."""
 
 import asyncio
+import random
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -59,6 +60,7 @@
             injector = FaultInjector(self._fleet)
             await asyncio.gather(*(injector.inject(fault) for fault in schedule(self._seed)))
             await injector.clear_faults()
+            await injector.silence_watches(random.Random(f"{self._seed} silent watches"))
             await self._check_recovery(callers)
             await callers.stop()
             exit_watcher.cancel()
