Evaluate only what an event changes in the quarantine of prompt parts

Cause: each report of a crash, and each answer that cleared a part, worked through all kept crashes, suspects and parts again on the event loop. Change: the crashes of each part are kept by time with their counts, and the parts with enough crashes since their latest answer in a set. A report costs its own parts, an answer those that it clears; the patterns are only chosen again among the parts of that set, and only if an event concerns one of them. Parts that one answer clears are remembered in a fixed order, so that the bound forgets the same ones. Evidence: the former evaluation is kept in the tests; 60 drawn histories with small and full bounds give the same verdicts, waits and cleared parts after each event. Not changed: each cleared part is a fact of its own.

--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -2,18 +2,29 @@
 
 import math
 import random
+import sys
+from collections.abc import Callable
+from functools import partial
+from types import FrameType
+from typing import Any
 
 import pytest
 
+from mangosaddle import _prompt_quarantine
 from mangosaddle._prompt_quarantine import (
     MAX_CRASHES,
+    MAX_SUSPECT_PARTS,
+    MAX_SUSPECTS,
     MIN_CRASHES,
     PROMPT_CRASH_TTL_S,
     Parts,
     PromptCrash,
     PromptQuarantine,
 )
+from prompt_quarantine_reference import NaiveQuarantine
 
+MAX_LINES_PER_PART = 60
+"""Bound on the lines that an event executes for each part that it names."""
 CONTACT_S = 6.0
 """Time after the fifth crash from which a part is expected to reach no more engines."""
 CRASHING = frozenset(("shared", "crashing"))
@@ -147,3 +158,87 @@
     quarantine = quarantine_after(*crashes, crashes[1])
     quarantine.withdraw_crash(crashes[1], 10.0)
     assert quarantine.is_quarantined(CRASHING, 10.0)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_verdicts_equal_those_of_an_evaluation_of_all_crashes(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against verdicts that differ because only what an event changes is evaluated."""
+    rng = random.Random(seed)
+    monkeypatch.setattr(_prompt_quarantine, "MAX_CRASHES", rng.choice((6, 12, 128)))
+    monkeypatch.setattr(_prompt_quarantine, "MAX_CLEARED_PARTS", rng.choice((3, 10, 4096)))
+    monkeypatch.setattr(_prompt_quarantine, "PROMPT_CRASH_TTL_S", rng.choice((15.0, 600.0)))
+    names = [f"part-{number}" for number in range(rng.choice((4, 12)))]
+    quarantine, naive = PromptQuarantine(), NaiveQuarantine()
+    reports: list[PromptCrash] = []
+    now = 0.0
+    for _ in range(250):
+        now += rng.choice((0.0, 0.1, 0.4, 2.0))
+        drawn = [frozenset(rng.sample(names, rng.randint(1, 4))) for _ in range(3)]
+        event = rng.random()
+        if event < 0.45:
+            at_s = max(0.0, now - rng.choice((0.0, 0.0, 0.2, 5.0)))
+            reports.append(crash(rng.randrange(5), at_s, *drawn))
+            for known in (quarantine, naive):
+                known.record_crash(reports[-1], now)
+        elif event < 0.55 and reports:
+            report = rng.choice(reports)
+            for known in (quarantine, naive):
+                known.withdraw_crash(report, now)
+        else:
+            at_s = now - rng.choice((0.0, 0.0, 1.0))
+            parts = frozenset(rng.sample(names, 1)) if event < 0.8 else drawn[0]
+            assert quarantine.record_answer(parts, at_s) == naive.record_answer(parts, at_s)
+        assert quarantine.patterns() == naive.patterns()
+        assert quarantine.has_crashes == naive.has_crashes
+        for parts in drawn:
+            assert quarantine.retry_after_s(parts, now) == naive.retry_after_s(parts, now)
+
+
+def _count_lines(call: Callable[[], object]) -> int:
+    """Return how many lines of the quarantine a call executes."""
+    lines = 0
+
+    def _trace(frame: FrameType, event: str, _argument: object) -> Any:  # noqa: ANN401
+        nonlocal lines
+        if frame.f_code.co_filename != _prompt_quarantine.__file__:
+            return None
+        lines += event == "line"
+        return _trace
+
+    sys.settrace(_trace)
+    try:
+        call()
+    finally:
+        sys.settrace(None)
+    return lines
+
+
+@pytest.mark.parametrize("is_cleared", [False, True])
+def test_the_work_of_an_event_does_not_grow_with_the_number_of_crashes(is_cleared: bool) -> None:
+    """Guards against event loops that stand still for seconds after many crashes."""
+
+    def _suspects(first: int) -> list[Parts]:
+        return [
+            frozenset(
+                f"part-{(first + n) * MAX_SUSPECT_PARTS + m}" for m in range(MAX_SUSPECT_PARTS)
+            )
+            for n in range(MAX_SUSPECTS)
+        ]
+
+    quarantine = PromptQuarantine()
+    lines_by_crashes: dict[int, tuple[int, int]] = {}
+    for number in range(MAX_CRASHES):
+        now = 2.0 * number
+        report = crash(number, now, *_suspects(number % 3))
+        crash_lines = _count_lines(partial(quarantine.record_crash, report, now))
+        answer = _suspects(number % 3)[0]
+        answer_lines = _count_lines(partial(quarantine.record_answer, answer, now + 0.5))
+        lines_by_crashes[number + 1] = (crash_lines, answer_lines)
+        for parts in _suspects(number % 3)[1:] if is_cleared else ():
+            quarantine.record_answer(parts, now + 0.5)
+    parts_of_a_crash = MAX_SUSPECTS * MAX_SUSPECT_PARTS
+    crash_lines, answer_lines = lines_by_crashes[MAX_CRASHES]
+    assert crash_lines <= MAX_LINES_PER_PART * parts_of_a_crash
+    assert answer_lines <= MAX_LINES_PER_PART * MAX_SUSPECT_PARTS
