Bound the partial events of all streams together, and drop them where streams end

Cause: a stream buffers an event that is not complete up to 1 MiB, nothing bounded the sum, and the buffer outlived its stream with the traceback of the cancelled task until the garbage collector ran. Without room the stream ends as a broken answer, which doesn't mark its endpoint unreachable, since the lack of memory is that of the VM. The splitter's buffer is dropped where the attempt or the forward ends. The gauge mangosaddle_partial_event_bytes shows what is held. The new test runs with the collector switched off.

--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -11,6 +11,7 @@
 from ..http11 import (
     BadResponseError,
     BodyMemoryBudget,
+    BodyReservation,
     ConnectFailedError,
     ConnectionPool,
     EndlessResponseError,
@@ -122,6 +123,10 @@
         return not sink.started or (200 <= status < 300 and _media_type(headers) == self.media_type)
 
 
+class _NoEventMemoryError(Exception):
+    """There is no memory for a partial event, although it may still become complete."""
+
+
 class EndpointClient:
     """Sends requests to endpoints and passes the answers on to sinks."""
 
@@ -153,6 +158,9 @@
         self.connections_opened = 0
         self._timeouts = AttemptTimeouts()
         self._memory = BodyMemoryBudget(buffered_bytes)
+        self.event_memory = BodyMemoryBudget(buffered_bytes)
+        """Budget of the partial events of streams. It is apart from that of answers, which endless
+        events would exhaust."""
         self._checks_by_endpoint: dict[EndpointId, dict[UpstreamConnection, GiveUpCheck]] = {}
         """Checks of the attempts in progress that may be repeated."""
 
@@ -250,6 +258,10 @@
             return AttemptResult(AttemptEnd.BROKEN, f"answer without end: {error}")
         except BadResponseError as error:
             return AttemptResult(AttemptEnd.BROKEN, f"bad answer: {error}")
+        except _NoEventMemoryError as error:
+            # A shortage of this VM, which doesn't show that the endpoint is faulty.
+            connection.abort()
+            return AttemptResult(AttemptEnd.BROKEN, str(error))
         except BaseException:
             is_stream = request.route.kind is RequestKind.STREAM
             if (
@@ -348,9 +360,14 @@
         if answer.succeeded and not progress.continues(sink, answer.status, answer.headers):
             return AttemptResult(AttemptEnd.BROKEN, "answer does not continue the stream")
         if answer.succeeded and request.route.kind is RequestKind.STREAM:
-            return await self._receive_stream(
-                request, connection, head, view, answer, progress, sink, check
-            )
+            with self.event_memory.reserve() as reservation:
+                try:
+                    return await self._receive_stream(
+                        request, connection, head, view, answer, progress, sink, check, reservation
+                    )
+                finally:
+                    # The splitter may outlive its stream, with the traceback of a cancelled task.
+                    progress.splitter.discard_partial_event()
         if not answer.succeeded:
             body = await connection.whole_body(
                 MAX_FAILURE_BODY_BYTES, base_timeout_s=FAILURE_BODY_TIMEOUT_S
@@ -377,6 +394,7 @@
         progress: StreamProgress,
         sink: AnswerSink,
         check: GiveUpCheck,
+        reservation: BodyReservation,
     ) -> AttemptResult:
         clock = asyncio.get_running_loop().time
         progress.splitter.discard_partial_event()
@@ -390,6 +408,9 @@
                 break
             complete_events = progress.splitter.complete_events
             events = progress.splitter.feed(data)
+            if not reservation.resize(progress.splitter.buffered_bytes):
+                size_bytes = progress.splitter.buffered_bytes
+                raise _NoEventMemoryError(f"no memory for a partial event of {size_bytes} B")
             if progress.splitter.complete_events > complete_events:
                 # Only complete events count as progress: partial data may never end.
                 view.health.last_data_at_s = event_at_s = clock()
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -397,6 +397,11 @@
             "Connections opened to endpoints",
             lambda: self._endpoint_client.connections_opened,
         )
+        self.add_gauge(
+            "mangosaddle_partial_event_bytes",
+            "Bytes of events of streams that are not complete yet",
+            lambda: self._endpoint_client.event_memory.held_bytes,
+        )
         self.add_gauge(
             "mangosaddle_health_checks", "Health checks sent", lambda: self._prober.checks_sent
         )
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -207,6 +207,9 @@
         except LinkLostError as error:
             ending = Ending.TRUNCATED if sink.started else Ending.UNKNOWN
             return RunResult(ending, str(error), link_lost=True)
+        finally:
+            # The splitter may outlive its stream, with the traceback of a cancelled task.
+            progress.splitter.discard_partial_event()
 
 
 class _TooLargeError(Exception):
@@ -241,6 +244,8 @@
                     raise _TooLargeError(f"{len(body)} B")
                 continue
             events = progress.splitter.feed(answer.data)
+            if not reservation.resize(progress.splitter.buffered_bytes):
+                raise _TooLargeError(f"event of {progress.splitter.buffered_bytes} B")
             if events:
                 await progress.start(sink, head.status, _headers(head))
                 progress.must_resume = True
--- a/src/mangosaddle/http11/_body_memory.py
+++ b/src/mangosaddle/http11/_body_memory.py
@@ -1,4 +1,4 @@
-"""Shared memory budget of bodies that are buffered completely."""
+"""Shared memory budget of what is buffered until it is complete: bodies, or events of streams."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -45,3 +45,14 @@
         self.size_bytes += size_bytes
         self._memory.held_bytes += size_bytes
         return True
+
+    def resize(self, size_bytes: int) -> bool:
+        """Reserve ``size_bytes`` in place of the current size; False if the budget is exhausted.
+
+        A smaller size is always possible.
+        """
+        if size_bytes > self.size_bytes:
+            return self.grow(size_bytes - self.size_bytes)
+        self._memory.held_bytes -= self.size_bytes - size_bytes
+        self.size_bytes = size_bytes
+        return True
--- a/src/mangosaddle/traffic/_events.py
+++ b/src/mangosaddle/traffic/_events.py
@@ -73,6 +73,11 @@
         """Discard the incomplete event of an interrupted attempt before the next attempt."""
         self.take_remainder()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the partial event that is held."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self) -> bool:
         """Whether a part of an event has been received, other than line ends between events."""
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -1,11 +1,15 @@
 """Behaviour towards runners that send endless or dripping responses, and its cost."""
 
 import asyncio
+import gc
 
 import pytest
 
+from mangosaddle.entry import _request_run
 from mangosaddle.entry._ingress_limits import MAX_BUFFERED_ANSWERS_BYTES
-from mangosaddle.http11 import ResponseBrokenError, UpstreamConnection
+from mangosaddle.http11 import BodyMemoryBudget, ResponseBrokenError, UpstreamConnection
+from mangosaddle.http11._body_memory import GUARANTEED_BODY_BYTES
+from mangosaddle.traffic import EventSplitter
 from mangosaddle.traffic._health import EndpointHealth, Reachability
 from platform_standins import (
     Behaviour,
@@ -234,3 +238,46 @@
         assert buffer_memory.held_bytes == 0
 
     run_on_default_fleet(_scenario)
+
+
+def test_partial_events_share_a_bounded_buffer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against running out of memory by events without end, also after their streams."""
+    limit_bytes, streams = 256 * 1024, 12
+    splitters: list[EventSplitter] = []
+
+    def _record_splitter(last_id: int | None = None) -> EventSplitter:
+        splitters.append(EventSplitter(last_id))
+        return splitters[-1]
+
+    async def _scenario(fleet: Fleet) -> None:
+        engines = [fleet.runners["engine-1"], fleet.runners["engine-2"]]
+        for runner in engines:
+            runner.behaviour = Behaviour.ENDLESS_BODY
+        vm = fleet.vms["vm-1"]
+        memory = vm._endpoint_client.event_memory = BodyMemoryBudget(limit_bytes)
+        peak_bytes = 0
+
+        async def _watch() -> None:
+            nonlocal peak_bytes
+            while True:
+                peak_bytes = max(peak_bytes, memory.held_bytes)
+                await asyncio.sleep(0)
+
+        watching = asyncio.create_task(_watch())
+        calls = [_call(fleet, "/chat/x", "POST", LONG_DEADLINE_MS) for _ in range(streams)]
+        statuses = {status for status, _ in await asyncio.gather(*calls)}
+        watching.cancel()
+        assert statuses <= {502, 503}
+        assert limit_bytes // 2 < peak_bytes <= limit_bytes + streams * GUARANTEED_BODY_BYTES
+        assert memory.held_bytes == 0
+        assert [splitter.buffered_bytes for splitter in splitters if splitter.buffered_bytes] == []
+        # A lack of memory here says nothing about the endpoints.
+        for runner in engines:
+            assert _endpoint_health(fleet, runner).reachability is Reachability.OK
+
+    monkeypatch.setattr(_request_run, "EventSplitter", _record_splitter)
+    gc.disable()
+    try:
+        run_on_default_fleet(_scenario)
+    finally:
+        gc.enable()
