Bound what forwards hold, and release it where they end

Cause: 1. a whole answer left the memory budget as soon as it was queued for the link, where it waits for flow control; 2. the errors of cancelled tasks refer to the frames that hold answers, and these to the task, so that the answers stayed until a garbage collection; 3. an answer without room in the budget counted as endless, and its endpoint as unreachable, which sent on ever more requests; 4. the bodies of forwarded requests had no bound on their sum.

--- a/src/mangosaddle/_tasks.py
+++ b/src/mangosaddle/_tasks.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import logging
+import traceback
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from ._time_limits import sleep_until_caught_up
 
+MAX_CHAINED_ERRORS = 8
+"""Number of errors, each raised while the next one was handled, whose frames are released."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -57,6 +61,23 @@
     return task is not None and task.cancelling() > 0
 
 
+def release_frames(task: "asyncio.Future[Any]") -> None:
+    """Drop what the frames hold in which an ended task failed or was cancelled.
+
+    Its exception refers to these frames, and they mostly to the exception or the task. Buffers in
+    their variables would stay in memory until the garbage collector finds the cycle.
+    """
+    try:
+        task.result()
+    except (Exception, asyncio.CancelledError) as failure:
+        error: BaseException | None = failure
+        for _ in range(MAX_CHAINED_ERRORS):
+            if error is None:
+                return
+            traceback.clear_frames(error.__traceback__)
+            error = error.__context__
+
+
 async def _repeat(
     interval_s: float,
     action: Callable[[], Awaitable[None] | None],
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -16,6 +16,7 @@
     ConnectionPool,
     EndlessResponseError,
     HeaderList,
+    NoBodyMemoryError,
     ResponseBrokenError,
     ResponseHead,
     UnsendableRequestError,
@@ -94,6 +95,9 @@
     """Whether the endpoint closed or reset it; otherwise this VM did, as the endpoint was lost."""
     given_up: bool = False
     """Whether this VM ended the attempt because the endpoint was silent."""
+    own_shortage: bool = False
+    """Whether the answer was lost only for a lack of memory of this VM. Streams are left out: sound
+    ones need no more than the memory that each of them has."""
     connecting_s: float = 0.0
     """Seconds until the request was sent, of an attempt that was answered."""
 
@@ -123,10 +127,6 @@
         return not sink.started or (200 <= status < 300 and _media_type(headers) == self.media_type)
 
 
-class _NoEventMemoryError(Exception):
-    """There is no memory for a partial event, although it may still become complete."""
-
-
 class EndpointClient:
     """Sends requests to endpoints and passes the answers on to sinks."""
 
@@ -258,10 +258,10 @@
             return AttemptResult(AttemptEnd.BROKEN, f"answer without end: {error}")
         except BadResponseError as error:
             return AttemptResult(AttemptEnd.BROKEN, f"bad answer: {error}")
-        except _NoEventMemoryError as error:
-            # A shortage of this VM, which doesn't show that the endpoint is faulty.
+        except NoBodyMemoryError as error:
             connection.abort()
-            return AttemptResult(AttemptEnd.BROKEN, str(error))
+            is_stream = request.route.kind is RequestKind.STREAM
+            return AttemptResult(AttemptEnd.BROKEN, str(error), own_shortage=not is_stream)
         except BaseException:
             is_stream = request.route.kind is RequestKind.STREAM
             if (
@@ -410,7 +410,7 @@
             events = progress.splitter.feed(data)
             if not reservation.resize(progress.splitter.buffered_bytes):
                 size_bytes = progress.splitter.buffered_bytes
-                raise _NoEventMemoryError(f"no memory for a partial event of {size_bytes} B")
+                raise NoBodyMemoryError(f"no memory for a partial event of {size_bytes} B")
             if progress.splitter.complete_events > complete_events:
                 # Only complete events count as progress: partial data may never end.
                 view.health.last_data_at_s = event_at_s = clock()
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -461,6 +461,7 @@
             self.settings.peer_port,
             PEER_TIMINGS,
             self._process_limits.handshakes,
+            self._process_limits.forwarded_bodies_bytes,
         )
         node = PeerNode(
             peer_settings,
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from .._identifiers import OrganisationId, RegionName, RequestId, ServiceName, VmId
+from .._tasks import is_current_task_cancelled, release_frames
 from ..http11 import BodyMemoryBudget, BodyReservation
 from ..peers import (
     EncodeError,
@@ -379,6 +380,7 @@
         finally:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+            release_frames(task)
 
     def _find_route(self, forward: ForwardRequest, traffic: OpaqueTraffic) -> Route | None:
         """Return the route of a request according to this VM's configuration."""
@@ -405,8 +407,7 @@
             result = await self._runner.run(request, opaque, sink)
         # Without an end, the other VM would wait until the deadline of the request.
         except (Exception, asyncio.CancelledError):
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
+            if is_current_task_cancelled():
                 # The other VM has abandoned the request: nobody reads the queue, which may be full.
                 raise
             extra = {"request_id": request.id, "from_vm": vm}
--- a/src/mangosaddle/entry/_ingress_limits.py
+++ b/src/mangosaddle/entry/_ingress_limits.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from ..http11 import IngressLimits
+from ..peers import MAX_BODY_BYTES
 
 DEFAULT_MEMORY_BYTES = 1024 * 1024 * 1024
 """Memory if neither the settings nor the system state a limit."""
@@ -16,6 +17,8 @@
 passed on, and the process itself takes 50 MB."""
 BUFFERED_ANSWERS_SHARE = 0.1
 """Share of the memory for answers that are buffered until they are complete."""
+FORWARDED_BODIES_SHARE = 0.1
+"""Share of the memory for the bodies of requests that other VMs forward."""
 MAX_BUFFERED_ANSWERS_BYTES = 32 * 1024 * 1024
 MEMORY_SHARES_BY_DOOR = {"front": 0.7, "ready": 0.1, "directory": 0.15, "metrics": 0.05}
 DESCRIPTOR_SHARES_BY_DOOR = {"front": 0.5, "ready": 0.03, "directory": 0.1, "metrics": 0.02}
@@ -43,6 +46,7 @@
     ingress_by_door: Mapping[str, IngressLimits]
     buffered_answers_bytes: int
     handshakes: int
+    forwarded_bodies_bytes: int
 
     @classmethod
     def from_vm(cls, stated: VmLimits) -> "ProcessLimits":
@@ -60,6 +64,7 @@
             },
             min(MAX_BUFFERED_ANSWERS_BYTES, int(BUFFERED_ANSWERS_SHARE * memory_bytes)),
             max(MIN_CONNECTIONS, int(HANDSHAKE_SHARE * descriptors)),
+            max(MAX_BODY_BYTES, int(FORWARDED_BODIES_SHARE * memory_bytes)),
         )
 
 
--- a/src/mangosaddle/entry/_runner.py
+++ b/src/mangosaddle/entry/_runner.py
@@ -281,7 +281,8 @@
         elif result.end is AttemptEnd.WITHHELD:
             return
         elif result.end is AttemptEnd.BROKEN:
-            view.health.record_broken_answer()
+            if not result.own_shortage:
+                view.health.record_broken_answer()
             if request.route.kind is not RequestKind.STREAM:
                 # A request whose answer is lost has mostly run.
                 self._endpoint_client.count_begun(request, progress)
--- a/src/mangosaddle/entry/_sinks.py
+++ b/src/mangosaddle/entry/_sinks.py
@@ -48,10 +48,14 @@
         self._parts: asyncio.Queue[ForwardResponsePart] = asyncio.Queue(LINK_QUEUE_PARTS)
 
     async def send_whole(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Queue a complete answer."""
+        """Queue a complete answer, and wait until the link has taken it.
+
+        Until then the memory of the answer stays reserved.
+        """
         await self.start(status, headers)
         if body:
             await self.write(body)
+        await self._parts.join()
 
     async def start(self, status: int, headers: HeaderList) -> None:
         """Queue the head of an answer."""
@@ -75,5 +79,6 @@
         while True:
             part = await self._parts.get()
             yield part
+            self._parts.task_done()
             if isinstance(part, ForwardEnd):
                 return
--- a/src/mangosaddle/http11/_body_memory.py
+++ b/src/mangosaddle/http11/_body_memory.py
@@ -33,7 +33,7 @@
     """The part of a memory budget that one body occupies."""
 
     def __init__(self, memory: BodyMemoryBudget) -> None:
-        """Use ``BodyMemoryBudget.reserve`` instead."""
+        """Create an empty reservation; ``BodyMemoryBudget.reserve`` releases it by itself."""
         self.size_bytes = 0
         self._memory = memory
 
--- a/src/mangosaddle/http11/_exceptions.py
+++ b/src/mangosaddle/http11/_exceptions.py
@@ -47,11 +47,15 @@
 
 
 class EndlessResponseError(BadResponseError):
-    """The response exceeds a limit on its size, overhead or duration, or on body memory.
+    """The response exceeds a limit on its size, overhead or duration.
 
     Such a response need not be endless, but an endless one always ends with this error.
     """
 
 
+class NoBodyMemoryError(HttpError):
+    """There is no memory left for the response, which says nothing about its sender."""
+
+
 class RequestTimeoutError(HttpError):
     """The peer did not answer in time."""
--- a/src/mangosaddle/http11/_server_connection.py
+++ b/src/mangosaddle/http11/_server_connection.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from .._tasks import release_frames
 from .._time_limits import TimeLimit
 from ._connection_room import WRITE_HIGH_WATER_BYTES, ConnectionRoom
 from ._exchange import ServerExchange, UnansweredCause, UnansweredRequest
@@ -448,7 +449,14 @@
         except asyncio.CancelledError:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+            release_frames(task)
             raise
+        self._record_handler_end(task, exchange)
+        release_frames(task)
+        if not exchange.finished:
+            await self._answer_for_handler(exchange)
+
+    def _record_handler_end(self, task: "asyncio.Future[None]", exchange: ServerExchange) -> None:
         if task.cancelled():
             self._set_unanswered_cause(UnansweredCause.HANDLER_CANCELLED)
         elif (error := task.exception()) is not None:
@@ -457,8 +465,6 @@
             else:
                 self._set_unanswered_cause(UnansweredCause.HANDLER_FAILED)
                 logger.error("request handler failed", exc_info=error)
-        if not exchange.finished:
-            await self._answer_for_handler(exchange)
 
     async def _answer_for_handler(self, exchange: ServerExchange) -> None:
         """Respond to a request whose handler ended without a response, where that is possible."""
--- a/src/mangosaddle/http11/_upstream.py
+++ b/src/mangosaddle/http11/_upstream.py
@@ -21,6 +21,7 @@
     BadResponseError,
     ConnectFailedError,
     EndlessResponseError,
+    NoBodyMemoryError,
     RequestTimeoutError,
     ResponseBrokenError,
     UnsendableRequestError,
@@ -343,8 +344,8 @@
         ``MIN_BODY_RATE_BYTES_PER_S``. While ``may_give_up`` returns False, the wait goes on after
         it. ``reservation`` accounts for the memory of the body.
 
-        Raises the errors of ``body``, and ``EndlessResponseError`` for a body that exceeds
-        ``limit_bytes`` or the time limit, or for which there is no memory.
+        Raises the errors of ``body``, ``EndlessResponseError`` for a body that exceeds
+        ``limit_bytes`` or the time limit, and ``NoBodyMemoryError``.
         """
         body = bytearray()
         started_at_s = asyncio.get_running_loop().time()
@@ -363,9 +364,8 @@
             if len(body) > limit_bytes:
                 raise self._endless_response_error(f"body exceeds {limit_bytes} B")
             if reservation is not None and not reservation.grow(len(part)):
-                raise self._endless_response_error(
-                    f"no memory for a body of more than {len(body)} B"
-                )
+                self.abort()
+                raise NoBodyMemoryError(f"no memory for a body of more than {len(body)} B")
 
     async def _next_event(self) -> Any:  # noqa: ANN401
         while True:
--- a/src/mangosaddle/peers/__init__.py
+++ b/src/mangosaddle/peers/__init__.py
@@ -21,7 +21,7 @@
     RequestFailedError,
     RequestTimeoutError,
 )
-from ._forward import ForwardHandler
+from ._forward import MAX_BODY_BYTES, ForwardHandler
 from ._messages import (
     ForwardChunk,
     ForwardEnd,
@@ -37,6 +37,7 @@
 
 __all__ = [
     "CODEC",
+    "MAX_BODY_BYTES",
     "Codec",
     "CodecError",
     "ConfirmationTracker",
--- a/src/mangosaddle/peers/_forward.py
+++ b/src/mangosaddle/peers/_forward.py
@@ -11,7 +11,9 @@
 from dataclasses import replace
 
 from .._identifiers import VmId
+from .._tasks import is_current_task_cancelled
 from .._time_limits import TimeLimit
+from ..http11 import BodyMemoryBudget, BodyReservation
 from ._exceptions import EncodeError
 from ._link import Link
 from ._messages import (
@@ -66,8 +68,16 @@
 class _ActiveRequest:
     """A forwarded request whose body is being received or whose handler is running."""
 
-    def __init__(self, request: ForwardRequest, body_size_bytes: int, sent_at_s: float) -> None:
+    def __init__(
+        self,
+        request: ForwardRequest,
+        body_size_bytes: int,
+        sent_at_s: float,
+        reservation: BodyReservation,
+    ) -> None:
         self.request = request
+        self.reservation = reservation
+        """Memory of the body, from the first frame to the end of the request."""
         self.sent_at_s = sent_at_s
         """Estimated time at which the other VM sent the request, by the clock of this VM."""
         self.body_size_bytes = body_size_bytes
@@ -85,8 +95,17 @@
 class ForwardService:
     """Runs requests that other VMs forward to this one."""
 
-    def __init__(self, metrics: PeerMetrics, clock: Callable[[], float] = time.monotonic) -> None:
-        """Create the service without a handler; it rejects all requests as not run."""
+    def __init__(
+        self,
+        metrics: PeerMetrics,
+        clock: Callable[[], float] = time.monotonic,
+        bodies_bytes: int = 32 * 1024 * 1024,
+    ) -> None:
+        """Create the service without a handler; it rejects all requests as not run.
+
+        ``bodies_bytes`` limits the bodies of the requests that it holds at the same time.
+        """
+        self._body_memory = BodyMemoryBudget(bodies_bytes)
         self.handler: ForwardHandler | None = None
         self.refuses_new_requests = False
         """Whether this VM is about to close its links; running requests go on until then."""
@@ -107,7 +126,12 @@
             end = ForwardEnd(False, "not_run", reason, message.number)
             link.send(end)
             return
-        active = _ActiveRequest(message.request, message.body_size_bytes, sent_at_s)
+        reservation = BodyReservation(self._body_memory)
+        active = _ActiveRequest(message.request, message.body_size_bytes, sent_at_s, reservation)
+        if not active.reservation.grow(message.body_size_bytes):
+            self._metrics.count_drop("forward_no_memory")
+            link.send(ForwardEnd(False, "not_run", "no memory for its body", message.number))
+            return
         self._active_requests[(link, message.number)] = active
         self._start_if_complete(link, message.number, active)
         if active.task is None:
@@ -182,18 +206,27 @@
         active = self._active_requests.get((link, message.number))
         if active is not None:
             self._metrics.count_drop("forward_credit_not_decodable")
-            self.handle_cancel(link, ForwardCancel(message.number))
             execution = "not_run" if active.task is None else "unknown"
+            self.handle_cancel(link, ForwardCancel(message.number))
             link.send(ForwardEnd(False, execution, "credit_not_decodable", message.number))
 
     def handle_cancel(self, link: Link, message: ForwardCancel) -> None:
         """Cancel a request whose caller has disconnected."""
-        active = self._active_requests.pop((link, message.number), None)
+        active = self._forget(link, message.number)
         if active is None:
             return
         for task in (active.body_task, active.task):
             if task is not None:
                 task.cancel()
+        # The error of a cancelled task refers to the request, which must not refer to the task.
+        active.body_task = active.task = None
+
+    def _forget(self, link: Link, number: int) -> _ActiveRequest | None:
+        """Remove a request and release the memory of its body."""
+        active = self._active_requests.pop((link, number), None)
+        if active is not None:
+            active.reservation.resize(0)
+        return active
 
     def handle_credit(self, link: Link, message: ForwardCredit) -> None:
         """Extend the send window of a request."""
@@ -222,16 +255,15 @@
             end = replace(await self._run_handler(link, number, active), number=number)
         # Any handler failure has to be reported, or the other VM would wait for the response.
         except (Exception, asyncio.CancelledError):
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                self._active_requests.pop((link, number), None)
+            if is_current_task_cancelled():
+                self._forget(link, number)
                 raise
             self._metrics.count_drop("forward_handler_failed")
             logger.exception(
                 "forward handler failed", extra={"request_id": active.request.request_id}
             )
             end = ForwardEnd(False, "unknown", "handler_failed", number)
-        if self._active_requests.pop((link, number), None) is not None and not link.closed.is_set():
+        if self._forget(link, number) is not None and not link.closed.is_set():
             self._send_end(link, end)
 
     def _send_end(self, link: Link, end: ForwardEnd) -> None:
--- a/src/mangosaddle/peers/_node.py
+++ b/src/mangosaddle/peers/_node.py
@@ -116,7 +116,9 @@
             self._handle_link_change,
         )
         self._pending_requests = PendingRequests(self._metrics)
-        self._forward_service = ForwardService(self._metrics, clock)
+        self._forward_service = ForwardService(
+            self._metrics, clock, settings.forwarded_bodies_bytes
+        )
         self._forward_calls = ForwardCalls(self._metrics, clock)
         self._neighbourhood = Neighbourhood(
             self._connector, self.membership, vms_by_id, self._timings, clock, self._is_busy
--- a/src/mangosaddle/peers/_settings.py
+++ b/src/mangosaddle/peers/_settings.py
@@ -38,3 +38,5 @@
     timings: PeerTimings = PeerTimings()
     max_handshakes: int = 64
     """Accepted connections that may be unauthenticated at the same time."""
+    forwarded_bodies_bytes: int = 32 * 1024 * 1024
+    """Memory for the bodies of requests that other VMs forward, beside small ones."""
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -240,6 +240,23 @@
     run_on_default_fleet(_scenario)
 
 
+def test_a_lack_of_memory_for_answers_is_no_fault_of_the_endpoint() -> None:
+    """Guards against avoiding sound endpoints, and loading others, when memory is short."""
+
+    async def _scenario(fleet: Fleet) -> None:
+        vm = fleet.vms["vm-1"]
+        vm._endpoint_client._memory = BodyMemoryBudget(0)
+        for runner in _desk_runners(fleet):
+            runner.behaviour = Behaviour.ENDLESS_BODY
+        assert (await _call(fleet, "/order/x", "POST"))[0] == 502
+        for runner in _desk_runners(fleet):
+            health = _endpoint_health(fleet, runner)
+            assert health.reachability is Reachability.OK
+            assert health.failure_rate == 0
+
+    run_on_default_fleet(_scenario)
+
+
 def test_partial_events_share_a_bounded_buffer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against running out of memory by events without end, also after their streams."""
     limit_bytes, streams = 256 * 1024, 12
