Drop the tracebacks of ended tasks rather than clear their frames

Cause: an error that two tasks got, such as that of a lost connection, may refer to the frames of one that still runs; clearing a suspended frame ends its coroutine. Found by reading the change, not in a run. Change: release_tracebacks drops the traceback of the error and of those it was raised from, which frees the frames that nothing else refers to.

--- a/src/mangosaddle/_tasks.py
+++ b/src/mangosaddle/_tasks.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import logging
-import traceback
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from ._time_limits import sleep_until_caught_up
 
 MAX_CHAINED_ERRORS = 8
-"""Number of errors, each raised while the next one was handled, whose frames are released."""
+"""Number of errors, each raised while the next one was handled, whose traceback is dropped."""
 
 _log = logging.getLogger(__name__)
 
@@ -61,11 +60,11 @@
     return task is not None and task.cancelling() > 0
 
 
-def release_frames(task: "asyncio.Future[Any]") -> None:
-    """Drop what the frames hold in which an ended task failed or was cancelled.
+def release_tracebacks(task: "asyncio.Future[Any]") -> None:
+    """Drop the tracebacks of the errors with which an ended task failed or was cancelled.
 
-    Its exception refers to these frames, and they mostly to the exception or the task. Buffers in
-    their variables would stay in memory until the garbage collector finds the cycle.
+    A traceback refers to the frames of the task, and these mostly to the error or the task. Buffers
+    in their variables would stay in memory until the garbage collector finds the cycle.
     """
     try:
         task.result()
@@ -74,7 +73,7 @@
         for _ in range(MAX_CHAINED_ERRORS):
             if error is None:
                 return
-            traceback.clear_frames(error.__traceback__)
+            error.__traceback__ = None
             error = error.__context__
 
 
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 from .._identifiers import OrganisationId, RegionName, RequestId, ServiceName, VmId
-from .._tasks import is_current_task_cancelled, release_frames
+from .._tasks import is_current_task_cancelled, release_tracebacks
 from ..http11 import BodyMemoryBudget, BodyReservation
 from ..peers import (
     EncodeError,
@@ -380,7 +380,7 @@
         finally:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
-            release_frames(task)
+            release_tracebacks(task)
 
     def _find_route(self, forward: ForwardRequest, traffic: OpaqueTraffic) -> Route | None:
         """Return the route of a request according to this VM's configuration."""
--- a/src/mangosaddle/http11/_server_connection.py
+++ b/src/mangosaddle/http11/_server_connection.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from .._tasks import release_frames
+from .._tasks import release_tracebacks
 from .._time_limits import TimeLimit
 from ._connection_room import WRITE_HIGH_WATER_BYTES, ConnectionRoom
 from ._exchange import ServerExchange, UnansweredCause, UnansweredRequest
@@ -449,10 +449,10 @@
         except asyncio.CancelledError:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
-            release_frames(task)
+            release_tracebacks(task)
             raise
         self._record_handler_end(task, exchange)
-        release_frames(task)
+        release_tracebacks(task)
         if not exchange.finished:
             await self._answer_for_handler(exchange)
 
