--- a/src/mangosaddle/coordination/__init__.py
+++ b/src/mangosaddle/coordination/__init__.py
@@ -8,13 +8,14 @@
     RevisionConflictError,
     StoreUnavailableError,
 )
-from ._prefix_watcher import PrefixListener, PrefixWatcher
+from ._prefix_watcher import WATCH_WAIT_S, PrefixListener, PrefixWatcher
 from ._restore_guard import HoldTimes, ItemOrder, RestoreGuard
 from ._store import Changes, CoordinationStore, Item, Put, Removal, Snapshot
 from ._vm_registration import LEASE_TTL_S, VmRecord, VmRegistration
 
 __all__ = [
     "LEASE_TTL_S",
+    "WATCH_WAIT_S",
     "Changes",
     "CoordinationError",
     "CoordinationStore",
--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -13,10 +13,10 @@
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
 WATCH_WAIT_S = 1.0
-"""Longest wait of a watch call, in seconds. A call that the store has dropped looks like one that
-waits for changes until its time limit, and no other call need fail in that moment. The wait and the
-limit that the store's client adds to it keep this well below the time in which a change has to
-take effect."""
+"""Usual longest wait of a watch call, in seconds. A call that the store has dropped looks like one
+that waits for changes until its time limit, and no other call need fail in that moment. The wait
+and the limit that the store's client adds to it keep this well below the time in which a change has
+to take effect."""
 MAX_HELD_BACK_S = 3.0
 """Time, in seconds, for which the store may hold back the changes of a prefix. A watch without
 changes continues from a revision of before that time, so that it gets them later, or the error that
@@ -68,8 +68,13 @@
         listener: PrefixListener,
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        wait_s: float = WATCH_WAIT_S,
     ) -> None:
-        """Create an enabled watcher; ``run`` starts it."""
+        """Create an enabled watcher; ``run`` starts it.
+
+        ``wait_s`` is the longest wait of a watch call, in seconds.
+        """
+        self._wait_s = wait_s
         self.prefix = prefix
         self.last_contact_s: float | None = None
         """Monotonic time of the last successful call; ``None`` before the first one."""
@@ -178,7 +183,7 @@
 
     async def _watch(self, revision: int) -> Changes | None:
         """Return the next changes, or ``None`` if the prefix has to be read again."""
-        call = asyncio.create_task(self._store.watch(self.prefix, revision, WATCH_WAIT_S))
+        call = asyncio.create_task(self._store.watch(self.prefix, revision, self._wait_s))
         self._watch_call = call
         self._watch_began_at_s = self._clock()
         try:
--- a/src/mangosaddle/entry/_entry_process.py
+++ b/src/mangosaddle/entry/_entry_process.py
@@ -78,6 +78,7 @@
     OPERATOR_HOLD_TIMES,
     REGISTRATION_HOLD_TIMES,
     VM_ENTRY_HOLD_TIMES,
+    VM_ENTRY_WATCH_WAIT_S,
     FollowedPrefix,
     create_followers,
 )
@@ -338,7 +339,12 @@
                     self._registration_listener,
                     REGISTRATION_HOLD_TIMES,
                 ),
-                FollowedPrefix(VM_PREFIX, self._vm_entry_listener, VM_ENTRY_HOLD_TIMES),
+                FollowedPrefix(
+                    VM_PREFIX,
+                    self._vm_entry_listener,
+                    VM_ENTRY_HOLD_TIMES,
+                    VM_ENTRY_WATCH_WAIT_S,
+                ),
             ),
             adapter.item_order,
             self._rng,
--- a/src/mangosaddle/entry/_store_followers.py
+++ b/src/mangosaddle/entry/_store_followers.py
@@ -6,6 +6,7 @@
 
 from ..coordination import (
     LEASE_TTL_S,
+    WATCH_WAIT_S,
     CoordinationStore,
     HoldTimes,
     ItemOrder,
@@ -22,6 +23,9 @@
 REGISTRATION_HOLD_TIMES = HoldTimes(missing_s=LAPSE_GRACE_S, outdated_s=6.0)
 """Live endpoints write again within 2 s; the entry of one that has left disappears with its missed
 heartbeats."""
+VM_ENTRY_WATCH_WAIT_S = 4.0
+"""Longest wait of a watch call on the VMs' entries, in seconds. The entry of a lost VM ends after
+``LEASE_TTL_S`` and the links tell sooner, so that this prefix need not cost a call each second."""
 VM_ENTRY_HOLD_TIMES = HoldTimes(missing_s=LEASE_TTL_S, outdated_s=LEASE_TTL_S)
 
 
@@ -32,6 +36,7 @@
     prefix: str
     listener: PrefixListener
     hold_times: HoldTimes
+    watch_wait_s: float = WATCH_WAIT_S
 
 
 def create_followers(
@@ -47,7 +52,7 @@
     for row in followed:
         guard = RestoreGuard(row.hold_times, item_order, clock)
         listener = relay.wrap_listener(row.prefix, row.listener, guard)
-        watcher = PrefixWatcher(store, row.prefix, listener, rng)
+        watcher = PrefixWatcher(store, row.prefix, listener, rng, wait_s=row.watch_wait_s)
         relay.add_reader(row.prefix, watcher.read_again)
         watchers.append(watcher)
     return watchers
