Name the steps of the quarantine's update, and explain its parts

Change: names and docstrings only, found while reading the change as a newcomer. Result: tests/test_prompt_quarantine.py and tests/entry/test_released_buffers.py pass; formatter, linter and mypy clean.

--- a/src/mangosaddle/_prompt_quarantine.py
+++ b/src/mangosaddle/_prompt_quarantine.py
@@ -68,7 +68,7 @@
 
 
 class _Evidence:
-    """The crashes in which one part is suspect; a change costs the same however many there are."""
+    """The crashes in which one part is suspect, with their counts for the latest ones."""
 
     __slots__ = ("_crashes", "_last_separate_at_s", "_processes", "_separate", "cleared_at_s")
 
@@ -213,13 +213,12 @@
             forgotten.append(next(iter(self._cleared_parts)))
             del self._cleared_parts[forgotten[-1]]
             self._evidence_by_part[forgotten[-1]].clear(NEVER_S)
-        self._review((*cleared, *forgotten))
-        # The patterns rest on other parts than those that are no candidates.
-        matters = any(
+        self._update_candidates((*cleared, *forgotten))
+        affects_patterns = any(
             part in self._candidates or any(part in pattern.parts for pattern in self._patterns)
             for part in (*cleared, *forgotten)
         )
-        if cleared and (self._expire(wall_time) or matters):
+        if cleared and (self._expire(wall_time) or affects_patterns):
             self._update()
         return cleared
 
@@ -253,6 +252,7 @@
         self._remove(self._crashes[0])
 
     def _add_suspects(self, crash: _Crash, suspects: Collection[Parts]) -> None:
+        """Add suspects to a crash, as many as may be kept, and the crash to their evidence."""
         room = max(0, MAX_SUSPECTS - len(crash.suspects))
         added = [parts for parts in suspects if parts not in crash.suspects][:room]
         crash.suspects.update(added)
@@ -260,13 +260,14 @@
         crash.parts |= new
         for part in new:
             self._evidence_by_part.setdefault(part, _Evidence()).add(crash)
-        self._review(new)
+        self._update_candidates(new)
 
     def _remove(self, crash: _Crash) -> None:
+        """Remove a crash and the evidence from it."""
         self._crashes.remove(crash)
         for part in crash.parts:
             self._evidence_by_part[part].remove(crash)
-        self._review(crash.parts)
+        self._update_candidates(crash.parts)
 
     def _expire(self, wall_time: float) -> bool:
         """Remove the crashes whose lifetime is over, and return whether there were any."""
@@ -275,7 +276,7 @@
             self._remove(self._crashes[0])
         return len(self._crashes) < count
 
-    def _review(self, parts: Iterable[str]) -> None:
+    def _update_candidates(self, parts: Iterable[str]) -> None:
         """Update which of these parts are candidates, after their evidence has changed."""
         for part in parts:
             evidence = self._evidence_by_part.get(part)
@@ -287,6 +288,7 @@
                 del self._evidence_by_part[part]
 
     def _is_suspect(self, part: str) -> bool:
+        """Return whether a crash has come since the part's latest complete answer."""
         evidence = self._evidence_by_part.get(part)
         return evidence is not None and evidence.suspected_at_s > evidence.cleared_at_s
 
@@ -319,6 +321,7 @@
         self._patterns = tuple(patterns)
 
     def _unexplained(self, part: str, explained: set[_Crash]) -> list[_Crash]:
+        """Return the crashes in which a part is suspect and that no pattern explains yet."""
         return [c for c in self._evidence_by_part[part].crashes() if c not in explained]
 
     def _with_companions(self, part: str, crashes: list[_Crash]) -> Parts:
--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _QuietPeriod:
-    """Time since which the changes of a prefix may have been held back."""
+    """Time in which watch calls brought no changes, which the store may have held back."""
 
     began_at_s: float
     """Monotonic time of the response without changes that began it."""
--- a/src/mangosaddle/entry/_attempt.py
+++ b/src/mangosaddle/entry/_attempt.py
@@ -366,7 +366,7 @@
                         request, connection, head, view, answer, progress, sink, check, reservation
                     )
                 finally:
-                    # The splitter may outlive its stream, with the traceback of a cancelled task.
+                    # The splitter outlives its stream if the request goes on elsewhere.
                     progress.splitter.discard_partial_event()
         if not answer.succeeded:
             body = await connection.whole_body(
--- a/src/mangosaddle/entry/_forwarding.py
+++ b/src/mangosaddle/entry/_forwarding.py
@@ -209,7 +209,7 @@
             ending = Ending.TRUNCATED if sink.started else Ending.UNKNOWN
             return RunResult(ending, str(error), link_lost=True)
         finally:
-            # The splitter may outlive its stream, with the traceback of a cancelled task.
+            # The splitter outlives its stream if the request goes on elsewhere.
             progress.splitter.discard_partial_event()
 
 
