Let watch calls wait for 1.5 s

Change: 1.5 s; a dropped call is noticed after 2.5 s, a change in force 2.9 s and one reading after it. Result: tests/platform/test_silent_store.py and tests/coordination pass with the same bounds.

--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -12,7 +12,7 @@
 from ._exceptions import CoordinationError, HistoryLostError
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
-WATCH_WAIT_S = 1.0
+WATCH_WAIT_S = 1.5
 """Usual longest wait of a watch call, in seconds. A call that the store has dropped looks like one
 that waits for changes until its time limit, and no other call need fail in that moment. The wait
 and the limit that the store's client adds to it keep this well below the time in which a change has
