End a watcher that is cancelled while it has to read again

Callers would see: a VM that is to stop is killed after its grace period, as its process never ends. Cause: to read again, a watcher cancels its own call and takes the CancelledError for that. If its task is cancelled in the same iteration of the event loop, the cancellation was lost, and the stop waited for ever. Change: it goes on only if the task itself is not cancelled.

--- a/src/mangosaddle/coordination/_prefix_watcher.py
+++ b/src/mangosaddle/coordination/_prefix_watcher.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from .._store_revisions import era_of, format_revision
+from .._tasks import is_current_task_cancelled
 from ._exceptions import CoordinationError, HistoryLostError
 from ._store import Changes, CoordinationStore, Item, Removal, Snapshot
 
@@ -190,7 +191,7 @@
             return await call
         except asyncio.CancelledError:
             call.cancel()
-            if self._must_read:
+            if self._must_read and not is_current_task_cancelled():
                 return None
             raise
         finally:
--- a/tests/coordination/test_prefix_watcher.py
+++ b/tests/coordination/test_prefix_watcher.py
@@ -134,3 +134,25 @@
         task.cancel()
 
     asyncio.run(_main())
+
+
+def test_a_watcher_ends_although_it_has_to_read_again() -> None:
+    """Guards against a process that hangs in its stop, as the store was restored just before."""
+
+    class _WaitingStore(_Store):
+        async def watch(self, _prefix: str, _after: int, _wait_s: float) -> Changes:
+            await asyncio.Event().wait()
+            raise AssertionError("the call is never answered")
+
+    async def _main() -> None:
+        listener = _Listener(0)
+        store = _WaitingStore([])
+        watcher = PrefixWatcher(cast(Any, store), "op/", listener, random.Random(1))
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.05)
+        watcher.read_again()
+        task.cancel()
+        await asyncio.wait([task], timeout=1.0)
+        assert task.cancelled()
+
+    asyncio.run(_main())
