--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
 other addresses."""
 REGRESSION_SEEDS = {
     3: "VMs restarted in sequence granted an organisation's burst a second time",
+    4013: "a VM that was to stop as the store was restored never ended",
 }
 """Seeds that failed in the past, with the fault behind the failure."""
 
